--- /dev/null
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/package-info.java
@@ -0,0 +1,2 @@
+/** Reads the command line and runs the chosen command. */
+package org.filbertrudder.app;
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
@@ -0,0 +1,266 @@
+package org.filbertrudder.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.filbertrudder.entry.admin.AdminApi;
+import org.filbertrudder.entry.control.ControlLoop;
+import org.filbertrudder.entry.control.ControlState;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.entry.traffic.ListenPorts;
+import org.filbertrudder.entry.traffic.TrafficContext;
+import org.filbertrudder.entry.traffic.TrafficLoop;
+import org.filbertrudder.entry.traffic.TrafficMetrics;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.platform.EtcdStore;
+import org.filbertrudder.platform.PlatformDirectory;
+import org.filbertrudder.platform.Store;
+
+/** Runs one entry instance: a control thread and some traffic threads. */
+public final class Entry {
+
+    private static final PartLog LOG = PartLog.of("entry");
+    private static final long STORE_TIMEOUT_MS = 2_000;
+    private static final long PLATFORM_TIMEOUT_MS = 2_000;
+    private static final long DRAIN_CHECK_MS = 50;
+    private static final long REDIRECT_MS = 500;
+
+    private final EntrySettings mSettings;
+    private final Closer mCloser = new Closer();
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final TrafficMetrics mMetrics = new TrafficMetrics(mRegistry);
+    private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private final ListenPorts mPorts;
+    private Vertx mVertx;
+    private ControlLoop mControl;
+    private volatile int mPeerPort;
+    private volatile int mAdminPort;
+    private boolean mStopping;
+
+    private Entry(EntrySettings settings) {
+        mSettings = settings;
+        mPorts = new ListenPorts(settings.callerPort(), settings.forwardPort());
+    }
+
+    /**
+     * Starts an instance.
+     *
+     * @return the running instance; fails if a port is taken
+     */
+    public static CompletableFuture<Entry> start(EntrySettings settings) {
+        Entry entry = new Entry(settings);
+        return entry.run().thenApply(done -> entry);
+    }
+
+    private CompletableFuture<Void> run() {
+        mVertx =
+                Vertx.vertx(
+                        new VertxOptions().setEventLoopPoolSize(1 + mSettings.trafficThreads()));
+        mCloser.add(() -> mVertx.close().toCompletionStage().toCompletableFuture());
+        Store store =
+                new EtcdStore(
+                        mVertx,
+                        mSettings.store().host(),
+                        mSettings.store().port(),
+                        STORE_TIMEOUT_MS);
+        ControlVerticle verticle = new ControlVerticle(store);
+        return mVertx.deployVerticle(verticle)
+                .compose(id -> deployTraffic(store))
+                .compose(id -> verticle.join())
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private io.vertx.core.Future<Void> deployTraffic(Store store) {
+        TrafficContext context =
+                new TrafficContext(mVertx, mControl, store, mMetrics, Entry::monotonicMs);
+        io.vertx.core.Future<Void> deployed = io.vertx.core.Future.succeededFuture();
+        for (int i = 0; i < mSettings.trafficThreads(); i++) {
+            deployed =
+                    deployed.compose(
+                            done ->
+                                    mVertx.deployVerticle(
+                                                    new TrafficLoop(context, mSettings, mPorts),
+                                                    new DeploymentOptions())
+                                            .mapEmpty());
+        }
+        return deployed;
+    }
+
+    private static long monotonicMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Stops the instance without cutting a request: redirects callers, drains, then closes. */
+    public synchronized CompletableFuture<Void> shutDown() {
+        if (!mStopping) {
+            mStopping = true;
+            LOG.info("Leaving.", Field.of("instance", mSettings.id()));
+            mControl.leave()
+                    .orTimeout(mSettings.drainTimeoutMs(), TimeUnit.MILLISECONDS)
+                    .whenComplete((done, failure) -> drain());
+        }
+        return mStopped;
+    }
+
+    private void drain() {
+        long untilMs = monotonicMs() + mSettings.drainTimeoutMs();
+        long notBeforeMs = monotonicMs() + REDIRECT_MS;
+        mVertx.setPeriodic(
+                DRAIN_CHECK_MS,
+                timer -> {
+                    long nowMs = monotonicMs();
+                    boolean drained = mMetrics.running() == 0 && nowMs >= notBeforeMs;
+                    if (drained || nowMs >= untilMs) {
+                        mVertx.cancelTimer(timer);
+                        close();
+                    }
+                });
+    }
+
+    private void close() {
+        mControl.stop()
+                .thenCompose(done -> mCloser.close())
+                .whenComplete(
+                        (done, failure) -> {
+                            LOG.info("Stopped.", Field.of("instance", mSettings.id()));
+                            mStopped.complete(null);
+                        });
+    }
+
+    /** Completes when the instance has stopped. */
+    public CompletableFuture<Void> stopped() {
+        return mStopped;
+    }
+
+    /** Returns the TCP port for callers. */
+    public int callerPort() {
+        return mPorts.callerPort();
+    }
+
+    /** Returns the TCP port for operators. */
+    public int adminPort() {
+        return mAdminPort;
+    }
+
+    /** Returns the TCP port for control messages of other instances. */
+    public int peerPort() {
+        return mPeerPort;
+    }
+
+    private Dump dump() {
+        Map<String, Object> metrics = new TreeMap<>();
+        mRegistry.getCounters().forEach((name, counter) -> metrics.put(name, counter.getCount()));
+        mRegistry
+                .getTimers()
+                .forEach(
+                        (name, timer) ->
+                                metrics.put(
+                                        name,
+                                        new TimerSummary(
+                                                timer.getCount(),
+                                                timer.getSnapshot().getMedian() / 1e6,
+                                                timer.getSnapshot().get99thPercentile() / 1e6)));
+        long heapBytes = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+        return new Dump(mControl.state(), metrics, heapBytes);
+    }
+
+    /**
+     * Shows the state of the process.
+     *
+     * @param control the control state
+     * @param metrics the counters and timers, by name
+     * @param heapBytes the heap in use
+     */
+    private record Dump(ControlState control, Map<String, Object> metrics, long heapBytes) {}
+
+    /**
+     * Summarises a timer.
+     *
+     * @param count the number of measurements
+     * @param medianMs the median in milliseconds
+     * @param p99Ms the 99th percentile in milliseconds
+     */
+    private record TimerSummary(long count, double medianMs, double p99Ms) {}
+
+    /** Runs the control loop on an event loop of its own. */
+    private final class ControlVerticle extends AbstractVerticle {
+
+        private final Store mStore;
+
+        ControlVerticle(Store store) {
+            mStore = store;
+        }
+
+        @Override
+        public void start(Promise<Void> started) {
+            PlatformDirectory platform =
+                    new PlatformDirectory(
+                            vertx,
+                            mSettings.platform().host(),
+                            mSettings.platform().port(),
+                            PLATFORM_TIMEOUT_MS);
+            mControl =
+                    new ControlLoop(
+                            vertx, context, mSettings, mStore, platform, Entry::monotonicMs);
+            mControl.listen()
+                    .whenComplete(
+                            (port, failure) -> {
+                                if (failure != null) {
+                                    started.fail(failure);
+                                } else {
+                                    mPeerPort = port;
+                                    started.complete();
+                                }
+                            });
+        }
+
+        /** Joins the fleet once all ports are known. */
+        io.vertx.core.Future<Void> join() {
+            Promise<Void> joined = Promise.promise();
+            context.runOnContext(
+                    ignored -> {
+                        mControl.start(self());
+                        AdminApi admin =
+                                new AdminApi(
+                                        mControl,
+                                        mSettings,
+                                        Entry.this::dump,
+                                        Entry.this::shutDown);
+                        admin.listen(vertx)
+                                .whenComplete(
+                                        (port, failure) -> {
+                                            if (failure != null) {
+                                                joined.fail(failure);
+                                            } else {
+                                                mAdminPort = port;
+                                                joined.complete();
+                                            }
+                                        });
+                    });
+            return joined.future();
+        }
+
+        private Member self() {
+            return new Member(
+                    mSettings.id(),
+                    System.currentTimeMillis(),
+                    mSettings.region(),
+                    mSettings.failureDomain(),
+                    mSettings.host(),
+                    mPeerPort,
+                    mPorts.forwardPort(),
+                    mPorts.callerPort(),
+                    MemberState.LIVE);
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Serves the administration API. */
+package org.filbertrudder.entry.admin;
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
@@ -0,0 +1,88 @@
+package org.filbertrudder.entry.control;
+
+import io.vertx.core.Context;
+import java.util.List;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.platform.LiveInstance;
+import org.filbertrudder.platform.PlatformDirectory;
+import org.filbertrudder.policy.membership.PeerAddress;
+
+/** Reads the platform's live list at intervals and keeps the newest answer. */
+final class LiveListWatcher {
+
+    private static final PartLog LOG = PartLog.of("live list");
+    private static final long POLL_MS = 1_000;
+    private static final long FRESH_MS = 5_000;
+
+    private final Context mContext;
+    private final PlatformDirectory mPlatform;
+    private final LongSupplier mClockMs;
+    private final Runnable mOnChange;
+    private List<LiveInstance> mInstances = List.of();
+    private long mReadMs = Long.MIN_VALUE / 2;
+    private long mNextPollMs;
+    private boolean mReading;
+
+    LiveListWatcher(
+            Context context, PlatformDirectory platform, LongSupplier clockMs, Runnable onChange) {
+        mContext = context;
+        mPlatform = platform;
+        mClockMs = clockMs;
+        mOnChange = onChange;
+    }
+
+    void tick(long nowMs) {
+        if (mReading || nowMs < mNextPollMs) {
+            return;
+        }
+        mReading = true;
+        mNextPollMs = nowMs + POLL_MS;
+        mPlatform
+                .live()
+                .emitOn(action -> mContext.runOnContext(ignored -> action.run()))
+                .subscribe()
+                .with(this::read, failure -> mContext.runOnContext(ignored -> failed(failure)));
+    }
+
+    private void read(List<LiveInstance> instances) {
+        mReading = false;
+        mReadMs = mClockMs.getAsLong();
+        if (!instances.equals(mInstances)) {
+            mInstances = List.copyOf(instances);
+            mOnChange.run();
+        }
+    }
+
+    private void failed(Throwable failure) {
+        mReading = false;
+        LOG.debug("The live list cannot be read.", Field.of("error", failure.getMessage()));
+    }
+
+    /** Returns whether a recent answer does not name the instance. */
+    boolean lacks(InstanceId id, long nowMs) {
+        return nowMs - mReadMs < FRESH_MS
+                && mInstances.stream().noneMatch(each -> each.id().equals(id.value()));
+    }
+
+    /** Returns the endpoints that are leaving. */
+    Set<EndpointId> leavingEndpoints() {
+        return mInstances.stream()
+                .filter(each -> each.state() == LiveInstance.State.LEAVING)
+                .map(each -> EndpointId.of(each.id()))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /** Returns the peer addresses of the live instances. */
+    List<PeerAddress> peerAddresses() {
+        return mInstances.stream()
+                .filter(each -> !each.address().isEmpty())
+                .map(each -> PeerAddress.parse(each.address()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/package-info.java
@@ -0,0 +1,2 @@
+/** Runs the control state of an instance on one thread. */
+package org.filbertrudder.entry.control;
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/package-info.java
@@ -0,0 +1,2 @@
+/** Writes structured log lines. */
+package org.filbertrudder.entry.log;
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles and runs an entry instance. */
+package org.filbertrudder.entry;
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -0,0 +1,365 @@
+package org.filbertrudder.entry.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.model.Json;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.retry.RetryBudget;
+import org.filbertrudder.policy.retry.SuspectRequests.Verdict;
+import org.filbertrudder.policy.routing.EndpointState;
+
+/** Runs attempts and decides after each failure whether the request may run again. */
+final class Attempts implements Dispatcher.Starter {
+
+    private static final PartLog LOG = PartLog.of("attempt");
+    private static final int MAX_ATTEMPTS = 4;
+    private static final int STATUS_TOO_MANY_REQUESTS = 429;
+    private static final int STATUS_UNAVAILABLE = 503;
+    private static final String RESUME_OFFSET = "x-resume-offset";
+
+    private final TrafficContext mContext;
+    private final HttpClient mClient;
+    private final ForwardClient mForwards;
+    private final Finisher mFinisher;
+    private final RetryBudget mBudget = new RetryBudget();
+    private Dispatcher mDispatcher;
+    private Consumer<Exchange> mResubmit = exchange -> {};
+
+    Attempts(TrafficContext context, HttpClient client, ForwardClient forwards, Finisher finisher) {
+        mContext = context;
+        mClient = client;
+        mForwards = forwards;
+        mFinisher = finisher;
+    }
+
+    void setDispatcher(Dispatcher dispatcher) {
+        mDispatcher = dispatcher;
+        mResubmit = dispatcher::submit;
+    }
+
+    @Override
+    public void startLocal(Exchange exchange, EndpointState endpoint) {
+        boolean ranBefore = begin(exchange);
+        endpoint.started(exchange.alone());
+        exchange.tried().add(endpoint.id());
+        boolean alone = endpoint.load(mContext.nowMs()) == 1 && exchange.alone();
+        LocalAttempt attempt = new LocalAttempt(exchange, endpoint, ranBefore, alone);
+        exchange.onEnd(attempt::releaseEndpoint);
+        exchange.setUpstream(
+                EndpointCall.start(
+                        mClient,
+                        endpoint.endpoint(),
+                        exchange.incoming(),
+                        attemptHeaders(exchange),
+                        attempt));
+    }
+
+    private boolean begin(Exchange exchange) {
+        if (exchange.attempts() == 0) {
+            mBudget.noteRequest(mContext.snapshot().configuration().rules().retryShare());
+        }
+        exchange.countAttempt();
+        if (exchange.relay() == null) {
+            exchange.setRelay(new AnswerRelay(exchange, () -> pauseUntilDrained(exchange)));
+        }
+        boolean ranBefore = exchange.maybeRan();
+        exchange.setMaybeRan(true);
+        return ranBefore;
+    }
+
+    private static void pauseUntilDrained(Exchange exchange) {
+        Upstream upstream = exchange.upstream();
+        if (upstream != null) {
+            upstream.pause();
+            exchange.sink().onDrain(upstream::resume);
+        }
+    }
+
+    private Map<String, String> attemptHeaders(Exchange exchange) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        Exchange.Incoming incoming = exchange.incoming();
+        headers.put("x-request-id", incoming.requestId());
+        headers.put("x-client-account", incoming.account().value());
+        long leftMs = incoming.deadlineMs() - mContext.nowMs();
+        headers.put("x-deadline-ms", Long.toString(Math.max(1, leftMs)));
+        if (exchange.relay().resumable()) {
+            headers.put(RESUME_OFFSET, Long.toString(exchange.relay().eventsSent()));
+        }
+        return headers;
+    }
+
+    @Override
+    public void startAway(Exchange exchange, RegionId region) {
+        List<Member> members = mContext.snapshot().workingIn(region);
+        if (members.isEmpty()) {
+            exchange.triedRegions().add(region);
+            mResubmit.accept(exchange);
+            return;
+        }
+        Member member = members.get(ThreadLocalRandom.current().nextInt(members.size()));
+        boolean ranBefore = begin(exchange);
+        mContext.metrics().forwarded();
+        exchange.triedRegions().add(region);
+        exchange.setUpstream(
+                mForwards.start(
+                        member,
+                        exchange,
+                        attemptHeaders(exchange),
+                        new AwayAttempt(exchange, ranBefore)));
+    }
+
+    /** Decides after a failed attempt whether the request runs again. */
+    private void afterFailure(Exchange exchange, boolean sent) {
+        if (exchange.ended()) {
+            return;
+        }
+        boolean mayRepeat = !sent || exchange.incoming().repeatable();
+        boolean canContinue = exchange.relay().replaceable() || exchange.relay().resumable();
+        if (!mayRepeat || !canContinue || exchange.attempts() >= MAX_ATTEMPTS) {
+            giveUp(exchange);
+        } else if (sent && !mBudget.tryRetry()) {
+            giveUp(exchange);
+        } else {
+            mContext.metrics().retried();
+            LOG.info(
+                    "A request runs again.",
+                    Field.of("request", exchange.incoming().requestId()),
+                    Field.of("attempt", exchange.attempts() + 1));
+            mResubmit.accept(exchange);
+        }
+    }
+
+    private void giveUp(Exchange exchange) {
+        if (!exchange.maybeRan()) {
+            mFinisher.refuse(exchange, Refusal.regionUnavailable());
+        } else if (exchange.relay().replaceable()) {
+            boolean repeatable = exchange.incoming().repeatable();
+            mFinisher.refuse(exchange, repeatable ? Refusal.incomplete() : Refusal.broken());
+        } else if (exchange.relay().resumable()) {
+            mFinisher.refuse(exchange, Refusal.incomplete());
+        } else {
+            mFinisher.abort(exchange);
+        }
+    }
+
+    /** Spreads the news of a crash, then runs the request alone or not at all. */
+    private void afterCrash(Exchange exchange, EndpointState endpoint, boolean alone) {
+        Exchange.Incoming incoming = exchange.incoming();
+        if (!incoming.isModel()) {
+            afterFailure(exchange, true);
+            return;
+        }
+        String event = endpoint.id() + "/" + incoming.requestId() + "/" + exchange.attempts();
+        mContext.control()
+                .reportCrash(
+                        new PeerMessage.CrashReport(
+                                incoming.account(), incoming.digest().bodySha256(), event, alone));
+        checkVerdict(exchange, () -> afterFailure(exchange, true));
+    }
+
+    /** Runs the action unless the request has crashed endpoints before. */
+    void checkVerdict(Exchange exchange, Runnable action) {
+        mContext.control()
+                .verdict(exchange.incoming().digest())
+                .thenAccept(
+                        verdict ->
+                                mForwards.execute(() -> applyVerdict(exchange, verdict, action)));
+    }
+
+    private void applyVerdict(Exchange exchange, Verdict verdict, Runnable action) {
+        if (exchange.ended()) {
+            return;
+        }
+        if (verdict == Verdict.REFUSE) {
+            mFinisher.refuse(exchange, Refusal.crashing());
+            return;
+        }
+        if (verdict == Verdict.ALONE) {
+            exchange.setAlone();
+        }
+        action.run();
+    }
+
+    private void finish(Exchange exchange) {
+        if (exchange.ended()) {
+            return;
+        }
+        AnswerRelay relay = exchange.relay();
+        if (relay.isBuffered()) {
+            noteAnswer(exchange, relay);
+        }
+        if (relay.end()) {
+            mFinisher.complete(exchange);
+        } else {
+            exchange.setAnswer(null);
+            afterFailure(exchange, true);
+        }
+    }
+
+    private static void noteAnswer(Exchange exchange, AnswerRelay relay) {
+        byte[] body = relay.buffered().getBytes();
+        String type = relay.headers().getOrDefault("content-type", "");
+        exchange.setAnswer(new Exchange.Answer(relay.status(), type, body));
+        if (exchange.incoming().isModel()) {
+            usedTokens(body).ifPresent(exchange::setUsedTokens);
+        }
+    }
+
+    private static Optional<Long> usedTokens(byte[] body) {
+        try {
+            JsonNode total = Json.MAPPER.readTree(body).path("usage").path("total_tokens");
+            return total.isNumber() ? Optional.of(total.asLong()) : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private void noteHead(Exchange exchange) {
+        long takenMs = mContext.nowMs() - exchange.startedMs();
+        mContext.metrics().firstByte(takenMs);
+    }
+
+    /** Returns whether the answer continues the stream exactly where it broke off. */
+    private static boolean continues(Exchange exchange, int status, Map<String, String> headers) {
+        if (!exchange.relay().resumable()) {
+            return true;
+        }
+        String offset = Long.toString(exchange.relay().eventsSent());
+        return status == 200 && offset.equals(headers.get(RESUME_OFFSET));
+    }
+
+    /** Follows an attempt at an endpoint of this region. */
+    private final class LocalAttempt implements UpstreamListener {
+
+        private final Exchange mExchange;
+        private final EndpointState mEndpoint;
+        private final boolean mRanBefore;
+        private final boolean mAlone;
+        private boolean mReleased;
+
+        LocalAttempt(Exchange exchange, EndpointState endpoint, boolean ranBefore, boolean alone) {
+            mExchange = exchange;
+            mEndpoint = endpoint;
+            mRanBefore = ranBefore;
+            mAlone = alone;
+        }
+
+        /** Frees the slot at the endpoint if the exchange ends before the attempt does. */
+        void releaseEndpoint() {
+            if (!mReleased) {
+                mReleased = true;
+                mEndpoint.ended();
+                noteServed();
+            }
+        }
+
+        private void noteServed() {
+            mDispatcher.served(mExchange.incoming().service().id(), mExchange.usedTokens());
+        }
+
+        @Override
+        public void head(int status, Map<String, String> headers) {
+            if (!continues(mExchange, status, headers)) {
+                mFinisher.refuse(mExchange, Refusal.incomplete());
+                return;
+            }
+            boolean busy = status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY_REQUESTS;
+            if (busy && mExchange.incoming().isModel()) {
+                mExchange.upstream().cancel();
+                mReleased = true;
+                mEndpoint.ended();
+                afterFailure(mExchange, true);
+                return;
+            }
+            noteHead(mExchange);
+            mExchange.relay().head(status, headers);
+        }
+
+        @Override
+        public void data(Buffer data) {
+            mExchange.relay().data(data);
+        }
+
+        @Override
+        public void end() {
+            if (!mReleased) {
+                mReleased = true;
+                mEndpoint.succeeded();
+                noteServed();
+            }
+            finish(mExchange);
+        }
+
+        @Override
+        public void failed(Failure failure) {
+            if (mReleased) {
+                return;
+            }
+            mReleased = true;
+            mEndpoint.failed(mContext.nowMs());
+            LOG.warn(
+                    "An attempt failed.",
+                    Field.of("request", mExchange.incoming().requestId()),
+                    Field.of("endpoint", mEndpoint.id()),
+                    Field.of("failure", failure));
+            if (failure == Failure.NOT_SENT) {
+                mExchange.setMaybeRan(mRanBefore);
+                afterFailure(mExchange, false);
+            } else {
+                afterCrash(mExchange, mEndpoint, mAlone);
+            }
+        }
+    }
+
+    /** Follows an attempt in another region. */
+    private final class AwayAttempt implements UpstreamListener {
+
+        private final Exchange mExchange;
+        private final boolean mRanBefore;
+
+        AwayAttempt(Exchange exchange, boolean ranBefore) {
+            mExchange = exchange;
+            mRanBefore = ranBefore;
+        }
+
+        @Override
+        public void head(int status, Map<String, String> headers) {
+            if (!continues(mExchange, status, headers)) {
+                mFinisher.refuse(mExchange, Refusal.incomplete());
+                return;
+            }
+            noteHead(mExchange);
+            mExchange.relay().head(status, headers);
+        }
+
+        @Override
+        public void data(Buffer data) {
+            mExchange.relay().data(data);
+        }
+
+        @Override
+        public void end() {
+            finish(mExchange);
+        }
+
+        @Override
+        public void failed(Failure failure) {
+            if (failure == Failure.NOT_SENT) {
+                mExchange.setMaybeRan(mRanBefore);
+            }
+            afterFailure(mExchange, failure != Failure.NOT_SENT);
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -0,0 +1,218 @@
+package org.filbertrudder.entry.traffic;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.filbertrudder.model.Account;
+import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.queueing.FairQueue;
+import org.filbertrudder.policy.routing.Route;
+import org.filbertrudder.policy.routing.RouteRequest;
+import org.filbertrudder.policy.routing.Router;
+
+/** Starts requests on endpoints or in other regions, and keeps those that have to wait. */
+final class Dispatcher {
+
+    private final TrafficContext mContext;
+    private final Router mRouter;
+    private final Finisher mFinisher;
+    private final Starter mStarter;
+    private final Map<ServiceId, ServiceQueue> mQueues = new HashMap<>();
+
+    Dispatcher(TrafficContext context, Router router, Finisher finisher, Starter starter) {
+        mContext = context;
+        mRouter = router;
+        mFinisher = finisher;
+        mStarter = starter;
+    }
+
+    /** Runs the request now or queues it; requests that wait already go first. */
+    void submit(Exchange exchange) {
+        ServiceQueue queue = queue(exchange);
+        if (queue.mWaiting.size() > 0 && !exchange.alone()) {
+            enqueue(exchange, queue);
+            pump(exchange.incoming().service().id());
+        } else {
+            route(exchange);
+        }
+    }
+
+    private ServiceQueue queue(Exchange exchange) {
+        return mQueues.computeIfAbsent(
+                exchange.incoming().service().id(), key -> new ServiceQueue());
+    }
+
+    /** Decides where the request runs; one that must wait is queued. */
+    private void route(Exchange exchange) {
+        Route route = choose(exchange, expectedWaitMs(exchange));
+        if (route instanceof Route.Wait) {
+            enqueue(exchange, queue(exchange));
+        } else {
+            start(exchange, route);
+        }
+    }
+
+    private Route choose(Exchange exchange, long localWaitMs) {
+        Configuration configuration = mContext.snapshot().configuration();
+        RouteRequest request =
+                new RouteRequest(
+                        exchange.incoming().service().id(),
+                        region -> mayRunIn(exchange, configuration, region),
+                        exchange.incoming().affinityKey(),
+                        exchange.tried(),
+                        exchange.alone(),
+                        exchange.incoming().forwarded());
+        return mRouter.choose(request, configuration, localWaitMs, mContext.nowMs());
+    }
+
+    private static boolean mayRunIn(
+            Exchange exchange, Configuration configuration, RegionId region) {
+        if (exchange.triedRegions().contains(region)) {
+            return false;
+        }
+        if (exchange.incoming().key() == null) {
+            return true;
+        }
+        return configuration
+                .account(exchange.incoming().account())
+                .map((Account account) -> account.allows(region))
+                .orElse(false);
+    }
+
+    private void start(Exchange exchange, Route route) {
+        if (route instanceof Route.Local local) {
+            mStarter.startLocal(exchange, local.endpoint());
+        } else if (route instanceof Route.Away away) {
+            mStarter.startAway(exchange, away.region());
+        } else if (route instanceof Route.Refuse refuse) {
+            mFinisher.refuse(exchange, refusal(exchange, refuse.reason()));
+        }
+    }
+
+    private static Refusal refusal(Exchange exchange, Route.Reason reason) {
+        if (exchange.maybeRan() && !exchange.incoming().repeatable()) {
+            return Refusal.broken();
+        }
+        if (exchange.maybeRan()) {
+            return Refusal.incomplete();
+        }
+        return reason == Route.Reason.NO_ENDPOINT_ALLOWED
+                ? Refusal.noEndpointAllowed()
+                : Refusal.regionUnavailable();
+    }
+
+    private void enqueue(Exchange exchange, ServiceQueue queue) {
+        long nowMs = mContext.nowMs();
+        long maxWaitMs = mContext.snapshot().configuration().rules().maxQueueWaitMs();
+        long deadlineMs = Math.min(nowMs + maxWaitMs, exchange.incoming().deadlineMs());
+        long waitMs = expectedWaitMs(exchange);
+        if (nowMs + waitMs > deadlineMs) {
+            giveUp(exchange, waitMs);
+            return;
+        }
+        queue.mWaiting.add(
+                exchange.incoming().account(),
+                exchange,
+                Math.max(1, exchange.incoming().maxTokens()),
+                deadlineMs);
+    }
+
+    private void giveUp(Exchange exchange, long waitMs) {
+        mFinisher.refuse(
+                exchange, exchange.maybeRan() ? Refusal.incomplete() : Refusal.overloaded(waitMs));
+    }
+
+    private long expectedWaitMs(Exchange exchange) {
+        ServiceQueue queue = queue(exchange);
+        if (queue.mWaiting.size() == 0 || queue.mTokensPerMs <= 0) {
+            return 0;
+        }
+        return (long)
+                (queue.mWaiting.tokensAhead(exchange.incoming().account()) / queue.mTokensPerMs);
+    }
+
+    /** Starts waiting requests of a service as long as there is room. */
+    void pump(ServiceId service) {
+        ServiceQueue queue = mQueues.get(service);
+        if (queue == null || queue.mPumping) {
+            return;
+        }
+        queue.mPumping = true;
+        try {
+            startWaiting(queue);
+        } finally {
+            queue.mPumping = false;
+        }
+    }
+
+    private void startWaiting(ServiceQueue queue) {
+        while (queue.mWaiting.size() > 0) {
+            Exchange next = queue.mWaiting.poll().orElseThrow();
+            if (next.ended()) {
+                continue;
+            }
+            Route route = choose(next, 0);
+            if (route instanceof Route.Wait) {
+                queue.mWaiting.putBack(next.incoming().account(), next);
+                return;
+            }
+            start(next, route);
+        }
+    }
+
+    /** Notes served tokens, from which the time that waiting requests need is estimated. */
+    void served(ServiceId service, long tokens) {
+        ServiceQueue queue = mQueues.computeIfAbsent(service, key -> new ServiceQueue());
+        queue.noteServed(tokens, mContext.nowMs());
+        pump(service);
+    }
+
+    /** Removes a request whose caller has left. */
+    void remove(Exchange exchange) {
+        queue(exchange).mWaiting.remove(exchange);
+    }
+
+    /** Gives up requests that have waited too long and tries to start the others. */
+    void tick() {
+        long nowMs = mContext.nowMs();
+        for (Map.Entry<ServiceId, ServiceQueue> entry : Map.copyOf(mQueues).entrySet()) {
+            List<Exchange> expired = entry.getValue().mWaiting.removeExpired(nowMs);
+            expired.forEach(exchange -> giveUp(exchange, 1_000));
+            pump(entry.getKey());
+        }
+    }
+
+    /** Returns the number of waiting requests. */
+    int waiting() {
+        return mQueues.values().stream().mapToInt(queue -> queue.mWaiting.size()).sum();
+    }
+
+    /** Starts attempts. */
+    interface Starter {
+
+        /** Starts a request on an endpoint of this region. */
+        void startLocal(Exchange exchange, org.filbertrudder.policy.routing.EndpointState endpoint);
+
+        /** Forwards a request to another region. */
+        void startAway(Exchange exchange, RegionId region);
+    }
+
+    /** Holds the waiting requests of one service and the speed at which it serves. */
+    private static final class ServiceQueue {
+
+        private static final double SMOOTHING_MS = 2_000;
+
+        private final FairQueue<Exchange> mWaiting = new FairQueue<>();
+        private double mTokensPerMs;
+        private long mServedMs;
+        private boolean mPumping;
+
+        void noteServed(long tokens, long nowMs) {
+            double decay = Math.exp((mServedMs - nowMs) / SMOOTHING_MS);
+            mTokensPerMs = mTokensPerMs * decay + tokens / SMOOTHING_MS;
+            mServedMs = nowMs;
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
@@ -0,0 +1,139 @@
+package org.filbertrudder.entry.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.filbertrudder.model.Endpoint;
+
+/** Sends one request to an endpoint over HTTP. */
+final class EndpointCall implements Upstream {
+
+    private static final long CONNECT_TIMEOUT_MS = 1_000;
+
+    private final UpstreamListener mListener;
+    private HttpClientRequest mRequest;
+    private HttpClientResponse mResponse;
+    private boolean mDone;
+    private boolean mPaused;
+
+    private EndpointCall(UpstreamListener listener) {
+        mListener = listener;
+    }
+
+    /** Starts a call; the listener is told of the answer unless the call is cancelled. */
+    static EndpointCall start(
+            HttpClient client,
+            Endpoint endpoint,
+            Exchange.Incoming incoming,
+            Map<String, String> extraHeaders,
+            UpstreamListener listener) {
+        EndpointCall call = new EndpointCall(listener);
+        RequestOptions options =
+                new RequestOptions()
+                        .setHost(endpoint.host())
+                        .setPort(endpoint.port())
+                        .setMethod(HttpMethod.valueOf(incoming.method()))
+                        .setURI(incoming.uri())
+                        .setConnectTimeout(CONNECT_TIMEOUT_MS);
+        incoming.headers().forEach(options::putHeader);
+        extraHeaders.forEach(options::putHeader);
+        client.request(options)
+                .onFailure(failure -> call.fail(UpstreamListener.Failure.NOT_SENT))
+                .onSuccess(request -> call.send(request, incoming.body()));
+        return call;
+    }
+
+    private void send(HttpClientRequest request, Buffer body) {
+        if (mDone) {
+            request.reset();
+            return;
+        }
+        mRequest = request;
+        request.exceptionHandler(failure -> fail(UpstreamListener.Failure.BROKEN));
+        request.response()
+                .onFailure(failure -> fail(UpstreamListener.Failure.BROKEN))
+                .onSuccess(this::receive);
+        if (body.length() > 0) {
+            request.end(body);
+        } else {
+            request.end();
+        }
+    }
+
+    private void receive(HttpClientResponse response) {
+        if (mDone) {
+            request().reset();
+            return;
+        }
+        mResponse = response;
+        response.exceptionHandler(failure -> fail(UpstreamListener.Failure.BROKEN));
+        response.handler(this::receiveData);
+        response.endHandler(ignored -> receiveEnd());
+        Map<String, String> headers = new LinkedHashMap<>();
+        response.headers()
+                .forEach(
+                        (name, value) ->
+                                headers.merge(
+                                        name.toLowerCase(Locale.ROOT),
+                                        value,
+                                        (first, second) -> first + ", " + second));
+        mListener.head(response.statusCode(), headers);
+        if (mPaused && !mDone) {
+            response.pause();
+        }
+    }
+
+    private void receiveData(Buffer data) {
+        if (!mDone) {
+            mListener.data(data);
+        }
+    }
+
+    private void receiveEnd() {
+        if (!mDone) {
+            mDone = true;
+            mListener.end();
+        }
+    }
+
+    private void fail(UpstreamListener.Failure failure) {
+        if (!mDone) {
+            mDone = true;
+            mListener.failed(failure);
+        }
+    }
+
+    private HttpClientRequest request() {
+        return mRequest;
+    }
+
+    @Override
+    public void cancel() {
+        mDone = true;
+        if (mRequest != null) {
+            mRequest.reset();
+        }
+    }
+
+    @Override
+    public void pause() {
+        mPaused = true;
+        if (mResponse != null) {
+            mResponse.pause();
+        }
+    }
+
+    @Override
+    public void resume() {
+        mPaused = false;
+        if (mResponse != null) {
+            mResponse.resume();
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -0,0 +1,212 @@
+package org.filbertrudder.entry.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.filbertrudder.entry.control.TokenGrant;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.KeyId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.Service;
+import org.filbertrudder.model.ServiceKind;
+import org.filbertrudder.policy.retry.RequestDigest;
+
+/** Holds the state of one request from its arrival to the end of its answer. */
+final class Exchange {
+
+    private final Incoming mIncoming;
+    private final long mStartedMs;
+    private final ResponseSink mSink;
+    private final Set<EndpointId> mTried = new HashSet<>();
+    private final Set<RegionId> mTriedRegions = new HashSet<>();
+    private TokenGrant mGrant;
+    private Upstream mUpstream;
+    private long mUsedTokens;
+    private int mAttempts;
+    private boolean mMaybeRan;
+    private boolean mAlone;
+    private boolean mEnded;
+    private Runnable mOnEnd = () -> {};
+    private Answer mAnswer;
+    private AnswerRelay mRelay;
+
+    Exchange(Incoming incoming, ResponseSink sink, long startedMs) {
+        mStartedMs = startedMs;
+        mIncoming = incoming;
+        mSink = sink;
+        mUsedTokens = incoming.promptTokens();
+    }
+
+    Incoming incoming() {
+        return mIncoming;
+    }
+
+    long startedMs() {
+        return mStartedMs;
+    }
+
+    ResponseSink sink() {
+        return mSink;
+    }
+
+    Set<EndpointId> tried() {
+        return mTried;
+    }
+
+    Set<RegionId> triedRegions() {
+        return mTriedRegions;
+    }
+
+    TokenGrant grant() {
+        return mGrant;
+    }
+
+    void setGrant(TokenGrant grant) {
+        mGrant = grant;
+    }
+
+    Upstream upstream() {
+        return mUpstream;
+    }
+
+    void setUpstream(Upstream upstream) {
+        mUpstream = upstream;
+    }
+
+    long usedTokens() {
+        return mUsedTokens;
+    }
+
+    void setUsedTokens(long tokens) {
+        mUsedTokens = tokens;
+    }
+
+    void addUsedToken() {
+        mUsedTokens++;
+    }
+
+    int attempts() {
+        return mAttempts;
+    }
+
+    void countAttempt() {
+        mAttempts++;
+    }
+
+    /** Returns the relay that all attempts of this exchange share, or null before the first. */
+    AnswerRelay relay() {
+        return mRelay;
+    }
+
+    void setRelay(AnswerRelay relay) {
+        mRelay = relay;
+    }
+
+    /** Returns the whole answer once it is known; null if there is none or it is too long. */
+    Answer answer() {
+        return mAnswer;
+    }
+
+    void setAnswer(Answer answer) {
+        mAnswer = answer;
+    }
+
+    /** Returns whether the request may have run, even if only in part. */
+    boolean maybeRan() {
+        return mMaybeRan;
+    }
+
+    void setMaybeRan(boolean maybeRan) {
+        mMaybeRan = maybeRan;
+    }
+
+    /** Returns whether the request may run only on an idle endpoint. */
+    boolean alone() {
+        return mAlone;
+    }
+
+    void setAlone() {
+        mAlone = true;
+    }
+
+    boolean ended() {
+        return mEnded;
+    }
+
+    /** Ends the exchange once; returns whether this call did so. */
+    boolean markEnded() {
+        boolean first = !mEnded;
+        mEnded = true;
+        return first;
+    }
+
+    void onEnd(Runnable action) {
+        Runnable before = mOnEnd;
+        mOnEnd =
+                () -> {
+                    before.run();
+                    action.run();
+                };
+    }
+
+    void runEndActions() {
+        mOnEnd.run();
+    }
+
+    /**
+     * Holds a whole answer.
+     *
+     * @param status the HTTP status
+     * @param contentType the type of the body; empty if there is none
+     * @param body the body
+     */
+    record Answer(int status, String contentType, byte[] body) {}
+
+    /**
+     * Describes a request that has been identified and checked.
+     *
+     * @param requestId the request's id
+     * @param account the client account; for open routes the one that stands for everybody
+     * @param key the key's id; null on open routes
+     * @param service the service
+     * @param method the HTTP method
+     * @param uri the path and query at the endpoint
+     * @param headers the headers that may reach an endpoint
+     * @param body the request's body
+     * @param streamed whether the caller asked for server-sent events
+     * @param promptTokens the estimated tokens of the prompt
+     * @param maxTokens the most tokens that the request can consume
+     * @param affinityKey requests with the same key share a prompt prefix; may be empty
+     * @param repeatable whether the request may run more than once
+     * @param forwarded whether another region has forwarded the request
+     * @param deadlineMs when the request must have ended, on the instance's clock
+     */
+    record Incoming(
+            String requestId,
+            AccountId account,
+            KeyId key,
+            Service service,
+            String method,
+            String uri,
+            Map<String, String> headers,
+            Buffer body,
+            boolean streamed,
+            long promptTokens,
+            long maxTokens,
+            String affinityKey,
+            boolean repeatable,
+            boolean forwarded,
+            long deadlineMs) {
+
+        boolean isModel() {
+            return service.type() == ServiceKind.MODEL;
+        }
+
+        RequestDigest digest() {
+            return new RequestDigest(
+                    account, org.filbertrudder.model.Digests.sha256(body.getBytes()));
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -0,0 +1,171 @@
+package org.filbertrudder.entry.traffic;
+
+import io.vertx.core.Context;
+import java.util.HashMap;
+import java.util.Map;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.membership.PeerAddress;
+
+/** Forwards requests to instances in other regions and receives their answers. */
+final class ForwardClient {
+
+    private final Context mThread;
+    private final TrafficContext mContext;
+    private final Map<Long, ForwardCall> mCalls = new HashMap<>();
+    private PeerNetwork mNetwork;
+    private long mNextStream = 1;
+
+    ForwardClient(Context thread, TrafficContext context) {
+        mThread = thread;
+        mContext = context;
+    }
+
+    void setNetwork(PeerNetwork network) {
+        mNetwork = network;
+    }
+
+    /** Runs an action on the traffic thread. */
+    void execute(Runnable action) {
+        mThread.runOnContext(ignored -> action.run());
+    }
+
+    /** Forwards a request to a member. */
+    Upstream start(
+            Member member,
+            Exchange exchange,
+            Map<String, String> attemptHeaders,
+            UpstreamListener listener) {
+        long stream = mNextStream++;
+        ForwardCall call = new ForwardCall(stream, listener);
+        mCalls.put(stream, call);
+        PeerMessage.ForwardStart message = message(stream, exchange, attemptHeaders);
+        mNetwork.withConnection(
+                new PeerAddress(member.host(), member.forwardPort()),
+                connection -> {
+                    if (connection == null) {
+                        call.fail(UpstreamListener.Failure.NOT_SENT);
+                    } else if (!call.mDone) {
+                        call.mConnection = connection;
+                        connection.send(message);
+                        connection.onClose(() -> call.fail(UpstreamListener.Failure.BROKEN));
+                    }
+                });
+        return call;
+    }
+
+    private PeerMessage.ForwardStart message(
+            long stream, Exchange exchange, Map<String, String> attemptHeaders) {
+        Exchange.Incoming incoming = exchange.incoming();
+        Map<String, String> headers = new HashMap<>(incoming.headers());
+        headers.putAll(attemptHeaders);
+        return new PeerMessage.ForwardStart(
+                stream,
+                incoming.requestId(),
+                incoming.account(),
+                incoming.key(),
+                mContext.snapshot().configuration().revision(),
+                mContext.snapshot().self().region(),
+                incoming.method(),
+                "/services/" + incoming.service().id() + incoming.uri(),
+                headers,
+                incoming.body().getBytes(),
+                incoming.deadlineMs() - mContext.nowMs());
+    }
+
+    /** Handles the parts of an answer; returns whether the message was one. */
+    boolean handle(PeerMessage message) {
+        if (message instanceof PeerMessage.ForwardHead head) {
+            ForwardCall call = mCalls.get(head.stream());
+            if (call != null) {
+                call.mListener.head(head.status(), head.headers());
+            }
+        } else if (message instanceof PeerMessage.ForwardData data) {
+            ForwardCall call = mCalls.get(data.stream());
+            if (call != null) {
+                call.receive(data.data());
+            }
+        } else if (message instanceof PeerMessage.ForwardEnd end) {
+            ForwardCall call = mCalls.get(end.stream());
+            if (call != null) {
+                call.end(end.complete());
+            }
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    int running() {
+        return mCalls.size();
+    }
+
+    /** Represents one forwarded request. */
+    private final class ForwardCall implements Upstream {
+
+        private final long mStream;
+        private final UpstreamListener mListener;
+        private PeerConnection mConnection;
+        private boolean mDone;
+        private boolean mPaused;
+        private long mOwedBytes;
+
+        ForwardCall(long stream, UpstreamListener listener) {
+            mStream = stream;
+            mListener = listener;
+        }
+
+        void receive(byte[] data) {
+            mOwedBytes += data.length;
+            mListener.data(io.vertx.core.buffer.Buffer.buffer(data));
+            payBack();
+        }
+
+        private void payBack() {
+            if (!mPaused && !mDone && mOwedBytes > 0) {
+                mConnection.send(new PeerMessage.ForwardCredit(mStream, mOwedBytes));
+                mOwedBytes = 0;
+            }
+        }
+
+        void end(boolean complete) {
+            if (!complete) {
+                fail(UpstreamListener.Failure.BROKEN);
+            } else if (!mDone) {
+                mDone = true;
+                mCalls.remove(mStream);
+                mListener.end();
+            }
+        }
+
+        void fail(UpstreamListener.Failure failure) {
+            if (!mDone) {
+                mDone = true;
+                mCalls.remove(mStream);
+                mListener.failed(failure);
+            }
+        }
+
+        @Override
+        public void cancel() {
+            if (!mDone && mConnection != null) {
+                mConnection.send(new PeerMessage.ForwardCancel(mStream));
+            }
+            mDone = true;
+            mCalls.remove(mStream);
+        }
+
+        @Override
+        public void pause() {
+            mPaused = true;
+        }
+
+        @Override
+        public void resume() {
+            mPaused = false;
+            payBack();
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
@@ -0,0 +1,54 @@
+package org.filbertrudder.entry.traffic;
+
+import io.vertx.core.MultiMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Chooses the headers of a caller's request that may reach an endpoint. */
+final class HeaderFilter {
+
+    private static final Set<String> HOP_BY_HOP =
+            Set.of(
+                    "connection",
+                    "keep-alive",
+                    "proxy-connection",
+                    "transfer-encoding",
+                    "content-length",
+                    "te",
+                    "trailer",
+                    "upgrade",
+                    "expect",
+                    "host");
+    private static final Set<String> CREDENTIALS =
+            Set.of(
+                    "authorization",
+                    "proxy-authorization",
+                    "cookie",
+                    "x-api-key",
+                    "api-key",
+                    "x-auth-token");
+    private static final Set<String> OWN =
+            Set.of("x-request-id", "x-client-account", "x-deadline-ms", "x-resume-offset");
+
+    private HeaderFilter() {}
+
+    /** Returns the headers to pass on; none of them contains the caller's secret. */
+    static Map<String, String> apply(MultiMap headers, String secret) {
+        Map<String, String> passed = new LinkedHashMap<>();
+        headers.forEach(
+                (name, value) -> {
+                    String lower = name.toLowerCase(Locale.ROOT);
+                    boolean leaks = secret != null && value.contains(secret);
+                    boolean dropped =
+                            HOP_BY_HOP.contains(lower)
+                                    || CREDENTIALS.contains(lower)
+                                    || OWN.contains(lower);
+                    if (!dropped && !leaks) {
+                        passed.merge(lower, value, (first, second) -> first + ", " + second);
+                    }
+                });
+        return passed;
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
@@ -0,0 +1,64 @@
+package org.filbertrudder.entry.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Map;
+
+/** Sends an answer to a caller over HTTP. */
+final class HttpSink implements ResponseSink {
+
+    private final HttpServerResponse mResponse;
+    private boolean mHeadSent;
+
+    HttpSink(HttpServerResponse response) {
+        mResponse = response;
+    }
+
+    @Override
+    public void head(int status, Map<String, String> headers) {
+        mHeadSent = true;
+        mResponse.setStatusCode(status);
+        headers.forEach(mResponse::putHeader);
+        if (!headers.containsKey("content-length")) {
+            mResponse.setChunked(true);
+        }
+    }
+
+    @Override
+    public boolean headSent() {
+        return mHeadSent;
+    }
+
+    @Override
+    public void write(Buffer data) {
+        if (!mResponse.closed() && !mResponse.ended()) {
+            mResponse.write(data);
+        }
+    }
+
+    @Override
+    public boolean full() {
+        return mResponse.writeQueueFull();
+    }
+
+    @Override
+    public void onDrain(Runnable action) {
+        mResponse.drainHandler(
+                ignored -> {
+                    mResponse.drainHandler(null);
+                    action.run();
+                });
+    }
+
+    @Override
+    public void end() {
+        if (!mResponse.closed() && !mResponse.ended()) {
+            mResponse.end();
+        }
+    }
+
+    @Override
+    public void abort() {
+        mResponse.reset();
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/LoadPoller.java
@@ -0,0 +1,77 @@
+package org.filbertrudder.entry.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.Json;
+import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.EndpointTable;
+
+/** Reads the load reports of the endpoints in this region. */
+final class LoadPoller {
+
+    private static final long POLL_MS = 1_000;
+    private static final long TIMEOUT_MS = 900;
+
+    private final TrafficContext mContext;
+    private final HttpClient mClient;
+    private final EndpointTable mTable;
+    private final Runnable mOnLeaving;
+    private final Set<EndpointId> mLeaving = new HashSet<>();
+    private long mNextPollMs;
+
+    LoadPoller(TrafficContext context, HttpClient client, EndpointTable table, Runnable onLeaving) {
+        mContext = context;
+        mClient = client;
+        mTable = table;
+        mOnLeaving = onLeaving;
+    }
+
+    /** Returns the endpoints that report that they are leaving. */
+    Set<EndpointId> leaving() {
+        return mLeaving;
+    }
+
+    void tick(long nowMs) {
+        if (nowMs < mNextPollMs) {
+            return;
+        }
+        mNextPollMs = nowMs + POLL_MS;
+        for (EndpointState state : mTable.all()) {
+            if (state.endpoint().region().equals(mContext.snapshot().self().region())) {
+                poll(state);
+            }
+        }
+    }
+
+    private void poll(EndpointState state) {
+        mClient.request(HttpMethod.GET, state.endpoint().port(), state.endpoint().host(), "/load")
+                .compose(request -> request.idleTimeout(TIMEOUT_MS).send())
+                .compose(response -> response.body())
+                .onSuccess(body -> report(state, body));
+    }
+
+    private void report(EndpointState state, Buffer body) {
+        try {
+            JsonNode report = Json.MAPPER.readTree(body.getBytes());
+            int requests = report.path("running").asInt() + report.path("waiting").asInt();
+            state.reported(requests, mContext.nowMs());
+            noteLeaving(state.id(), report.path("leaving").asBoolean(false));
+        } catch (IOException e) {
+            // An endpoint without load reports is used by the own count alone.
+            noteLeaving(state.id(), false);
+        }
+    }
+
+    private void noteLeaving(EndpointId id, boolean leaving) {
+        boolean changed = leaving ? mLeaving.add(id) : mLeaving.remove(id);
+        if (changed) {
+            mOnLeaving.run();
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -0,0 +1,252 @@
+package org.filbertrudder.entry.traffic;
+
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.Promise;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpServer;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.filbertrudder.entry.EntrySettings;
+import org.filbertrudder.entry.control.Snapshot;
+import org.filbertrudder.entry.control.TokensRefusedException;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.routing.EndpointTable;
+import org.filbertrudder.policy.routing.Router;
+
+/** Serves callers and forwarded requests on one thread. */
+public final class TrafficLoop extends AbstractVerticle {
+
+    private static final PartLog LOG = PartLog.of("traffic");
+    private static final long TICK_MS = 20;
+    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 1_000;
+
+    private final TrafficContext mTraffic;
+    private final EntrySettings mSettings;
+    private final ListenPorts mPorts;
+    private final EndpointTable mTable = new EndpointTable();
+    private final Set<Exchange> mActive = new LinkedHashSet<>();
+    private Snapshot mSeen;
+    private HttpServer mServer;
+    private PeerNetwork mNetwork;
+    private Finisher mFinisher;
+    private Dispatcher mDispatcher;
+    private Attempts mAttempts;
+    private BookingClaims mClaims;
+    private LoadPoller mPoller;
+
+    /** Creates a loop; ports that are 0 are replaced by the ones chosen when it is deployed. */
+    public TrafficLoop(TrafficContext traffic, EntrySettings settings, ListenPorts ports) {
+        mTraffic = traffic;
+        mSettings = settings;
+        mPorts = ports;
+    }
+
+    @Override
+    public void start(Promise<Void> started) {
+        HttpClient client =
+                vertx.createHttpClient(
+                        new HttpClientOptions()
+                                .setMaxPoolSize(MAX_CONNECTIONS_PER_ENDPOINT)
+                                .setTcpNoDelay(true)
+                                .setKeepAlive(true));
+        mFinisher = new Finisher(mTraffic.control()::tokens, mTraffic.metrics());
+        ForwardClient forwards = new ForwardClient(context, mTraffic);
+        mAttempts = new Attempts(mTraffic, client, forwards, mFinisher);
+        Router router =
+                new Router(
+                        mSettings.region(),
+                        mTable,
+                        region -> !mTraffic.snapshot().workingIn(region).isEmpty());
+        mDispatcher = new Dispatcher(mTraffic, router, mFinisher, mAttempts);
+        mAttempts.setDispatcher(mDispatcher);
+        mClaims = new BookingClaims(context, mTraffic.store(), mFinisher);
+        mPoller = new LoadPoller(mTraffic, client, mTable, this::updateLeaving);
+        RequestFactory factory = new RequestFactory(mTraffic);
+        ForwardServer forwardServer =
+                new ForwardServer(mTraffic, factory, this::serveForwarded, this::cancel);
+        mNetwork = network(forwards, forwardServer);
+        forwards.setNetwork(mNetwork);
+        CallerApi api = new CallerApi(mTraffic, mSettings, factory, this::serve, this::cancel);
+        mTraffic.control().onChange(() -> context.runOnContext(ignored -> snapshotChanged()));
+        vertx.setPeriodic(TICK_MS, timer -> tick());
+        listen(api, started);
+    }
+
+    private PeerNetwork network(ForwardClient forwards, ForwardServer server) {
+        return new PeerNetwork(
+                vertx,
+                context,
+                mSettings.peerSecurity(),
+                () -> mTraffic.snapshot().self(),
+                (connection, message) -> receive(forwards, server, connection, message),
+                violation -> LOG.warn("A peer was rejected.", Field.of("why", violation)));
+    }
+
+    private void receive(
+            ForwardClient forwards,
+            ForwardServer server,
+            PeerConnection connection,
+            PeerMessage message) {
+        if (mTraffic.snapshot() != null && !forwards.handle(message)) {
+            server.handle(connection, message);
+        }
+    }
+
+    private void listen(CallerApi api, Promise<Void> started) {
+        mServer = vertx.createHttpServer(api.serverOptions());
+        mServer.requestHandler(api.router(vertx));
+        mServer.invalidRequestHandler(api::refuseInvalid);
+        mServer.listen(mPorts.callerPort(), mSettings.host())
+                .compose(
+                        server -> {
+                            mPorts.setCallerPort(server.actualPort());
+                            return io.vertx.core.Future.fromCompletionStage(
+                                    mNetwork.listen(mSettings.host(), mPorts.forwardPort()),
+                                    context);
+                        })
+                .onSuccess(mPorts::setForwardPort)
+                .<Void>mapEmpty()
+                .onComplete(started);
+    }
+
+    /** Serves a caller's request: claims its key, reserves its tokens, then dispatches it. */
+    private void serve(Exchange exchange, String idempotencyKey) {
+        begin(exchange);
+        if (idempotencyKey != null && !exchange.incoming().repeatable()) {
+            mClaims.claim(exchange, idempotencyKey, mDispatcher::submit);
+        } else if (exchange.incoming().isModel()) {
+            mAttempts.checkVerdict(exchange, () -> reserve(exchange));
+        } else {
+            mDispatcher.submit(exchange);
+        }
+    }
+
+    private void serveForwarded(Exchange exchange) {
+        begin(exchange);
+        if (exchange.incoming().isModel()) {
+            mAttempts.checkVerdict(exchange, () -> mDispatcher.submit(exchange));
+        } else {
+            mDispatcher.submit(exchange);
+        }
+    }
+
+    private void begin(Exchange exchange) {
+        mTraffic.metrics().received();
+        mActive.add(exchange);
+        long leftMs = Math.max(1, exchange.incoming().deadlineMs() - mTraffic.nowMs());
+        long timer = vertx.setTimer(leftMs, ignored -> timeOut(exchange));
+        exchange.onEnd(
+                () -> {
+                    vertx.cancelTimer(timer);
+                    mActive.remove(exchange);
+                    mDispatcher.remove(exchange);
+                    mTraffic.metrics().ended();
+                });
+    }
+
+    private void timeOut(Exchange exchange) {
+        mFinisher.refuse(exchange, Refusal.timedOut(!exchange.maybeRan()));
+    }
+
+    private void reserve(Exchange exchange) {
+        Exchange.Incoming incoming = exchange.incoming();
+        long waitMs = mTraffic.snapshot().configuration().rules().maxQueueWaitMs();
+        mTraffic.control()
+                .tokens()
+                .reserve(incoming.account(), incoming.maxTokens(), waitMs)
+                .whenComplete(
+                        (grant, failure) ->
+                                context.runOnContext(
+                                        ignored -> {
+                                            if (failure == null) {
+                                                exchange.setGrant(grant);
+                                                submitGranted(exchange);
+                                            } else {
+                                                mFinisher.refuse(exchange, refusal(failure));
+                                            }
+                                        }));
+    }
+
+    private void submitGranted(Exchange exchange) {
+        if (exchange.ended()) {
+            mTraffic.control().tokens().settle(exchange.grant(), exchange.grant().tokens());
+        } else {
+            mDispatcher.submit(exchange);
+        }
+    }
+
+    private static Refusal refusal(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof TokensRefusedException refused) {
+            return switch (refused.kind()) {
+                case RATE_EXCEEDED -> Refusal.rateExceeded(refused.retryAfterMs());
+                case TOO_LARGE -> Refusal.tooLarge();
+                default ->
+                        Refusal.unavailable("No instance can count the tokens. Come back later.");
+            };
+        }
+        return Refusal.unavailable("The tokens could not be reserved. Come back later.");
+    }
+
+    private void cancel(Exchange exchange) {
+        mFinisher.cancel(exchange);
+    }
+
+    private void tick() {
+        if (mTraffic.snapshot() == null) {
+            return;
+        }
+        if (mSeen == null) {
+            snapshotChanged();
+        }
+        mDispatcher.tick();
+        mPoller.tick(mTraffic.nowMs());
+    }
+
+    private void snapshotChanged() {
+        Snapshot now = mTraffic.snapshot();
+        Snapshot before = mSeen;
+        mSeen = now;
+        if (before == null || before.configuration().revision() != now.configuration().revision()) {
+            mTable.setEndpoints(now.configuration().all(Endpoint.class), mTraffic.nowMs());
+            endWithdrawn(now);
+        }
+        updateLeaving();
+    }
+
+    /** Ends the running requests of keys that have been withdrawn. */
+    private void endWithdrawn(Snapshot snapshot) {
+        for (Exchange exchange : List.copyOf(mActive)) {
+            boolean withdrawn =
+                    exchange.incoming().key() != null
+                            && snapshot.configuration().apiKey(exchange.incoming().key()).isEmpty();
+            if (withdrawn) {
+                mFinisher.refuse(exchange, Refusal.keyWithdrawn(!exchange.maybeRan()));
+            }
+        }
+    }
+
+    private void updateLeaving() {
+        Set<EndpointId> leaving = new HashSet<>(mSeen.leavingEndpoints());
+        leaving.addAll(mPoller.leaving());
+        mTable.setLeaving(leaving);
+    }
+
+    @Override
+    public void stop(Promise<Void> stopped) {
+        mServer.close()
+                .compose(
+                        done -> io.vertx.core.Future.fromCompletionStage(mNetwork.close(), context))
+                .onComplete(stopped);
+    }
+}
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Carries the requests of callers to endpoints. */
+package org.filbertrudder.entry.traffic;
--- /dev/null
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
@@ -0,0 +1,215 @@
+package org.filbertrudder.model;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Checks that a configuration is consistent before it is accepted. */
+public final class ConfigurationValidator {
+
+    private static final double SHARE_TOLERANCE = 1e-6;
+
+    private final Configuration mConfiguration;
+    private final List<Problem> mProblems = new ArrayList<>();
+
+    private ConfigurationValidator(Configuration configuration) {
+        mConfiguration = configuration;
+    }
+
+    /** Returns all problems of the configuration; empty if it can be accepted. */
+    public static List<Problem> validate(Configuration configuration) {
+        ConfigurationValidator validator = new ConfigurationValidator(configuration);
+        configuration.all(Region.class).forEach(validator::checkRegion);
+        configuration.all(Link.class).forEach(validator::checkLink);
+        configuration.all(Service.class).forEach(validator::checkService);
+        configuration.all(Endpoint.class).forEach(validator::checkEndpoint);
+        configuration.all(Account.class).forEach(validator::checkAccount);
+        configuration.all(ApiKey.class).forEach(validator::checkKey);
+        validator.checkModels();
+        validator.checkRules(configuration.rules());
+        return List.copyOf(validator.mProblems);
+    }
+
+    private void checkRegion(Region region) {
+        require(
+                !region.failureDomains().isEmpty(),
+                region,
+                "failureDomains",
+                "is empty. Name at least one failure domain.");
+    }
+
+    private void checkLink(Link link) {
+        requireRegion(link, "from", link.from());
+        requireRegion(link, "to", link.to());
+        require(!link.from().equals(link.to()), link, "to", "equals 'from'. Name two regions.");
+        require(link.delayMs() >= 0, link, "delayMs", "is negative. Use 0 or more.");
+        require(link.bitsPerSecond() > 0, link, "bitsPerSecond", "is not positive. Use 1 or more.");
+    }
+
+    private void checkService(Service service) {
+        if (service.type() == null) {
+            add(service, "type", "is missing. Use MODEL or PLAIN.");
+            return;
+        }
+        require(
+                service.type() == ServiceKind.PLAIN || !service.models().isEmpty(),
+                service,
+                "models",
+                "is empty. Name at least one model.");
+        require(
+                mConfiguration.all(Endpoint.class).stream()
+                        .anyMatch(endpoint -> service.id().equals(endpoint.service())),
+                service,
+                "endpoints",
+                "has none left. Add an endpoint or remove the service too.");
+    }
+
+    private void checkEndpoint(Endpoint endpoint) {
+        require(
+                mConfiguration.service(endpoint.service()).isPresent(),
+                endpoint,
+                "service",
+                "'" + endpoint.service() + "' is not in the inventory. Add it or correct the id.");
+        requireRegion(endpoint, "region", endpoint.region());
+        mConfiguration
+                .region(endpoint.region())
+                .ifPresent(
+                        region ->
+                                require(
+                                        region.failureDomains().contains(endpoint.failureDomain()),
+                                        endpoint,
+                                        "failureDomain",
+                                        "is not in region "
+                                                + region.id()
+                                                + ". Use one of "
+                                                + region.failureDomains()
+                                                + "."));
+        require(
+                endpoint.host() != null && !endpoint.host().isBlank(),
+                endpoint,
+                "host",
+                "is missing. Give an IP number.");
+        require(
+                endpoint.port() > 0 && endpoint.port() < 65_536,
+                endpoint,
+                "port",
+                "is out of range. Use 1 to 65535.");
+        require(endpoint.slots() > 0, endpoint, "slots", "is not positive. Use 1 or more.");
+    }
+
+    private void checkAccount(Account account) {
+        account.residency().forEach(region -> requireRegion(account, "residency", region));
+        account.shares().keySet().forEach(region -> requireRegion(account, "shares", region));
+        checkContract(account);
+        if (account.shares().isEmpty()) {
+            return;
+        }
+        double sum = account.shares().values().stream().mapToDouble(Double::doubleValue).sum();
+        boolean negative = account.shares().values().stream().anyMatch(share -> share < 0);
+        require(
+                !negative && Math.abs(sum - 1) <= SHARE_TOLERANCE,
+                account,
+                "shares",
+                "must be 0 or more and add up to 1. They add up to " + sum + ".");
+        account.shares().keySet().stream()
+                .filter(region -> !account.allows(region))
+                .forEach(
+                        region ->
+                                add(
+                                        account,
+                                        "shares",
+                                        "names region "
+                                                + region
+                                                + " outside 'residency'. Remove one of the two."));
+    }
+
+    private void checkContract(Account account) {
+        Contract contract = account.contract();
+        if (contract == null) {
+            add(account, "contract", "is missing. Give ratePerSecond and burst.");
+            return;
+        }
+        require(
+                contract.ratePerSecond() > 0 && Double.isFinite(contract.ratePerSecond()),
+                account,
+                "contract.ratePerSecond",
+                "is not positive. Use a number of tokens per second above 0.");
+        require(
+                contract.burst() >= contract.ratePerSecond() && Double.isFinite(contract.burst()),
+                account,
+                "contract.burst",
+                "is below one second of the rate. Use at least ratePerSecond.");
+    }
+
+    private void checkKey(ApiKey key) {
+        require(
+                mConfiguration.account(key.account()).isPresent(),
+                key,
+                "account",
+                "'" + key.account() + "' is not in the inventory. Withdraw its keys first.");
+        require(
+                key.secretSha256() != null && key.secretSha256().matches("[0-9a-f]{64}"),
+                key,
+                "secretSha256",
+                "is not a SHA-256 digest. Issue the key again.");
+    }
+
+    private void checkModels() {
+        Map<String, Service> owners = new HashMap<>();
+        for (Service service : mConfiguration.all(Service.class)) {
+            for (String model : service.models()) {
+                Service other = owners.putIfAbsent(model, service);
+                require(
+                        other == null,
+                        service,
+                        "models",
+                        "'" + model + "' belongs to another service too. Keep it in one.");
+            }
+        }
+    }
+
+    private void checkRules(Rules rules) {
+        require(
+                rules.maxQueueWaitMs() >= 0,
+                rules,
+                "maxQueueWaitMs",
+                "is negative. Use 0 or more.");
+        require(
+                rules.requestTimeoutMs() > rules.maxQueueWaitMs(),
+                rules,
+                "requestTimeoutMs",
+                "must be above maxQueueWaitMs. Raise it or lower the wait.");
+        require(
+                rules.maxOutputTokens() > 0,
+                rules,
+                "maxOutputTokens",
+                "is not positive. Use 1 or more.");
+        require(rules.awayCostMs() >= 0, rules, "awayCostMs", "is negative. Use 0 or more.");
+        require(
+                rules.retryShare() >= 0 && rules.retryShare() <= 1,
+                rules,
+                "retryShare",
+                "is out of range. Use 0 to 1.");
+    }
+
+    private void requireRegion(Entity entity, String field, RegionId region) {
+        Set<RegionId> known = mConfiguration.regionIds();
+        require(
+                region != null && known.contains(region),
+                entity,
+                field,
+                "'" + region + "' is not in the inventory. Use one of " + known + ".");
+    }
+
+    private void require(boolean condition, Entity entity, String field, String message) {
+        if (!condition) {
+            add(entity, field, message);
+        }
+    }
+
+    private void add(Entity entity, String field, String message) {
+        mProblems.add(new Problem(entity.entityKey() + "." + field, message));
+    }
+}
--- /dev/null
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
@@ -0,0 +1,122 @@
+package org.filbertrudder.model;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Holds the document that operators write by hand: everything but keys.
+ *
+ * @param regions the regions
+ * @param links the links between regions
+ * @param services the services
+ * @param endpoints the endpoints
+ * @param accounts the client accounts
+ * @param rules the rules; absent means {@link Rules#DEFAULT}
+ */
+public record Inventory(
+        List<Region> regions,
+        List<Link> links,
+        List<Service> services,
+        List<Endpoint> endpoints,
+        List<Account> accounts,
+        Rules rules) {
+
+    private static final YAMLMapper YAML =
+            YAMLMapper.builder()
+                    .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                    .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                    .addMixIn(Entity.class, Untagged.class)
+                    .build();
+
+    /** Replaces absent parts by empty lists and the default rules. */
+    public Inventory {
+        regions = regions == null ? List.of() : List.copyOf(regions);
+        links = links == null ? List.of() : List.copyOf(links);
+        services = services == null ? List.of() : List.copyOf(services);
+        endpoints = endpoints == null ? List.of() : List.copyOf(endpoints);
+        accounts = accounts == null ? List.of() : List.copyOf(accounts);
+        rules = rules == null ? Rules.DEFAULT : rules;
+    }
+
+    /**
+     * Reads an inventory from YAML or JSON text.
+     *
+     * @throws InvalidValueException if a field is unknown or has an impossible value; the message
+     *     names the path of the field
+     */
+    public static Inventory parse(String text) {
+        try {
+            Inventory inventory = YAML.readValue(text, Inventory.class);
+            if (inventory == null) {
+                throw new InvalidValueException("The document is empty. Write at least 'regions'.");
+            }
+            return inventory;
+        } catch (JsonProcessingException e) {
+            throw new InvalidValueException(JsonProblems.describe(e));
+        }
+    }
+
+    /** Returns the inventory that a configuration holds. */
+    public static Inventory from(Configuration configuration) {
+        return new Inventory(
+                configuration.all(Region.class),
+                configuration.all(Link.class),
+                configuration.all(Service.class),
+                configuration.all(Endpoint.class),
+                configuration.all(Account.class),
+                configuration.rules());
+    }
+
+    /** Writes the inventory as YAML. */
+    public String toYaml() {
+        try {
+            return YAML.writeValueAsString(this);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("The inventory has no YAML form.", e);
+        }
+    }
+
+    /** Returns the edits that turn the configuration into this inventory; keys stay. */
+    public List<Edit> editsFrom(Configuration configuration) {
+        Map<EntityKey, Entity> wanted = new TreeMap<>();
+        entities().forEach(entity -> wanted.put(entity.entityKey(), entity));
+        List<Edit> edits = new ArrayList<>();
+        for (Entity entity : wanted.values()) {
+            if (!entity.equals(configuration.find(entity.entityKey()).orElse(null))) {
+                edits.add(new Edit.Put(entity));
+            }
+        }
+        for (EntityKey key : configuration.keys()) {
+            if (key.kind() != EntityKind.KEY && !wanted.containsKey(key)) {
+                edits.add(new Edit.Remove(key));
+            }
+        }
+        return edits;
+    }
+
+    private List<Entity> entities() {
+        List<Entity> entities = new ArrayList<>();
+        entities.addAll(regions);
+        entities.addAll(links);
+        entities.addAll(services);
+        entities.addAll(endpoints);
+        entities.addAll(accounts);
+        entities.add(rules);
+        return entities;
+    }
+
+    /** Leaves out the kind, which the place in the document already tells. */
+    @com.fasterxml.jackson.annotation.JsonTypeInfo(
+            use = com.fasterxml.jackson.annotation.JsonTypeInfo.Id.NONE)
+    private interface Untagged {}
+}
--- /dev/null
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Json.java
@@ -0,0 +1,54 @@
+package org.filbertrudder.model;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+
+/** Reads and writes model types as JSON with a stable order of fields. */
+public final class Json {
+
+    /** The mapper that all modules share; strict about unknown fields. */
+    public static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                    .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                    .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+                    .build();
+
+    private Json() {}
+
+    /** Writes the value as compact JSON. */
+    public static String write(Object value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("The value has no JSON form: " + value.getClass(), e);
+        }
+    }
+
+    /** Writes the value as indented JSON. */
+    public static String writeIndented(Object value) {
+        try {
+            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("The value has no JSON form: " + value.getClass(), e);
+        }
+    }
+
+    /**
+     * Reads a value of the given type.
+     *
+     * @throws InvalidValueException if the text is not JSON of that type
+     */
+    public static <T> T read(String text, Class<T> type) {
+        try {
+            return MAPPER.readValue(text, type);
+        } catch (JsonProcessingException e) {
+            throw new InvalidValueException(JsonProblems.describe(e));
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/RegionId.java
@@ -0,0 +1,33 @@
+package org.filbertrudder.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies one region.
+ *
+ * @param value the identifier as written in the inventory
+ */
+public record RegionId(@JsonValue String value) implements Comparable<RegionId> {
+
+    /** Checks the form of the identifier. */
+    public RegionId {
+        Identifiers.check("region", value);
+    }
+
+    /** Returns the identifier with the given value. */
+    @JsonCreator
+    public static RegionId of(String value) {
+        return new RegionId(value);
+    }
+
+    @Override
+    public int compareTo(RegionId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -0,0 +1,151 @@
+package org.filbertrudder.peer;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.filbertrudder.model.message.Capabilities;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PeerMessage;
+
+/** Represents one TCP connection to another instance. */
+public final class PeerConnection {
+
+    private final NetSocket mSocket;
+    private final PeerHandler mHandler;
+    private final PeerCounters mCounters;
+    private final Consumer<String> mOnViolation;
+    private final RecordParser mParser = RecordParser.newFixed(MessageCodec.HEADER_BYTES);
+    private final List<Runnable> mCloseHandlers = new ArrayList<>();
+    private boolean mExpectsHeader = true;
+    private boolean mGreeted;
+    private Member mPeer;
+    private boolean mClosed;
+
+    PeerConnection(
+            NetSocket socket,
+            PeerHandler handler,
+            PeerCounters counters,
+            Consumer<String> onViolation) {
+        mSocket = socket;
+        mHandler = handler;
+        mCounters = counters;
+        mOnViolation = onViolation;
+        mParser.setOutput(this::receive);
+        socket.handler(mParser);
+        socket.exceptionHandler(failure -> socket.close());
+        socket.closeHandler(done -> closed());
+    }
+
+    private void receive(Buffer buffer) {
+        if (mClosed) {
+            return;
+        }
+        if (mExpectsHeader) {
+            receiveHeader(buffer.getInt(0));
+        } else {
+            mParser.fixedSizeMode(MessageCodec.HEADER_BYTES);
+            mExpectsHeader = true;
+            receiveBody(buffer);
+        }
+    }
+
+    private void receiveHeader(int length) {
+        if (length <= 0 || length > MessageCodec.MAX_FRAME_BYTES) {
+            reject("a frame of " + length + " bytes");
+            return;
+        }
+        mParser.fixedSizeMode(length);
+        mExpectsHeader = false;
+    }
+
+    private void receiveBody(Buffer body) {
+        mCounters.received(MessageCodec.HEADER_BYTES + body.length());
+        try {
+            dispatch(MessageCodec.decode(body));
+        } catch (MalformedFrameException e) {
+            reject(e.getMessage());
+        }
+    }
+
+    private void dispatch(PeerMessage message) {
+        if (message instanceof PeerMessage.Hello hello) {
+            if (hello.version() < Capabilities.OLDEST_VERSION || hello.sender() == null) {
+                reject("protocol version " + hello.version());
+                return;
+            }
+            mPeer = hello.sender();
+            mGreeted = true;
+        } else if (!mGreeted) {
+            reject("a message before the first greeting");
+            return;
+        }
+        mHandler.handle(this, message);
+    }
+
+    private void reject(String reason) {
+        mCounters.countRejected();
+        mOnViolation.accept("Peer " + mSocket.remoteAddress() + " sent " + reason);
+        mClosed = true;
+        mSocket.close();
+    }
+
+    /** Sends a message; it is lost if the connection is closed. */
+    public void send(PeerMessage message) {
+        if (mClosed) {
+            return;
+        }
+        Buffer frame = MessageCodec.encode(message);
+        mCounters.sent(frame.length());
+        mSocket.write(frame);
+    }
+
+    /** Returns whether so much is waiting to be sent that the sender should pause. */
+    public boolean writeQueueFull() {
+        return mSocket.writeQueueFull();
+    }
+
+    /** Runs the action when the connection has room to send again. */
+    public void onDrain(Runnable action) {
+        mSocket.drainHandler(done -> action.run());
+    }
+
+    /** Runs the action once when the connection is closed. */
+    public void onClose(Runnable action) {
+        if (mClosed) {
+            action.run();
+        } else {
+            mCloseHandlers.add(action);
+        }
+    }
+
+    /** Returns the member that opened the connection; null before its greeting. */
+    public Member peer() {
+        return mPeer;
+    }
+
+    /** Opens an outgoing connection with a greeting; the other side answers without one. */
+    void greet(PeerMessage.Hello hello) {
+        mGreeted = true;
+        send(hello);
+    }
+
+    /** Returns whether the connection is closed. */
+    public boolean isClosed() {
+        return mClosed;
+    }
+
+    /** Closes the connection. */
+    public void close() {
+        mSocket.close();
+    }
+
+    private void closed() {
+        mClosed = true;
+        List<Runnable> handlers = List.copyOf(mCloseHandlers);
+        mCloseHandlers.clear();
+        handlers.forEach(Runnable::run);
+    }
+}
--- /dev/null
+++ b/filbertrudder-platform/src/main/java/org/filbertrudder/platform/EtcdStore.java
@@ -0,0 +1,234 @@
+package org.filbertrudder.platform;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.JsonParser;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.ext.web.client.HttpResponse;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+/** Speaks the JSON form of the etcd v3 protocol over HTTP. */
+public final class EtcdStore implements Store {
+
+    private static final int MAX_SMALL_STATUS = 299;
+    private static final int STATUS_TOO_MANY_REQUESTS = 429;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final WebClient mClient;
+    private final HttpClient mStreams;
+    private final String mHost;
+    private final int mPort;
+    private final long mTimeoutMs;
+    private final AtomicLong mReads = new AtomicLong();
+    private final AtomicLong mWrites = new AtomicLong();
+    private final AtomicLong mWatches = new AtomicLong();
+    private final AtomicLong mFailures = new AtomicLong();
+
+    /** Creates a client of the store at the address; calls fail after the timeout in ms. */
+    public EtcdStore(Vertx vertx, String host, int port, long timeoutMs) {
+        mClient =
+                WebClient.create(
+                        io.vertx.mutiny.core.Vertx.newInstance(vertx),
+                        new WebClientOptions().setConnectTimeout((int) timeoutMs));
+        mStreams =
+                vertx.createHttpClient(new HttpClientOptions().setConnectTimeout((int) timeoutMs));
+        mHost = host;
+        mPort = port;
+        mTimeoutMs = timeoutMs;
+    }
+
+    @Override
+    public Uni<List<KeyValue>> get(String key) {
+        mReads.incrementAndGet();
+        return call("/v3/kv/range", new JsonObject().put("key", encode(key)))
+                .map(answer -> keyValues(answer.getJsonArray("kvs")));
+    }
+
+    @Override
+    public Uni<List<KeyValue>> list(String prefix) {
+        mReads.incrementAndGet();
+        return call("/v3/kv/range", range(prefix))
+                .map(answer -> keyValues(answer.getJsonArray("kvs")));
+    }
+
+    @Override
+    public Uni<List<KeyValue>> listFrom(String fromKey, String prefix) {
+        mReads.incrementAndGet();
+        return call("/v3/kv/range", range(prefix).put("key", encode(fromKey)))
+                .map(answer -> keyValues(answer.getJsonArray("kvs")));
+    }
+
+    @Override
+    public Uni<TransactionResult> commit(Transaction transaction) {
+        mWrites.incrementAndGet();
+        return call("/v3/kv/txn", body(transaction)).map(EtcdStore::result);
+    }
+
+    private static JsonObject body(Transaction transaction) {
+        JsonArray compares = new JsonArray();
+        for (Transaction.Compare compare : transaction.compares()) {
+            compares.add(
+                    new JsonObject()
+                            .put("key", encode(compare.key()))
+                            .put("target", "MOD")
+                            .put("result", "EQUAL")
+                            .put("mod_revision", Long.toString(compare.modRevision())));
+        }
+        JsonArray success = new JsonArray();
+        for (Transaction.Put put : transaction.puts()) {
+            JsonObject request =
+                    new JsonObject()
+                            .put("key", encode(put.key()))
+                            .put("value", encode(put.value()));
+            success.add(new JsonObject().put("request_put", request));
+        }
+        for (String key : transaction.deletes()) {
+            JsonObject request = new JsonObject().put("key", encode(key));
+            success.add(new JsonObject().put("request_delete_range", request));
+        }
+        JsonArray failure = new JsonArray();
+        for (String key : transaction.reads()) {
+            JsonObject request = new JsonObject().put("key", encode(key));
+            failure.add(new JsonObject().put("request_range", request));
+        }
+        return new JsonObject()
+                .put("compare", compares)
+                .put("success", success)
+                .put("failure", failure);
+    }
+
+    private static TransactionResult result(JsonObject answer) {
+        boolean succeeded = Boolean.TRUE.equals(answer.getBoolean("succeeded"));
+        List<KeyValue> found = new ArrayList<>();
+        JsonArray responses = answer.getJsonArray("responses", new JsonArray());
+        for (int i = 0; !succeeded && i < responses.size(); i++) {
+            JsonObject read = responses.getJsonObject(i).getJsonObject("response_range");
+            if (read != null) {
+                found.addAll(keyValues(read.getJsonArray("kvs")));
+            }
+        }
+        return new TransactionResult(succeeded, found);
+    }
+
+    private Uni<JsonObject> call(String path, JsonObject body) {
+        return mClient.post(mPort, mHost, path)
+                .timeout(mTimeoutMs)
+                .sendJsonObject(body)
+                .onFailure()
+                .transform(EtcdStore::lost)
+                .map(EtcdStore::checked)
+                .onFailure()
+                .invoke(failure -> mFailures.incrementAndGet());
+    }
+
+    private static JsonObject checked(HttpResponse<Buffer> response) {
+        int status = response.statusCode();
+        if (status <= MAX_SMALL_STATUS) {
+            return response.bodyAsJsonObject();
+        }
+        boolean refused = status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
+        throw new StoreException(
+                refused ? StoreException.Kind.NOT_DONE : StoreException.Kind.OUTCOME_UNKNOWN,
+                "The store answered with status " + status + ". Try again later.",
+                null);
+    }
+
+    private static StoreException lost(Throwable failure) {
+        boolean neverSent = failure instanceof java.net.ConnectException;
+        return new StoreException(
+                neverSent ? StoreException.Kind.NOT_DONE : StoreException.Kind.OUTCOME_UNKNOWN,
+                "The store gave no answer (" + failure.getMessage() + "). Check that it runs.",
+                failure);
+    }
+
+    @Override
+    public Runnable watch(String prefix, Consumer<KeyValue> onPut, Runnable onEnd) {
+        mWatches.incrementAndGet();
+        AtomicBoolean ended = new AtomicBoolean();
+        Runnable end =
+                () -> {
+                    if (ended.compareAndSet(false, true)) {
+                        onEnd.run();
+                    }
+                };
+        JsonObject body = new JsonObject().put("create_request", range(prefix));
+        Runnable[] close = {() -> ended.set(true)};
+        mStreams.request(HttpMethod.POST, mPort, mHost, "/v3/watch")
+                .compose(request -> request.send(body.toBuffer()))
+                .onFailure(failure -> end.run())
+                .onSuccess(
+                        response -> {
+                            JsonParser parser = JsonParser.newParser(response).objectValueMode();
+                            parser.exceptionHandler(failure -> end.run());
+                            parser.handler(event -> report(event.objectValue(), onPut));
+                            parser.endHandler(done -> end.run());
+                            response.request().connection().closeHandler(done -> end.run());
+                            close[0] = () -> response.request().reset();
+                        });
+        return () -> {
+            ended.set(true);
+            close[0].run();
+        };
+    }
+
+    private static void report(JsonObject message, Consumer<KeyValue> onPut) {
+        JsonObject result = message.getJsonObject("result", message);
+        JsonArray events = result.getJsonArray("events", new JsonArray());
+        for (int i = 0; i < events.size(); i++) {
+            JsonObject event = events.getJsonObject(i);
+            if (!"DELETE".equals(event.getString("type"))) {
+                onPut.accept(keyValue(event.getJsonObject("kv")));
+            }
+        }
+    }
+
+    @Override
+    public StoreCalls calls() {
+        return new StoreCalls(mReads.get(), mWrites.get(), mWatches.get(), mFailures.get());
+    }
+
+    private static JsonObject range(String prefix) {
+        byte[] end = prefix.getBytes(StandardCharsets.UTF_8);
+        end[end.length - 1]++;
+        return new JsonObject()
+                .put("key", encode(prefix))
+                .put("range_end", Base64.getEncoder().encodeToString(end));
+    }
+
+    private static List<KeyValue> keyValues(JsonArray array) {
+        List<KeyValue> keyValues = new ArrayList<>();
+        for (int i = 0; array != null && i < array.size(); i++) {
+            keyValues.add(keyValue(array.getJsonObject(i)));
+        }
+        return keyValues;
+    }
+
+    private static KeyValue keyValue(JsonObject json) {
+        return new KeyValue(
+                decode(json.getString("key")),
+                decode(json.getString("value", "")),
+                Long.parseLong(json.getString("create_revision", "0")),
+                Long.parseLong(json.getString("mod_revision", "0")));
+    }
+
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String decode(String base64) {
+        return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/filbertrudder-platform/src/main/java/org/filbertrudder/platform/PlatformDirectory.java
@@ -0,0 +1,82 @@
+package org.filbertrudder.platform;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.ext.web.client.WebClientOptions;
+import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.ext.web.client.HttpResponse;
+import io.vertx.mutiny.ext.web.client.WebClient;
+import java.io.IOException;
+import java.util.List;
+import org.filbertrudder.model.Json;
+
+/** Reads the platform's live list and publishes this instance in the caller directory. */
+public final class PlatformDirectory {
+
+    private static final int STATUS_OK = 200;
+    private static final int MAX_SUCCESS_STATUS = 299;
+
+    private final WebClient mClient;
+    private final String mHost;
+    private final int mPort;
+    private final long mTimeoutMs;
+
+    /** Creates a client of the platform at the address; calls fail after the timeout in ms. */
+    public PlatformDirectory(Vertx vertx, String host, int port, long timeoutMs) {
+        mClient =
+                WebClient.create(
+                        io.vertx.mutiny.core.Vertx.newInstance(vertx),
+                        new WebClientOptions().setConnectTimeout((int) timeoutMs));
+        mHost = host;
+        mPort = port;
+        mTimeoutMs = timeoutMs;
+    }
+
+    /** Reads the list of live and leaving instances. */
+    public Uni<List<LiveInstance>> live() {
+        return mClient.get(mPort, mHost, "/v1/live")
+                .timeout(mTimeoutMs)
+                .send()
+                .map(PlatformDirectory::parse);
+    }
+
+    private static List<LiveInstance> parse(HttpResponse<Buffer> response) {
+        if (response.statusCode() != STATUS_OK) {
+            throw new IllegalStateException(
+                    "The live list answered with status "
+                            + response.statusCode()
+                            + ". Check the platform.");
+        }
+        try {
+            return Json.MAPPER.readValue(
+                    response.bodyAsString(), new TypeReference<List<LiveInstance>>() {});
+        } catch (IOException e) {
+            throw new IllegalStateException("The live list is not readable. Check its version.", e);
+        }
+    }
+
+    /** Publishes an instance for callers. */
+    public Uni<Void> publish(DirectoryEntry entry) {
+        return mClient.put(mPort, mHost, "/v1/directory/" + entry.id())
+                .timeout(mTimeoutMs)
+                .sendBuffer(Buffer.buffer(Json.write(entry)))
+                .map(PlatformDirectory::done);
+    }
+
+    /** Withdraws an instance from the caller directory. */
+    public Uni<Void> withdraw(String id) {
+        return mClient.delete(mPort, mHost, "/v1/directory/" + id)
+                .timeout(mTimeoutMs)
+                .send()
+                .map(PlatformDirectory::done);
+    }
+
+    private static Void done(HttpResponse<Buffer> response) {
+        if (response.statusCode() > MAX_SUCCESS_STATUS) {
+            throw new IllegalStateException(
+                    "The caller directory answered with status " + response.statusCode() + ".");
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/filbertrudder-platform/src/main/java/org/filbertrudder/platform/StoreCalls.java
@@ -0,0 +1,11 @@
+package org.filbertrudder.platform;
+
+/**
+ * Counts calls to the store.
+ *
+ * @param reads the number of reads
+ * @param writes the number of transactions
+ * @param watches the number of watches opened
+ * @param failures the number of calls that failed
+ */
+public record StoreCalls(long reads, long writes, long watches, long failures) {}
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
@@ -0,0 +1,52 @@
+package org.filbertrudder.policy;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Ranks candidates for a key by highest random weight, so that few keys move with the set. */
+public final class Rendezvous {
+
+    private static final long PRIME = 0x100000001b3L;
+    private static final long OFFSET = 0xcbf29ce484222325L;
+
+    private Rendezvous() {}
+
+    /** Returns the candidates for the key, best first. */
+    public static <T> List<T> rank(
+            String key, Collection<T> candidates, Function<T, String> identity) {
+        return candidates.stream().sorted(byWeight(key, identity)).toList();
+    }
+
+    /** Returns the best candidate for the key. */
+    public static <T> Optional<T> first(
+            String key, Collection<T> candidates, Function<T, String> identity) {
+        return candidates.stream().min(byWeight(key, identity));
+    }
+
+    private static <T> Comparator<T> byWeight(String key, Function<T, String> identity) {
+        Comparator<T> heaviestFirst =
+                Comparator.comparingLong(candidate -> -weight(key, identity.apply(candidate)));
+        return heaviestFirst.thenComparing(identity);
+    }
+
+    /** Returns a well-mixed non-negative hash of the two strings. */
+    public static long weight(String key, String candidate) {
+        long hash = add(add(OFFSET, key) * PRIME, candidate);
+        hash ^= hash >>> 33;
+        hash *= 0xff51afd7ed558ccdL;
+        hash ^= hash >>> 33;
+        hash *= 0xc4ceb9fe1a85ec53L;
+        hash ^= hash >>> 33;
+        return hash >>> 1;
+    }
+
+    private static long add(long hash, String text) {
+        for (int i = 0; i < text.length(); i++) {
+            hash = (hash ^ text.charAt(i)) * PRIME;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which configuration revision an instance adopts. */
+package org.filbertrudder.policy.configuration;
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -0,0 +1,372 @@
+package org.filbertrudder.policy.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.Rendezvous;
+
+/**
+ * Tracks which instances are alive, at a constant cost for each member.
+ *
+ * <p>Each member sends heartbeats to a few neighbours: its successor on a hash ring, so that every
+ * member is watched, and some chosen by rendezvous hashing, so that news needs few hops. News is
+ * flooded along these links in both directions. A suspected member proves that it is alive by a
+ * higher incarnation.
+ */
+public final class Membership {
+
+    private static final int MAX_ACCUSE_BACKOFF = 16;
+
+    private final MembershipSettings mSettings;
+    private final RandomGenerator mRandom;
+    private final Map<InstanceId, Member> mMembers = new TreeMap<>();
+    private final Map<InstanceId, Contact> mContacts = new HashMap<>();
+    private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
+    private Member mSelf;
+    private long mNextHeartbeatMs;
+    private long mNextDeadRetryMs;
+    private long mNextSyncMs;
+    private List<Member> mNeighbours = List.of();
+    private boolean mNeighboursStale = true;
+
+    /** Creates the membership of an instance that knows only itself. */
+    public Membership(Member self, MembershipSettings settings, RandomGenerator random) {
+        mSelf = self;
+        mSettings = settings;
+        mRandom = random;
+        mMembers.put(self.id(), self);
+    }
+
+    /** Returns this instance's own description. */
+    public Member self() {
+        return mSelf;
+    }
+
+    /** Adds addresses to be contacted until other members are known. */
+    public void addSeeds(Collection<PeerAddress> seeds) {
+        seeds.stream().filter(seed -> !seed.equals(PeerAddress.of(mSelf))).forEach(mSeeds::add);
+    }
+
+    /** Returns all known members with this one, in the order of their ids. */
+    public List<Member> members() {
+        return List.copyOf(mMembers.values());
+    }
+
+    /** Returns the member with the id. */
+    public Optional<Member> member(InstanceId id) {
+        return Optional.ofNullable(mMembers.get(id));
+    }
+
+    /** Returns the members of a region that may be given work. */
+    public List<Member> workingIn(RegionId region) {
+        return mMembers.values().stream()
+                .filter(member -> member.takesWork() && member.region().equals(region))
+                .toList();
+    }
+
+    /** Returns since when a member has been in its present state; absent if it is unknown. */
+    public Optional<Long> stateSinceMs(InstanceId id) {
+        return Optional.ofNullable(mContacts.get(id)).map(contact -> contact.mStateSinceMs);
+    }
+
+    /** Returns a digest of the members that are not dead. */
+    public int digest() {
+        int digest = 0;
+        for (Member member : mMembers.values()) {
+            if (member.state() != MemberState.DEAD) {
+                String text = member.id() + "/" + member.incarnation() + "/" + member.state();
+                digest ^= (int) Rendezvous.weight("member", text);
+            }
+        }
+        return digest;
+    }
+
+    /** Changes the state of this instance and spreads the news. */
+    public List<PeerSend> setOwnState(MemberState state, long nowMs) {
+        mSelf = mSelf.in(state);
+        mMembers.put(mSelf.id(), mSelf);
+        return flood(List.of(mSelf), null, nowMs);
+    }
+
+    /** Sends the messages that are due. */
+    public List<PeerSend> tick(long revision, long nowMs) {
+        List<PeerSend> sends = new ArrayList<>();
+        if (nowMs >= mNextHeartbeatMs) {
+            mNextHeartbeatMs = nowMs + mSettings.heartbeatMs();
+            sends.addAll(heartbeats(revision, nowMs));
+            sends.addAll(judge(nowMs));
+        }
+        if (nowMs >= mNextDeadRetryMs) {
+            long jitterMs = mRandom.nextLong(mSettings.retryDeadMs() + 1);
+            mNextDeadRetryMs = nowMs + mSettings.retryDeadMs() / 2 + jitterMs;
+            sends.addAll(retries(revision));
+        }
+        return sends;
+    }
+
+    private List<PeerSend> heartbeats(long revision, long nowMs) {
+        PeerMessage heartbeat = new PeerMessage.Heartbeat(mSelf, revision, digest());
+        List<PeerSend> sends = new ArrayList<>();
+        for (Member neighbour : neighbours()) {
+            contact(neighbour.id(), nowMs).noteAsked(nowMs);
+            sends.add(new PeerSend(PeerAddress.of(neighbour), heartbeat));
+        }
+        return sends;
+    }
+
+    /** Suspects silent neighbours and gives up suspected members that have not refuted it. */
+    private List<PeerSend> judge(long nowMs) {
+        List<Member> news = new ArrayList<>();
+        for (Member neighbour : neighbours()) {
+            Contact contact = contact(neighbour.id(), nowMs);
+            long patienceMs = mSettings.suspectAfterMs() * contact.mAccuseBackoff;
+            if (neighbour.state() != MemberState.SUSPECT
+                    && contact.silentForMs(nowMs) > patienceMs) {
+                contact.mAccuseBackoff = Math.min(MAX_ACCUSE_BACKOFF, contact.mAccuseBackoff * 2);
+                contact.mAskedSinceMs = nowMs;
+                news.add(neighbour.in(MemberState.SUSPECT));
+            }
+        }
+        List<Member> changed = new ArrayList<>();
+        news.stream().filter(member -> apply(member, nowMs)).forEach(changed::add);
+        buryAndForget(nowMs);
+        return changed.isEmpty() ? List.of() : flood(changed, null, nowMs);
+    }
+
+    private void buryAndForget(long nowMs) {
+        for (Member member : members()) {
+            long sinceMs = contact(member.id(), nowMs).mStateSinceMs;
+            if (member.state() == MemberState.SUSPECT
+                    && nowMs - sinceMs > mSettings.deadAfterMs()) {
+                apply(member.in(MemberState.DEAD), nowMs);
+            } else if (member.state() == MemberState.DEAD
+                    && nowMs - sinceMs > mSettings.forgetDeadMs()) {
+                mMembers.remove(member.id());
+                mContacts.remove(member.id());
+            }
+        }
+    }
+
+    /** Tries one dead member and one seed, so that a partition heals without a storm. */
+    private List<PeerSend> retries(long revision) {
+        List<PeerAddress> candidates = new ArrayList<>();
+        mMembers.values().stream()
+                .filter(member -> member.state() == MemberState.DEAD)
+                .map(PeerAddress::of)
+                .forEach(candidates::add);
+        List<PeerSend> sends = new ArrayList<>();
+        PeerMessage heartbeat = new PeerMessage.Heartbeat(mSelf, revision, digest());
+        pick(candidates).ifPresent(to -> sends.add(new PeerSend(to, heartbeat)));
+        if (neighbours().isEmpty()) {
+            pick(List.copyOf(mSeeds)).ifPresent(to -> sends.add(new PeerSend(to, heartbeat)));
+        }
+        return sends;
+    }
+
+    private Optional<PeerAddress> pick(List<PeerAddress> candidates) {
+        return candidates.isEmpty()
+                ? Optional.empty()
+                : Optional.of(candidates.get(mRandom.nextInt(candidates.size())));
+    }
+
+    /** Returns the first messages of a new member. */
+    public List<PeerSend> join(long revision) {
+        List<PeerSend> sends = new ArrayList<>();
+        for (PeerAddress seed : mSeeds) {
+            sends.add(new PeerSend(seed, new PeerMessage.Heartbeat(mSelf, revision, digest())));
+            sends.add(new PeerSend(seed, new PeerMessage.MembersRequest()));
+        }
+        return sends;
+    }
+
+    /** Handles a heartbeat and answers it. */
+    public List<PeerSend> handle(PeerMessage.Heartbeat heartbeat, long revision, long nowMs) {
+        List<PeerSend> sends = new ArrayList<>(heardFrom(heartbeat.sender(), nowMs));
+        contact(heartbeat.sender().id(), nowMs).mWatchesUsMs = nowMs;
+        sends.add(
+                new PeerSend(
+                        PeerAddress.of(heartbeat.sender()),
+                        new PeerMessage.HeartbeatAck(mSelf, revision, digest())));
+        sends.addAll(compare(heartbeat.sender(), heartbeat.members(), nowMs));
+        return sends;
+    }
+
+    /** Handles the answer to a heartbeat. */
+    public List<PeerSend> handle(PeerMessage.HeartbeatAck ack, long nowMs) {
+        List<PeerSend> sends = new ArrayList<>(heardFrom(ack.sender(), nowMs));
+        contact(ack.sender().id(), nowMs).noteAnswered();
+        sends.addAll(compare(ack.sender(), ack.members(), nowMs));
+        return sends;
+    }
+
+    /** Handles news of members. */
+    public List<PeerSend> handle(PeerMessage.MemberUpdates updates, InstanceId from, long nowMs) {
+        List<Member> changed = new ArrayList<>();
+        for (Member member : updates.members()) {
+            if (member.id().equals(mSelf.id())) {
+                refute(member).ifPresent(changed::add);
+            } else if (apply(member, nowMs)) {
+                changed.add(member);
+            }
+        }
+        return changed.isEmpty() ? List.of() : flood(changed, from, nowMs);
+    }
+
+    private List<PeerSend> heardFrom(Member sender, long nowMs) {
+        if (sender.id().equals(mSelf.id())) {
+            return List.of();
+        }
+        Member known = mMembers.get(sender.id());
+        if (known != null && known.incarnation() == sender.incarnation() && doubted(known)) {
+            // Tells the sender of the doubt, so that it refutes it.
+            return List.of(
+                    new PeerSend(
+                            PeerAddress.of(sender), new PeerMessage.MemberUpdates(List.of(known))));
+        }
+        return apply(sender, nowMs) ? flood(List.of(sender), sender.id(), nowMs) : List.of();
+    }
+
+    private static boolean doubted(Member member) {
+        return member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD;
+    }
+
+    private Optional<Member> refute(Member claim) {
+        boolean wrong = claim.state() != mSelf.state() || claim.incarnation() > mSelf.incarnation();
+        if (!wrong || claim.incarnation() < mSelf.incarnation()) {
+            return Optional.empty();
+        }
+        if (claim.incarnation() == mSelf.incarnation() && !doubted(claim)) {
+            return Optional.empty();
+        }
+        mSelf = mSelf.of(claim.incarnation() + 1, mSelf.state());
+        mMembers.put(mSelf.id(), mSelf);
+        return Optional.of(mSelf);
+    }
+
+    private boolean apply(Member member, long nowMs) {
+        Member known = mMembers.get(member.id());
+        if (known != null && !member.supersedes(known)) {
+            return false;
+        }
+        if (known == null && member.state() == MemberState.DEAD) {
+            return false;
+        }
+        mMembers.put(member.id(), member);
+        Contact contact = contact(member.id(), nowMs);
+        contact.mStateSinceMs = nowMs;
+        contact.noteAnswered();
+        mNeighboursStale = true;
+        return true;
+    }
+
+    /** Asks for the whole table if the other side's differs and has had time to settle. */
+    private List<PeerSend> compare(Member sender, int theirDigest, long nowMs) {
+        if (theirDigest == digest() || nowMs < mNextSyncMs) {
+            return List.of();
+        }
+        mNextSyncMs = nowMs + mSettings.heartbeatMs() + mRandom.nextLong(mSettings.heartbeatMs());
+        return List.of(new PeerSend(PeerAddress.of(sender), new PeerMessage.MembersRequest()));
+    }
+
+    private List<PeerSend> flood(List<Member> news, InstanceId from, long nowMs) {
+        PeerMessage message = new PeerMessage.MemberUpdates(news);
+        return floodTargets(from, nowMs).stream().map(to -> new PeerSend(to, message)).toList();
+    }
+
+    /** Returns the addresses that news from a member is passed on to. */
+    public List<PeerAddress> floodTargets(InstanceId from, long nowMs) {
+        Set<PeerAddress> targets = new LinkedHashSet<>();
+        neighbours().stream()
+                .filter(member -> !member.id().equals(from))
+                .map(PeerAddress::of)
+                .forEach(targets::add);
+        long recentMs = nowMs - mSettings.suspectAfterMs();
+        mContacts.forEach(
+                (id, contact) -> {
+                    Member member = mMembers.get(id);
+                    if (contact.mWatchesUsMs > recentMs && member != null && !id.equals(from)) {
+                        targets.add(PeerAddress.of(member));
+                    }
+                });
+        return List.copyOf(targets);
+    }
+
+    private List<Member> neighbours() {
+        if (mNeighboursStale) {
+            mNeighbours = chooseNeighbours();
+            mNeighboursStale = false;
+        }
+        return mNeighbours.stream().map(member -> mMembers.get(member.id())).toList();
+    }
+
+    private List<Member> chooseNeighbours() {
+        List<Member> others =
+                mMembers.values().stream()
+                        .filter(member -> !member.id().equals(mSelf.id()))
+                        .filter(member -> member.state() != MemberState.DEAD)
+                        .toList();
+        if (others.size() <= mSettings.neighbours()) {
+            return others;
+        }
+        long position = position(mSelf);
+        Comparator<Member> bySuccession =
+                Comparator.comparingLong(member -> (position(member) - position) & Long.MAX_VALUE);
+        Member successor = others.stream().min(bySuccession).orElseThrow();
+        List<Member> chosen = new ArrayList<>(List.of(successor));
+        Rendezvous.rank(mSelf.id().value(), others, member -> member.id().value()).stream()
+                .filter(member -> !member.equals(successor))
+                .limit(mSettings.neighbours() - 1L)
+                .forEach(chosen::add);
+        return chosen;
+    }
+
+    private static long position(Member member) {
+        return Rendezvous.weight("ring", member.id().value());
+    }
+
+    private Contact contact(InstanceId id, long nowMs) {
+        return mContacts.computeIfAbsent(id, key -> new Contact(nowMs));
+    }
+
+    /** Holds what this instance has observed of another one. */
+    private static final class Contact {
+
+        private static final long NOT_ASKED = -1;
+
+        private long mStateSinceMs;
+        private long mAskedSinceMs = NOT_ASKED;
+        private long mWatchesUsMs = Long.MIN_VALUE / 2;
+        private int mAccuseBackoff = 1;
+
+        Contact(long nowMs) {
+            mStateSinceMs = nowMs;
+        }
+
+        void noteAsked(long nowMs) {
+            if (mAskedSinceMs == NOT_ASKED) {
+                mAskedSinceMs = nowMs;
+            }
+        }
+
+        void noteAnswered() {
+            mAskedSinceMs = NOT_ASKED;
+        }
+
+        long silentForMs(long nowMs) {
+            return mAskedSinceMs == NOT_ASKED ? 0 : nowMs - mAskedSinceMs;
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions without input, output, threads or clocks; callers pass the time in. */
+package org.filbertrudder.policy;
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides in which order waiting requests run. */
+package org.filbertrudder.policy.queueing;
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Decides whether a request may run again. */
+package org.filbertrudder.policy.retry;
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
@@ -0,0 +1,39 @@
+package org.filbertrudder.policy.routing;
+
+import org.filbertrudder.model.RegionId;
+
+/** Represents the outcome of a routing decision. */
+public sealed interface Route {
+
+    /**
+     * Runs the request on an endpoint of this region.
+     *
+     * @param endpoint the chosen endpoint
+     */
+    record Local(EndpointState endpoint) implements Route {}
+
+    /**
+     * Forwards the request to another region.
+     *
+     * @param region the region
+     */
+    record Away(RegionId region) implements Route {}
+
+    /** Waits until an endpoint of this region has room. */
+    record Wait() implements Route {}
+
+    /**
+     * Refuses the request.
+     *
+     * @param reason why no region can serve it
+     */
+    record Refuse(Reason reason) implements Route {}
+
+    /** Lists why no region can serve a request. */
+    enum Reason {
+        /** No region that may serve the request has an endpoint. */
+        NO_ENDPOINT_ALLOWED,
+        /** The endpoints of the allowed regions are down or unreachable. */
+        NONE_AVAILABLE
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
@@ -0,0 +1,25 @@
+package org.filbertrudder.policy.routing;
+
+import java.util.Set;
+import java.util.function.Predicate;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+
+/**
+ * Describes a request to the routing decision.
+ *
+ * @param service the service
+ * @param allowed tells which regions may serve the request
+ * @param affinityKey requests with the same key profit from the same endpoint; may be empty
+ * @param tried endpoints that must not be tried again
+ * @param alone whether the request may run only on an idle endpoint
+ * @param forwarded whether another region has forwarded the request
+ */
+public record RouteRequest(
+        ServiceId service,
+        Predicate<RegionId> allowed,
+        String affinityKey,
+        Set<EndpointId> tried,
+        boolean alone,
+        boolean forwarded) {}
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -0,0 +1,136 @@
+package org.filbertrudder.policy.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.Link;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.policy.Rendezvous;
+
+/**
+ * Chooses the endpoint or region that runs a request.
+ *
+ * <p>The regions that may serve the request are a filter before anything else. A forwarded request
+ * is served in this region or refused, so no request can travel in a loop.
+ */
+public final class Router {
+
+    private static final double BALANCE_BOUND = 1.25;
+
+    private final RegionId mHere;
+    private final EndpointTable mTable;
+    private final RegionReach mReach;
+
+    /** Creates a router for one region. */
+    public Router(RegionId here, EndpointTable table, RegionReach reach) {
+        mHere = here;
+        mTable = table;
+        mReach = reach;
+    }
+
+    /** Decides where a request runs, given how long it would wait in this region. */
+    public Route choose(
+            RouteRequest request, Configuration configuration, long localWaitMs, long nowMs) {
+        boolean localAllowed = request.allowed().test(mHere);
+        List<EndpointState> local =
+                localAllowed
+                        ? usable(mTable.of(request.service(), mHere), request, nowMs)
+                        : List.of();
+        Optional<EndpointState> free = pick(local, request, nowMs);
+        if (free.isPresent()) {
+            return new Route.Local(free.get());
+        }
+        if (request.forwarded()) {
+            return local.isEmpty() ? refuseLocal(request, localAllowed) : new Route.Wait();
+        }
+        Optional<RegionId> away = nearestAway(request, configuration);
+        if (local.isEmpty()) {
+            return away.<Route>map(Route.Away::new).orElseGet(() -> refuse(request, configuration));
+        }
+        if (away.isPresent() && worthLeaving(away.get(), configuration, localWaitMs)) {
+            return new Route.Away(away.get());
+        }
+        return new Route.Wait();
+    }
+
+    private static List<EndpointState> usable(
+            List<EndpointState> endpoints, RouteRequest request, long nowMs) {
+        return endpoints.stream()
+                .filter(state -> state.usable(nowMs))
+                .filter(state -> !request.tried().contains(state.id()))
+                .toList();
+    }
+
+    private Optional<EndpointState> pick(
+            List<EndpointState> usable, RouteRequest request, long nowMs) {
+        if (request.alone()) {
+            return usable.stream().filter(state -> state.idle(nowMs)).findFirst();
+        }
+        List<EndpointState> free = usable.stream().filter(state -> state.hasRoom(nowMs)).toList();
+        Optional<EndpointState> preferred = withAffinity(free, usable, request, nowMs);
+        return preferred.isPresent() ? preferred : free.stream().min(leastLoaded(nowMs));
+    }
+
+    /** Prefers the endpoint whose prompt cache is warm unless it has more than its share. */
+    private Optional<EndpointState> withAffinity(
+            List<EndpointState> free,
+            List<EndpointState> usable,
+            RouteRequest request,
+            long nowMs) {
+        if (request.affinityKey().isEmpty() || free.isEmpty()) {
+            return Optional.empty();
+        }
+        double average = usable.stream().mapToInt(state -> state.load(nowMs)).average().orElse(0);
+        double bound = BALANCE_BOUND * (average + 1);
+        return Rendezvous.rank(request.affinityKey(), usable, state -> state.id().value()).stream()
+                .filter(state -> state.hasRoom(nowMs))
+                .filter(state -> state.load(nowMs) + 1 <= bound)
+                .findFirst();
+    }
+
+    private static Comparator<EndpointState> leastLoaded(long nowMs) {
+        Comparator<EndpointState> byShare =
+                Comparator.comparingDouble(
+                        state -> (double) state.load(nowMs) / state.endpoint().slots());
+        return byShare.thenComparing(EndpointState::id);
+    }
+
+    private Optional<RegionId> nearestAway(RouteRequest request, Configuration configuration) {
+        return configuration.regionIds().stream()
+                .filter(region -> !region.equals(mHere))
+                .filter(request.allowed())
+                .filter(region -> hasEndpoint(request, region))
+                .filter(mReach::reachable)
+                .min(Comparator.comparingDouble(region -> delayMs(region, configuration)));
+    }
+
+    private boolean hasEndpoint(RouteRequest request, RegionId region) {
+        return mTable.of(request.service(), region).stream()
+                .anyMatch(state -> !state.leaving() && !request.tried().contains(state.id()));
+    }
+
+    private boolean worthLeaving(RegionId region, Configuration configuration, long localWaitMs) {
+        double awayMs = configuration.rules().awayCostMs() + 2 * delayMs(region, configuration);
+        return localWaitMs > awayMs;
+    }
+
+    private double delayMs(RegionId region, Configuration configuration) {
+        return configuration.link(mHere, region).map(Link::delayMs).orElse(Double.MAX_VALUE);
+    }
+
+    private Route refuseLocal(RouteRequest request, boolean localAllowed) {
+        boolean exists = localAllowed && !mTable.of(request.service(), mHere).isEmpty();
+        return new Route.Refuse(
+                exists ? Route.Reason.NONE_AVAILABLE : Route.Reason.NO_ENDPOINT_ALLOWED);
+    }
+
+    private Route refuse(RouteRequest request, Configuration configuration) {
+        boolean exists =
+                configuration.regionIds().stream()
+                        .filter(request.allowed())
+                        .anyMatch(region -> !mTable.of(request.service(), region).isEmpty());
+        return new Route.Refuse(
+                exists ? Route.Reason.NONE_AVAILABLE : Route.Reason.NO_ENDPOINT_ALLOWED);
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which endpoint or region runs a request. */
+package org.filbertrudder.policy.routing;
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/package-info.java
@@ -0,0 +1,2 @@
+/** Decides how many tokens a client account may consume at this instance. */
+package org.filbertrudder.policy.tokens;
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Deployment.java
@@ -0,0 +1,189 @@
+package org.filbertrudder.scenarios;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.filbertrudder.model.Account;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.Contract;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.Inventory;
+import org.filbertrudder.model.Link;
+import org.filbertrudder.model.Region;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.Rules;
+import org.filbertrudder.model.Service;
+import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.model.ServiceKind;
+
+/** Describes the two deployments of today. */
+public enum Deployment {
+    BUREAU(List.of("mtl", "sag", "gas"), 8, 3, 1_200_000_000L, 1.5, "rulebook", "bookings", 200),
+    UTRECHT(
+            List.of("noord", "midden", "zuid"),
+            13,
+            3,
+            100_000_000L,
+            1.0,
+            "summaries",
+            "slots",
+            2_000);
+
+    private static final double REGION_DELAY_MS = 80;
+    private static final int SLOTS_PER_ENGINE = 8;
+    private static final int SLOTS_PER_SERVICE = 32;
+
+    private final List<String> mRegions;
+    private final int mEngines;
+    private final int mServices;
+    private final long mLinkBitsPerSecond;
+    private final double mDomainDelayMs;
+    private final String mModelService;
+    private final String mPlainService;
+    private final long mAwayCostMs;
+
+    Deployment(
+            List<String> regions,
+            int engines,
+            int services,
+            long linkBitsPerSecond,
+            double domainDelayMs,
+            String modelService,
+            String plainService,
+            long awayCostMs) {
+        mRegions = regions;
+        mEngines = engines;
+        mServices = services;
+        mLinkBitsPerSecond = linkBitsPerSecond;
+        mDomainDelayMs = domainDelayMs;
+        mModelService = modelService;
+        mPlainService = plainService;
+        mAwayCostMs = awayCostMs;
+    }
+
+    /** Returns the regions. */
+    public List<String> regions() {
+        return mRegions;
+    }
+
+    /** Returns the number of model engines. */
+    public int engines() {
+        return mEngines;
+    }
+
+    /** Returns the number of endpoints of the plain service. */
+    public int services() {
+        return mServices;
+    }
+
+    /** Returns the id of the plain service. */
+    public String plainService() {
+        return mPlainService;
+    }
+
+    /** Returns the one-way delay between failure domains in milliseconds. */
+    public double domainDelayMs() {
+        return mDomainDelayMs;
+    }
+
+    /** Returns the failure domain of the n-th instance or endpoint of a region. */
+    public static String failureDomain(String region, int number) {
+        return region + "-" + (number % 2 == 0 ? "a" : "b");
+    }
+
+    /** Returns the ids of the five client accounts, largest first. */
+    public List<String> accounts() {
+        return List.of("federation", "museum", "club-north", "club-south", "youth");
+    }
+
+    /** Returns the inventory for endpoints that listen on the given ports of loopback. */
+    public Inventory inventory(List<Integer> enginePorts, List<Integer> servicePorts) {
+        return new Inventory(
+                regionList(),
+                links(),
+                services(mModelService, mPlainService),
+                endpoints(enginePorts, servicePorts),
+                accountList(),
+                new Rules(10_000, 120_000, 64, mAwayCostMs, 0.1));
+    }
+
+    private List<Region> regionList() {
+        return mRegions.stream()
+                .map(
+                        region ->
+                                new Region(
+                                        RegionId.of(region),
+                                        List.of(
+                                                FailureDomainId.of(region + "-a"),
+                                                FailureDomainId.of(region + "-b"))))
+                .toList();
+    }
+
+    private List<Link> links() {
+        List<Link> links = new ArrayList<>();
+        for (int i = 0; i < mRegions.size(); i++) {
+            for (int j = i + 1; j < mRegions.size(); j++) {
+                links.add(
+                        new Link(
+                                RegionId.of(mRegions.get(i)),
+                                RegionId.of(mRegions.get(j)),
+                                REGION_DELAY_MS,
+                                mLinkBitsPerSecond));
+            }
+        }
+        return links;
+    }
+
+    private static List<Service> services(String model, String plain) {
+        return List.of(
+                new Service(
+                        ServiceId.of(model), ServiceKind.MODEL, List.of("small"), List.of(), true),
+                new Service(
+                        ServiceId.of(plain),
+                        ServiceKind.PLAIN,
+                        List.of(),
+                        List.of("/status"),
+                        false));
+    }
+
+    private List<Endpoint> endpoints(List<Integer> enginePorts, List<Integer> servicePorts) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < enginePorts.size(); i++) {
+            endpoints.add(endpoint(mModelService, i, enginePorts.get(i), SLOTS_PER_ENGINE));
+        }
+        for (int i = 0; i < servicePorts.size(); i++) {
+            endpoints.add(endpoint(mPlainService, i, servicePorts.get(i), SLOTS_PER_SERVICE));
+        }
+        return endpoints;
+    }
+
+    private Endpoint endpoint(String service, int number, int port, int slots) {
+        String region = mRegions.get(number % mRegions.size());
+        return new Endpoint(
+                EndpointId.of(service + "-" + number),
+                ServiceId.of(service),
+                RegionId.of(region),
+                FailureDomainId.of(failureDomain(region, number / mRegions.size())),
+                "127.0.0.1",
+                port,
+                slots);
+    }
+
+    private List<Account> accountList() {
+        RegionId home = RegionId.of(mRegions.get(0));
+        List<Account> accounts = new ArrayList<>();
+        for (String id : accounts()) {
+            boolean large = id.equals("federation") || id.equals("museum");
+            Contract contract = large ? Contract.of(3_000, 9_000) : Contract.of(300, 1_500);
+            boolean bound = id.equals("youth");
+            accounts.add(
+                    new Account(
+                            AccountId.of(id),
+                            contract,
+                            bound ? java.util.Set.of(home) : java.util.Set.of(),
+                            java.util.Map.of()));
+        }
+        return accounts;
+    }
+}
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/ManagedProcess.java
@@ -0,0 +1,136 @@
+package org.filbertrudder.scenarios;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Runs one process of a fleet and reads the line that tells its ports. */
+public final class ManagedProcess {
+
+    private static final long START_TIMEOUT_SECONDS = 60;
+    private static final List<String> JAVA_OPTIONS =
+            List.of("-Xmx160m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+    private final Process mProcess;
+    private final Map<String, String> mPorts;
+
+    private ManagedProcess(Process process, Map<String, String> ports) {
+        mProcess = process;
+        mPorts = ports;
+    }
+
+    /** Starts a jar and waits until it listens. */
+    public static ManagedProcess start(Path jar, Path log, List<String> arguments) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(JAVA_OPTIONS);
+        command.add("-jar");
+        command.add(jar.toString());
+        command.addAll(arguments);
+        try {
+            Process process =
+                    new ProcessBuilder(command)
+                            .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                            .start();
+            return new ManagedProcess(process, readPorts(process));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static Map<String, String> readPorts(Process process) {
+        BufferedReader output =
+                new BufferedReader(
+                        new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        String line =
+                CompletableFuture.supplyAsync(() -> readLine(output))
+                        .orTimeout(START_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .join();
+        if (line == null || !line.startsWith("listening ")) {
+            process.destroyForcibly();
+            throw new IllegalStateException("The process did not start: " + line);
+        }
+        Map<String, String> ports = new HashMap<>();
+        for (String part : line.substring("listening ".length()).split(" ")) {
+            int equals = part.indexOf('=');
+            ports.put(part.substring(0, equals), part.substring(equals + 1));
+        }
+        return ports;
+    }
+
+    private static String readLine(BufferedReader reader) {
+        try {
+            return reader.readLine();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns a port by its name in the start line. */
+    public int port(String name) {
+        return Integer.parseInt(mPorts.get(name));
+    }
+
+    /** Returns a list of ports by its name in the start line. */
+    public List<Integer> ports(String name) {
+        List<Integer> ports = new ArrayList<>();
+        for (String port : mPorts.get(name).split(",")) {
+            if (!port.isBlank()) {
+                ports.add(Integer.parseInt(port));
+            }
+        }
+        return ports;
+    }
+
+    /** Returns the process id. */
+    public long pid() {
+        return mProcess.pid();
+    }
+
+    /** Returns whether the process runs. */
+    public boolean alive() {
+        return mProcess.isAlive();
+    }
+
+    /** Ends the process at once. */
+    public void kill() {
+        mProcess.destroyForcibly();
+        awaitEnd(10_000);
+    }
+
+    /** Asks the process to stop. */
+    public void terminate() {
+        mProcess.destroy();
+    }
+
+    /** Sends a signal by name, such as STOP or CONT. */
+    public void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Waits for the end; returns the exit code, or -1 if the process still runs. */
+    public int awaitEnd(long timeoutMs) {
+        try {
+            boolean ended = mProcess.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+            return ended ? mProcess.exitValue() : -1;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/Main.java
@@ -0,0 +1,89 @@
+package org.filbertrudder.standins;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** Starts stand-ins. */
+public final class Main {
+
+    private static final int USAGE = 2;
+
+    private Main() {}
+
+    /** Runs the stand-in that the arguments name. */
+    public static void main(String[] arguments) throws Exception {
+        ArgumentParser parser = parser();
+        try {
+            Namespace parsed = parser.parseArgs(arguments);
+            switch (parsed.getString("command")) {
+                case "platform" -> runPlatform(parsed);
+                case "endpoints" -> runEndpoints(parsed);
+                default -> LoadTool.run(parsed);
+            }
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(USAGE);
+        }
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser = ArgumentParsers.newFor("filbertrudder-standins").build();
+        Subparsers commands = parser.addSubparsers().dest("command");
+        Subparser platform = commands.addParser("platform").help("store, live list, directory");
+        platform.addArgument("--port").type(Integer.class).setDefault(0);
+        platform.addArgument("--live-lag-ms").type(Long.class).setDefault(1_000L);
+        Subparser endpoints = commands.addParser("endpoints").help("engines and plain services");
+        endpoints.addArgument("--engines").type(Integer.class).setDefault(1);
+        endpoints.addArgument("--services").type(Integer.class).setDefault(0);
+        endpoints.addArgument("--slots").type(Integer.class).setDefault(8);
+        endpoints.addArgument("--tokens-per-second").type(Double.class).setDefault(100.0);
+        endpoints.addArgument("--report-lag-ms").type(Long.class).setDefault(500L);
+        LoadTool.addTo(commands);
+        return parser;
+    }
+
+    private static void runPlatform(Namespace arguments) throws Exception {
+        Vertx vertx = Vertx.vertx();
+        PlatformStandIn platform = new PlatformStandIn(vertx, arguments.getLong("live_lag_ms"));
+        int port =
+                platform.listen(arguments.getInt("port"))
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get();
+        System.out.println("listening platform=" + port);
+    }
+
+    private static void runEndpoints(Namespace arguments) throws Exception {
+        Vertx vertx = Vertx.vertx();
+        List<String> engines = new ArrayList<>();
+        for (int i = 0; i < arguments.getInt("engines"); i++) {
+            EngineStandIn engine =
+                    new EngineStandIn(
+                            vertx,
+                            arguments.getInt("slots"),
+                            arguments.getDouble("tokens_per_second"),
+                            arguments.getLong("report_lag_ms"));
+            engines.add(port(engine.listen(0)));
+        }
+        List<String> services = new ArrayList<>();
+        for (int i = 0; i < arguments.getInt("services"); i++) {
+            services.add(port(new BookingStandIn(vertx).listen(0)));
+        }
+        System.out.println(
+                "listening engines="
+                        + String.join(",", engines)
+                        + " services="
+                        + String.join(",", services));
+    }
+
+    private static String port(io.vertx.core.Future<Integer> listening) throws Exception {
+        return listening.toCompletionStage().toCompletableFuture().get().toString();
+    }
+}
--- /dev/null
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/PlatformStandIn.java
@@ -0,0 +1,252 @@
+package org.filbertrudder.standins;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Stands in for the platform's store, live list and caller directory. */
+public final class PlatformStandIn {
+
+    private static final long MAX_BODY_BYTES = 4L * 1024 * 1024;
+    private static final long MAX_VALUE_BYTES = 1024L * 1024 * 4 / 3;
+
+    private final Vertx mVertx;
+    private final long mLiveLagMs;
+    private final StoreData mData = new StoreData();
+    private final StoreFaults mFaults = new StoreFaults();
+    private final List<Watch> mWatches = new ArrayList<>();
+    private final Map<String, JsonObject> mLive = new LinkedHashMap<>();
+    private final Map<String, JsonObject> mDirectory = new LinkedHashMap<>();
+    private JsonArray mShownLive = new JsonArray();
+    private long mReads;
+    private long mWrites;
+    private long mWatchCalls;
+
+    /** Creates a platform whose live list shows changes after a lag in milliseconds. */
+    public PlatformStandIn(Vertx vertx, long liveLagMs) {
+        mVertx = vertx;
+        mLiveLagMs = liveLagMs;
+    }
+
+    /** Starts to listen on loopback; returns the port. */
+    public Future<Integer> listen(int port) {
+        Router router = Router.router(mVertx);
+        router.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
+        router.post("/v3/kv/range").handler(context -> store(context, this::range));
+        router.post("/v3/kv/txn").handler(context -> store(context, this::transact));
+        router.post("/v3/watch").handler(this::watch);
+        router.get("/v1/live").handler(context -> send(context, mShownLive.toString()));
+        router.put("/v1/directory/:id").handler(this::publish);
+        router.delete("/v1/directory/:id").handler(this::withdraw);
+        router.get("/v1/directory").handler(context -> send(context, directory().toString()));
+        router.post("/standin/faults").handler(this::setFaults);
+        router.get("/standin/calls").handler(context -> send(context, calls().toString()));
+        router.put("/standin/live/:id").handler(this::setLive);
+        router.delete("/standin/live/:id").handler(this::removeLive);
+        return mVertx.createHttpServer()
+                .requestHandler(router)
+                .listen(port, "127.0.0.1")
+                .map(HttpServer::actualPort);
+    }
+
+    private void store(RoutingContext context, java.util.function.Consumer<RoutingContext> call) {
+        if (mFaults.mode() == StoreFaults.Mode.OUT) {
+            context.request().connection().close();
+        } else if (mFaults.mode() == StoreFaults.Mode.UP && mFaults.delayMs() > 0) {
+            mVertx.setTimer(mFaults.delayMs(), timer -> call.accept(context));
+        } else if (mFaults.mode() == StoreFaults.Mode.UP) {
+            call.accept(context);
+        }
+    }
+
+    private void range(RoutingContext context) {
+        mReads++;
+        JsonObject body = context.body().asJsonObject();
+        String end = body.getString("range_end");
+        send(context, new JsonObject().put("kvs", read(body.getString("key"), end)).toString());
+    }
+
+    private JsonArray read(String key, String end) {
+        JsonArray found = new JsonArray();
+        mData.range(decode(key), end == null ? null : decode(end))
+                .forEach(item -> found.add(json(item)));
+        return found;
+    }
+
+    private static JsonObject json(StoreData.Item item) {
+        return new JsonObject()
+                .put("key", encode(item.key()))
+                .put("value", item.value())
+                .put("create_revision", Long.toString(item.createRevision()))
+                .put("mod_revision", Long.toString(item.modRevision()));
+    }
+
+    private void transact(RoutingContext context) {
+        mWrites++;
+        JsonObject body = context.body().asJsonObject();
+        boolean succeeded = holds(body.getJsonArray("compare", new JsonArray()));
+        JsonArray responses = new JsonArray();
+        if (succeeded) {
+            apply(body.getJsonArray("success", new JsonArray()));
+        } else {
+            for (Object each : body.getJsonArray("failure", new JsonArray())) {
+                JsonObject range = ((JsonObject) each).getJsonObject("request_range");
+                JsonArray found = read(range.getString("key"), null);
+                responses.add(
+                        new JsonObject().put("response_range", new JsonObject().put("kvs", found)));
+            }
+        }
+        if (mFaults.losesAnswer()) {
+            context.request().connection().close();
+            return;
+        }
+        send(
+                context,
+                new JsonObject()
+                        .put("succeeded", succeeded)
+                        .put("responses", responses)
+                        .toString());
+    }
+
+    private boolean holds(JsonArray compares) {
+        for (Object each : compares) {
+            JsonObject compare = (JsonObject) each;
+            long expected = Long.parseLong(compare.getString("mod_revision", "0"));
+            if (mData.modRevision(decode(compare.getString("key"))) != expected) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void apply(JsonArray operations) {
+        mData.startWrite();
+        for (Object each : operations) {
+            JsonObject operation = (JsonObject) each;
+            JsonObject put = operation.getJsonObject("request_put");
+            JsonObject delete = operation.getJsonObject("request_delete_range");
+            if (put != null && put.getString("value", "").length() <= MAX_VALUE_BYTES) {
+                tellWatches(mData.put(decode(put.getString("key")), put.getString("value")));
+            } else if (delete != null) {
+                mData.delete(decode(delete.getString("key")));
+            }
+        }
+    }
+
+    private void tellWatches(StoreData.Item item) {
+        JsonObject event = new JsonObject().put("type", "PUT").put("kv", json(item));
+        JsonObject result = new JsonObject().put("events", new JsonArray().add(event));
+        String line = new JsonObject().put("result", result).toString();
+        for (Watch watch : List.copyOf(mWatches)) {
+            if (watch.matches(item.key())) {
+                watch.response().write(line + "\n");
+            }
+        }
+    }
+
+    private void watch(RoutingContext context) {
+        if (mFaults.mode() != StoreFaults.Mode.UP) {
+            context.request().connection().close();
+            return;
+        }
+        mWatchCalls++;
+        JsonObject request = context.body().asJsonObject().getJsonObject("create_request");
+        HttpServerResponse response = context.response().setChunked(true);
+        Watch watch =
+                new Watch(
+                        decode(request.getString("key")),
+                        decode(request.getString("range_end")),
+                        response);
+        mWatches.add(watch);
+        response.closeHandler(ignored -> mWatches.remove(watch));
+        response.write(
+                new JsonObject().put("result", new JsonObject().put("created", true)) + "\n");
+    }
+
+    private void setFaults(RoutingContext context) {
+        JsonObject body = context.body().asJsonObject();
+        mFaults.set(
+                StoreFaults.Mode.valueOf(body.getString("mode", "UP")),
+                body.getLong("delayMs", 0L),
+                body.getInteger("loseAnswers", 0));
+        if (mFaults.mode() != StoreFaults.Mode.UP) {
+            List.copyOf(mWatches).forEach(watch -> watch.response().reset());
+            mWatches.clear();
+        }
+        send(context, "{}");
+    }
+
+    private JsonObject calls() {
+        return new JsonObject()
+                .put("reads", mReads)
+                .put("writes", mWrites)
+                .put("watches", mWatchCalls)
+                .put("watching", mWatches.size())
+                .put("keys", mData.size())
+                .put("revision", mData.revision());
+    }
+
+    private void setLive(RoutingContext context) {
+        mLive.put(context.pathParam("id"), context.body().asJsonObject());
+        showLiveLater();
+        send(context, "{}");
+    }
+
+    private void removeLive(RoutingContext context) {
+        mLive.remove(context.pathParam("id"));
+        showLiveLater();
+        send(context, "{}");
+    }
+
+    private void showLiveLater() {
+        JsonArray list = new JsonArray(new ArrayList<>(mLive.values()));
+        mVertx.setTimer(Math.max(1, mLiveLagMs), timer -> mShownLive = list);
+    }
+
+    private void publish(RoutingContext context) {
+        mDirectory.put(context.pathParam("id"), context.body().asJsonObject());
+        send(context, "{}");
+    }
+
+    private void withdraw(RoutingContext context) {
+        mDirectory.remove(context.pathParam("id"));
+        send(context, "{}");
+    }
+
+    private JsonArray directory() {
+        return new JsonArray(new ArrayList<>(mDirectory.values()));
+    }
+
+    private static void send(RoutingContext context, String json) {
+        if (!context.response().closed()) {
+            context.response().putHeader("content-type", "application/json").end(json);
+        }
+    }
+
+    private static String decode(String base64) {
+        return new String(Base64.getDecoder().decode(base64), StandardCharsets.ISO_8859_1);
+    }
+
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private record Watch(String from, String end, HttpServerResponse response) {
+
+        boolean matches(String key) {
+            return key.compareTo(from) >= 0 && key.compareTo(end) < 0;
+        }
+    }
+}
