Make changes, routing and heartbeats independent of the fleet's size

Applying one change copied all 22,000 entities; a routing decision sorted all endpoints and looked a link up by a scan for each pair of regions; each heartbeat hashed the whole member table; each tick of the token holder walked all accounts held.

Ruled out: message size and codec (0.4 to 4 us a message) are not what grows.

Change: revisions share what a change leaves alone (pcollections), regions and links are indexed once, endpoints are grouped by service and region, the member digest is kept incrementally and idle accounts are not ticked.

Conclusion: per-member costs no longer depend on the fleet's size except validation, which runs at the accepting instance only.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
@@ -157,6 +157,11 @@
         return mPeerPort;
     }
 
+    /** Returns the configuration revision in force. */
+    public long revision() {
+        return mControl.snapshot().configuration().revision();
+    }
+
     private Dump dump() {
         Map<String, Object> metrics = new TreeMap<>();
         mRegistry.getCounters().forEach((name, counter) -> metrics.put(name, counter.getCount()));
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/LoadPoller.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/LoadPoller.java
@@ -42,11 +42,7 @@
             return;
         }
         mNextPollMs = nowMs + POLL_MS;
-        for (EndpointState state : mTable.all()) {
-            if (state.endpoint().region().equals(mContext.snapshot().self().region())) {
-                poll(state);
-            }
-        }
+        mTable.in(mContext.snapshot().self().region()).forEach(this::poll);
     }
 
     private void poll(EndpointState state) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -17,6 +17,7 @@
 import org.filbertrudder.entry.log.PartLog;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.EntityKind;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
@@ -217,8 +218,11 @@
         Snapshot now = mTraffic.snapshot();
         Snapshot before = mSeen;
         mSeen = now;
-        if (before == null || before.configuration().revision() != now.configuration().revision()) {
+        long seenRevision = before == null ? -1 : before.configuration().revision();
+        if (now.configuration().lastChangeOf(EntityKind.ENDPOINT) > seenRevision) {
             mTable.setEndpoints(now.configuration().all(Endpoint.class), mTraffic.nowMs());
+        }
+        if (now.configuration().lastChangeOf(EntityKind.KEY) > seenRevision) {
             endWithdrawn(now);
         }
         updateLeaving();
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Configuration.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Configuration.java
@@ -1,56 +1,63 @@
 package org.filbertrudder.model;
 
-import java.util.Collections;
-import java.util.LinkedHashMap;
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-
-/** Holds one revision of everything that operators configure; immutable. */
+import org.pcollections.TreePMap;
+
+/**
+ * Holds one revision of everything that operators configure; immutable.
+ *
+ * <p>Revisions share whatever a change leaves alone, so a change costs little however many entities
+ * there are.
+ */
 public final class Configuration {
 
+    private static final Map<Class<?>, EntityKind> KINDS =
+            Map.of(
+                    Region.class, EntityKind.REGION,
+                    Link.class, EntityKind.LINK,
+                    Service.class, EntityKind.SERVICE,
+                    Endpoint.class, EntityKind.ENDPOINT,
+                    Account.class, EntityKind.ACCOUNT,
+                    ApiKey.class, EntityKind.KEY,
+                    Rules.class, EntityKind.RULES);
+
     /** The configuration before the first change. */
-    public static final Configuration EMPTY = new Configuration(0, "", new TreeMap<>());
+    public static final Configuration EMPTY = of(0, "", List.of());
 
     private final long mRevision;
     private final String mDigest;
-    private final Map<EntityKey, Entity> mEntities;
-    private final Map<AccountId, Account> mAccounts = new LinkedHashMap<>();
-    private final Map<KeyId, ApiKey> mApiKeys = new LinkedHashMap<>();
-    private final Map<RegionId, Region> mRegions = new LinkedHashMap<>();
-    private final Map<ServiceId, Service> mServices = new LinkedHashMap<>();
-    private final Map<String, Service> mServicesByModel = new LinkedHashMap<>();
-    private Rules mRules = Rules.DEFAULT;
-
-    private Configuration(long revision, String digest, TreeMap<EntityKey, Entity> entities) {
+    private final TreePMap<EntityKey, Entity> mEntities;
+    private final Map<EntityKind, Long> mLastChanges;
+    private final Topology mTopology;
+
+    private Configuration(
+            long revision,
+            String digest,
+            TreePMap<EntityKey, Entity> entities,
+            Map<EntityKind, Long> lastChanges,
+            Topology topology) {
         mRevision = revision;
         mDigest = digest;
-        mEntities = Collections.unmodifiableMap(entities);
-        entities.values().forEach(this::index);
+        mEntities = entities;
+        mLastChanges = lastChanges;
+        mTopology = topology == null ? new Topology(all(Region.class), all(Link.class)) : topology;
     }
 
     /** Rebuilds a configuration from a snapshot of its entities. */
     public static Configuration of(long revision, String digest, List<Entity> entities) {
-        TreeMap<EntityKey, Entity> byKey = new TreeMap<>();
-        entities.forEach(entity -> byKey.put(entity.entityKey(), entity));
-        return new Configuration(revision, digest, byKey);
-    }
-
-    private void index(Entity entity) {
-        if (entity instanceof Account account) {
-            mAccounts.put(account.id(), account);
-        } else if (entity instanceof ApiKey key) {
-            mApiKeys.put(key.id(), key);
-        } else if (entity instanceof Region region) {
-            mRegions.put(region.id(), region);
-        } else if (entity instanceof Service service) {
-            mServices.put(service.id(), service);
-            service.models().forEach(model -> mServicesByModel.put(model, service));
-        } else if (entity instanceof Rules rules) {
-            mRules = rules;
+        TreePMap<EntityKey, Entity> byKey = TreePMap.empty();
+        for (Entity entity : entities) {
+            byKey = byKey.plus(entity.entityKey(), entity);
+        }
+        Map<EntityKind, Long> lastChanges = new EnumMap<>(EntityKind.class);
+        for (EntityKind kind : EntityKind.values()) {
+            lastChanges.put(kind, revision);
         }
+        return new Configuration(revision, digest, byKey, lastChanges, null);
     }
 
     /**
@@ -63,18 +70,28 @@
             throw new IllegalArgumentException(
                     "Change " + change.revision() + " does not build on revision " + mRevision);
         }
-        TreeMap<EntityKey, Entity> entities = new TreeMap<>(mEntities);
-        change.edits().forEach(edit -> applyEdit(entities, edit));
-        String digest = Digests.sha256(mDigest + Json.write(change));
-        return new Configuration(change.revision(), digest, entities);
+        TreePMap<EntityKey, Entity> entities = mEntities;
+        Map<EntityKind, Long> lastChanges = new EnumMap<>(mLastChanges);
+        for (Edit edit : change.edits()) {
+            entities = applyEdit(entities, edit);
+            lastChanges.put(edit.target().kind(), change.revision());
+        }
+        boolean sameTopology =
+                lastChanges.get(EntityKind.REGION) <= mRevision
+                        && lastChanges.get(EntityKind.LINK) <= mRevision;
+        return new Configuration(
+                change.revision(),
+                Digests.sha256(mDigest + Json.write(change)),
+                entities,
+                lastChanges,
+                sameTopology ? mTopology : null);
     }
 
-    private static void applyEdit(Map<EntityKey, Entity> entities, Edit edit) {
-        if (edit instanceof Edit.Put put) {
-            entities.put(put.target(), put.entity());
-        } else {
-            entities.remove(edit.target());
-        }
+    private static TreePMap<EntityKey, Entity> applyEdit(
+            TreePMap<EntityKey, Entity> entities, Edit edit) {
+        return edit instanceof Edit.Put put
+                ? entities.plus(put.target(), put.entity())
+                : entities.minus(edit.target());
     }
 
     /** Returns the revision; 0 before the first change. */
@@ -82,6 +99,11 @@
         return mRevision;
     }
 
+    /** Returns the revision that last changed an entity of the kind. */
+    public long lastChangeOf(EntityKind kind) {
+        return mLastChanges.get(kind);
+    }
+
     /** Returns the digest of the whole history up to this revision. */
     public String digest() {
         return mDigest;
@@ -102,48 +124,62 @@
         return Optional.ofNullable(mEntities.get(key));
     }
 
+    private <T extends Entity> Optional<T> find(Class<T> type, String name) {
+        return find(EntityKey.of(KINDS.get(type), name)).map(type::cast);
+    }
+
     /** Returns all entities of a type, in the order of their ids. */
     public <T extends Entity> List<T> all(Class<T> type) {
-        return mEntities.values().stream().filter(type::isInstance).map(type::cast).toList();
+        EntityKind kind = KINDS.get(type);
+        EntityKey from = EntityKey.of(kind, "");
+        EntityKey to = EntityKey.of(kind, String.valueOf(Character.MAX_VALUE));
+        return mEntities.subMap(from, to).values().stream().map(type::cast).toList();
     }
 
     /** Returns the client account with the id. */
     public Optional<Account> account(AccountId id) {
-        return Optional.ofNullable(mAccounts.get(id));
+        return find(Account.class, id.value());
     }
 
     /** Returns the key with the id; absent once it has been withdrawn. */
     public Optional<ApiKey> apiKey(KeyId id) {
-        return Optional.ofNullable(mApiKeys.get(id));
+        return find(ApiKey.class, id.value());
     }
 
     /** Returns the region with the id. */
     public Optional<Region> region(RegionId id) {
-        return Optional.ofNullable(mRegions.get(id));
+        return mTopology.region(id);
     }
 
     /** Returns the ids of all regions, in order. */
     public Set<RegionId> regionIds() {
-        return mRegions.keySet();
+        return mTopology.regionIds();
+    }
+
+    /** Returns the other regions, those with the least delay first. */
+    public List<RegionId> nearestTo(RegionId here) {
+        return mTopology.nearest(here);
     }
 
     /** Returns the service with the id. */
     public Optional<Service> service(ServiceId id) {
-        return Optional.ofNullable(mServices.get(id));
+        return find(Service.class, id.value());
     }
 
     /** Returns the service that provides the model. */
     public Optional<Service> serviceForModel(String model) {
-        return Optional.ofNullable(mServicesByModel.get(model));
+        return all(Service.class).stream()
+                .filter(service -> service.models().contains(model))
+                .findFirst();
     }
 
     /** Returns the rules in force. */
     public Rules rules() {
-        return mRules;
+        return find(Rules.DEFAULT.entityKey()).map(Rules.class::cast).orElse(Rules.DEFAULT);
     }
 
     /** Returns the link between two regions. */
     public Optional<Link> link(RegionId first, RegionId second) {
-        return all(Link.class).stream().filter(link -> link.joins(first, second)).findFirst();
+        return mTopology.link(first, second);
     }
 }
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -10,12 +11,15 @@
 public final class ConfigurationValidator {
 
     private static final double SHARE_TOLERANCE = 1e-6;
+    private static final int SHA256_DIGITS = 64;
 
     private final Configuration mConfiguration;
+    private final Set<ServiceId> mServed = new HashSet<>();
     private final List<Problem> mProblems = new ArrayList<>();
 
     private ConfigurationValidator(Configuration configuration) {
         mConfiguration = configuration;
+        configuration.all(Endpoint.class).forEach(endpoint -> mServed.add(endpoint.service()));
     }
 
     /** Returns all problems of the configuration; empty if it can be accepted. */
@@ -59,33 +63,24 @@
                 "models",
                 "is empty. Name at least one model.");
         require(
-                mConfiguration.all(Endpoint.class).stream()
-                        .anyMatch(endpoint -> service.id().equals(endpoint.service())),
+                mServed.contains(service.id()),
                 service,
                 "endpoints",
                 "has none left. Add an endpoint or remove the service too.");
     }
 
     private void checkEndpoint(Endpoint endpoint) {
-        require(
-                mConfiguration.service(endpoint.service()).isPresent(),
-                endpoint,
-                "service",
-                "'" + endpoint.service() + "' is not in the inventory. Add it or correct the id.");
+        if (mConfiguration.service(endpoint.service()).isEmpty()) {
+            add(
+                    endpoint,
+                    "service",
+                    "'" + endpoint.service() + "' is not in the inventory. Add it.");
+        }
         requireRegion(endpoint, "region", endpoint.region());
         mConfiguration
                 .region(endpoint.region())
-                .ifPresent(
-                        region ->
-                                require(
-                                        region.failureDomains().contains(endpoint.failureDomain()),
-                                        endpoint,
-                                        "failureDomain",
-                                        "is not in region "
-                                                + region.id()
-                                                + ". Use one of "
-                                                + region.failureDomains()
-                                                + "."));
+                .filter(region -> !region.failureDomains().contains(endpoint.failureDomain()))
+                .ifPresent(region -> addWrongDomain(endpoint, region));
         require(
                 endpoint.host() != null && !endpoint.host().isBlank(),
                 endpoint,
@@ -99,6 +94,17 @@
         require(endpoint.slots() > 0, endpoint, "slots", "is not positive. Use 1 or more.");
     }
 
+    private void addWrongDomain(Endpoint endpoint, Region region) {
+        add(
+                endpoint,
+                "failureDomain",
+                "is not in region "
+                        + region.id()
+                        + ". Use one of "
+                        + region.failureDomains()
+                        + ".");
+    }
+
     private void checkAccount(Account account) {
         account.residency().forEach(region -> requireRegion(account, "residency", region));
         account.shares().keySet().forEach(region -> requireRegion(account, "shares", region));
@@ -144,18 +150,24 @@
     }
 
     private void checkKey(ApiKey key) {
+        if (mConfiguration.account(key.account()).isEmpty()) {
+            add(
+                    key,
+                    "account",
+                    "'" + key.account() + "' is not in the inventory. Withdraw its keys first.");
+        }
         require(
-                mConfiguration.account(key.account()).isPresent(),
-                key,
-                "account",
-                "'" + key.account() + "' is not in the inventory. Withdraw its keys first.");
-        require(
-                key.secretSha256() != null && key.secretSha256().matches("[0-9a-f]{64}"),
+                key.secretSha256() != null && isSha256(key.secretSha256()),
                 key,
                 "secretSha256",
                 "is not a SHA-256 digest. Issue the key again.");
     }
 
+    private static boolean isSha256(String text) {
+        return text.length() == SHA256_DIGITS
+                && text.chars().allMatch(c -> (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'));
+    }
+
     private void checkModels() {
         Map<String, Service> owners = new HashMap<>();
         for (Service service : mConfiguration.all(Service.class)) {
@@ -196,11 +208,12 @@
 
     private void requireRegion(Entity entity, String field, RegionId region) {
         Set<RegionId> known = mConfiguration.regionIds();
-        require(
-                region != null && known.contains(region),
-                entity,
-                field,
-                "'" + region + "' is not in the inventory. Use one of " + known + ".");
+        if (region == null || !known.contains(region)) {
+            add(
+                    entity,
+                    field,
+                    "'" + region + "' is not in the inventory. Use one of " + known + ".");
+        }
     }
 
     private void require(boolean condition, Entity entity, String field, String message) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
@@ -34,16 +34,23 @@
 
     /** Returns a well-mixed non-negative hash of the two strings. */
     public static long weight(String key, String candidate) {
-        long hash = add(add(OFFSET, key) * PRIME, candidate);
-        hash ^= hash >>> 33;
-        hash *= 0xff51afd7ed558ccdL;
-        hash ^= hash >>> 33;
-        hash *= 0xc4ceb9fe1a85ec53L;
-        hash ^= hash >>> 33;
-        return hash >>> 1;
+        return weight(hash(key), hash(candidate));
     }
 
-    private static long add(long hash, String text) {
+    /** Returns a well-mixed non-negative number from the hashes of a key and a candidate. */
+    public static long weight(long keyHash, long candidateHash) {
+        long mixed = keyHash * PRIME ^ Long.rotateLeft(candidateHash, 31);
+        mixed ^= mixed >>> 33;
+        mixed *= 0xff51afd7ed558ccdL;
+        mixed ^= mixed >>> 33;
+        mixed *= 0xc4ceb9fe1a85ec53L;
+        mixed ^= mixed >>> 33;
+        return mixed >>> 1;
+    }
+
+    /** Returns a hash of the text. */
+    public static long hash(String text) {
+        long hash = OFFSET;
         for (int i = 0; i < text.length(); i++) {
             hash = (hash ^ text.charAt(i)) * PRIME;
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -36,6 +36,7 @@
     private final Map<InstanceId, Contact> mContacts = new HashMap<>();
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
     private Member mSelf;
+    private int mDigest;
     private long mNextHeartbeatMs;
     private long mNextDeadRetryMs;
     private long mNextSyncMs;
@@ -47,7 +48,7 @@
         mSelf = self;
         mSettings = settings;
         mRandom = random;
-        mMembers.put(self.id(), self);
+        put(self);
     }
 
     /** Returns this instance's own description. */
@@ -84,20 +85,26 @@
 
     /** Returns a digest of the members that are not dead. */
     public int digest() {
-        int digest = 0;
-        for (Member member : mMembers.values()) {
-            if (member.state() != MemberState.DEAD) {
-                String text = member.id() + "/" + member.incarnation() + "/" + member.state();
-                digest ^= (int) Rendezvous.weight("member", text);
-            }
+        return mDigest;
+    }
+
+    /** Replaces the description of a member and keeps the digest up to date. */
+    private void put(Member member) {
+        mDigest ^= digestOf(mMembers.put(member.id(), member)) ^ digestOf(member);
+    }
+
+    private static int digestOf(Member member) {
+        if (member == null || member.state() == MemberState.DEAD) {
+            return 0;
         }
-        return digest;
+        String text = member.id() + "/" + member.incarnation() + "/" + member.state();
+        return (int) Rendezvous.weight("member", text);
     }
 
     /** Changes the state of this instance and spreads the news. */
     public List<PeerSend> setOwnState(MemberState state, long nowMs) {
         mSelf = mSelf.in(state);
-        mMembers.put(mSelf.id(), mSelf);
+        put(mSelf);
         return flood(List.of(mSelf), null, nowMs);
     }
 
@@ -252,7 +259,7 @@
             return Optional.empty();
         }
         mSelf = mSelf.of(claim.incarnation() + 1, mSelf.state());
-        mMembers.put(mSelf.id(), mSelf);
+        put(mSelf);
         return Optional.of(mSelf);
     }
 
@@ -264,7 +271,7 @@
         if (known == null && member.state() == MemberState.DEAD) {
             return false;
         }
-        mMembers.put(member.id(), member);
+        put(member);
         Contact contact = contact(member.id(), nowMs);
         contact.mStateSinceMs = nowMs;
         contact.noteAnswered();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -2,6 +2,7 @@
 
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.policy.Rendezvous;
 
 /** Holds what one traffic thread knows of an endpoint. */
 public final class EndpointState {
@@ -11,6 +12,7 @@
     private static final long SLOW_START_MS = 5_000;
     private static final long REPORT_LIFETIME_MS = 5_000;
 
+    private final long mIdHash;
     private Endpoint mEndpoint;
     private int mInFlight;
     private int mFailures;
@@ -23,6 +25,12 @@
 
     EndpointState(Endpoint endpoint, long nowMs) {
         mEndpoint = endpoint;
+        mIdHash = Rendezvous.hash(endpoint.id().value());
+    }
+
+    /** Returns how well the endpoint suits requests with the affinity key of the given hash. */
+    long affinity(long keyHash) {
+        return Rendezvous.weight(keyHash, mIdHash);
     }
 
     void setEndpoint(Endpoint endpoint, long nowMs) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -1,7 +1,11 @@
 package org.filbertrudder.policy.routing;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,41 +18,51 @@
 public final class EndpointTable {
 
     private final Map<EndpointId, EndpointState> mStates = new HashMap<>();
+    private Map<Group, List<EndpointState>> mGroups = Map.of();
+    private Set<EndpointId> mLeaving = Set.of();
 
     /** Replaces the set of endpoints; those that stay keep what is known of them. */
     public void setEndpoints(Collection<Endpoint> endpoints, long nowMs) {
-        Map<EndpointId, EndpointState> kept = new HashMap<>();
+        Set<EndpointId> wanted = new HashSet<>();
+        Map<Group, List<EndpointState>> groups = new HashMap<>();
         for (Endpoint endpoint : endpoints) {
-            EndpointState known = mStates.get(endpoint.id());
-            EndpointState state = known == null ? new EndpointState(endpoint, nowMs) : known;
+            EndpointState state =
+                    mStates.computeIfAbsent(
+                            endpoint.id(), id -> new EndpointState(endpoint, nowMs));
             state.setEndpoint(endpoint, nowMs);
-            kept.put(endpoint.id(), state);
+            state.setLeaving(mLeaving.contains(endpoint.id()));
+            wanted.add(endpoint.id());
+            Group group = new Group(endpoint.service(), endpoint.region());
+            groups.computeIfAbsent(group, key -> new ArrayList<>()).add(state);
         }
-        mStates.clear();
-        mStates.putAll(kept);
+        mStates.keySet().retainAll(wanted);
+        groups.values().forEach(group -> group.sort(Comparator.comparing(EndpointState::id)));
+        mGroups = groups;
     }
 
     /** Marks exactly these endpoints as leaving. */
     public void setLeaving(Set<EndpointId> leaving) {
+        mLeaving = Set.copyOf(leaving);
         mStates.values().forEach(state -> state.setLeaving(leaving.contains(state.id())));
     }
 
-    /** Returns the endpoints of a service in a region, usable or not. */
+    /** Returns the endpoints of a service in a region in the order of their ids, usable or not. */
     public List<EndpointState> of(ServiceId service, RegionId region) {
-        return mStates.values().stream()
-                .filter(state -> state.endpoint().service().equals(service))
-                .filter(state -> state.endpoint().region().equals(region))
-                .sorted(java.util.Comparator.comparing(EndpointState::id))
-                .toList();
+        List<EndpointState> group = mGroups.get(new Group(service, region));
+        return group == null ? List.of() : Collections.unmodifiableList(group);
     }
 
-    /** Returns the state of an endpoint, or null once it has been removed. */
-    public EndpointState find(EndpointId id) {
-        return mStates.get(id);
+    /** Returns the endpoints of all services in a region. */
+    public List<EndpointState> in(RegionId region) {
+        List<EndpointState> found = new ArrayList<>();
+        mGroups.forEach(
+                (group, states) -> {
+                    if (group.region().equals(region)) {
+                        found.addAll(states);
+                    }
+                });
+        return found;
     }
 
-    /** Returns all endpoints. */
-    public Collection<EndpointState> all() {
-        return List.copyOf(mStates.values());
-    }
+    private record Group(ServiceId service, RegionId region) {}
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -83,10 +83,10 @@
         }
         double average = usable.stream().mapToInt(state -> state.load(nowMs)).average().orElse(0);
         double bound = BALANCE_BOUND * (average + 1);
-        return Rendezvous.rank(request.affinityKey(), usable, state -> state.id().value()).stream()
-                .filter(state -> state.hasRoom(nowMs))
+        long keyHash = Rendezvous.hash(request.affinityKey());
+        return free.stream()
                 .filter(state -> state.load(nowMs) + 1 <= bound)
-                .findFirst();
+                .max(Comparator.comparingLong(state -> state.affinity(keyHash)));
     }
 
     private static Comparator<EndpointState> leastLoaded(long nowMs) {
@@ -97,12 +97,11 @@
     }
 
     private Optional<RegionId> nearestAway(RouteRequest request, Configuration configuration) {
-        return configuration.regionIds().stream()
-                .filter(region -> !region.equals(mHere))
+        return configuration.nearestTo(mHere).stream()
                 .filter(request.allowed())
                 .filter(region -> hasEndpoint(request, region))
                 .filter(mReach::reachable)
-                .min(Comparator.comparingDouble(region -> delayMs(region, configuration)));
+                .findFirst();
     }
 
     private boolean hasEndpoint(RouteRequest request, RegionId region) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/AccountShare.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/AccountShare.java
@@ -16,6 +16,7 @@
     private static final double LEND_RESERVE_SECONDS = 0.5;
     private static final double DEMAND_MARGIN = 1.25;
     private static final double BORROW_MARGIN = 1.3;
+    private static final double IDLE_SHARE = 0.001;
     private static final long RESERVATION_LIFETIME_MS = 600_000;
 
     private final TokenSettings mSettings;
@@ -189,6 +190,12 @@
         mBucket.restore(handed, nowMs);
     }
 
+    /** Returns whether nothing waits and hardly anything has been asked for lately. */
+    boolean idle(long nowMs) {
+        return mWaiters.isEmpty()
+                && mDemand.ratePerSecond(nowMs) < mWhole.ratePerSecond() * IDLE_SHARE;
+    }
+
     boolean hasWaiters() {
         return !mWaiters.isEmpty();
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
@@ -31,6 +31,7 @@
     private final TokenSettings mSettings;
     private final Set<Integer> mShards = new TreeSet<>();
     private final Map<AccountId, AccountShare> mShares = new HashMap<>();
+    private final Set<AccountId> mActive = new TreeSet<>();
     private final Map<Long, PendingLoan> mPendingLoans = new HashMap<>();
     private Configuration mConfiguration = Configuration.EMPTY;
     private long mNextLoanId = 1;
@@ -164,6 +165,7 @@
             return refuse(asker, ReserveOutcome.NOT_HOLDER);
         }
         AccountShare share = mShares.computeIfAbsent(id, key -> newShare(account.get(), nowMs));
+        mActive.add(id);
         List<TokenEffect> effects = new ArrayList<>();
         if (tokens > share.level(nowMs) || share.hasWaiters()) {
             // A loan is asked for before the share judges whether the request can be met in time.
@@ -199,10 +201,14 @@
         }
         mPendingLoans.values().removeIf(pending -> pending.expired(mSettings, nowMs));
         List<TokenEffect> effects = new ArrayList<>();
-        for (Map.Entry<AccountId, AccountShare> entry : mShares.entrySet()) {
-            AccountShare share = entry.getValue();
+        for (AccountId id : List.copyOf(mActive)) {
+            AccountShare share = mShares.get(id);
+            if (share == null || share.idle(nowMs)) {
+                mActive.remove(id);
+                continue;
+            }
             if (share.wantsLoan(nowMs)) {
-                effects.addAll(askLoans(entry.getKey(), share, 0, nowMs));
+                effects.addAll(askLoans(id, share, 0, nowMs));
             }
             if (share.hasWaiters()) {
                 effects.addAll(share.serve(nowMs));
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ConfigurationCapacity.java
@@ -0,0 +1,60 @@
+package org.filbertrudder.measure;
+
+import org.filbertrudder.model.Change;
+import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.ConfigurationValidator;
+import org.filbertrudder.model.Json;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.peer.MessageCodec;
+
+/** Measures the state of a configuration and the cost of a change at several sizes. */
+final class ConfigurationCapacity implements Experiment {
+
+    private static final int REGIONS = 48;
+    private static final int ENDPOINTS = 10_000;
+    private static final int[] ACCOUNTS = {1_500, 6_000, 12_000};
+    private static final int CHANGES = 60;
+
+    @Override
+    public Table run(long seed) {
+        Table table =
+                new Table(
+                        "accounts",
+                        "heap_mb",
+                        "snapshot_mb",
+                        "change_bytes",
+                        "apply_ms",
+                        "validate_ms");
+        for (int accounts : ACCOUNTS) {
+            measure(table, accounts);
+        }
+        return table;
+    }
+
+    private static void measure(Table table, int accounts) {
+        long before = HeapGauge.usedBytes();
+        Configuration configuration = LargeConfiguration.of(REGIONS, ENDPOINTS, accounts);
+        double heapMb = (HeapGauge.usedBytes() - before) / 1e6;
+        double snapshotMb = Json.write(configuration.entities()).length() / 1e6;
+        Change sample = LargeConfiguration.change(configuration, 1, REGIONS);
+        int changeBytes =
+                MessageCodec.encode(new PeerMessage.ChangePush(java.util.List.of(sample))).length();
+        Configuration next = applyMany(configuration, CHANGES / 2);
+        long startNs = System.nanoTime();
+        next = applyMany(next, CHANGES);
+        double applyMs = (System.nanoTime() - startNs) / 1e6 / CHANGES;
+        ConfigurationValidator.validate(next);
+        startNs = System.nanoTime();
+        ConfigurationValidator.validate(next);
+        double validateMs = (System.nanoTime() - startNs) / 1e6;
+        table.add(accounts, heapMb, snapshotMb, changeBytes, applyMs, validateMs);
+    }
+
+    private static Configuration applyMany(Configuration start, int changes) {
+        Configuration current = start;
+        for (int i = 0; i < changes; i++) {
+            current = current.apply(LargeConfiguration.change(current, i, REGIONS));
+        }
+        return current;
+    }
+}
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Runs small seeded experiments and prints their figures. */
+package org.filbertrudder.measure;
