Return unused tokens exactly as far as the contract allows

Each refund lowered the recorded headroom of all moments, even of those before the refunded reservation was made, so later refunds were cut too much. Requests past their deadline could also still be granted, and a request larger than the burst asked other regions for loans before it was refused.

Change: a refund lowers the headroom only after its own reservation. Requests past their deadline are refused, and those that never fit ask for nothing.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -44,6 +44,7 @@
     private static final PartLog LOG = PartLog.of("control");
     private static final long TICK_MS = 50;
     private static final long SLOW_TICK_MS = 1_000;
+    private static final long PUBLICATION_MS = 10_000;
     private static final long GONE_AFTER_MS = 2_000;
     private static final int RELAYS_PER_FAILURE_DOMAIN = 2;
     private static final int MAX_SUSPECT_REQUESTS = 10_000;
@@ -71,6 +72,8 @@
     private ShardKeeper mShards;
     private LiveListWatcher mLiveList;
     private long mNextSlowTickMs;
+    private long mNextPublicationMs;
+    private long mPublishedVersion = -1;
     private volatile Snapshot mSnapshot;
 
     /** Creates the control loop on a context of its own. */
@@ -143,7 +146,7 @@
     private void tick() {
         long nowMs = mClockMs.getAsLong();
         send(mMembership.tick(mSync.current().revision(), nowMs));
-        mLiveList.tick(nowMs);
+        mLiveList.tick(mMembership.members().size(), nowMs);
         mSync.tick(isRelay(), nowMs);
         mDesk.apply(mHolder.tick(nowMs));
         mDesk.tick(nowMs);
@@ -151,7 +154,8 @@
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
             slowTick(nowMs);
         }
-        if (!mSnapshot.members().equals(mMembership.members())) {
+        if (mMembership.version() != mPublishedVersion) {
+            mPublishedVersion = mMembership.version();
             publish();
         }
     }
@@ -161,6 +165,13 @@
             return;
         }
         mShards.tick(owner -> isGone(owner, nowMs));
+        if (nowMs >= mNextPublicationMs) {
+            mNextPublicationMs = nowMs + PUBLICATION_MS;
+            publishToCallers();
+        }
+    }
+
+    private void publishToCallers() {
         Member self = mMembership.self();
         String scheme = mSettings.callerTls() == null ? "http" : "https";
         String url = scheme + "://" + self.host() + ":" + self.callerPort();
@@ -226,10 +237,21 @@
                         mSync.current(),
                         mMembership.self(),
                         mMembership.members(),
-                        mLiveList.leavingEndpoints());
+                        mLiveList.leavingEndpoints(),
+                        holdersHere());
         mListeners.forEach(Runnable::run);
     }
 
+    /** Returns the holder of each shard of this region, so that callers can be sent to it. */
+    private Map<Integer, InstanceId> holdersHere() {
+        Map<Integer, InstanceId> holders = new HashMap<>();
+        mDirectory.all().stream()
+                .filter(owner -> owner.region().equals(mMembership.self().region()))
+                .filter(owner -> !owner.released())
+                .forEach(owner -> holders.put(owner.shard(), owner.owner()));
+        return Map.copyOf(holders);
+    }
+
     private void flood(PeerMessage message, InstanceId from) {
         mMembership
                 .floodTargets(from, mClockMs.getAsLong())
@@ -267,7 +289,7 @@
         on(PeerMessage.SnapshotPush.class, (from, message) -> mSync.handle(message));
         on(
                 PeerMessage.ShardUpdates.class,
-                (from, message) -> mShards.handle(message, news -> flood(news, id(from))));
+                (from, message) -> mShards.handle(message, news -> passOn(news, id(from))));
         on(PeerMessage.ShardHandover.class, (from, message) -> mShards.handle(message));
         on(PeerMessage.ReserveRequest.class, (from, message) -> mDesk.handle(id(from), message));
         on(PeerMessage.ReserveReply.class, (from, message) -> mDesk.handle(id(from), message));
@@ -289,6 +311,11 @@
         on(PeerMessage.CrashReport.class, (from, message) -> noteCrash(message, id(from)));
     }
 
+    private void passOn(PeerMessage.ShardUpdates news, InstanceId from) {
+        flood(news, from);
+        publish();
+    }
+
     private void handle(PeerMessage.Heartbeat heartbeat) {
         noteRevision(heartbeat.sender(), heartbeat.revision());
         send(mMembership.handle(heartbeat, mSync.current().revision(), now()));
@@ -478,6 +505,7 @@
         @Override
         public void announce(PeerMessage message) {
             flood(message, null);
+            publish();
         }
 
         @Override
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
@@ -17,8 +17,9 @@
 final class LiveListWatcher {
 
     private static final PartLog LOG = PartLog.of("live list");
-    private static final long POLL_MS = 1_000;
-    private static final long FRESH_MS = 5_000;
+    private static final long MIN_POLL_MS = 1_000;
+    private static final long FLEET_POLLS_PER_SECOND = 64;
+    private static final long FRESH_POLLS = 5;
 
     private final Context mContext;
     private final PlatformDirectory mPlatform;
@@ -26,6 +27,7 @@
     private final Runnable mOnChange;
     private List<LiveInstance> mInstances = List.of();
     private long mReadMs = Long.MIN_VALUE / 2;
+    private long mPollMs = MIN_POLL_MS;
     private long mNextPollMs;
     private boolean mReading;
 
@@ -37,12 +39,14 @@
         mOnChange = onChange;
     }
 
-    void tick(long nowMs) {
+    /** Reads the list if it is due; the whole fleet together stays below a number of reads. */
+    void tick(int members, long nowMs) {
+        mPollMs = Math.max(MIN_POLL_MS, members * 1_000L / FLEET_POLLS_PER_SECOND);
         if (mReading || nowMs < mNextPollMs) {
             return;
         }
         mReading = true;
-        mNextPollMs = nowMs + POLL_MS;
+        mNextPollMs = nowMs + mPollMs;
         mPlatform
                 .live()
                 .emitOn(action -> mContext.runOnContext(ignored -> action.run()))
@@ -66,7 +70,7 @@
 
     /** Returns whether a recent answer does not name the instance. */
     boolean lacks(InstanceId id, long nowMs) {
-        return nowMs - mReadMs < FRESH_MS
+        return nowMs - mReadMs < FRESH_POLLS * mPollMs
                 && mInstances.stream().noneMatch(each -> each.id().equals(id.value()));
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -10,8 +10,8 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.UUID;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -23,6 +23,7 @@
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.ServiceKind;
 import org.filbertrudder.model.message.Member;
+import org.filbertrudder.policy.Rendezvous;
 
 /** Serves the HTTP API for callers. */
 final class CallerApi {
@@ -278,13 +279,24 @@
         sendJson(context, answer);
     }
 
-    /** Lists the instances that a caller should use, nearest first. */
+    /**
+     * Lists the instances that a caller should use, best first.
+     *
+     * <p>A caller that shows its key gets the holder of its account's tokens first, so that its
+     * requests need no message between instances.
+     */
     private void listEntries(RoutingContext context) {
         Snapshot snapshot = mContext.snapshot();
-        List<Member> members = new ArrayList<>(snapshot.workingIn(snapshot.self().region()));
-        snapshot.members().stream()
-                .filter(member -> member.takesWork() && !members.contains(member))
-                .forEach(members::add);
+        Set<Member> members = new LinkedHashSet<>();
+        if (context.request().getHeader("authorization") != null) {
+            snapshot.holderOf(identify(context).account().id()).ifPresent(members::add);
+        }
+        members.addAll(
+                Rendezvous.rank(
+                        String.valueOf(context.request().remoteAddress()),
+                        snapshot.workingIn(snapshot.self().region()),
+                        member -> member.id().value()));
+        snapshot.members().stream().filter(Member::takesWork).forEach(members::add);
         ArrayNode entries = Json.MAPPER.createArrayNode();
         String scheme = mSettings.callerTls() == null ? "http" : "https";
         for (Member member : members) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -37,6 +37,7 @@
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
     private Member mSelf;
     private int mDigest;
+    private long mVersion;
     private long mNextHeartbeatMs;
     private long mNextDeadRetryMs;
     private long mNextSyncMs;
@@ -83,6 +84,11 @@
         return Optional.ofNullable(mContacts.get(id)).map(contact -> contact.mStateSinceMs);
     }
 
+    /** Returns a number that grows with each change of the member table. */
+    public long version() {
+        return mVersion;
+    }
+
     /** Returns a digest of the members that are not dead. */
     public int digest() {
         return mDigest;
@@ -90,6 +96,7 @@
 
     /** Replaces the description of a member and keeps the digest up to date. */
     private void put(Member member) {
+        mVersion++;
         mDigest ^= digestOf(mMembers.put(member.id(), member)) ^ digestOf(member);
     }
 
@@ -162,6 +169,7 @@
             } else if (member.state() == MemberState.DEAD
                     && nowMs - sinceMs > mSettings.forgetDeadMs()) {
                 mMembers.remove(member.id());
+                mVersion++;
                 mContacts.remove(member.id());
             }
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/AccountShare.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/AccountShare.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Contract;
@@ -46,11 +47,13 @@
         return Contract.of(whole.ratePerSecond(), whole.burst() - withheld);
     }
 
+    /** Returns whether the account's contract is too small for a request of this size. */
+    boolean neverFits(long tokens) {
+        return tokens > mWhole.burst();
+    }
+
     /** Grants, refuses or queues the request; a queued one is answered by a later call. */
     List<TokenEffect> reserve(Asker asker, long tokens, long deadlineMs, long nowMs) {
-        if (tokens > mWhole.burst()) {
-            return List.of(refusal(asker, ReserveOutcome.TOO_LARGE, 0));
-        }
         mDemand.add(tokens, nowMs);
         mLargestRequest = Math.max(tokens, mLargestRequest);
         mWaiters.addLast(new Waiter(asker, tokens, nowMs, deadlineMs));
@@ -60,6 +63,7 @@
     /** Grants what the level allows and refuses what cannot be granted by its deadline. */
     List<TokenEffect> serve(long nowMs) {
         List<TokenEffect> effects = new ArrayList<>();
+        refuseLate(effects, nowMs);
         while (!mWaiters.isEmpty() && grantFirst(effects, nowMs)) {
             mWaiters.removeFirst();
         }
@@ -88,6 +92,18 @@
         return true;
     }
 
+    private void refuseLate(List<TokenEffect> effects, long nowMs) {
+        Iterator<Waiter> each = mWaiters.iterator();
+        while (each.hasNext()) {
+            Waiter waiter = each.next();
+            if (waiter.deadlineMs() < nowMs) {
+                each.remove();
+                long waitMs = Math.max(1, waitMs(waiter.tokens(), nowMs));
+                effects.add(refusal(waiter.asker(), ReserveOutcome.WAIT, waitMs));
+            }
+        }
+    }
+
     private void refuseHopeless(List<TokenEffect> effects, long nowMs) {
         double ahead = 0;
         List<Waiter> hopeless = new ArrayList<>();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenBucket.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenBucket.java
@@ -116,7 +116,7 @@
         double unused = Math.min(unusedTokens, ended.tokens());
         double refund = Math.max(0, Math.min(unused, mHistory.minimumAfter(ended.sequence())));
         mLevel += refund;
-        mHistory.reduceAll(refund);
+        mHistory.reduceAfter(ended.sequence(), refund);
         if (mReservations.isEmpty()) {
             mHistory.clear();
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
@@ -165,6 +165,9 @@
             return refuse(asker, ReserveOutcome.NOT_HOLDER);
         }
         AccountShare share = mShares.computeIfAbsent(id, key -> newShare(account.get(), nowMs));
+        if (share.neverFits(tokens)) {
+            return refuse(asker, ReserveOutcome.TOO_LARGE);
+        }
         mActive.add(id);
         List<TokenEffect> effects = new ArrayList<>();
         if (tokens > share.level(nowMs) || share.hasWaiters()) {
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
@@ -0,0 +1,116 @@
+package org.filbertrudder.measure;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.filbertrudder.scenarios.Deployment;
+import org.filbertrudder.scenarios.Fleet;
+import org.filbertrudder.scenarios.ManagedProcess;
+
+/** Measures the latency that one instance adds beside a direct call, and its cost per request. */
+final class GatewayCapacity implements Experiment {
+
+    private static final int[] CALLERS = {1, 4, 8};
+    private static final int ENGINE_TOKENS_PER_SECOND = 1_000;
+    private static final int WARM_UP = 3_000;
+    private static final int REQUESTS = 4_000;
+
+    @Override
+    public Table run(long seed) {
+        Path logs = Path.of(System.getProperty("filbertrudder.root", "."), "build", "gateway");
+        Table table =
+                new Table(
+                        "callers",
+                        "path",
+                        "per_second",
+                        "p50_ms",
+                        "p99_ms",
+                        "failed",
+                        "instance_cpu_us_per_request",
+                        "instance_rss_mb");
+        try (Fleet fleet = Fleet.start(Deployment.BUREAU, 3, logs, ENGINE_TOKENS_PER_SECOND)) {
+            fleet.awaitShards();
+            fleet.raiseContracts(1e9);
+            for (int callers : CALLERS) {
+                measure(table, fleet, callers);
+            }
+        }
+        return table;
+    }
+
+    private static void measure(Table table, Fleet fleet, int callers) {
+        String id = "mtl-1";
+        String key = fleet.keyOf("federation");
+        String direct = "http://127.0.0.1:" + fleet.enginePort(0) + "/v1/chat/completions";
+        String gateway =
+                "http://127.0.0.1:" + fleet.process(id).port("callers") + "/v1/chat/completions";
+        load(fleet, gateway, key, callers, WARM_UP);
+        load(fleet, direct, key, callers, WARM_UP);
+        add(table, callers, "direct", load(fleet, direct, key, callers, REQUESTS), 0, 0);
+        ManagedProcess process = fleet.process(id);
+        long before = cpuMs(process);
+        String result = load(fleet, gateway, key, callers, REQUESTS);
+        double cpuUs = (cpuMs(process) - before) * 1e3 / REQUESTS;
+        add(table, callers, "gateway", result, cpuUs, rssMb(process));
+    }
+
+    private static String load(Fleet fleet, String url, String key, int callers, int requests) {
+        return fleet.runLoad(
+                List.of(
+                        "--url",
+                        url,
+                        "--key",
+                        key,
+                        "--callers",
+                        Integer.toString(callers),
+                        "--requests",
+                        Integer.toString(requests)));
+    }
+
+    private static void add(
+            Table table, int callers, String path, String result, double cpuUs, double rssMb) {
+        table.add(
+                callers,
+                path,
+                value(result, "per_second"),
+                value(result, "p50_ms"),
+                value(result, "p99_ms"),
+                value(result, "failed"),
+                cpuUs,
+                rssMb);
+    }
+
+    private static double value(String result, String name) {
+        for (String part : result.trim().split(" ")) {
+            if (part.startsWith(name + "=")) {
+                return Double.parseDouble(part.substring(name.length() + 1));
+            }
+        }
+        throw new IllegalStateException("The load tool printed: " + result);
+    }
+
+    private static long cpuMs(ManagedProcess process) {
+        return ProcessHandle.of(process.pid())
+                .flatMap(handle -> handle.info().totalCpuDuration())
+                .map(duration -> TimeUnit.NANOSECONDS.toMillis(duration.toNanos()))
+                .orElseThrow();
+    }
+
+    private static double rssMb(ManagedProcess process) {
+        try {
+            Path status = Path.of("/proc", Long.toString(process.pid()), "status");
+            return Files.readString(status, StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.startsWith("VmRSS:"))
+                    .mapToDouble(line -> Double.parseDouble(line.replaceAll("\\D", "")) / 1e3)
+                    .findFirst()
+                    .orElseThrow();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -22,6 +22,7 @@
         EXPERIMENTS.put("capacity-tokens", new TokenCapacity());
         EXPERIMENTS.put("capacity-messages", new MessageCapacity());
         EXPERIMENTS.put("capacity-control", new ControlCapacity());
+        EXPERIMENTS.put("capacity-gateway", new GatewayCapacity());
         EXPERIMENTS.put("capacity-routing", new RoutingCapacity());
     }
 
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/MembershipCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/MembershipCapacity.java
@@ -39,7 +39,8 @@
                         "busiest_bytes_per_second",
                         "neighbours",
                         "all_know_failure_ms",
-                        "cpu_us_per_second");
+                        "cpu_us_per_second",
+                        "table_bytes_per_member");
         for (int size : SIZES) {
             Run run = new Run(size, seed);
             run.measure(table);
@@ -108,7 +109,22 @@
                             .average()
                             .orElse(0);
             long noticed = noticeFailure();
-            table.add(mSize, messages, bytes, busiest, neighbours, noticed, cpuUs);
+            double tableBytes = tableBytesPerMember();
+            table.add(mSize, messages, bytes, busiest, neighbours, noticed, cpuUs, tableBytes);
+        }
+
+        private double tableBytesPerMember() {
+            long before = HeapGauge.usedBytes();
+            Membership membership =
+                    new Membership(member(0), MembershipSettings.DEFAULT, new Random(1));
+            List<Member> fresh = new ArrayList<>();
+            for (int i = 0; i < mSize; i++) {
+                fresh.add(member(i));
+            }
+            membership.handle(new PeerMessage.MemberUpdates(fresh), member(1).id(), 0);
+            fresh.clear();
+            double bytes = (double) (HeapGauge.usedBytes() - before) / mSize;
+            return membership.members().isEmpty() ? 0 : bytes;
         }
 
         private long noticeFailure() {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Inventory;
 
 /** Runs a whole deployment as separate processes on loopback. */
@@ -21,11 +22,13 @@
     public static final String TOKEN = "demo-operator-token";
 
     private static final long POLL_MS = 50;
+    private static final int DEFAULT_TOKENS_PER_SECOND = 100;
     private static final String PRODUCT_JAR = "filbertrudder-app-0.1.0-all.jar";
     private static final String STANDINS_JAR = "filbertrudder-standins-0.1.0-all.jar";
 
     private final Deployment mDeployment;
     private final Path mLogs;
+    private final int mTokensPerSecond;
     private final HttpCaller mHttp = new HttpCaller();
     private final Map<String, ManagedProcess> mEntries = new LinkedHashMap<>();
     private final Map<String, String> mRegionOf = new LinkedHashMap<>();
@@ -34,19 +37,26 @@
     private ManagedProcess mEndpoints;
     private Inventory mInventory;
 
-    private Fleet(Deployment deployment, Path logs) {
+    private Fleet(Deployment deployment, Path logs, int tokensPerSecond) {
         mDeployment = deployment;
         mLogs = logs;
+        mTokensPerSecond = tokensPerSecond;
     }
 
     /** Starts the stand-ins and a number of instances, and applies the inventory. */
     public static Fleet start(Deployment deployment, int instances, Path logs) {
+        return start(deployment, instances, logs, DEFAULT_TOKENS_PER_SECOND);
+    }
+
+    /** Starts a fleet whose engines write a number of tokens a second for each request. */
+    public static Fleet start(
+            Deployment deployment, int instances, Path logs, int tokensPerSecond) {
         try {
             Files.createDirectories(logs);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        Fleet fleet = new Fleet(deployment, logs);
+        Fleet fleet = new Fleet(deployment, logs, tokensPerSecond);
         try {
             fleet.startAll(instances);
             return fleet;
@@ -66,7 +76,9 @@
                                 "--engines",
                                 Integer.toString(mDeployment.engines()),
                                 "--services",
-                                Integer.toString(mDeployment.services())));
+                                Integer.toString(mDeployment.services()),
+                                "--tokens-per-second",
+                                Integer.toString(mTokensPerSecond)));
         mInventory =
                 mDeployment.inventory(mEndpoints.ports("engines"), mEndpoints.ports("services"));
         List<CompletableFuture<Void>> starts = new ArrayList<>();
@@ -183,6 +195,41 @@
         return reply.json().path("revision").asLong();
     }
 
+    /** Multiplies all contracts, so that rates do not limit a measurement. */
+    public void raiseContracts(double factor) {
+        List<Account> raised =
+                mInventory.accounts().stream()
+                        .map(
+                                account ->
+                                        new Account(
+                                                account.id(),
+                                                account.contract().scale(factor),
+                                                account.residency(),
+                                                account.shares()))
+                        .toList();
+        awaitRevision(
+                apply(
+                        new Inventory(
+                                mInventory.regions(),
+                                mInventory.links(),
+                                mInventory.services(),
+                                mInventory.endpoints(),
+                                raised,
+                                mInventory.rules())));
+    }
+
+    /** Runs the load tool to its end and returns what it printed. */
+    public String runLoad(List<String> arguments) {
+        List<String> words = new ArrayList<>(List.of("load"));
+        words.addAll(arguments);
+        return ManagedProcess.run(jar("standins", STANDINS_JAR), log("load"), words);
+    }
+
+    /** Returns the port of an engine. */
+    public int enginePort(int number) {
+        return mEndpoints.ports("engines").get(number);
+    }
+
     /** Returns an instance that runs. */
     public String anyEntry() {
         return mEntries.keySet().stream()
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/ManagedProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/ManagedProcess.java
@@ -30,6 +30,21 @@
 
     /** Starts a jar and waits until it listens. */
     public static ManagedProcess start(Path jar, Path log, List<String> arguments) {
+        Process process = launch(jar, log, arguments);
+        return new ManagedProcess(process, readPorts(process));
+    }
+
+    /** Runs a jar to its end and returns what it printed. */
+    public static String run(Path jar, Path log, List<String> arguments) {
+        Process process = launch(jar, log, arguments);
+        try {
+            return new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static Process launch(Path jar, Path log, List<String> arguments) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JAVA_OPTIONS);
@@ -37,11 +52,9 @@
         command.add(jar.toString());
         command.addAll(arguments);
         try {
-            Process process =
-                    new ProcessBuilder(command)
-                            .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
-                            .start();
-            return new ManagedProcess(process, readPorts(process));
+            return new ProcessBuilder(command)
+                    .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
