--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/membership/MembershipTest.java
@@ -0,0 +1,141 @@
+package org.filbertrudder.policy.membership;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.PeerMessage;
+import org.testng.annotations.Test;
+
+/** Tests how an instance judges the others. */
+public class MembershipTest {
+
+    private static final MembershipSettings SETTINGS = MembershipSettings.DEFAULT;
+
+    private static Member member(String id) {
+        return new Member(
+                InstanceId.of(id),
+                100,
+                RegionId.of("mtl"),
+                FailureDomainId.of("mtl-a"),
+                "127.0.0.1",
+                1_000 + id.charAt(0),
+                1,
+                1,
+                MemberState.LIVE);
+    }
+
+    private static Membership membership(String self, String... others) {
+        Membership membership = new Membership(member(self), SETTINGS, new Random(1));
+        for (String other : others) {
+            membership.handle(
+                    new PeerMessage.MemberUpdates(List.of(member(other))),
+                    InstanceId.of(other),
+                    0);
+        }
+        return membership;
+    }
+
+    private static MemberState stateOf(Membership membership, String id) {
+        return membership.member(InstanceId.of(id)).orElseThrow().state();
+    }
+
+    private static void tickUntil(Membership membership, long fromMs, long untilMs) {
+        for (long nowMs = fromMs; nowMs <= untilMs; nowMs += 100) {
+            membership.tick(1, nowMs);
+        }
+    }
+
+    @Test
+    public void suspectsASilentMemberThenGivesItUp() {
+        Membership membership = membership("a", "b");
+
+        tickUntil(membership, 0, 5_000);
+        assertEquals(stateOf(membership, "b"), MemberState.SUSPECT);
+
+        tickUntil(membership, 5_000, 10_000);
+        assertEquals(stateOf(membership, "b"), MemberState.DEAD);
+    }
+
+    @Test
+    public void keepsAMemberThatAnswers() {
+        Membership membership = membership("a", "b");
+
+        for (long nowMs = 0; nowMs < 20_000; nowMs += 100) {
+            membership.tick(1, nowMs);
+            membership.handle(new PeerMessage.HeartbeatAck(member("b"), 1, 0), nowMs);
+        }
+
+        assertEquals(stateOf(membership, "b"), MemberState.LIVE);
+    }
+
+    @Test
+    public void refutesASuspicionAgainstItself() {
+        Membership membership = membership("a", "b");
+
+        membership.handle(
+                new PeerMessage.MemberUpdates(List.of(member("a").in(MemberState.SUSPECT))),
+                InstanceId.of("b"),
+                1);
+
+        assertEquals(membership.self().state(), MemberState.LIVE);
+        assertEquals(membership.self().incarnation(), 101);
+    }
+
+    @Test
+    public void takesBackASuspicionThatIsRefuted() {
+        Membership membership = membership("a", "b");
+        tickUntil(membership, 0, 10_000);
+
+        membership.handle(
+                new PeerMessage.MemberUpdates(List.of(member("b").of(101, MemberState.LIVE))),
+                InstanceId.of("b"),
+                10_100);
+
+        assertEquals(stateOf(membership, "b"), MemberState.LIVE);
+    }
+
+    @Test
+    public void ignoresOlderNewsOfAMember() {
+        Membership membership = membership("a", "b");
+        Member newer = member("b").of(200, MemberState.LEAVING);
+        membership.handle(
+                new PeerMessage.MemberUpdates(List.of(newer)), InstanceId.of("b"), 1);
+
+        membership.handle(
+                new PeerMessage.MemberUpdates(List.of(member("b"))), InstanceId.of("b"), 2);
+
+        assertEquals(stateOf(membership, "b"), MemberState.LEAVING);
+    }
+
+    @Test
+    public void passesNewsOnOnceAndNotBackToItsSender() {
+        Membership membership = membership("a", "b", "c");
+        PeerMessage.MemberUpdates news = new PeerMessage.MemberUpdates(List.of(member("d")));
+
+        List<PeerSend> first = membership.handle(news, InstanceId.of("b"), 1);
+        List<PeerSend> second = membership.handle(news, InstanceId.of("c"), 2);
+
+        assertTrue(first.stream().noneMatch(s -> s.to().equals(PeerAddress.of(member("b")))));
+        assertTrue(first.stream().anyMatch(s -> s.to().equals(PeerAddress.of(member("c")))));
+        assertTrue(second.isEmpty());
+    }
+
+    @Test
+    public void triesDeadMembersAgainAtABoundedPace() {
+        Membership membership = membership("a", "b");
+        tickUntil(membership, 0, 12_000);
+        int tries = 0;
+        for (long nowMs = 12_000; nowMs < 72_000; nowMs += 100) {
+            tries += membership.tick(1, nowMs).size();
+        }
+
+        assertTrue(tries >= 6 && tries <= 24, "tries in a minute: " + tries);
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/queueing/FairQueueTest.java
@@ -0,0 +1,97 @@
+package org.filbertrudder.policy.queueing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.filbertrudder.model.AccountId;
+import org.testng.annotations.Test;
+
+/** Tests the order in which waiting requests run. */
+public class FairQueueTest {
+
+    private static final AccountId LARGE = AccountId.of("large");
+    private static final AccountId SMALL = AccountId.of("small");
+
+    private final FairQueue<String> mQueue = new FairQueue<>();
+
+    private static List<String> drain(FairQueue<String> queue, int count) {
+        List<String> served = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            served.add(queue.poll().orElseThrow());
+        }
+        return served;
+    }
+
+    @Test
+    public void servesASmallAccountBeforeTheBacklogOfALargeOne() {
+        FairQueue<String> queue = new FairQueue<>();
+        for (int i = 0; i < 100; i++) {
+            queue.add(LARGE, "large-" + i, 50, 1_000);
+        }
+        queue.poll();
+        queue.add(SMALL, "small", 50, 1_000);
+
+        assertEquals(queue.poll().orElseThrow(), "small");
+    }
+
+    @Test
+    public void givesEachAccountTheSameNumberOfTokens() {
+        FairQueue<String> queue = new FairQueue<>();
+        for (int i = 0; i < 40; i++) {
+            queue.add(LARGE, "large", 100, 1_000);
+            queue.add(SMALL, "small", 25, 1_000);
+        }
+
+        List<String> served = drain(queue, 30);
+
+        long large = served.stream().filter("large"::equals).count();
+        assertTrue(large >= 5 && large <= 7, "large got " + large + " of 30");
+    }
+
+    @Test
+    public void forgetsNoServiceWhenAnAccountIsIdleForAMoment() {
+        FairQueue<String> queue = new FairQueue<>();
+        queue.add(LARGE, "large-1", 1_000, 1_000);
+        queue.add(SMALL, "small-1", 10, 1_000);
+        drain(queue, 2);
+        queue.add(LARGE, "large-2", 1_000, 1_000);
+        queue.add(SMALL, "small-2", 10, 1_000);
+
+        assertEquals(drain(queue, 2), List.of("small-2", "large-2"));
+    }
+
+    @Test
+    public void putsAPolledRequestBackInItsPlace() {
+        FairQueue<String> queue = new FairQueue<>();
+        queue.add(LARGE, "first", 10, 1_000);
+        queue.add(LARGE, "second", 10, 1_000);
+
+        queue.putBack(LARGE, queue.poll().orElseThrow());
+
+        assertEquals(drain(queue, 2), List.of("first", "second"));
+        assertEquals(queue.size(), 0);
+        assertThrows(IllegalStateException.class, () -> queue.putBack(LARGE, "other"));
+    }
+
+    @Test
+    public void removesRequestsWhoseDeadlineHasPassed() {
+        FairQueue<String> queue = new FairQueue<>();
+        queue.add(LARGE, "early", 10, 100);
+        queue.add(LARGE, "late", 10, 200);
+
+        assertEquals(queue.removeExpired(150), List.of("early"));
+        assertEquals(queue.size(), 1);
+    }
+
+    @Test
+    public void countsOnlyTheTokensThatRunBeforeANewRequest() {
+        mQueue.add(LARGE, "large", 5_000, 1_000);
+        mQueue.add(LARGE, "large", 5_000, 1_000);
+
+        assertEquals(mQueue.tokensAhead(SMALL), 0);
+        assertEquals(mQueue.tokensAhead(LARGE), 10_000);
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/RetryTest.java
@@ -0,0 +1,77 @@
+package org.filbertrudder.policy.retry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.retry.SuspectRequests.Verdict;
+import org.testng.annotations.Test;
+
+/** Tests the retry budget and the memory of crashing requests. */
+public class RetryTest {
+
+    private static final AccountId ACCOUNT = AccountId.of("club");
+    private static final RequestDigest REQUEST = new RequestDigest(ACCOUNT, "digest");
+    private static final long RETENTION_MS = 10_000;
+
+    private static PeerMessage.CrashReport crash(String event, boolean alone) {
+        return new PeerMessage.CrashReport(ACCOUNT, REQUEST.bodySha256(), event, alone);
+    }
+
+    @Test
+    public void keepsRetriesBelowTheirShareOfTheRequests() {
+        RetryBudget budget = new RetryBudget();
+        int retries = 0;
+        for (int i = 0; i < 1_000; i++) {
+            budget.noteRequest(0.1);
+            retries += budget.tryRetry() ? 1 : 0;
+        }
+
+        assertTrue(retries <= 101, "retries " + retries);
+    }
+
+    @Test
+    public void refusesARequestThatCrashedAnEndpointAlone() {
+        SuspectRequests suspects = new SuspectRequests(10, RETENTION_MS);
+
+        suspects.note(crash("one", true), 0);
+
+        assertEquals(suspects.verdict(REQUEST, 1), Verdict.REFUSE);
+    }
+
+    @Test
+    public void letsASuspectRunAloneAfterOneCrashAndRefusesItAfterTwo() {
+        SuspectRequests suspects = new SuspectRequests(10, RETENTION_MS);
+        assertEquals(suspects.verdict(REQUEST, 0), Verdict.FREE);
+
+        suspects.note(crash("one", false), 0);
+        assertEquals(suspects.verdict(REQUEST, 1), Verdict.ALONE);
+
+        suspects.note(crash("two", false), 2);
+        assertEquals(suspects.verdict(REQUEST, 3), Verdict.REFUSE);
+    }
+
+    @Test
+    public void countsACrashThatIsReportedTwiceOnce() {
+        SuspectRequests suspects = new SuspectRequests(10, RETENTION_MS);
+
+        suspects.note(crash("one", false), 0);
+        suspects.note(crash("one", false), 1);
+
+        assertEquals(suspects.verdict(REQUEST, 2), Verdict.ALONE);
+    }
+
+    @Test
+    public void forgetsSuspectsAfterTheRetentionAndBeyondItsCapacity() {
+        SuspectRequests suspects = new SuspectRequests(2, RETENTION_MS);
+        suspects.note(crash("one", true), 0);
+        assertEquals(suspects.verdict(REQUEST, RETENTION_MS + 1), Verdict.FREE);
+
+        for (int i = 0; i < 5; i++) {
+            suspects.note(new PeerMessage.CrashReport(ACCOUNT, "other" + i, "e" + i, true), 1);
+        }
+
+        assertEquals(suspects.size(), 2);
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -0,0 +1,233 @@
+package org.filbertrudder.policy.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.Entity;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.Link;
+import org.filbertrudder.model.Region;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.Rules;
+import org.filbertrudder.model.ServiceId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests where requests run. */
+public class RouterTest {
+
+    private static final ServiceId SERVICE = ServiceId.of("chat");
+    private static final long NOW_MS = 1_000_000;
+
+    private static RegionId region(int number) {
+        return RegionId.of("r" + number);
+    }
+
+    private static Endpoint endpoint(int region, int number) {
+        return new Endpoint(
+                EndpointId.of("e" + region + "-" + number),
+                SERVICE,
+                region(region),
+                FailureDomainId.of("d"),
+                "127.0.0.1",
+                1 + number,
+                4);
+    }
+
+    private static Configuration configuration(int regions, int endpointsInEach) {
+        List<Entity> entities = new ArrayList<>();
+        entities.add(Rules.DEFAULT);
+        for (int i = 0; i < regions; i++) {
+            entities.add(new Region(region(i), List.of(FailureDomainId.of("d"))));
+            for (int j = i + 1; j < regions; j++) {
+                entities.add(new Link(region(i), region(j), 10 + j, 1_000_000));
+            }
+            for (int j = 0; j < endpointsInEach; j++) {
+                entities.add(endpoint(i, j));
+            }
+        }
+        return Configuration.of(1, "test", entities);
+    }
+
+    private static EndpointTable table(Configuration configuration) {
+        EndpointTable table = new EndpointTable();
+        table.setEndpoints(configuration.all(Endpoint.class), 0);
+        return table;
+    }
+
+    private static RouteRequest request(Predicate<RegionId> allowed, boolean forwarded) {
+        return new RouteRequest(SERVICE, allowed, "", Set.of(), false, forwarded);
+    }
+
+    @Test
+    public void servesInTheCallersRegionIfItMay() {
+        Configuration configuration = configuration(3, 2);
+        Router router = new Router(region(1), table(configuration), region -> true);
+
+        Route route = router.choose(request(region -> true, false), configuration, 0, NOW_MS);
+
+        assertEquals(((Route.Local) route).endpoint().endpoint().region(), region(1));
+    }
+
+    @Test
+    public void neverLeavesTheRegionsThatAreAllowed() {
+        Configuration configuration = configuration(3, 2);
+        Router router = new Router(region(0), table(configuration), region -> true);
+        Predicate<RegionId> onlyTwo = region -> region.equals(region(2));
+
+        Route route = router.choose(request(onlyTwo, false), configuration, 0, NOW_MS);
+
+        assertEquals(route, new Route.Away(region(2)));
+    }
+
+    @Test
+    public void refusesWhenNoAllowedRegionIsReachable() {
+        Configuration configuration = configuration(3, 2);
+        Router router = new Router(region(0), table(configuration), region -> false);
+        Predicate<RegionId> onlyTwo = region -> region.equals(region(2));
+
+        Route route = router.choose(request(onlyTwo, false), configuration, 0, NOW_MS);
+
+        assertEquals(route, new Route.Refuse(Route.Reason.NONE_AVAILABLE));
+    }
+
+    @Test
+    public void leavesTheRegionOnlyWhenTheWaitIsWorthIt() {
+        Configuration configuration = configuration(2, 1);
+        EndpointTable table = table(configuration);
+        for (int i = 0; i < 4; i++) {
+            table.of(SERVICE, region(0)).get(0).started(false);
+        }
+        Router router = new Router(region(0), table, region -> true);
+        RouteRequest request = request(region -> true, false);
+
+        assertEquals(router.choose(request, configuration, 100, NOW_MS), new Route.Wait());
+        assertEquals(
+                router.choose(request, configuration, 1_000, NOW_MS), new Route.Away(region(1)));
+    }
+
+    @Test
+    public void sendsNothingToALeavingEndpoint() {
+        Configuration configuration = configuration(1, 2);
+        EndpointTable table = table(configuration);
+        table.setLeaving(Set.of(EndpointId.of("e0-0")));
+        Router router = new Router(region(0), table, region -> true);
+
+        for (int i = 0; i < 4; i++) {
+            Route route = router.choose(request(region -> true, false), configuration, 0, NOW_MS);
+            EndpointState chosen = ((Route.Local) route).endpoint();
+            assertEquals(chosen.id(), EndpointId.of("e0-1"));
+            chosen.started(false);
+        }
+    }
+
+    @Test
+    public void keepsRequestsWithTheSamePrefixTogetherUnlessOneEndpointGetsTooMany() {
+        Configuration configuration = configuration(1, 8);
+        EndpointTable table = table(configuration);
+        Router router = new Router(region(0), table, region -> true);
+        RouteRequest request =
+                new RouteRequest(SERVICE, region -> true, "prefix", Set.of(), false, false);
+        Map<EndpointId, Integer> counts = new HashMap<>();
+
+        for (int i = 0; i < 16; i++) {
+            Route route = router.choose(request, configuration, 0, NOW_MS);
+            EndpointState chosen = ((Route.Local) route).endpoint();
+            chosen.started(false);
+            counts.merge(chosen.id(), 1, Integer::sum);
+        }
+
+        int most = counts.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
+        assertTrue(counts.size() < 16 && most <= 4, "spread " + counts);
+    }
+
+    @Test
+    public void startsSlowlyAtAnEndpointThatHasFailed() {
+        Configuration configuration = configuration(1, 1);
+        EndpointState state = table(configuration).of(SERVICE, region(0)).get(0);
+        state.started(false);
+        state.failed(NOW_MS);
+
+        assertFalse(state.usable(NOW_MS + 100));
+        assertTrue(state.hasRoom(NOW_MS + 300));
+        state.started(false);
+        assertFalse(state.hasRoom(NOW_MS + 400));
+        assertTrue(state.hasRoom(NOW_MS + 6_000));
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        Object[][] seeds = new Object[40][];
+        for (int i = 0; i < seeds.length; i++) {
+            seeds[i] = new Object[] {(long) i};
+        }
+        return seeds;
+    }
+
+    @Test(dataProvider = "seeds")
+    public void noRequestTravelsInALoopInAnyTopology(long seed) {
+        Random random = new Random(seed);
+        int regions = 2 + random.nextInt(47);
+        Configuration configuration = configuration(regions, 1);
+        EndpointTable[] tables = new EndpointTable[regions];
+        for (int i = 0; i < regions; i++) {
+            tables[i] = table(configuration);
+            breakSome(tables[i], regions, random);
+        }
+
+        for (int i = 0; i < 50; i++) {
+            boolean[] allowed = new boolean[regions];
+            for (int j = 0; j < regions; j++) {
+                allowed[j] = random.nextInt(3) == 0;
+            }
+            assertTrue(hops(configuration, tables, allowed, random) <= 1);
+        }
+    }
+
+    private static void breakSome(EndpointTable table, int regions, Random random) {
+        for (int i = 0; i < regions; i++) {
+            if (random.nextInt(3) == 0) {
+                EndpointState state = table.of(SERVICE, region(i)).get(0);
+                state.started(false);
+                state.failed(NOW_MS);
+            }
+        }
+    }
+
+    private static int hops(
+            Configuration configuration, EndpointTable[] tables, boolean[] allowed, Random random) {
+        int here = random.nextInt(tables.length);
+        Predicate<RegionId> mayRun =
+                region -> allowed[Integer.parseInt(region.value().substring(1))];
+        int hops = 0;
+        while (true) {
+            Router router = new Router(region(here), tables[here], region -> true);
+            Route route =
+                    router.choose(
+                            request(mayRun, hops > 0),
+                            configuration,
+                            random.nextInt(2_000),
+                            NOW_MS);
+            if (route instanceof Route.Local local) {
+                assertTrue(mayRun.test(local.endpoint().endpoint().region()));
+            }
+            if (!(route instanceof Route.Away away)) {
+                return hops;
+            }
+            assertTrue(mayRun.test(away.region()));
+            here = Integer.parseInt(away.region().value().substring(1));
+            hops++;
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/shards/ShardPlannerTest.java
@@ -0,0 +1,113 @@
+package org.filbertrudder.policy.shards;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.ShardOwner;
+import org.testng.annotations.Test;
+
+/** Tests who takes and who gives up shards. */
+public class ShardPlannerTest {
+
+    private static final RegionId REGION = RegionId.of("mtl");
+    private static final int SHARDS = 16;
+    private static final Member A = member("a");
+    private static final Member B = member("b");
+
+    private final ShardPlanner mPlanner = new ShardPlanner(SHARDS);
+
+    private static Member member(String id) {
+        return new Member(
+                InstanceId.of(id),
+                1,
+                REGION,
+                FailureDomainId.of("d"),
+                "127.0.0.1",
+                1,
+                1,
+                1,
+                MemberState.LIVE);
+    }
+
+    private static ShardDirectory ownedBy(Member owner, boolean released) {
+        ShardDirectory directory = new ShardDirectory();
+        for (int i = 0; i < SHARDS; i++) {
+            directory.learn(
+                    List.of(new ShardOwner(REGION, i, owner.id(), 1, 1, released)));
+        }
+        return directory;
+    }
+
+    private static Set<Integer> all() {
+        return IntStream.range(0, SHARDS).boxed().collect(Collectors.toSet());
+    }
+
+    @Test
+    public void twoMembersClaimEveryFreeShardOnceBetweenThem() {
+        ShardDirectory empty = new ShardDirectory();
+
+        ShardPlan ofA = mPlanner.plan(A, Set.of(), List.of(A, B), empty, owner -> false);
+        ShardPlan ofB = mPlanner.plan(B, Set.of(), List.of(A, B), empty, owner -> false);
+
+        assertEquals(ofA.claims().size() + ofB.claims().size(), SHARDS);
+        assertTrue(!ofA.claims().isEmpty() && !ofB.claims().isEmpty());
+    }
+
+    @Test
+    public void takesNothingFromAnOwnerThatMayOnlyBePaused() {
+        ShardPlan plan =
+                mPlanner.plan(
+                        A, Set.of(), List.of(A), ownedBy(B, false), owner -> false);
+
+        assertTrue(plan.claims().isEmpty());
+    }
+
+    @Test
+    public void takesTheShardsOfAnOwnerThatIsGoneWithAHigherEpoch() {
+        ShardPlan plan =
+                mPlanner.plan(A, Set.of(), List.of(A), ownedBy(B, false), owner -> true);
+
+        assertEquals(plan.claims().size(), SHARDS);
+        assertTrue(plan.claims().stream().allMatch(claim -> claim.wanted().epoch() == 2));
+    }
+
+    @Test
+    public void takesReleasedShards() {
+        ShardPlan plan =
+                mPlanner.plan(A, Set.of(), List.of(A), ownedBy(B, true), owner -> false);
+
+        assertEquals(plan.claims().size(), SHARDS);
+    }
+
+    @Test
+    public void handsShardsToANewMemberThatHasSettled() {
+        ShardPlan plan =
+                mPlanner.plan(A, all(), List.of(A, B), ownedBy(A, false), owner -> false);
+
+        assertTrue(!plan.releases().isEmpty() && plan.releases().size() < SHARDS);
+        assertTrue(plan.releases().stream().allMatch(each -> each.successor().equals(B.id())));
+    }
+
+    @Test
+    public void learnsOnlyNewerOwners() {
+        ShardDirectory directory = ownedBy(A, false);
+        ShardOwner newer = new ShardOwner(REGION, 3, B.id(), 1, 2, false);
+
+        assertEquals(directory.learn(List.of(newer)), List.of(newer));
+        assertTrue(directory.learn(List.of(newer)).isEmpty());
+        assertTrue(
+                directory
+                        .learn(List.of(new ShardOwner(REGION, 3, A.id(), 1, 1, true)))
+                        .isEmpty());
+        assertEquals(directory.owner(REGION, 3).orElseThrow().owner(), B.id());
+    }
+}
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -13,7 +13,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.filbertrudder.model.Account;
+import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Inventory;
+import org.filbertrudder.policy.tokens.TokenHolder;
+import org.filbertrudder.policy.tokens.TokenSettings;
 
 /** Runs a whole deployment as separate processes on loopback. */
 public final class Fleet implements AutoCloseable {
@@ -385,11 +388,21 @@
                 .forEach(port -> mHttp.send("POST", port, "/standin/behaviour", Map.of(), json));
     }
 
-    /** Returns what the engines have counted, one entry for each. */
+    /** Returns what the engines have counted, one entry for each; waits for those that restart. */
     public List<JsonNode> engineStats() {
-        return mEndpoints.ports("engines").stream()
-                .map(port -> mHttp.send("GET", port, "/standin/stats", Map.of(), null).json())
-                .toList();
+        return mEndpoints.ports("engines").stream().map(this::engineStats).toList();
+    }
+
+    private JsonNode engineStats(int port) {
+        Reply[] reply = new Reply[1];
+        await(
+                "engine at port " + port,
+                10_000,
+                () -> {
+                    reply[0] = mHttp.send("GET", port, "/standin/stats", Map.of(), null);
+                    return reply[0].status() == 200;
+                });
+        return reply[0].json();
     }
 
     /** Sends a request to an engine itself. */
@@ -397,6 +410,30 @@
         return mHttp.send(method, mEndpoints.ports("engines").get(number), path, Map.of(), body);
     }
 
+    /** Sends any request to any port of the fleet. */
+    public Reply send(
+            String method, int port, String uri, Map<String, String> headers, String body) {
+        return mHttp.send(method, port, uri, headers, body);
+    }
+
+    /** Pauses the platform, so that nothing gets an answer from it. */
+    public void stopPlatform() {
+        mPlatform.signal("STOP");
+    }
+
+    /** Returns the instance that grants the tokens of an account in a region. */
+    public String holderOf(String account, String region) {
+        int shard =
+                TokenHolder.shardOf(AccountId.of(account), TokenSettings.DEFAULT.shards());
+        for (JsonNode owner : dump(anyEntry()).path("control").path("shardOwners")) {
+            boolean here = owner.path("region").asText().equals(region);
+            if (here && owner.path("shard").asInt() == shard) {
+                return owner.path("owner").asText();
+            }
+        }
+        throw new IllegalStateException("No instance holds " + account + " in " + region);
+    }
+
     /** Returns the directory of log files. */
     public Path logs() {
         return mLogs;
--- /dev/null
+++ b/filbertrudder-scenarios/src/test/resources/features/changes.feature
@@ -0,0 +1,38 @@
+Feature: Accepted changes are in force everywhere and never revert
+
+  Scenario: A change is in force on all instances
+    Given a bureau fleet of 6 instances
+    When an operator sets the queue wait to 5000 ms through "gas-1"
+    Then the change is in force on all instances within 2 seconds
+
+  Scenario: Of two racing operators one learns of the conflict
+    Given a bureau fleet of 6 instances
+    When two operators race to set the queue wait to 4000 and 6000 ms
+    Then one of them succeeds and the other learns of the conflict
+
+  Scenario: A change whose answer the store loses takes effect once
+    Given a bureau fleet of 3 instances
+    When the store loses the answers to the next 1 writes
+    And an operator sets the queue wait to 5000 ms through "sag-1"
+    Then the change is in force on all instances within 5 seconds
+    And the history holds the change once
+
+  Scenario: With the store out traffic goes on and no change claims success
+    Given a bureau fleet of 3 instances
+    And a key "club" of "federation"
+    When the store is out
+    And an operator sets the queue wait to 5000 ms through "mtl-1"
+    Then the change is refused with "store_unavailable"
+    And "club" gets whole answers from "gas-1" for 3 seconds
+
+  Scenario: A new instance starts from its peers while the store is out
+    Given a bureau fleet of 3 instances
+    When the store is out
+    And a new instance "mtl-9" starts in "mtl"
+    Then the instance "mtl-9" reaches the revision of "mtl-1"
+
+  Scenario: A region that is cut off keeps serving its callers
+    Given a bureau fleet of 6 instances
+    And a key "club" of "federation"
+    When the other regions and the platform stop answering "gas"
+    Then "club" gets whole answers from "gas-1" for 12 seconds
--- /dev/null
+++ b/filbertrudder-scenarios/src/test/resources/features/leaving.feature
@@ -0,0 +1,46 @@
+Feature: Leaving and stopping cut nothing
+
+  Scenario: An endpoint that reports that it leaves gets no new work after 3 seconds
+    Given a bureau fleet of 3 instances
+    And a key "club" of "federation"
+    When "club" sends 10 requests to each instance
+    And engine 0 reports that it is leaving
+    And 3 seconds pass
+    And the engines count their requests
+    And "club" sends 20 requests to each instance
+    Then engine 0 has got no new request
+
+  Scenario: An endpoint that the live list shows as leaving gets no new work after 3 seconds
+    Given a bureau fleet of 3 instances
+    And a key "club" of "federation"
+    When the live list shows endpoint "rulebook-1" as leaving
+    And 3 seconds pass
+    And the engines count their requests
+    And "club" sends 20 requests to each instance
+    Then engine 1 has got no new request
+
+  Scenario: A stopped instance finishes its streams and ends by itself
+    Given a bureau fleet of 6 instances
+    And a key "club" of "federation"
+    When "club" streams 150 tokens from "mtl-1"
+    And "club" streams 150 tokens from "mtl-1"
+    And the instance "mtl-1" is told to stop
+    Then all streams are whole
+    And the instance "mtl-1" ends by itself
+
+  Scenario: All instances are replaced one after the other and no stream is cut
+    Given a bureau fleet of 3 instances
+    And a key "club" of "federation"
+    When a new instance "mtl-2" starts in "mtl"
+    And "club" streams 100 tokens from "mtl-1"
+    And the instance "mtl-1" is told to stop
+    And a new instance "sag-2" starts in "sag"
+    And "club" streams 100 tokens from "sag-1"
+    And the instance "sag-1" is told to stop
+    And a new instance "gas-2" starts in "gas"
+    And "club" streams 100 tokens from "gas-1"
+    And the instance "gas-1" is told to stop
+    Then all streams are whole
+    And the instance "mtl-1" ends by itself
+    And the instance "sag-1" ends by itself
+    And the instance "gas-1" ends by itself
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineStandIn.java
@@ -60,6 +60,7 @@
         router.post("/v1/completions").handler(this::generate);
         router.get("/load").handler(this::report);
         router.get("/standin/stats").handler(this::stats);
+        router.post("/standin/crash").handler(this::crashNow);
         router.post("/standin/leaving").handler(this::leave);
         mServer =
                 mVertx.createHttpServer().connectionHandler(this::connected).requestHandler(router);
@@ -123,6 +124,11 @@
         }
     }
 
+    private void crashNow(RoutingContext context) {
+        send(context, new JsonObject());
+        mVertx.setTimer(CRASH_DELAY_MS, timer -> crash());
+    }
+
     /** Drops all connections and stays away for a while. */
     private void crash() {
         mCrashes++;
