Keep granting a shard until the store has its release

The region was cut off while a shard was being handed over: the holder had stopped granting, and the record that lets the successor start could no longer be written.

Change: the holder grants until the release is in the store; it stops if the outcome of that write is unknown. A successor without the handed levels starts empty after all loans have ended, so the moment in between cannot exceed the contract. A stop waits 5 s at most for handovers.

Also: a stream resumed in another region counted its events from zero again; a typed error from there was followed by a second one; the internal resume header reached callers. Requests that must run alone now use endpoints that no other instance uses for such requests.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
@@ -1,8 +1,10 @@
 package org.filbertrudder.app;
 
+import java.util.List;
 import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -13,6 +15,7 @@
 public final class Main {
 
     private static final String VERSION = "0.1.0";
+    private static final String VERSION_FLAG = "--version";
 
     private Main() {}
 
@@ -25,6 +28,11 @@
     }
 
     static int run(String[] arguments, Map<String, String> environment) {
+        if (List.of(arguments).equals(List.of(VERSION_FLAG))) {
+            // The parser's own action for this would end the process.
+            System.out.println("filbertrudder " + VERSION);
+            return ExitCode.OK;
+        }
         ArgumentParser parser = parser();
         try {
             Namespace parsed = parser.parseArgs(arguments);
@@ -42,9 +50,10 @@
         ArgumentParser parser =
                 ArgumentParsers.newFor("filbertrudder")
                         .build()
-                        .description("Multi-region inference gateway for small public bodies.")
-                        .version("filbertrudder " + VERSION);
-        parser.addArgument("--version").action(net.sourceforge.argparse4j.impl.Arguments.version());
+                        .description("Multi-region inference gateway for small public bodies.");
+        parser.addArgument(VERSION_FLAG)
+                .action(Arguments.storeTrue())
+                .help("print the version and exit");
         Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
         Subparser entry = commands.addParser("entry").help("run an entry instance");
         EntryOptions.addTo(entry);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
@@ -31,6 +31,7 @@
     private static final PartLog LOG = PartLog.of("entry");
     private static final long STORE_TIMEOUT_MS = 2_000;
     private static final long PLATFORM_TIMEOUT_MS = 2_000;
+    private static final long HANDOVER_TIMEOUT_MS = 5_000;
     private static final long DRAIN_CHECK_MS = 50;
     private static final long REDIRECT_MS = 500;
 
@@ -106,7 +107,7 @@
             mStopping = true;
             LOG.info("Leaving.", Field.of("instance", mSettings.id()));
             mControl.leave()
-                    .orTimeout(mSettings.drainTimeoutMs(), TimeUnit.MILLISECONDS)
+                    .orTimeout(HANDOVER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                     .whenComplete((done, failure) -> drain());
         }
         return mStopped;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ShardKeeper.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ShardKeeper.java
@@ -20,6 +20,7 @@
 import org.filbertrudder.model.message.ShardOwner;
 import org.filbertrudder.platform.KeyValue;
 import org.filbertrudder.platform.Store;
+import org.filbertrudder.platform.StoreException;
 import org.filbertrudder.platform.Transaction;
 import org.filbertrudder.platform.TransactionResult;
 import org.filbertrudder.policy.membership.Membership;
@@ -77,7 +78,7 @@
             readOwners();
             return;
         }
-        mReleasing.values().forEach(this::writeRelease);
+        List.copyOf(mReleasing.values()).forEach(this::writeRelease);
         long nowMs = mClockMs.getAsLong();
         Member self = mMembership.self();
         ShardPlan plan =
@@ -88,7 +89,9 @@
                         mDirectory,
                         owner -> isFormerSelf(owner) || evidence.isGone(owner));
         plan.claims().forEach(this::claim);
-        plan.releases().forEach(release -> release(release.held(), release.successor()));
+        plan.releases().stream()
+                .filter(release -> !mReleasing.containsKey(release.held().shard()))
+                .forEach(release -> release(release.held(), release.successor()));
     }
 
     /** Returns whether the owner is an earlier process under this instance's id. */
@@ -228,9 +231,13 @@
         learn(wanted);
     }
 
+    /**
+     * Starts to hand a shard over.
+     *
+     * <p>The shard is granted here until the store has the record that it is released, so that it
+     * is never without a holder while the store is out.
+     */
     private void release(ShardOwner held, InstanceId successor) {
-        List<HandedShare> shares = mHolder.hand(held.shard(), mClockMs.getAsLong());
-        mDesk.apply(mHolder.release(held.shard()));
         ShardOwner released =
                 new ShardOwner(
                         held.region(),
@@ -239,7 +246,7 @@
                         held.incarnation(),
                         held.epoch(),
                         true);
-        Releasing releasing = new Releasing(held, released, successor, shares);
+        Releasing releasing = new Releasing(held, released, successor);
         mReleasing.put(held.shard(), releasing);
         writeRelease(releasing);
     }
@@ -249,19 +256,45 @@
         if (!mBusy.add(shard)) {
             return;
         }
-        // The successor gets the levels before it can learn that the shard is free.
-        mMembership
-                .member(releasing.successor())
-                .ifPresent(member -> mAnnouncer.send(member, releasing.handover()));
         swap(releasing.released(), releasing.held())
                 .subscribe()
                 .with(
                         done -> {
                             mBusy.remove(shard);
                             mReleasing.remove(shard);
+                            handOver(releasing);
                             learn(releasing.released());
                         },
-                        failure -> execute(() -> mBusy.remove(shard)));
+                        failure -> execute(() -> releaseFailed(releasing, failure)));
+    }
+
+    /** Keeps the shard if the write had no effect; stops granting if that is not known. */
+    private void releaseFailed(Releasing releasing, Throwable failure) {
+        int shard = releasing.held().shard();
+        mBusy.remove(shard);
+        boolean notDone =
+                failure instanceof StoreException store
+                        && store.kind() == StoreException.Kind.NOT_DONE;
+        if (notDone) {
+            mReleasing.remove(shard);
+        } else {
+            handOver(releasing);
+        }
+    }
+
+    /** Stops granting and sends the levels to the successor, if that has not been done yet. */
+    private void handOver(Releasing releasing) {
+        ShardOwner held = releasing.held();
+        if (!mHolder.shards().contains(held.shard())) {
+            return;
+        }
+        List<HandedShare> shares = mHolder.hand(held.shard(), mClockMs.getAsLong());
+        mDesk.apply(mHolder.release(held.shard()));
+        PeerMessage handover =
+                new PeerMessage.ShardHandover(held.region(), held.shard(), held.epoch(), shares);
+        mMembership
+                .member(releasing.successor())
+                .ifPresent(member -> mAnnouncer.send(member, handover));
     }
 
     /** Hands all shards over before the instance stops; returns whether that is done. */
@@ -276,8 +309,8 @@
                             member -> member.id().value());
             held.ifPresent(owner -> release(owner, successor.map(Member::id).orElse(self.id())));
         }
-        mReleasing.values().forEach(this::writeRelease);
-        return mReleasing.isEmpty() && mBusy.isEmpty();
+        List.copyOf(mReleasing.values()).forEach(this::writeRelease);
+        return mHolder.shards().isEmpty() && mReleasing.isEmpty() && mBusy.isEmpty();
     }
 
     /** Keeps the levels that the last owner of a shard hands over to this instance. */
@@ -315,11 +348,5 @@
         void send(Member to, PeerMessage message);
     }
 
-    private record Releasing(
-            ShardOwner held, ShardOwner released, InstanceId successor, List<HandedShare> shares) {
-
-        PeerMessage.ShardHandover handover() {
-            return new PeerMessage.ShardHandover(held.region(), held.shard(), held.epoch(), shares);
-        }
-    }
+    private record Releasing(ShardOwner held, ShardOwner released, InstanceId successor) {}
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AnswerRelay.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AnswerRelay.java
@@ -16,6 +16,7 @@
 
     private static final String EVENT_STREAM = "text/event-stream";
     private static final String LAST_EVENT = "data: [DONE]";
+    private static final String ERROR_EVENT = "event: error";
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
     private static final Set<String> DROPPED_HEADERS =
             Set.of(
@@ -41,9 +42,10 @@
     AnswerRelay(Exchange exchange, Runnable onFull) {
         mExchange = exchange;
         mOnFull = onFull;
+        mEventsSent = exchange.incoming().resumeOffset();
     }
 
-    /** Returns how many events have been passed on, for resuming the stream. */
+    /** Returns how many events the caller has got in all, for resuming the stream. */
     long eventsSent() {
         return mEventsSent;
     }
@@ -95,7 +97,8 @@
     private void passEvent(Buffer event) {
         mExchange.sink().write(event.copy().appendString("\n\n"));
         mEventsSent++;
-        if (event.toString().startsWith(LAST_EVENT)) {
+        String text = event.toString();
+        if (text.startsWith(LAST_EVENT) || text.startsWith(ERROR_EVENT)) {
             mLastEventSeen = true;
         } else {
             mExchange.addUsedToken();
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -27,7 +27,6 @@
     private static final int MAX_ATTEMPTS = 4;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_UNAVAILABLE = 503;
-    private static final String RESUME_OFFSET = "x-resume-offset";
 
     private final TrafficContext mContext;
     private final HttpClient mClient;
@@ -95,7 +94,8 @@
         long leftMs = incoming.deadlineMs() - mContext.nowMs();
         headers.put("x-deadline-ms", Long.toString(Math.max(1, leftMs)));
         if (exchange.relay().resumable()) {
-            headers.put(RESUME_OFFSET, Long.toString(exchange.relay().eventsSent()));
+            headers.put(
+                    Exchange.RESUME_OFFSET_HEADER, Long.toString(exchange.relay().eventsSent()));
         }
         return headers;
     }
@@ -237,7 +237,7 @@
             return true;
         }
         String offset = Long.toString(exchange.relay().eventsSent());
-        return status == 200 && offset.equals(headers.get(RESUME_OFFSET));
+        return status == 200 && offset.equals(headers.get(Exchange.RESUME_OFFSET_HEADER));
     }
 
     /** Follows an attempt at an endpoint of this region. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -16,6 +16,9 @@
 /** Holds the state of one request from its arrival to the end of its answer. */
 final class Exchange {
 
+    /** Names the header that tells after which event a stream goes on. */
+    static final String RESUME_OFFSET_HEADER = "x-resume-offset";
+
     private final Incoming mIncoming;
     private final long mStartedMs;
     private final ResponseSink mSink;
@@ -200,6 +203,12 @@
             boolean forwarded,
             long deadlineMs) {
 
+        /** Returns the events that the caller had got before the request was forwarded here. */
+        long resumeOffset() {
+            String offset = forwarded ? headers.get(RESUME_OFFSET_HEADER) : null;
+            return offset == null ? 0 : Long.parseLong(offset);
+        }
+
         boolean isModel() {
             return service.type() == ServiceKind.MODEL;
         }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
@@ -18,12 +18,18 @@
     public void head(int status, Map<String, String> headers) {
         mHeadSent = true;
         mResponse.setStatusCode(status);
-        headers.forEach(mResponse::putHeader);
+        headers.forEach(this::putHeader);
         if (!headers.containsKey("content-length")) {
             mResponse.setChunked(true);
         }
     }
 
+    private void putHeader(String name, String value) {
+        if (!name.equals(Exchange.RESUME_OFFSET_HEADER)) {
+            mResponse.putHeader(name, value);
+        }
+    }
+
     @Override
     public boolean headSent() {
         return mHeadSent;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -18,9 +18,11 @@
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.EntityKind;
+import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
 
@@ -67,7 +69,8 @@
                 new Router(
                         mSettings.region(),
                         mTable,
-                        region -> !mTraffic.snapshot().workingIn(region).isEmpty());
+                        region -> !mTraffic.snapshot().workingIn(region).isEmpty(),
+                        this::ownsForLoneRequests);
         mDispatcher = new Dispatcher(mTraffic, router, mFinisher, mAttempts);
         mAttempts.setDispatcher(mDispatcher);
         mClaims = new BookingClaims(context, mTraffic.store(), mFinisher);
@@ -83,6 +86,17 @@
         listen(api, started);
     }
 
+    /** Divides the endpoints of a service in this region among the instances of the region. */
+    private boolean ownsForLoneRequests(EndpointState state) {
+        List<Member> members = mTraffic.snapshot().workingIn(mSettings.region());
+        List<EndpointState> endpoints = mTable.of(state.endpoint().service(), mSettings.region());
+        if (members.isEmpty() || endpoints.size() < members.size()) {
+            return true;
+        }
+        Member owner = members.get(endpoints.indexOf(state) % members.size());
+        return owner.id().equals(mSettings.id());
+    }
+
     private PeerNetwork network(ForwardClient forwards, ForwardServer server) {
         return new PeerNetwork(
                 vertx,
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
@@ -55,12 +55,11 @@
      *     names the path of the field
      */
     public static Inventory parse(String text) {
+        if (text == null || text.isBlank()) {
+            throw new InvalidValueException("The document is empty. Write at least 'regions'.");
+        }
         try {
-            Inventory inventory = YAML.readValue(text, Inventory.class);
-            if (inventory == null) {
-                throw new InvalidValueException("The document is empty. Write at least 'regions'.");
-            }
-            return inventory;
+            return YAML.readValue(text, Inventory.class);
         } catch (JsonProcessingException e) {
             throw new InvalidValueException(JsonProblems.describe(e));
         }
--- /dev/null
+++ b/filbertrudder-model/src/test/java/org/filbertrudder/model/InventoryTest.java
@@ -0,0 +1,152 @@
+package org.filbertrudder.model;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests the inventory document and the checks before a change is accepted. */
+public class InventoryTest {
+
+    private static final String GOOD =
+            String.join(
+                    "\n",
+                    "regions:",
+                    "  - id: mtl",
+                    "    failureDomains: [mtl-a, mtl-b]",
+                    "  - id: sag",
+                    "    failureDomains: [sag-a]",
+                    "links:",
+                    "  - {from: mtl, to: sag, delayMs: 80, bitsPerSecond: 1000000}",
+                    "services:",
+                    "  - {id: chat, type: MODEL, models: [small], fencesOrders: false}",
+                    "endpoints:",
+                    "  - id: chat-1",
+                    "    service: chat",
+                    "    region: mtl",
+                    "    failureDomain: mtl-a",
+                    "    host: 127.0.0.1",
+                    "    port: 9000",
+                    "    slots: 8",
+                    "accounts:",
+                    "  - id: club",
+                    "    contract: {ratePerSecond: 100, burst: 500}",
+                    "    residency: [mtl]",
+                    "");
+
+    private static Configuration configured(String document) {
+        Inventory inventory = Inventory.parse(document);
+        return Configuration.EMPTY.apply(
+                new Change(1, "id", "test", 0, "", inventory.editsFrom(Configuration.EMPTY)));
+    }
+
+    @Test
+    public void readsADocumentWrittenByHand() {
+        Configuration configuration = configured(GOOD);
+
+        assertTrue(ConfigurationValidator.validate(configuration).isEmpty());
+        assertEquals(
+                configuration.link(RegionId.of("sag"), RegionId.of("mtl")).get().delayMs(), 80);
+        assertEquals(configuration.serviceForModel("small").get().id(), ServiceId.of("chat"));
+        assertEquals(configuration.rules(), Rules.DEFAULT);
+    }
+
+    @Test
+    public void writesWhatItReads() {
+        Configuration configuration = configured(GOOD);
+        String written = Inventory.from(configuration).toYaml();
+
+        assertTrue(Inventory.parse(written).editsFrom(configuration).isEmpty(), written);
+    }
+
+    @DataProvider
+    public Object[][] unreadable() {
+        return new Object[][] {
+            {"regions:\n  - {id: mtl, failureDomain: [a]}", "regions[0].failureDomain", "unknown"},
+            {"regions:\n  - {id: 'no spaces', failureDomains: [a]}", "regions[0].id", "not valid"},
+            {"rules: {maxQueueWaitMs: soon}", "rules.maxQueueWaitMs", "soon"},
+            {"nonsense: 1", "nonsense", "unknown field"},
+            {"", "empty", "regions"},
+        };
+    }
+
+    @Test(dataProvider = "unreadable")
+    public void namesThePathOfAFieldThatIsWrong(String document, String path, String reason) {
+        InvalidValueException error =
+                expectThrows(InvalidValueException.class, () -> Inventory.parse(document));
+
+        assertTrue(error.getMessage().contains(path), error.getMessage());
+        assertTrue(error.getMessage().contains(reason), error.getMessage());
+    }
+
+    @DataProvider
+    public Object[][] inconsistent() {
+        return new Object[][] {
+            {"region: mtl", "region: gas", "endpoint/chat-1.region"},
+            {"failureDomain: mtl-a", "failureDomain: sag-a", "endpoint/chat-1.failureDomain"},
+            {"service: chat", "service: talk", "service/chat.endpoints"},
+            {"port: 9000", "port: 90000", "endpoint/chat-1.port"},
+            {"slots: 8", "slots: 0", "endpoint/chat-1.slots"},
+            {"burst: 500", "burst: 50", "account/club.contract.burst"},
+            {"ratePerSecond: 100", "ratePerSecond: -1", "account/club.contract.ratePerSecond"},
+            {"residency: [mtl]", "residency: [gas]", "account/club.residency"},
+            {"residency: [mtl]", "shares: {mtl: 0.4}", "account/club.shares"},
+            {
+                "residency: [mtl]",
+                "residency: [mtl]\n    shares: {mtl: 0.5, sag: 0.5}",
+                "account/club.shares"
+            },
+            {"models: [small]", "models: []", "service/chat.models"},
+            {"delayMs: 80", "delayMs: -1", "link/mtl~sag.delayMs"},
+            {"failureDomains: [sag-a]", "failureDomains: []", "region/sag.failureDomains"},
+        };
+    }
+
+    @Test(dataProvider = "inconsistent")
+    public void refusesAnInconsistentConfiguration(String good, String bad, String path) {
+        Configuration configuration = configured(GOOD.replace(good, bad));
+
+        List<Problem> problems = ConfigurationValidator.validate(configuration);
+
+        assertTrue(
+                problems.stream().anyMatch(problem -> problem.path().equals(path)),
+                problems.toString());
+    }
+
+    @Test
+    public void refusesToRemoveAnAccountThatStillHasKeys() {
+        Configuration configuration = configured(GOOD);
+        ApiKey key = new ApiKey(KeyId.of("k1"), AccountId.of("club"), Digests.sha256("secret"));
+        List<Edit> edits =
+                List.of(
+                        new Edit.Put(key),
+                        new Edit.Remove(EntityKey.of(EntityKind.ACCOUNT, "club")));
+
+        Configuration next =
+                configuration.apply(new Change(2, "id2", "test", 0, configuration.digest(), edits));
+
+        assertEquals(ConfigurationValidator.validate(next).get(0).path(), "key/k1.account");
+    }
+
+    @Test
+    public void revisionsShareWhatAChangeLeavesAloneAndKeepTheirOwnState() {
+        Configuration first = configured(GOOD);
+        Configuration second =
+                first.apply(
+                        new Change(
+                                2,
+                                "id2",
+                                "test",
+                                0,
+                                first.digest(),
+                                List.of(new Edit.Put(new Rules(1, 2, 3, 4, 0.5)))));
+
+        assertEquals(first.rules(), Rules.DEFAULT);
+        assertEquals(second.rules().maxQueueWaitMs(), 1);
+        assertEquals(second.lastChangeOf(EntityKind.RULES), 2);
+        assertEquals(second.lastChangeOf(EntityKind.ENDPOINT), 1);
+    }
+}
--- /dev/null
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -0,0 +1,131 @@
+package org.filbertrudder.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertThrows;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.Change;
+import org.filbertrudder.model.Contract;
+import org.filbertrudder.model.Edit;
+import org.filbertrudder.model.EntityKey;
+import org.filbertrudder.model.EntityKind;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.HandedShare;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.model.message.ShardOwner;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests the frames between instances, also with damaged bytes. */
+public class MessageCodecTest {
+
+    private static final AccountId ACCOUNT = AccountId.of("club");
+    private static final RegionId REGION = RegionId.of("mtl");
+    private static final Member MEMBER =
+            new Member(
+                    InstanceId.of("mtl-1"),
+                    7,
+                    REGION,
+                    FailureDomainId.of("mtl-a"),
+                    "127.0.0.1",
+                    1,
+                    2,
+                    3,
+                    MemberState.LIVE);
+
+    @DataProvider
+    public Object[][] messages() {
+        return new Object[][] {
+            {new PeerMessage.Hello(1, MEMBER)},
+            {new PeerMessage.Heartbeat(MEMBER, 5, 6)},
+            {new PeerMessage.MemberUpdates(List.of(MEMBER))},
+            {new PeerMessage.MembersRequest()},
+            {
+                new PeerMessage.ChangePush(
+                        List.of(
+                                new Change(
+                                        3,
+                                        "id",
+                                        "operator",
+                                        9,
+                                        "digest",
+                                        List.of(
+                                                new Edit.Put(
+                                                        new org.filbertrudder.model.Account(
+                                                                ACCOUNT,
+                                                                Contract.of(1, 2),
+                                                                null,
+                                                                Map.of(REGION, 1.0))),
+                                                new Edit.Remove(
+                                                        EntityKey.of(EntityKind.KEY, "k1"))))))
+            },
+            {
+                new PeerMessage.ShardUpdates(
+                        List.of(new ShardOwner(REGION, 1, InstanceId.of("a"), 2, 3, true)))
+            },
+            {
+                new PeerMessage.ShardHandover(
+                        REGION, 1, 2, List.of(new HandedShare(ACCOUNT, 1.5, 2, 3, 4)))
+            },
+            {new PeerMessage.ReserveRequest(1, ACCOUNT, 2, 3)},
+            {new PeerMessage.ForwardHead(1, 200, Map.of("a", "b"))},
+            {new PeerMessage.ForwardEnd(1, true)},
+            {new PeerMessage.CrashReport(ACCOUNT, "digest", "event", true)},
+        };
+    }
+
+    private static Buffer body(PeerMessage message) {
+        Buffer frame = MessageCodec.encode(message);
+        return frame.getBuffer(MessageCodec.HEADER_BYTES, frame.length());
+    }
+
+    @Test(dataProvider = "messages")
+    public void returnsWhatWasEncoded(PeerMessage message) {
+        assertEquals(MessageCodec.decode(body(message)), message);
+    }
+
+    @Test(dataProvider = "messages")
+    public void damagedBytesAreReportedOrReadButNeverDoAnythingElse(PeerMessage message) {
+        Random random = new Random(message.hashCode());
+        for (int i = 0; i < 2_000; i++) {
+            byte[] bytes = body(message).getBytes();
+            int flips = 1 + random.nextInt(4);
+            for (int j = 0; j < flips; j++) {
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+            }
+            int length = random.nextInt(4) == 0 ? random.nextInt(bytes.length) : bytes.length;
+            try {
+                assertNotNull(MessageCodec.decode(Buffer.buffer(bytes).getBuffer(0, length)));
+            } catch (MalformedFrameException e) {
+                assertNotNull(e.getMessage());
+            }
+        }
+    }
+
+    @Test
+    public void anEmptyFrameIsMalformed() {
+        assertThrows(MalformedFrameException.class, () -> MessageCodec.decode(Buffer.buffer()));
+    }
+
+    @Test
+    public void ignoresFieldsOfANewerRelease() throws Exception {
+        com.fasterxml.jackson.databind.ObjectMapper mapper =
+                new com.fasterxml.jackson.databind.ObjectMapper(
+                        new org.msgpack.jackson.dataformat.MessagePackFactory());
+        byte[] newer =
+                mapper.writeValueAsBytes(
+                        Map.of("t", "fe", "stream", 4, "complete", true, "addedLater", "x"));
+
+        assertEquals(
+                MessageCodec.decode(Buffer.buffer(newer)), new PeerMessage.ForwardEnd(4, true));
+    }
+}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.filbertrudder.model.Configuration;
 import org.filbertrudder.model.Link;
 import org.filbertrudder.model.RegionId;
@@ -21,12 +22,31 @@
     private final RegionId mHere;
     private final EndpointTable mTable;
     private final RegionReach mReach;
+    private final Predicate<EndpointState> mAloneHere;
 
-    /** Creates a router for one region. */
+    /** Creates a router for one region that may use every endpoint for any request. */
     public Router(RegionId here, EndpointTable table, RegionReach reach) {
+        this(here, table, reach, state -> true);
+    }
+
+    /**
+     * Creates a router for one region.
+     *
+     * @param here the region
+     * @param table the endpoints
+     * @param reach tells which other regions can be reached
+     * @param aloneHere tells which endpoints this instance may use for requests that must run
+     *     alone; no two instances share one, so that two such requests never meet
+     */
+    public Router(
+            RegionId here,
+            EndpointTable table,
+            RegionReach reach,
+            Predicate<EndpointState> aloneHere) {
         mHere = here;
         mTable = table;
         mReach = reach;
+        mAloneHere = aloneHere;
     }
 
     /** Decides where a request runs, given how long it would wait in this region. */
@@ -65,7 +85,10 @@
     private Optional<EndpointState> pick(
             List<EndpointState> usable, RouteRequest request, long nowMs) {
         if (request.alone()) {
-            return usable.stream().filter(state -> state.idle(nowMs)).findFirst();
+            return usable.stream()
+                    .filter(state -> state.idle(nowMs))
+                    .filter(mAloneHere)
+                    .findFirst();
         }
         List<EndpointState> free = usable.stream().filter(state -> state.hasRoom(nowMs)).toList();
         Optional<EndpointState> preferred = withAffinity(free, usable, request, nowMs);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
@@ -24,6 +24,7 @@
 public class FleetSteps {
 
     private static final long STREAM_START_MS = 10_000;
+    private static final int TOKENS_BEFORE_NEXT_STEP = 10;
 
     private final List<CompletableFuture<Reply>> mRunning = new ArrayList<>();
     private final Map<String, Fleet.IssuedKey> mNamedKeys = new HashMap<>();
@@ -65,12 +66,28 @@
 
     @When("{string} streams {int} tokens from {string}")
     public void stream(String key, int tokens, String instance) {
-        int before = runningAt(instance);
+        long before = tokensWritten();
         mRunning.add(mFleet.chat(instance, key(key), "A story " + tokens, tokens, true));
         Fleet.await(
                 "a stream at " + instance,
                 STREAM_START_MS,
-                () -> runningAt(instance) > before || mRunning.get(mRunning.size() - 1).isDone());
+                () -> tokensWritten() >= before + TOKENS_BEFORE_NEXT_STEP);
+    }
+
+    private long tokensWritten() {
+        return mFleet.engineStats().stream()
+                .mapToLong(stats -> stats.path("tokens").asLong())
+                .sum();
+    }
+
+    @When("{string} streams {int} tokens from each instance, {int} at a time")
+    public void streamEverywhere(String key, int tokens, int number) {
+        for (String id : mFleet.entries()) {
+            for (int i = 0; i < number; i++) {
+                mRunning.add(mFleet.chat(id, key(key), "Story " + i + id, tokens, true));
+            }
+            Fleet.await("streams at " + id, STREAM_START_MS, () -> runningAt(id) >= number);
+        }
     }
 
     private int runningAt(String instance) {
@@ -107,6 +124,7 @@
     public void streamEndsWith(String code) {
         Reply reply = mRunning.get(0).join();
         assertTrue(tail(reply).contains("\"code\":\"" + code + "\""), tail(reply));
+        assertEquals(reply.body().split("event: error").length, 2, "typed events: " + tail(reply));
     }
 
     @Then("only engines of {string} have run requests")
@@ -381,14 +399,26 @@
 
     @When("an engine that runs a stream crashes")
     public void crashRunningEngine() {
+        int[] engine = {-1};
+        Fleet.await(
+                "an engine that runs a stream",
+                STREAM_START_MS,
+                () -> {
+                    engine[0] = runningEngine();
+                    return engine[0] >= 0;
+                });
+        mFleet.engine(engine[0], "POST", "/standin/crash", "{}");
+        Fleet.await("the crash", STREAM_START_MS, () -> runningEngine() != engine[0]);
+    }
+
+    private int runningEngine() {
         List<JsonNode> stats = mFleet.engineStats();
         for (int i = 0; i < stats.size(); i++) {
             if (stats.get(i).path("running").asInt() > 0) {
-                mFleet.engine(i, "POST", "/standin/crash", "{}");
-                return;
+                return i;
             }
         }
-        throw new AssertionError("No engine runs a stream: " + stats);
+        return -1;
     }
 
     @Then("the stream has the same text as one without a crash")
@@ -400,7 +430,7 @@
         assertEquals(broken.body(), whole.body());
     }
 
-    @When("{string} sends a crashing request through every instance, {int} times")
+    @When("{string} sends a crashing request through every instance, {int} time(s)")
     public void sendCrashing(String key, int times) {
         for (int i = 0; i < times; i++) {
             for (String id : mFleet.entries()) {
--- a/filbertrudder-scenarios/src/test/resources/features/requests.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/requests.feature
@@ -39,3 +39,29 @@
     When "club" sends a crashing request through every instance, 3 times
     Then at most 2 engines have crashed
     And the refusal is "request_crashes" and says not run: false
+
+  Scenario: Requests beside a crashing one finish and are not refused
+    Given a utrecht fleet of 6 instances
+    And a key "club" of "federation"
+    And a key "other" of "museum"
+    When "other" streams 60 tokens from each instance, 4 at a time
+    And "club" sends a crashing request through every instance, 1 time
+    Then all streams are whole
+    And at most 2 engines have crashed
+    And the refusal is "request_crashes" and says not run: false
+
+  Scenario: A stream that another region serves goes on when its engine crashes
+    Given a bureau fleet of 3 instances
+    And a key "bound" of "youth"
+    When "bound" streams 500 tokens from "gas-1"
+    And an engine that runs a stream crashes
+    Then all streams are whole
+    And the stream has the same text as one without a crash
+
+  Scenario: A stream that was there at two crashes ends with one typed event
+    Given a bureau fleet of 3 instances
+    And a key "bound" of "youth"
+    When "bound" streams 500 tokens from "gas-1"
+    And an engine that runs a stream crashes
+    And an engine that runs a stream crashes
+    Then the stream ends with "request_crashes"
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineStandIn.java
@@ -40,6 +40,7 @@
     private boolean mLeaving;
     private long mStarted;
     private long mCrashes;
+    private long mTokensWritten;
     private long mCancelled;
     private int mMostRunning;
     private JsonObject mShownLoad = new JsonObject();
@@ -157,6 +158,7 @@
                 new JsonObject()
                         .put("started", mStarted)
                         .put("crashes", mCrashes)
+                        .put("tokens", mTokensWritten)
                         .put("cancelled", mCancelled)
                         .put("running", mRunning.size())
                         .put("mostRunning", mMostRunning)
@@ -204,6 +206,7 @@
             if (mNext < mTokens) {
                 String token = "t" + Math.floorMod(mSeed * 31 + mNext * 7919, 9973) + " ";
                 mText.append(token);
+                mTokensWritten++;
                 if (mStream) {
                     writeEvent(token);
                 }
