Tell repeats of an abandoned booking that its outcome is unknown; measure fairness and routing

Cause: a claim whose instance was killed while its booking ran stayed "in progress" for good, so a repeat was told to come back for ever. A claim now names its owner and its time; once the owner is gone or the claim is older than any request can be, the repeat learns that the outcome is unknown. It never runs again.

Ruled out: letting another instance take such a claim over; nothing tells whether the endpoint ran it.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/BookingClaims.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/BookingClaims.java
@@ -6,11 +6,14 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.function.Consumer;
+import org.filbertrudder.entry.control.Snapshot;
 import org.filbertrudder.entry.control.StoreKeys;
 import org.filbertrudder.entry.log.Field;
 import org.filbertrudder.entry.log.PartLog;
 import org.filbertrudder.model.Digests;
+import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.Json;
+import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.platform.KeyValue;
 import org.filbertrudder.platform.Store;
 import org.filbertrudder.platform.StoreException;
@@ -35,12 +38,14 @@
     private static final long RETRY_RUNNING_MS = 1_000;
 
     private final Context mThread;
+    private final TrafficContext mContext;
     private final Store mStore;
     private final Finisher mFinisher;
 
-    BookingClaims(Context thread, Store store, Finisher finisher) {
+    BookingClaims(Context thread, TrafficContext context, Finisher finisher) {
         mThread = thread;
-        mStore = store;
+        mContext = context;
+        mStore = context.store();
         mFinisher = finisher;
     }
 
@@ -52,7 +57,12 @@
         String key = StoreKeys.claim(account, digest);
         Claim claim =
                 new Claim(
-                        UUID.randomUUID().toString(), requestDigest(incoming), State.RUNNING, null);
+                        UUID.randomUUID().toString(),
+                        mContext.snapshot().self().id(),
+                        System.currentTimeMillis(),
+                        requestDigest(incoming),
+                        State.RUNNING,
+                        null);
         create(key, claim)
                 .emitOn(this::execute)
                 .subscribe()
@@ -143,6 +153,8 @@
                             "The Idempotency-Key belongs to a different request. Use a new one."));
         } else if (existing.state() == State.DONE && existing.answer() != null) {
             replay(exchange, existing.answer());
+        } else if (existing.state() == State.RUNNING && isAbandoned(existing)) {
+            mFinisher.refuse(exchange, conflict(State.UNKNOWN));
         } else if (existing.state() == State.RUNNING && looks < MAX_LOOKS) {
             lookAgain(exchange, key, own, serve, looks + 1);
         } else {
@@ -150,6 +162,21 @@
         }
     }
 
+    /** Returns whether the run can no longer end with a recorded outcome. */
+    private boolean isAbandoned(Claim claim) {
+        Snapshot snapshot = mContext.snapshot();
+        long ageMs = System.currentTimeMillis() - claim.createdMs();
+        boolean tooOld = ageMs > 2 * snapshot.configuration().rules().requestTimeoutMs();
+        boolean ownerGone =
+                snapshot.member(claim.owner())
+                        .map(
+                                member ->
+                                        member.state() == MemberState.DEAD
+                                                || member.incarnation() > claim.createdMs())
+                        .orElse(ageMs > RETRY_RUNNING_MS);
+        return tooOld || ownerGone;
+    }
+
     private static Refusal conflict(State state) {
         return switch (state) {
             case DONE ->
@@ -273,14 +300,22 @@
      * Reserves an idempotency key for one run.
      *
      * @param attempt tells whose claim it is
+     * @param owner the instance that runs the request
+     * @param createdMs when the claim was made, in milliseconds since the epoch
      * @param requestDigest recognises the request
      * @param state how far the run has come
      * @param answer the answer for repeats; null if there is none or it is too long
      */
-    record Claim(String attempt, String requestDigest, State state, Exchange.Answer answer) {
+    record Claim(
+            String attempt,
+            InstanceId owner,
+            long createdMs,
+            String requestDigest,
+            State state,
+            Exchange.Answer answer) {
 
         Claim with(State newState, Exchange.Answer newAnswer) {
-            return new Claim(attempt, requestDigest, newState, newAnswer);
+            return new Claim(attempt, owner, createdMs, requestDigest, newState, newAnswer);
         }
     }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -73,7 +73,7 @@
                         this::ownsForLoneRequests);
         mDispatcher = new Dispatcher(mTraffic, router, mFinisher, mAttempts);
         mAttempts.setDispatcher(mDispatcher);
-        mClaims = new BookingClaims(context, mTraffic.store(), mFinisher);
+        mClaims = new BookingClaims(context, mTraffic, mFinisher);
         mPoller = new LoadPoller(mTraffic, client, mTable, this::updateLeaving);
         RequestFactory factory = new RequestFactory(mTraffic);
         ForwardServer forwardServer =
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -23,6 +23,8 @@
         EXPERIMENTS.put("capacity-messages", new MessageCapacity());
         EXPERIMENTS.put("capacity-control", new ControlCapacity());
         EXPERIMENTS.put("capacity-gateway", new GatewayCapacity());
+        EXPERIMENTS.put("fairness", new FairnessExperiment());
+        EXPERIMENTS.put("routing", new RoutingExperiment());
         EXPERIMENTS.put("capacity-routing", new RoutingCapacity());
     }
 
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
@@ -169,6 +169,44 @@
         mReply = mFleet.book(instance, key(key), slot, idempotencyKey).join();
     }
 
+    @When("{string} starts to book {string} at {string} with idempotency key {string}")
+    public void startBooking(String key, String slot, String instance, String idempotencyKey) {
+        mFleet.book(instance, key(key), slot, idempotencyKey);
+        Fleet.await("the run of " + slot, STREAM_START_MS, () -> mFleet.runsOf(slot) > 0);
+    }
+
+    @When("{string} starts to book {string} at {string} with idempotency key {string} and leaves")
+    public void startBookingAndLeave(
+            String key, String slot, String instance, String idempotencyKey) {
+        int port = mFleet.process(instance).port("callers");
+        String body = "{\"slot\":\"" + slot + "\"}";
+        String request =
+                "POST /services/"
+                        + mFleet.deployment().plainService()
+                        + "/bookings HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n"
+                        + "authorization: Bearer "
+                        + key(key)
+                        + "\r\nidempotency-key: "
+                        + idempotencyKey
+                        + "\r\ncontent-length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body;
+        RawConnection.sendAndLeave(
+                port,
+                request,
+                () ->
+                        Fleet.await(
+                                "the run of " + slot,
+                                STREAM_START_MS,
+                                () -> mFleet.runsOf(slot) > 0));
+    }
+
+    @Given("booking endpoints take {int} ms")
+    public void slowBookings(int delayMs) {
+        mFleet.bookingBehaviour("{\"delayMs\":" + delayMs + "}");
+    }
+
     @When("{string} books {string} at {string} without idempotency key")
     public void bookOnce(String key, String slot, String instance) {
         mReply = mFleet.book(instance, key(key), slot, null).join();
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RawConnection.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RawConnection.java
@@ -30,6 +30,17 @@
         }
     }
 
+    /** Sends the text, waits for the event and closes the connection without reading. */
+    static void sendAndLeave(int port, String text, Runnable event) {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            event.run();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static String readAnswer(InputStream input) throws IOException {
         ByteArrayOutputStream answer = new ByteArrayOutputStream();
         byte[] buffer = new byte[4_096];
--- a/filbertrudder-scenarios/src/test/resources/features/bookings.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/bookings.feature
@@ -45,3 +45,42 @@
     And "temple" books "slot-2" at "noord-1" with idempotency key "order-4"
     Then the booking is accepted
     And the booking "slot-2" has run 1 time
+
+  Scenario: An instance that is killed while a booking runs leaves its outcome unknown
+    Given a bureau fleet of 6 instances
+    And a key "club" of "club-north"
+    And booking endpoints take 4000 ms
+    When "club" starts to book "drum-4" at "mtl-1" with idempotency key "order-5"
+    And the instance "mtl-1" is killed
+    And 9 seconds pass
+    And "club" books "drum-4" at "mtl-2" with idempotency key "order-5"
+    Then the refusal is "outcome_unknown" and says not run: false
+    And the booking "drum-4" has run 1 time
+
+  Scenario: A repeat while the first run goes on does not run and gets the first answer later
+    Given a bureau fleet of 6 instances
+    And a key "club" of "club-north"
+    And booking endpoints take 3000 ms
+    When "club" starts to book "drum-5" at "mtl-1" with idempotency key "order-6"
+    And "club" books "drum-5" at "gas-1" with idempotency key "order-6"
+    Then the refusal is "in_progress" and says not run: false
+    When 3 seconds pass
+    And "club" books "drum-5" at "gas-1" with idempotency key "order-6"
+    Then the booking is accepted
+    And the booking "drum-5" has run 1 time
+
+  Scenario: A caller that leaves during its booking does not make it run again
+    Given a bureau fleet of 3 instances
+    And a key "club" of "club-north"
+    And booking endpoints take 2000 ms
+    When "club" starts to book "drum-6" at "mtl-1" with idempotency key "order-7" and leaves
+    And "club" books "drum-6" at "mtl-1" with idempotency key "order-7"
+    Then the booking "drum-6" has run 1 time
+
+  Scenario: An idempotency key is not taken for another booking
+    Given a bureau fleet of 3 instances
+    And a key "club" of "club-north"
+    When "club" books "drum-7" at "mtl-1" with idempotency key "order-8"
+    And "club" books "drum-8" at "sag-1" with idempotency key "order-8"
+    Then the refusal is "idempotency_key_reused" and says not run: true
+    And the booking "drum-8" has run 0 times
