--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -165,6 +165,7 @@
             return;
         }
         mShards.tick(owner -> isGone(owner, nowMs));
+        mRevisions.keySet().removeIf(id -> mMembership.member(id).isEmpty());
         if (nowMs >= mNextPublicationMs) {
             mNextPublicationMs = nowMs + PUBLICATION_MS;
             publishToCallers();
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -213,7 +213,7 @@
         String type = relay.headers().getOrDefault("content-type", "");
         exchange.setAnswer(new Exchange.Answer(relay.status(), type, body));
         if (exchange.incoming().isModel()) {
-            usedTokens(body).ifPresent(exchange::setUsedTokens);
+            usedTokens(body).ifPresent(exchange::setReportedTokens);
         }
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -112,6 +112,7 @@
             giveUp(exchange, waitMs);
             return;
         }
+        exchange.setQueued(true);
         queue.mWaiting.add(
                 exchange.incoming().account(),
                 exchange,
@@ -150,12 +151,14 @@
     private void startWaiting(ServiceQueue queue) {
         while (queue.mWaiting.size() > 0) {
             Exchange next = queue.mWaiting.poll().orElseThrow();
+            next.setQueued(false);
             if (next.ended()) {
                 continue;
             }
             Route route = choose(next, 0);
             if (route instanceof Route.Wait) {
                 queue.mWaiting.putBack(next.incoming().account(), next);
+                next.setQueued(true);
                 return;
             }
             start(next, route);
@@ -171,7 +174,10 @@
 
     /** Removes a request whose caller has left. */
     void remove(Exchange exchange) {
-        queue(exchange).mWaiting.remove(exchange);
+        if (exchange.queued()) {
+            exchange.setQueued(false);
+            queue(exchange).mWaiting.remove(exchange);
+        }
     }
 
     /** Gives up requests that have waited too long and tries to start the others. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -27,9 +27,11 @@
     private TokenGrant mGrant;
     private Upstream mUpstream;
     private long mUsedTokens;
+    private boolean mUsageReported;
     private int mAttempts;
     private boolean mMaybeRan;
     private boolean mAlone;
+    private boolean mQueued;
     private boolean mEnded;
     private Runnable mOnEnd = () -> {};
     private Answer mAnswer;
@@ -78,12 +80,28 @@
         mUpstream = upstream;
     }
 
+    /**
+     * Returns the reserved tokens that were certainly not consumed.
+     *
+     * <p>An answer that is not streamed tells its tokens only at its end, so a request that may
+     * have run without one is charged in full.
+     */
+    long unusedTokens() {
+        if (!mMaybeRan) {
+            return mGrant.tokens();
+        }
+        boolean counted = mUsageReported || (mRelay != null && mRelay.resumable());
+        return counted ? Math.max(0, mGrant.tokens() - mUsedTokens) : 0;
+    }
+
     long usedTokens() {
         return mUsedTokens;
     }
 
-    void setUsedTokens(long tokens) {
+    /** Notes the tokens that the endpoint has reported. */
+    void setReportedTokens(long tokens) {
         mUsedTokens = tokens;
+        mUsageReported = true;
     }
 
     void addUsedToken() {
@@ -134,6 +152,15 @@
         mAlone = true;
     }
 
+    /** Returns whether the request waits in a queue. */
+    boolean queued() {
+        return mQueued;
+    }
+
+    void setQueued(boolean queued) {
+        mQueued = queued;
+    }
+
     boolean ended() {
         return mEnded;
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Finisher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Finisher.java
@@ -83,8 +83,7 @@
             exchange.upstream().cancel();
         }
         if (exchange.grant() != null) {
-            long used = exchange.maybeRan() ? exchange.usedTokens() : 0;
-            mTokens.get().settle(exchange.grant(), Math.max(0, exchange.grant().tokens() - used));
+            mTokens.get().settle(exchange.grant(), exchange.unusedTokens());
         }
         exchange.runEndActions();
         return true;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -31,7 +31,7 @@
 
     private static final PartLog LOG = PartLog.of("traffic");
     private static final long TICK_MS = 20;
-    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 1_000;
+    private static final int MAX_CONNECTIONS_PER_ENDPOINT = 10_000;
 
     private final TrafficContext mTraffic;
     private final EntrySettings mSettings;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
@@ -35,6 +35,7 @@
             queue.mServed = Math.max(queue.mServed, mVirtualTime);
         }
         queue.mWaiting.addLast(new Waiting<>(request, tokens, deadlineMs));
+        queue.mWaitingTokens += tokens;
         mSize++;
     }
 
@@ -47,6 +48,7 @@
                 mQueues.computeIfAbsent(account, key -> new AccountQueue<>(account));
         queue.mServed = mLastServedBefore;
         queue.mWaiting.addFirst(mLastPolled);
+        queue.mWaitingTokens += mLastPolled.tokens();
         mLastPolled = null;
         mSize++;
     }
@@ -62,6 +64,7 @@
 
     private T take(AccountQueue<T> queue) {
         Waiting<T> first = queue.mWaiting.removeFirst();
+        queue.mWaitingTokens -= first.tokens();
         mLastPolled = first;
         mLastServedBefore = queue.mServed;
         mVirtualTime = Math.max(mVirtualTime, queue.mServed);
@@ -95,6 +98,7 @@
                 Waiting<T> waiting = each.next();
                 if (condition.test(waiting)) {
                     each.remove();
+                    queue.mWaitingTokens -= waiting.tokens();
                     mSize--;
                     removed.add(waiting.request());
                 }
@@ -130,6 +134,7 @@
         private final AccountId mAccount;
         private final Deque<Waiting<T>> mWaiting = new ArrayDeque<>();
         private double mServed;
+        private long mWaitingTokens;
 
         AccountQueue(AccountId account) {
             mAccount = account;
@@ -144,7 +149,7 @@
         }
 
         long tokens() {
-            return mWaiting.stream().mapToLong(Waiting::tokens).sum();
+            return mWaitingTokens;
         }
     }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ControlCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ControlCapacity.java
@@ -126,7 +126,7 @@
 
     private static long apply(Entry entry, HttpCaller http, int variant) {
         Inventory inventory =
-                Deployment.BUREAU.inventory(List.of(1, 2, 3 + variant), List.of(4, 5, 6));
+                Deployment.BUREAU.inventory(List.of(1, 2, 3 + variant), List.of(4, 5, 6), 8);
         Reply reply =
                 http.send(
                         "PUT",
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
@@ -1,20 +1,17 @@
 package org.filbertrudder.measure;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import org.filbertrudder.scenarios.Deployment;
 import org.filbertrudder.scenarios.Fleet;
+import org.filbertrudder.scenarios.FleetOptions;
 import org.filbertrudder.scenarios.ManagedProcess;
 
 /** Measures the latency that one instance adds beside a direct call, and its cost per request. */
 final class GatewayCapacity implements Experiment {
 
     private static final int[] CALLERS = {1, 4, 8};
+    private static final int ENGINE_SLOTS = 8;
     private static final int ENGINE_TOKENS_PER_SECOND = 1_000;
     private static final int WARM_UP = 3_000;
     private static final int REQUESTS = 4_000;
@@ -32,7 +29,11 @@
                         "failed",
                         "instance_cpu_us_per_request",
                         "instance_rss_mb");
-        try (Fleet fleet = Fleet.start(Deployment.BUREAU, 3, logs, ENGINE_TOKENS_PER_SECOND)) {
+        try (Fleet fleet =
+                Fleet.start(
+                        Deployment.BUREAU,
+                        new FleetOptions(3, ENGINE_TOKENS_PER_SECOND, ENGINE_SLOTS),
+                        logs)) {
             fleet.awaitShards();
             fleet.raiseContracts(1e9);
             for (int callers : CALLERS) {
@@ -52,10 +53,10 @@
         load(fleet, direct, key, callers, WARM_UP);
         add(table, callers, "direct", load(fleet, direct, key, callers, REQUESTS), 0, 0);
         ManagedProcess process = fleet.process(id);
-        long before = cpuMs(process);
+        long before = process.cpuMs();
         String result = load(fleet, gateway, key, callers, REQUESTS);
-        double cpuUs = (cpuMs(process) - before) * 1e3 / REQUESTS;
-        add(table, callers, "gateway", result, cpuUs, rssMb(process));
+        double cpuUs = (process.cpuMs() - before) * 1e3 / REQUESTS;
+        add(table, callers, "gateway", result, cpuUs, process.residentMb());
     }
 
     private static String load(Fleet fleet, String url, String key, int callers, int requests) {
@@ -92,25 +93,4 @@
         }
         throw new IllegalStateException("The load tool printed: " + result);
     }
-
-    private static long cpuMs(ManagedProcess process) {
-        return ProcessHandle.of(process.pid())
-                .flatMap(handle -> handle.info().totalCpuDuration())
-                .map(duration -> TimeUnit.NANOSECONDS.toMillis(duration.toNanos()))
-                .orElseThrow();
-    }
-
-    private static double rssMb(ManagedProcess process) {
-        try {
-            Path status = Path.of("/proc", Long.toString(process.pid()), "status");
-            return Files.readString(status, StandardCharsets.UTF_8)
-                    .lines()
-                    .filter(line -> line.startsWith("VmRSS:"))
-                    .mapToDouble(line -> Double.parseDouble(line.replaceAll("\\D", "")) / 1e3)
-                    .findFirst()
-                    .orElseThrow();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -23,6 +23,7 @@
         EXPERIMENTS.put("capacity-messages", new MessageCapacity());
         EXPERIMENTS.put("capacity-control", new ControlCapacity());
         EXPERIMENTS.put("capacity-gateway", new GatewayCapacity());
+        EXPERIMENTS.put("capacity-streams", new StreamCapacity());
         EXPERIMENTS.put("fairness", new FairnessExperiment());
         EXPERIMENTS.put("routing", new RoutingExperiment());
         EXPERIMENTS.put("capacity-routing", new RoutingCapacity());
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
@@ -0,0 +1,95 @@
+package org.filbertrudder.measure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.filbertrudder.scenarios.Deployment;
+import org.filbertrudder.scenarios.Fleet;
+import org.filbertrudder.scenarios.FleetOptions;
+import org.filbertrudder.scenarios.ManagedProcess;
+import org.filbertrudder.scenarios.Reply;
+
+/** Measures the memory and processor time of one instance with many open streams. */
+final class StreamCapacity implements Experiment {
+
+    private static final int[] STREAMS = {500, 2_000, 5_000, 10_000};
+    private static final int TOKENS_PER_SECOND = 1;
+    private static final int TOKENS = 25;
+    private static final int SLOTS = 4_000;
+    private static final long WINDOW_MS = 5_000;
+    private static final long OPEN_TIMEOUT_MS = 30_000;
+
+    @Override
+    public Table run(long seed) {
+        Path logs = Path.of(System.getProperty("filbertrudder.root", "."), "build", "streams");
+        Table table =
+                new Table(
+                        "open_streams",
+                        "tokens_per_second",
+                        "cpu_us_per_token",
+                        "heap_mb",
+                        "resident_mb",
+                        "whole");
+        FleetOptions options = new FleetOptions(1, TOKENS_PER_SECOND, SLOTS);
+        try (Fleet fleet = Fleet.start(Deployment.BUREAU, options, logs)) {
+            fleet.awaitShards();
+            fleet.raiseContracts(1e9);
+            for (int streams : STREAMS) {
+                measure(table, fleet, streams);
+            }
+        }
+        return table;
+    }
+
+    private static void measure(Table table, Fleet fleet, int streams) {
+        String id = fleet.anyEntry();
+        String key = fleet.keyOf("federation");
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int i = 0; i < streams; i++) {
+            replies.add(fleet.chat(id, key, "Stream " + i, TOKENS, true));
+        }
+        Fleet.await(
+                streams + " streams",
+                OPEN_TIMEOUT_MS,
+                () -> running(fleet.dump(id)) + done(replies) >= streams);
+        ManagedProcess process = fleet.process(id);
+        long tokensBefore = tokens(fleet);
+        long cpuBefore = process.cpuMs();
+        long startNs = System.nanoTime();
+        sleep(WINDOW_MS);
+        double tokens = tokens(fleet) - tokensBefore;
+        double cpuUs = (process.cpuMs() - cpuBefore) * 1e3;
+        double seconds = (System.nanoTime() - startNs) / 1e9;
+        double heapMb = fleet.dump(id).path("heapBytes").asLong() / 1e6;
+        long open = running(fleet.dump(id));
+        double residentMb = process.residentMb();
+        long whole =
+                replies.stream()
+                        .map(CompletableFuture::join)
+                        .filter(reply -> reply.body().endsWith("data: [DONE]\n\n"))
+                        .count();
+        table.add(open, tokens / seconds, cpuUs / tokens, heapMb, residentMb, whole);
+    }
+
+    private static long running(JsonNode dump) {
+        return dump.path("metrics").path("requests.running").asLong();
+    }
+
+    private static long done(List<CompletableFuture<Reply>> replies) {
+        return replies.stream().filter(CompletableFuture::isDone).count();
+    }
+
+    private static long tokens(Fleet fleet) {
+        return fleet.engineStats().stream().mapToLong(stats -> stats.path("tokens").asLong()).sum();
+    }
+
+    private static void sleep(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Deployment.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Deployment.java
@@ -31,7 +31,6 @@
             2_000);
 
     private static final double REGION_DELAY_MS = 80;
-    private static final int SLOTS_PER_ENGINE = 8;
     private static final int SLOTS_PER_SERVICE = 32;
 
     private final List<String> mRegions;
@@ -98,12 +97,13 @@
     }
 
     /** Returns the inventory for endpoints that listen on the given ports of loopback. */
-    public Inventory inventory(List<Integer> enginePorts, List<Integer> servicePorts) {
+    public Inventory inventory(
+            List<Integer> enginePorts, List<Integer> servicePorts, int engineSlots) {
         return new Inventory(
                 regionList(),
                 links(),
                 services(mModelService, mPlainService),
-                endpoints(enginePorts, servicePorts),
+                endpoints(enginePorts, servicePorts, engineSlots),
                 accountList(),
                 new Rules(10_000, 120_000, 64, mAwayCostMs, 0.1));
     }
@@ -147,10 +147,11 @@
                         false));
     }
 
-    private List<Endpoint> endpoints(List<Integer> enginePorts, List<Integer> servicePorts) {
+    private List<Endpoint> endpoints(
+            List<Integer> enginePorts, List<Integer> servicePorts, int engineSlots) {
         List<Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < enginePorts.size(); i++) {
-            endpoints.add(endpoint(mModelService, i, enginePorts.get(i), SLOTS_PER_ENGINE));
+            endpoints.add(endpoint(mModelService, i, enginePorts.get(i), engineSlots));
         }
         for (int i = 0; i < servicePorts.size(); i++) {
             endpoints.add(endpoint(mPlainService, i, servicePorts.get(i), SLOTS_PER_SERVICE));
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -25,13 +25,12 @@
     public static final String TOKEN = "demo-operator-token";
 
     private static final long POLL_MS = 50;
-    private static final int DEFAULT_TOKENS_PER_SECOND = 100;
     private static final String PRODUCT_JAR = "filbertrudder-app-0.1.0-all.jar";
     private static final String STANDINS_JAR = "filbertrudder-standins-0.1.0-all.jar";
 
     private final Deployment mDeployment;
+    private final FleetOptions mOptions;
     private final Path mLogs;
-    private final int mTokensPerSecond;
     private final HttpCaller mHttp = new HttpCaller();
     private final Map<String, ManagedProcess> mEntries = new LinkedHashMap<>();
     private final Map<String, String> mRegionOf = new LinkedHashMap<>();
@@ -40,28 +39,27 @@
     private ManagedProcess mEndpoints;
     private Inventory mInventory;
 
-    private Fleet(Deployment deployment, Path logs, int tokensPerSecond) {
+    private Fleet(Deployment deployment, FleetOptions options, Path logs) {
         mDeployment = deployment;
+        mOptions = options;
         mLogs = logs;
-        mTokensPerSecond = tokensPerSecond;
     }
 
     /** Starts the stand-ins and a number of instances, and applies the inventory. */
     public static Fleet start(Deployment deployment, int instances, Path logs) {
-        return start(deployment, instances, logs, DEFAULT_TOKENS_PER_SECOND);
+        return start(deployment, FleetOptions.of(instances), logs);
     }
 
-    /** Starts a fleet whose engines write a number of tokens a second for each request. */
-    public static Fleet start(
-            Deployment deployment, int instances, Path logs, int tokensPerSecond) {
+    /** Starts a fleet with other engines. */
+    public static Fleet start(Deployment deployment, FleetOptions options, Path logs) {
         try {
             Files.createDirectories(logs);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        Fleet fleet = new Fleet(deployment, logs, tokensPerSecond);
+        Fleet fleet = new Fleet(deployment, options, logs);
         try {
-            fleet.startAll(instances);
+            fleet.startAll();
             return fleet;
         } catch (RuntimeException e) {
             fleet.close();
@@ -69,23 +67,16 @@
         }
     }
 
-    private void startAll(int instances) {
+    private void startAll() {
         mPlatform = startStandIn("platform", List.of("platform"));
-        mEndpoints =
-                startStandIn(
-                        "endpoints",
-                        List.of(
-                                "endpoints",
-                                "--engines",
-                                Integer.toString(mDeployment.engines()),
-                                "--services",
-                                Integer.toString(mDeployment.services()),
-                                "--tokens-per-second",
-                                Integer.toString(mTokensPerSecond)));
+        mEndpoints = startStandIn("endpoints", endpointArguments());
         mInventory =
-                mDeployment.inventory(mEndpoints.ports("engines"), mEndpoints.ports("services"));
+                mDeployment.inventory(
+                        mEndpoints.ports("engines"),
+                        mEndpoints.ports("services"),
+                        mOptions.slots());
         List<CompletableFuture<Void>> starts = new ArrayList<>();
-        for (int i = 0; i < instances; i++) {
+        for (int i = 0; i < mOptions.instances(); i++) {
             String region = mDeployment.regions().get(i % mDeployment.regions().size());
             int number = i / mDeployment.regions().size();
             String id = region + "-" + (number + 1);
@@ -95,6 +86,19 @@
         apply(mInventory);
     }
 
+    private List<String> endpointArguments() {
+        return List.of(
+                "endpoints",
+                "--engines",
+                Integer.toString(mDeployment.engines()),
+                "--services",
+                Integer.toString(mDeployment.services()),
+                "--slots",
+                Integer.toString(mOptions.slots()),
+                "--tokens-per-second",
+                Integer.toString(mOptions.tokensPerSecond()));
+    }
+
     private ManagedProcess startStandIn(String name, List<String> arguments) {
         return ManagedProcess.start(jar("standins", STANDINS_JAR), log(name), arguments);
     }
@@ -228,6 +232,11 @@
         return ManagedProcess.run(jar("standins", STANDINS_JAR), log("load"), words);
     }
 
+    /** Runs a command of the product to its end and returns what it printed. */
+    public String runProduct(List<String> arguments) {
+        return ManagedProcess.run(jar("app", PRODUCT_JAR), log("commands"), arguments);
+    }
+
     /** Returns the port of an engine. */
     public int enginePort(int number) {
         return mEndpoints.ports("engines").get(number);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/HttpCaller.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/HttpCaller.java
@@ -16,7 +16,7 @@
 public final class HttpCaller implements AutoCloseable {
 
     private static final long TIMEOUT_MS = 60_000;
-    private static final int MAX_CONNECTIONS = 500;
+    private static final int MAX_CONNECTIONS = 12_000;
 
     private final Vertx mVertx = Vertx.vertx();
     private final WebClient mClient =
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/ManagedProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/ManagedProcess.java
@@ -5,6 +5,7 @@
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -114,6 +115,30 @@
         return mProcess.isAlive();
     }
 
+    /** Returns the processor time used so far, in milliseconds. */
+    public long cpuMs() {
+        return mProcess.toHandle()
+                .info()
+                .totalCpuDuration()
+                .map(duration -> duration.toMillis())
+                .orElseThrow();
+    }
+
+    /** Returns the memory that the process has in use, in megabytes. */
+    public double residentMb() {
+        try {
+            Path status = Path.of("/proc", Long.toString(pid()), "status");
+            return Files.readString(status, StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(line -> line.startsWith("VmRSS:"))
+                    .mapToDouble(line -> Double.parseDouble(line.replaceAll("\\D", "")) / 1e3)
+                    .findFirst()
+                    .orElseThrow();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Ends the process at once. */
     public void kill() {
         mProcess.destroyForcibly();
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
@@ -33,6 +33,7 @@
     private Reply mOtherReply;
     private List<Long> mStartedBefore = List.of();
     private long mRevision;
+    private Flood mFlood;
 
     @After
     public void stopFleet(Scenario scenario) {
@@ -486,13 +487,61 @@
         assertTrue(crashes <= most, "crashes: " + crashes);
     }
 
+    @Given("{string} has at least {int} tokens left in {string}")
+    public void awaitLevel(String account, int tokens, String region) {
+        Fleet.await("the level of " + account, 30_000, () -> level(account, region) >= tokens);
+    }
+
+    @Then("{string} has at most {int} tokens left in {string}")
+    public void levelIsAtMost(String account, int tokens, String region) {
+        double level = level(account, region);
+        assertTrue(level <= tokens, "level " + level);
+    }
+
+    private double level(String account, String region) {
+        JsonNode held =
+                mFleet.dump(mFleet.holderOf(account, region)).path("control").path("accountsHeld");
+        for (JsonNode share : held) {
+            if (share.path("account").asText().equals(account)) {
+                return share.path("level").asDouble();
+            }
+        }
+        return 0;
+    }
+
+    @When("{string} asks {string} for {int} tokens and leaves, {int} times")
+    public void askAndLeave(String key, String instance, int tokens, int times) {
+        String body =
+                "{\"model\":\"small\",\"max_tokens\":"
+                        + tokens
+                        + ",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+        String request =
+                "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+                        + "content-type: application/json\r\nauthorization: Bearer "
+                        + key(key)
+                        + "\r\ncontent-length: "
+                        + body.length()
+                        + "\r\n\r\n"
+                        + body;
+        for (int i = 0; i < times; i++) {
+            long before = tokensWritten();
+            RawConnection.sendAndLeave(
+                    mFleet.process(instance).port("callers"),
+                    request,
+                    () ->
+                            Fleet.await(
+                                    "tokens of the request",
+                                    STREAM_START_MS,
+                                    () -> tokensWritten() > before));
+        }
+        Fleet.await("the ends of the requests", STREAM_START_MS, () -> runningAt(instance) == 0);
+    }
+
     @When("{string} floods all instances for {int} seconds with requests of {int} tokens")
     public void flood(String key, int seconds, int tokens) {
         mFlood = Flood.run(mFleet, key(key), seconds, tokens);
     }
 
-    private Flood mFlood;
-
     @Then("it has consumed at most {int} tokens a second and a burst of {int}")
     public void consumedAtMost(int rate, int burst) {
         double allowed = rate * mFlood.seconds() + burst;
--- a/filbertrudder-scenarios/src/test/resources/features/rates.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/rates.feature
@@ -13,3 +13,10 @@
     When the holder of "club-north" in "sag" is paused for 6 seconds during the flood
     And "club" floods all instances for 10 seconds with requests of 20 tokens
     Then it has consumed at most 300 tokens a second and a burst of 1500
+
+  Scenario: A caller that leaves before its answer is charged for the tokens that may have run
+    Given a bureau fleet of 3 instances
+    And a key "bound" of "youth"
+    And "youth" has at least 1400 tokens left in "mtl"
+    When "bound" asks "mtl-1" for 400 tokens and leaves, 3 times
+    Then "youth" has at most 800 tokens left in "mtl"
