Keep another region's refusal out of the recorded answers; remove unused code

Cause: a booking that was forwarded and refused there as "not run" was recorded as the answer of its idempotency key, so every repeat got that refusal for 48 hours and the booking could never be made.

Ruled out: the endpoint; it had got no request.

Change: an instance tells another by a header whether a request that it refuses has run; such an answer is not recorded, and the claim is removed if nothing has run. The header reaches neither callers nor endpoints. Methods and a message field that nothing used are gone; the switch for loans is used by a test of the baseline, which refuses requests inside the rate.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AnswerRelay.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AnswerRelay.java
@@ -26,7 +26,8 @@
                     "upgrade",
                     "proxy-authenticate",
                     "trailer",
-                    "server");
+                    "server",
+                    Exchange.NOT_RUN_HEADER);
 
     private final Exchange mExchange;
     private final Runnable mOnFull;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -199,12 +199,13 @@
         action.run();
     }
 
-    private void finish(Exchange exchange) {
+    /** Ends an attempt; only an endpoint's answer is kept for repeats, not a refusal. */
+    private void finish(Exchange exchange, boolean fromEndpoint) {
         if (exchange.ended()) {
             return;
         }
         AnswerRelay relay = exchange.relay();
-        if (relay.isBuffered()) {
+        if (relay.isBuffered() && fromEndpoint) {
             noteAnswer(exchange, relay);
         }
         if (relay.end()) {
@@ -306,7 +307,7 @@
                 mEndpoint.succeeded();
                 noteServed();
             }
-            finish(mExchange);
+            finish(mExchange, true);
         }
 
         @Override
@@ -335,6 +336,7 @@
 
         private final Exchange mExchange;
         private final boolean mRanBefore;
+        private boolean mRefused;
 
         AwayAttempt(Exchange exchange, boolean ranBefore) {
             mExchange = exchange;
@@ -343,6 +345,11 @@
 
         @Override
         public void head(int status, Map<String, String> headers) {
+            String notRun = headers.get(Exchange.NOT_RUN_HEADER);
+            mRefused = notRun != null;
+            if (Boolean.parseBoolean(notRun)) {
+                mExchange.setMaybeRan(mRanBefore);
+            }
             passHead(mExchange, status, headers);
         }
 
@@ -353,7 +360,7 @@
 
         @Override
         public void end() {
-            finish(mExchange);
+            finish(mExchange, !mRefused);
         }
 
         @Override
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -191,11 +191,6 @@
         }
     }
 
-    /** Returns the number of waiting requests. */
-    int waiting() {
-        return mQueues.values().stream().mapToInt(queue -> queue.mWaiting.size()).sum();
-    }
-
     /** Starts attempts. */
     interface Starter {
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -20,6 +20,9 @@
     /** Names the header that tells after which event a stream goes on. */
     static final String RESUME_OFFSET_HEADER = "x-resume-offset";
 
+    /** Names the header by which an instance tells another whether a refused request has run. */
+    static final String NOT_RUN_HEADER = "x-not-run";
+
     private final Incoming mIncoming;
     private final long mStartedMs;
     private final ResponseSink mSink;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Finisher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Finisher.java
@@ -55,6 +55,7 @@
         Buffer body = Buffer.buffer(json);
         headers.put("content-length", Integer.toString(body.length()));
         headers.put("x-request-id", requestId);
+        headers.put(Exchange.NOT_RUN_HEADER, Boolean.toString(refusal.notRun()));
         sink.head(refusal.status(), headers);
         sink.write(body);
         sink.end();
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -99,10 +99,6 @@
         return true;
     }
 
-    int running() {
-        return mCalls.size();
-    }
-
     /** Represents one forwarded request. */
     private final class ForwardCall implements Upstream {
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
@@ -25,7 +25,9 @@
     }
 
     private void putHeader(String name, String value) {
-        if (!name.equals(Exchange.RESUME_OFFSET_HEADER)) {
+        boolean internal =
+                name.equals(Exchange.RESUME_OFFSET_HEADER) || name.equals(Exchange.NOT_RUN_HEADER);
+        if (!internal) {
             mResponse.putHeader(name, value);
         }
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficContext.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficContext.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.Vertx;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.filbertrudder.entry.control.ControlLoop;
 import org.filbertrudder.entry.control.Snapshot;
 import org.filbertrudder.platform.Store;
@@ -23,10 +22,6 @@
         TrafficMetrics metrics,
         LongSupplier clockMs) {
 
-    Supplier<Snapshot> snapshots() {
-        return control::snapshot;
-    }
-
     Snapshot snapshot() {
         return control.snapshot();
     }
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -156,9 +156,8 @@
      * @param account the client account
      * @param ratePerSecond the rate that is missing, in tokens per second
      * @param tokens the tokens that are missing now
-     * @param epoch the fencing number of the borrowing holder
      */
-    record LoanRequest(long id, AccountId account, double ratePerSecond, double tokens, long epoch)
+    record LoanRequest(long id, AccountId account, double ratePerSecond, double tokens)
             implements PeerMessage {}
 
     /**
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -102,16 +102,6 @@
         mSocket.write(frame);
     }
 
-    /** Returns whether so much is waiting to be sent that the sender should pause. */
-    public boolean writeQueueFull() {
-        return mSocket.writeQueueFull();
-    }
-
-    /** Runs the action when the connection has room to send again. */
-    public void onDrain(Runnable action) {
-        mSocket.drainHandler(done -> action.run());
-    }
-
     /** Runs the action once when the connection is closed. */
     public void onClose(Runnable action) {
         if (mClosed) {
@@ -132,11 +122,6 @@
         send(hello);
     }
 
-    /** Returns whether the connection is closed. */
-    public boolean isClosed() {
-        return mClosed;
-    }
-
     /** Closes the connection. */
     public void close() {
         mSocket.close();
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -38,7 +38,6 @@
     private final PeerCounters mCounters = new PeerCounters();
     private final Map<PeerAddress, Outgoing> mOutgoing = new HashMap<>();
     private final Set<PeerConnection> mIncoming = new HashSet<>();
-    private Set<PeerAddress> mCut = Set.of();
 
     /** Creates a network that calls the handler with each message that comes in. */
     public PeerNetwork(
@@ -67,33 +66,18 @@
     }
 
     private void accept(NetSocket socket) {
-        PeerConnection connection =
-                new PeerConnection(socket, this::receive, mCounters, mOnViolation);
+        PeerConnection connection = new PeerConnection(socket, mHandler, mCounters, mOnViolation);
         mIncoming.add(connection);
         connection.onClose(() -> mIncoming.remove(connection));
     }
 
-    private void receive(PeerConnection connection, PeerMessage message) {
-        if (connection.peer() != null && mCut.contains(PeerAddress.of(connection.peer()))) {
-            return;
-        }
-        mHandler.handle(connection, message);
-    }
-
     /** Sends a message; connects first if needed. It is lost if the address is unreachable. */
     public void send(PeerAddress to, PeerMessage message) {
-        if (mCut.contains(to)) {
-            return;
-        }
         mOutgoing.computeIfAbsent(to, this::connect).send(message);
     }
 
     /** Runs the action with an open connection, or with null if there is none to be had. */
     public void withConnection(PeerAddress to, Consumer<PeerConnection> action) {
-        if (mCut.contains(to)) {
-            action.accept(null);
-            return;
-        }
         mOutgoing.computeIfAbsent(to, this::connect).whenOpen(action);
     }
 
@@ -115,18 +99,12 @@
     }
 
     private void opened(PeerAddress to, Outgoing outgoing, NetSocket socket) {
-        PeerConnection connection =
-                new PeerConnection(socket, this::receive, mCounters, mOnViolation);
+        PeerConnection connection = new PeerConnection(socket, mHandler, mCounters, mOnViolation);
         connection.onClose(() -> mOutgoing.remove(to, outgoing));
         connection.greet(new PeerMessage.Hello(Capabilities.VERSION, mSelf.get()));
         outgoing.opened(connection);
     }
 
-    /** Drops all messages from and to these addresses; simulates a partition in tests. */
-    public void cut(Set<PeerAddress> addresses) {
-        mCut = Set.copyOf(addresses);
-    }
-
     /** Returns the counters of the traffic. */
     public PeerCounters counters() {
         return mCounters;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Set;
 import org.filbertrudder.model.message.PeerMessage;
 
@@ -16,7 +15,7 @@
 
     private final int mCapacity;
     private final long mRetentionMs;
-    private final LinkedHashMap<RequestDigest, Record> mRecords = new LinkedHashMap<>();
+    private final LinkedHashMap<RequestDigest, History> mHistories = new LinkedHashMap<>();
 
     /** Creates a memory for a number of requests, each kept for a time in milliseconds. */
     public SuspectRequests(int capacity, long retentionMs) {
@@ -27,35 +26,35 @@
     /** Notes a crash and returns whether it was news; one that is reported twice counts once. */
     public boolean note(PeerMessage.CrashReport report, long nowMs) {
         RequestDigest request = new RequestDigest(report.account(), report.bodySha256());
-        Record record = mRecords.remove(request);
-        if (record == null || record.expired(nowMs, mRetentionMs)) {
-            record = new Record();
+        History history = mHistories.remove(request);
+        if (history == null || history.expired(nowMs, mRetentionMs)) {
+            history = new History();
         }
-        boolean news = record.note(report, nowMs);
-        mRecords.put(request, record);
-        if (mRecords.size() > mCapacity) {
-            mRecords.remove(mRecords.keySet().iterator().next());
+        boolean news = history.note(report, nowMs);
+        mHistories.put(request, history);
+        if (mHistories.size() > mCapacity) {
+            mHistories.remove(mHistories.keySet().iterator().next());
         }
         return news;
     }
 
     /** Clears a request that has run to its end. */
     public void clear(RequestDigest request) {
-        mRecords.remove(request);
+        mHistories.remove(request);
     }
 
     /** Returns how the request may run. */
     public Verdict verdict(RequestDigest request, long nowMs) {
-        Record record = mRecords.get(request);
-        if (record == null || record.expired(nowMs, mRetentionMs)) {
+        History history = mHistories.get(request);
+        if (history == null || history.expired(nowMs, mRetentionMs)) {
             return Verdict.FREE;
         }
-        return record.mGuilty ? Verdict.REFUSE : Verdict.ALONE;
+        return history.mGuilty ? Verdict.REFUSE : Verdict.ALONE;
     }
 
     /** Returns the number of requests remembered. */
     public int size() {
-        return mRecords.size();
+        return mHistories.size();
     }
 
     /** Lists how a request may run. */
@@ -69,7 +68,7 @@
     }
 
     /** Holds what is known of one request. */
-    private static final class Record {
+    private static final class History {
 
         private final Set<String> mEvents = new HashSet<>();
         private boolean mGuilty;
@@ -86,11 +85,4 @@
             return nowMs - mUpdatedMs > retentionMs;
         }
     }
-
-    /** Returns the digests and verdicts, for the state dump. */
-    public Map<RequestDigest, Verdict> verdicts(long nowMs) {
-        Map<RequestDigest, Verdict> verdicts = new LinkedHashMap<>();
-        mRecords.keySet().forEach(request -> verdicts.put(request, verdict(request, nowMs)));
-        return verdicts;
-    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -55,11 +55,6 @@
         return mEndpoint.id();
     }
 
-    /** Returns the number of requests that this thread has running there. */
-    public int inFlight() {
-        return mInFlight;
-    }
-
     /** Returns whether the endpoint gets no new requests because it is leaving. */
     public boolean leaving() {
         return mLeaving;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
@@ -248,8 +248,7 @@
                                     loanId,
                                     id,
                                     need.ratePerSecond() / lenders.size(),
-                                    Math.ceil(tokens / lenders.size()),
-                                    0)));
+                                    Math.ceil(tokens / lenders.size()))));
         }
         return effects;
     }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/FaultyRegions.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/FaultyRegions.java
@@ -101,6 +101,13 @@
         return mMeter;
     }
 
+    /** Switches loans between regions off. */
+    void disableLoans() {
+        for (TokenHolder holder : mHolders) {
+            holder.setLendingEnabled(false);
+        }
+    }
+
     /** Cuts a region off from the others for good. */
     void cut(int region) {
         mCut[region] = true;
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/TokenBoundTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/TokenBoundTest.java
@@ -71,6 +71,17 @@
         assertTrue(regions.granted() > 400, "granted " + regions.granted());
     }
 
+    @Test
+    public void withoutLoansRequestsInsideTheRateAreRefused() {
+        FaultyRegions regions = new FaultyRegions(1, Faults.NONE);
+        regions.disableLoans();
+        regions.run(8_000, new double[] {0, 0, 0}, 100);
+
+        regions.run(DURATION_MS, new double[] {0.95, 0, 0}, 100);
+
+        assertTrue(regions.refused() > 0, "the baseline refuses nothing");
+    }
+
     @Test
     public void givesACutOffRegionAtLeastItsOwnShare() {
         FaultyRegions regions = new FaultyRegions(3, new Faults(false, false, false, false));
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -407,6 +407,14 @@
         return runs;
     }
 
+    /** Stops all booking endpoints for a time in milliseconds. */
+    public void bookingsDown(int forMs) {
+        String body = "{\"forMs\":" + forMs + "}";
+        mEndpoints
+                .ports("services")
+                .forEach(port -> mHttp.send("POST", port, "/standin/down", Map.of(), body));
+    }
+
     /** Changes how all booking endpoints behave. */
     public void bookingBehaviour(String json) {
         mEndpoints
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BookingSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BookingSteps.java
@@ -102,6 +102,11 @@
         mWorld.fleet().bookingBehaviour("{\"breakAt\":\"" + when + "\"}");
     }
 
+    @Given("booking endpoints are down for {int} ms")
+    public void stopBookings(int forMs) {
+        mWorld.fleet().bookingsDown(forMs);
+    }
+
     @Given("booking endpoints work again")
     public void mendBookings() {
         mWorld.fleet().bookingBehaviour("{}");
--- a/filbertrudder-scenarios/src/test/resources/features/bookings.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/bookings.feature
@@ -85,3 +85,14 @@
     And "club" books "drum-8" at "sag-1" with idempotency key "order-8"
     Then the refusal is "idempotency_key_reused" and says not run: true
     And the booking "drum-8" has run 0 times
+
+  Scenario: A booking that another region refuses as not run can be made later with the same key
+    Given a bureau fleet of 3 instances
+    And a key "bound" of "youth"
+    And booking endpoints are down for 4000 ms
+    When "bound" books "drum-9" at "gas-1" with idempotency key "order-9"
+    Then the refusal is "unavailable" and says not run: true
+    When 6 seconds pass
+    And "bound" books "drum-9" at "gas-1" with idempotency key "order-9"
+    Then the booking is accepted
+    And the booking "drum-9" has run 1 time
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/BookingStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/BookingStandIn.java
@@ -19,6 +19,8 @@
     private boolean mLeaving;
     private long mDelayMs;
     private String mBreakAt = "";
+    private HttpServer mServer;
+    private int mPort;
 
     /** Creates a service without bookings. */
     public BookingStandIn(Vertx vertx) {
@@ -36,10 +38,27 @@
         router.get("/load").handler(this::report);
         router.get("/standin/runs").handler(context -> send(context, runs()));
         router.post("/standin/behaviour").handler(this::behave);
-        return mVertx.createHttpServer()
-                .requestHandler(router)
-                .listen(port, "127.0.0.1")
-                .map(HttpServer::actualPort);
+        router.post("/standin/down").handler(this::goDown);
+        mServer = mVertx.createHttpServer().requestHandler(router);
+        return mServer.listen(port, "127.0.0.1")
+                .map(
+                        server -> {
+                            mPort = server.actualPort();
+                            return mPort;
+                        });
+    }
+
+    /** Stops to listen for a while. */
+    private void goDown(RoutingContext context) {
+        long downMs = context.body().asJsonObject().getLong("forMs");
+        HttpServer server = mServer;
+        context.response()
+                .end("{}")
+                .onComplete(
+                        ignored -> {
+                            server.close();
+                            mVertx.setTimer(downMs, timer -> listen(mPort));
+                        });
     }
 
     private void book(RoutingContext context) {
