--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ChangeService.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ChangeService.java
@@ -199,7 +199,7 @@
 
     private static Configuration validate(Configuration base, Change change) {
         Configuration next = base.apply(change);
-        List<Problem> problems = ConfigurationValidator.validate(next);
+        List<Problem> problems = ConfigurationValidator.validateEdits(next, change.edits());
         if (!problems.isEmpty()) {
             throw new ChangeRejectedException(
                     Kind.INVALID,
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -23,14 +23,13 @@
 import org.filbertrudder.model.message.ShardOwner;
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
-import org.filbertrudder.platform.DirectoryEntry;
 import org.filbertrudder.platform.PlatformDirectory;
 import org.filbertrudder.platform.Store;
-import org.filbertrudder.policy.Rendezvous;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.MembershipSettings;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.policy.membership.PeerSend;
+import org.filbertrudder.policy.membership.RelayRole;
 import org.filbertrudder.policy.shards.GoneRule;
 import org.filbertrudder.policy.shards.ShardDirectory;
 import org.filbertrudder.policy.shards.ShardPlanner;
@@ -43,8 +42,6 @@
     private static final PartLog LOG = PartLog.of("control");
     private static final long TICK_MS = 50;
     private static final long SLOW_TICK_MS = 1_000;
-    private static final long PUBLICATION_MS = 10_000;
-    private static final int RELAYS_PER_FAILURE_DOMAIN = 2;
 
     private final Vertx mVertx;
     private final Context mContext;
@@ -58,7 +55,9 @@
     private final Map<InstanceId, Long> mRevisions = new HashMap<>();
     private final ShardDirectory mDirectory = new ShardDirectory();
     private final CrashMemory mCrashes;
+    private final CallerDirectoryPublisher mCallerDirectory;
     private Membership mMembership;
+    private RelayRole mRelayRole;
     private PeerNetwork mNetwork;
     private ConfigurationSync mSync;
     private ChangeService mChanges;
@@ -68,10 +67,7 @@
     private LiveListWatcher mLiveList;
     private long mStartedMs;
     private long mNextSlowTickMs;
-    private long mNextPublicationMs;
     private long mPublishedVersion = -1;
-    private long mRelayVersion = -1;
-    private boolean mRelay;
     private final CompletableFuture<Void> mReady = new CompletableFuture<>();
     private volatile Snapshot mSnapshot;
 
@@ -90,6 +86,7 @@
         mPlatform = platform;
         mClockMs = clockMs;
         mCrashes = new CrashMemory(context, clockMs, this::flood);
+        mCallerDirectory = new CallerDirectoryPublisher(platform, settings.callerTls() != null);
         registerHandlers();
     }
 
@@ -112,6 +109,7 @@
         mStartedMs = nowMs;
         mMembership = new Membership(self, MembershipSettings.DEFAULT, new SecureRandom());
         mMembership.addSeeds(mSettings.seeds());
+        mRelayRole = new RelayRole(mMembership);
         ConfigurationStore configurationStore = new ConfigurationStore(mStore);
         mSync = new ConfigurationSync(mContext, configurationStore, this::adopted);
         mChanges =
@@ -149,7 +147,7 @@
         mMembership.setSharedDigest(mDirectory.digest());
         send(mMembership.tick(mSync.current().revision(), nowMs));
         mLiveList.tick(mMembership.members().size(), nowMs);
-        mSync.tick(isRelay(), nowMs);
+        mSync.tick(mRelayRole.held(), nowMs);
         mDesk.apply(mHolder.tick(nowMs));
         mDesk.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
@@ -171,25 +169,7 @@
         }
         mShards.tick(owner -> isGone(owner, nowMs));
         mRevisions.keySet().removeIf(id -> mMembership.member(id).isEmpty());
-        if (nowMs >= mNextPublicationMs) {
-            mNextPublicationMs = nowMs + PUBLICATION_MS;
-            publishToCallers();
-        }
-    }
-
-    private void publishToCallers() {
-        Member self = mMembership.self();
-        String scheme = mSettings.callerTls() == null ? "http" : "https";
-        String url = scheme + "://" + self.host() + ":" + self.callerPort();
-        mPlatform
-                .publish(new DirectoryEntry(self.id().value(), self.region().value(), url))
-                .subscribe()
-                .with(
-                        done -> {},
-                        failure ->
-                                LOG.debug(
-                                        "The caller directory cannot be reached.",
-                                        Field.of("error", failure.getMessage())));
+        mCallerDirectory.tick(mMembership.self(), nowMs);
     }
 
     private boolean isGone(ShardOwner owner, long nowMs) {
@@ -200,27 +180,6 @@
                 mLiveList.lacks(owner.owner(), nowMs));
     }
 
-    /** Returns whether this instance is a configuration relay; only members change that. */
-    private boolean isRelay() {
-        if (mRelayVersion != mMembership.version()) {
-            mRelayVersion = mMembership.version();
-            mRelay = ranksAsRelay();
-        }
-        return mRelay;
-    }
-
-    private boolean ranksAsRelay() {
-        Member self = mMembership.self();
-        List<Member> candidates =
-                mMembership.workingIn(self.region()).stream()
-                        .filter(member -> member.failureDomain().equals(self.failureDomain()))
-                        .toList();
-        return Rendezvous.rank(self.failureDomain().value(), candidates, m -> m.id().value())
-                .stream()
-                .limit(RELAYS_PER_FAILURE_DOMAIN)
-                .anyMatch(member -> member.id().equals(self.id()));
-    }
-
     private void liveListChanged() {
         mMembership.addSeeds(mLiveList.peerAddresses());
         if (mMembership.members().size() == 1) {
@@ -377,10 +336,7 @@
                 ignored -> {
                     send(mMembership.setOwnState(MemberState.LEAVING, now()));
                     publish();
-                    mPlatform
-                            .withdraw(mMembership.self().id().value())
-                            .subscribe()
-                            .with(done -> {}, failure -> {});
+                    mCallerDirectory.withdraw(mMembership.self());
                     mVertx.setPeriodic(
                             TICK_MS,
                             timer -> {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -125,7 +125,7 @@
         }
         Snapshot snapshot = mContext.snapshot();
         if (snapshot == null || snapshot.configuration().revision() == 0) {
-            refuse(context, Refusal.unavailable("The instance is starting. Come back later."));
+            refuse(context, noConfiguration());
             return;
         }
         if (snapshot.leaving()) {
@@ -136,6 +136,12 @@
         context.next();
     }
 
+    private static Refusal noConfiguration() {
+        return Refusal.unavailable(
+                "No configuration is in force here yet. Come back later; on a new system an"
+                        + " operator must apply an inventory first.");
+    }
+
     private static void refuseSlow(RoutingContext context) {
         if (!context.request().isEnded()) {
             context.response().putHeader("connection", "close");
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
@@ -14,12 +14,10 @@
     private static final int SHA256_DIGITS = 64;
 
     private final Configuration mConfiguration;
-    private final Set<ServiceId> mServed = new HashSet<>();
     private final List<Problem> mProblems = new ArrayList<>();
 
     private ConfigurationValidator(Configuration configuration) {
         mConfiguration = configuration;
-        configuration.all(Endpoint.class).forEach(endpoint -> mServed.add(endpoint.service()));
     }
 
     /** Returns all problems of the configuration; empty if it can be accepted. */
@@ -27,7 +25,7 @@
         ConfigurationValidator validator = new ConfigurationValidator(configuration);
         configuration.all(Region.class).forEach(validator::checkRegion);
         configuration.all(Link.class).forEach(validator::checkLink);
-        configuration.all(Service.class).forEach(validator::checkService);
+        validator.checkServices();
         configuration.all(Endpoint.class).forEach(validator::checkEndpoint);
         configuration.all(Account.class).forEach(validator::checkAccount);
         configuration.all(ApiKey.class).forEach(validator::checkKey);
@@ -36,6 +34,46 @@
         return List.copyOf(validator.mProblems);
     }
 
+    /**
+     * Returns all problems that edits bring into a consistent configuration.
+     *
+     * <p>Looks only at what the edits touch where they cannot make another entity inconsistent.
+     *
+     * @param configuration the configuration with the edits made
+     * @param edits the edits
+     */
+    public static List<Problem> validateEdits(Configuration configuration, List<Edit> edits) {
+        if (!edits.stream().allMatch(ConfigurationValidator::isSelfContained)) {
+            return validate(configuration);
+        }
+        ConfigurationValidator validator = new ConfigurationValidator(configuration);
+        for (Edit edit : edits) {
+            if (edit instanceof Edit.Put put) {
+                validator.checkSelfContained(put.entity());
+            }
+        }
+        return List.copyOf(validator.mProblems);
+    }
+
+    /** Returns whether no other entity depends on what the edit changes. */
+    private static boolean isSelfContained(Edit edit) {
+        return switch (edit.target().kind()) {
+            case KEY -> true;
+            case ACCOUNT, RULES -> edit instanceof Edit.Put;
+            default -> false;
+        };
+    }
+
+    private void checkSelfContained(Entity entity) {
+        if (entity instanceof ApiKey key) {
+            checkKey(key);
+        } else if (entity instanceof Account account) {
+            checkAccount(account);
+        } else if (entity instanceof Rules rules) {
+            checkRules(rules);
+        }
+    }
+
     private void checkRegion(Region region) {
         require(
                 !region.failureDomains().isEmpty(),
@@ -52,7 +90,15 @@
         require(link.bitsPerSecond() > 0, link, "bitsPerSecond", "is not positive. Use 1 or more.");
     }
 
-    private void checkService(Service service) {
+    private void checkServices() {
+        Set<ServiceId> served = new HashSet<>();
+        mConfiguration.all(Endpoint.class).forEach(endpoint -> served.add(endpoint.service()));
+        mConfiguration
+                .all(Service.class)
+                .forEach(service -> checkService(service, served.contains(service.id())));
+    }
+
+    private void checkService(Service service, boolean served) {
         if (service.type() == null) {
             add(service, "type", "is missing. Use MODEL or PLAIN.");
             return;
@@ -63,7 +109,7 @@
                 "models",
                 "is empty. Name at least one model.");
         require(
-                mServed.contains(service.id()),
+                served,
                 service,
                 "endpoints",
                 "has none left. Add an endpoint or remove the service too.");
--- a/filbertrudder-model/src/test/java/org/filbertrudder/model/InventoryTest.java
+++ b/filbertrudder-model/src/test/java/org/filbertrudder/model/InventoryTest.java
@@ -5,6 +5,8 @@
 import static org.testng.Assert.expectThrows;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -149,4 +151,35 @@
         assertEquals(second.lastChangeOf(EntityKind.RULES), 2);
         assertEquals(second.lastChangeOf(EntityKind.ENDPOINT), 1);
     }
+
+    @DataProvider
+    public Object[][] edits() {
+        Contract poor = Contract.of(100, 10);
+        String digest = Digests.sha256("secret");
+        return new Object[][] {
+            {new Edit.Put(new ApiKey(KeyId.of("k2"), AccountId.of("club"), digest))},
+            {new Edit.Put(new ApiKey(KeyId.of("k2"), AccountId.of("nobody"), digest))},
+            {new Edit.Put(new ApiKey(KeyId.of("k2"), AccountId.of("club"), "short"))},
+            {new Edit.Put(new Account(AccountId.of("club"), poor, Set.of(), Map.of()))},
+            {new Edit.Put(new Rules(-1, 2, 3, 4, 0.5))},
+            {new Edit.Remove(EntityKey.of(EntityKind.ACCOUNT, "club"))},
+            {new Edit.Remove(EntityKey.of(EntityKind.KEY, "k1"))},
+            {new Edit.Remove(EntityKey.of(EntityKind.ENDPOINT, "chat-1"))},
+            {new Edit.Remove(EntityKey.of(EntityKind.REGION, "mtl"))},
+        };
+    }
+
+    @Test(dataProvider = "edits")
+    public void findsTheSameProblemsFromTheEditsAlone(Edit edit) {
+        ApiKey key = new ApiKey(KeyId.of("k1"), AccountId.of("club"), Digests.sha256("secret"));
+        List<Edit> edits = List.of(new Edit.Put(key), edit);
+        Configuration configuration = configured(GOOD);
+
+        Configuration next =
+                configuration.apply(new Change(2, "id2", "test", 0, configuration.digest(), edits));
+
+        assertEquals(
+                ConfigurationValidator.validateEdits(next, edits),
+                ConfigurationValidator.validate(next));
+    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
@@ -46,7 +46,8 @@
     private static void measure(Table table, Fleet fleet, int callers) {
         String id = "mtl-1";
         String key = fleet.keyOf("federation");
-        String direct = "http://127.0.0.1:" + fleet.enginePort(0) + "/v1/chat/completions";
+        String direct =
+                "http://127.0.0.1:" + fleet.endpoints().enginePort(0) + "/v1/chat/completions";
         String gateway =
                 "http://127.0.0.1:" + fleet.process(id).port("callers") + "/v1/chat/completions";
         load(fleet, gateway, key, callers, WARM_UP);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
@@ -82,7 +82,9 @@
     }
 
     private static long tokens(Fleet fleet) {
-        return fleet.engineStats().stream().mapToLong(stats -> stats.path("tokens").asLong()).sum();
+        return fleet.endpoints().engineStats().stream()
+                .mapToLong(stats -> stats.path("tokens").asLong())
+                .sum();
     }
 
     private static void sleep(long durationMs) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Demo.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Demo.java
@@ -89,7 +89,7 @@
         Reply repeat = mFleet.book(entries.get(3), key, "drum-7", "order-7").join();
         return first.status() == 201
                 && repeat.body().equals(first.body())
-                && mFleet.runsOf("drum-7") == 1;
+                && mFleet.endpoints().runsOf("drum-7") == 1;
     }
 
     private boolean lookups() {
@@ -138,7 +138,7 @@
         mFleet.process(id).terminate();
         boolean whole = whole(running.join());
         int code = mFleet.process(id).awaitEnd(20_000);
-        mFleet.removeLive(id);
+        mFleet.platform().removeLive(id);
         return whole && code == 0;
     }
 
@@ -151,7 +151,7 @@
         String victim = mFleet.entriesIn(region).get(0);
         String other = mFleet.entriesIn(region).get(1);
         mFleet.process(victim).kill();
-        mFleet.removeLive(victim);
+        mFleet.platform().removeLive(victim);
         String key = mFleet.keyOf("club-north");
         Fleet.await(
                 "an answer in " + region,
@@ -161,7 +161,7 @@
     }
 
     private boolean noKeySeen() {
-        return mFleet.engineStats().stream()
+        return mFleet.endpoints().engineStats().stream()
                 .allMatch(
                         stats ->
                                 stats.path("credentials").isEmpty()
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -36,8 +36,8 @@
     private final Map<String, ManagedProcess> mEntries = new LinkedHashMap<>();
     private final Map<String, String> mRegionOf = new LinkedHashMap<>();
     private final Map<String, String> mKeys = new LinkedHashMap<>();
-    private ManagedProcess mPlatform;
-    private ManagedProcess mEndpoints;
+    private PlatformProcess mPlatform;
+    private EndpointsProcess mEndpoints;
     private Inventory mInventory;
 
     private Fleet(Deployment deployment, FleetOptions options, Path logs) {
@@ -69,13 +69,11 @@
     }
 
     private void startAll() {
-        mPlatform = startStandIn("platform", List.of("platform"));
-        mEndpoints = startStandIn("endpoints", endpointArguments());
+        mPlatform = new PlatformProcess(startStandIn("platform", List.of("platform")), mHttp);
+        mEndpoints = new EndpointsProcess(startStandIn("endpoints", endpointArguments()), mHttp);
         mInventory =
                 mDeployment.inventory(
-                        mEndpoints.ports("engines"),
-                        mEndpoints.ports("services"),
-                        mOptions.slots());
+                        mEndpoints.enginePorts(), mEndpoints.servicePorts(), mOptions.slots());
         List<CompletableFuture<Void>> starts = new ArrayList<>();
         for (int i = 0; i < mOptions.instances(); i++) {
             String region = mDeployment.regions().get(i % mDeployment.regions().size());
@@ -136,9 +134,9 @@
                                 "--forward-port",
                                 "0",
                                 "--store",
-                                "127.0.0.1:" + mPlatform.port("platform"),
+                                mPlatform.address(),
                                 "--platform",
-                                "127.0.0.1:" + mPlatform.port("platform"),
+                                mPlatform.address(),
                                 "--seeds",
                                 seeds(),
                                 "--operators",
@@ -147,7 +145,7 @@
             mEntries.put(id, process);
             mRegionOf.put(id, region);
         }
-        setLive(id, "LIVE", "127.0.0.1:" + process.port("peers"));
+        mPlatform.setLive(id, "LIVE", "127.0.0.1:" + process.port("peers"));
     }
 
     private String seeds() {
@@ -160,28 +158,14 @@
         }
     }
 
-    /** Shows an instance or endpoint on the platform's live list. */
-    public void setLive(String id, String state, String address) {
-        String body =
-                String.format(
-                        "{\"id\":\"%s\",\"state\":\"%s\",\"address\":\"%s\"}", id, state, address);
-        mHttp.send("PUT", mPlatform.port("platform"), "/standin/live/" + id, Map.of(), body);
-    }
-
-    /** Removes an instance or endpoint from the platform's live list. */
-    public void removeLive(String id) {
-        mHttp.send("DELETE", mPlatform.port("platform"), "/standin/live/" + id, Map.of(), null);
+    /** Returns the stand-in for the platform. */
+    public PlatformProcess platform() {
+        return mPlatform;
     }
 
-    /** Makes the store misbehave. */
-    public void storeFaults(String json) {
-        mHttp.send("POST", mPlatform.port("platform"), "/standin/faults", Map.of(), json);
-    }
-
-    /** Returns the calls that the store has counted. */
-    public JsonNode storeCalls() {
-        return mHttp.send("GET", mPlatform.port("platform"), "/standin/calls", Map.of(), null)
-                .json();
+    /** Returns the stand-ins for the endpoints. */
+    public EndpointsProcess endpoints() {
+        return mEndpoints;
     }
 
     /** Returns the inventory applied at the start. */
@@ -238,11 +222,6 @@
         return ManagedProcess.run(jar("app", PRODUCT_JAR), log("commands"), arguments);
     }
 
-    /** Returns the port of an engine. */
-    public int enginePort(int number) {
-        return mEndpoints.ports("engines").get(number);
-    }
-
     /** Returns an instance that runs. */
     public String anyEntry() {
         return mEntries.keySet().stream()
@@ -321,11 +300,6 @@
         return dump(id).path("metrics").path("requests.running").asInt();
     }
 
-    /** Returns the tokens that all engines together have written. */
-    public long tokensWritten() {
-        return engineStats().stream().mapToLong(stats -> stats.path("tokens").asLong()).sum();
-    }
-
     /** Returns the state dump of an instance. */
     public JsonNode dump(String id) {
         Reply reply = admin(id, "GET", "/dump", null);
@@ -397,64 +371,12 @@
                 "{\"slot\":\"" + slot + "\"}");
     }
 
-    /** Returns how often a booking has run at all endpoints together. */
-    public int runsOf(String slot) {
-        int runs = 0;
-        for (int port : mEndpoints.ports("services")) {
-            Reply reply = mHttp.send("GET", port, "/standin/runs", Map.of(), null);
-            runs += reply.json().path(slot).asInt();
-        }
-        return runs;
-    }
-
-    /** Stops all booking endpoints for a time in milliseconds. */
-    public void bookingsDown(int forMs) {
-        String body = "{\"forMs\":" + forMs + "}";
-        mEndpoints
-                .ports("services")
-                .forEach(port -> mHttp.send("POST", port, "/standin/down", Map.of(), body));
-    }
-
-    /** Changes how all booking endpoints behave. */
-    public void bookingBehaviour(String json) {
-        mEndpoints
-                .ports("services")
-                .forEach(port -> mHttp.send("POST", port, "/standin/behaviour", Map.of(), json));
-    }
-
-    /** Returns what the engines have counted, one entry for each; waits for those that restart. */
-    public List<JsonNode> engineStats() {
-        return mEndpoints.ports("engines").stream().map(this::engineStats).toList();
-    }
-
-    private JsonNode engineStats(int port) {
-        Reply[] reply = new Reply[1];
-        await(
-                "engine at port " + port,
-                10_000,
-                () -> {
-                    reply[0] = mHttp.send("GET", port, "/standin/stats", Map.of(), null);
-                    return reply[0].status() == 200;
-                });
-        return reply[0].json();
-    }
-
-    /** Sends a request to an engine itself. */
-    public Reply engine(int number, String method, String path, String body) {
-        return mHttp.send(method, mEndpoints.ports("engines").get(number), path, Map.of(), body);
-    }
-
     /** Sends any request to any port of the fleet. */
     public Reply send(
             String method, int port, String uri, Map<String, String> headers, String body) {
         return mHttp.send(method, port, uri, headers, body);
     }
 
-    /** Pauses the platform, so that nothing gets an answer from it. */
-    public void stopPlatform() {
-        mPlatform.signal("STOP");
-    }
-
     /** Returns the instance that grants the tokens of an account in a region. */
     public String holderOf(String account, String region) {
         int shard = TokenHolder.shardOf(AccountId.of(account), TokenSettings.DEFAULT.shards());
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BadInputTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BadInputTest.java
@@ -238,7 +238,7 @@
     }
 
     private long started() {
-        return mFleet.engineStats().stream()
+        return mFleet.endpoints().engineStats().stream()
                 .mapToLong(stats -> stats.path("started").asLong())
                 .sum();
     }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BookingSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BookingSteps.java
@@ -30,7 +30,7 @@
         Fleet.await(
                 "the run of " + slot,
                 World.START_TIMEOUT_MS,
-                () -> mWorld.fleet().runsOf(slot) > 0);
+                () -> mWorld.fleet().endpoints().runsOf(slot) > 0);
     }
 
     @When("{string} starts to book {string} at {string} with idempotency key {string} and leaves")
@@ -57,12 +57,12 @@
                         Fleet.await(
                                 "the run of " + slot,
                                 World.START_TIMEOUT_MS,
-                                () -> mWorld.fleet().runsOf(slot) > 0));
+                                () -> mWorld.fleet().endpoints().runsOf(slot) > 0));
     }
 
     @Given("booking endpoints take {int} ms")
     public void slowBookings(int delayMs) {
-        mWorld.fleet().bookingBehaviour("{\"delayMs\":" + delayMs + "}");
+        mWorld.fleet().endpoints().bookingBehaviour("{\"delayMs\":" + delayMs + "}");
     }
 
     @When("{string} books {string} at {string} without idempotency key")
@@ -89,7 +89,7 @@
 
     @Then("the booking {string} has run {int} time(s)")
     public void bookingHasRun(String slot, int runs) {
-        assertEquals(mWorld.fleet().runsOf(slot), runs);
+        assertEquals(mWorld.fleet().endpoints().runsOf(slot), runs);
     }
 
     @Then("the booking is accepted")
@@ -99,21 +99,21 @@
 
     @Given("booking endpoints break the connection {word} the run")
     public void breakBookings(String when) {
-        mWorld.fleet().bookingBehaviour("{\"breakAt\":\"" + when + "\"}");
+        mWorld.fleet().endpoints().bookingBehaviour("{\"breakAt\":\"" + when + "\"}");
     }
 
     @Given("booking endpoints are down for {int} ms")
     public void stopBookings(int forMs) {
-        mWorld.fleet().bookingsDown(forMs);
+        mWorld.fleet().endpoints().bookingsDown(forMs);
     }
 
     @Given("booking endpoints work again")
     public void mendBookings() {
-        mWorld.fleet().bookingBehaviour("{}");
+        mWorld.fleet().endpoints().bookingBehaviour("{}");
     }
 
     @Then("the store holds {int} key(s) under a lease")
     public void leasedKeys(int keys) {
-        assertEquals(mWorld.fleet().storeCalls().path("leasedKeys").asInt(), keys);
+        assertEquals(mWorld.fleet().platform().storeCalls().path("leasedKeys").asInt(), keys);
     }
 }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/ChangeSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/ChangeSteps.java
@@ -26,12 +26,14 @@
 
     @When("the store is {word}")
     public void storeIs(String mode) {
-        mWorld.fleet().storeFaults("{\"mode\":\"" + mode.toUpperCase(Locale.ROOT) + "\"}");
+        mWorld.fleet()
+                .platform()
+                .storeFaults("{\"mode\":\"" + mode.toUpperCase(Locale.ROOT) + "\"}");
     }
 
     @When("the store loses the answers to the next {int} writes")
     public void storeLosesAnswers(int writes) {
-        mWorld.fleet().storeFaults("{\"loseAnswers\":" + writes + "}");
+        mWorld.fleet().platform().storeFaults("{\"loseAnswers\":" + writes + "}");
     }
 
     @When("an operator sets the queue wait to {int} ms through {string}")
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/CrashSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/CrashSteps.java
@@ -27,12 +27,12 @@
                     engine[0] = runningEngine();
                     return engine[0] >= 0;
                 });
-        mWorld.fleet().engine(engine[0], "POST", "/standin/crash", "{}");
+        mWorld.fleet().endpoints().engine(engine[0], "POST", "/standin/crash", "{}");
         Fleet.await("the crash", World.START_TIMEOUT_MS, () -> runningEngine() != engine[0]);
     }
 
     private int runningEngine() {
-        List<JsonNode> stats = mWorld.fleet().engineStats();
+        List<JsonNode> stats = mWorld.fleet().endpoints().engineStats();
         for (int i = 0; i < stats.size(); i++) {
             if (stats.get(i).path("running").asInt() > 0) {
                 return i;
@@ -68,7 +68,7 @@
     @Then("at most {int} engines have crashed")
     public void crashes(int most) {
         long crashes =
-                mWorld.fleet().engineStats().stream()
+                mWorld.fleet().endpoints().engineStats().stream()
                         .mapToLong(stats -> stats.path("crashes").asLong())
                         .sum();
         assertTrue(crashes <= most, "crashes: " + crashes);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
@@ -57,7 +57,7 @@
 
     @When("{string} streams {int} tokens from {string}")
     public void stream(String key, int tokens, String instance) {
-        long before = mWorld.fleet().tokensWritten();
+        long before = mWorld.fleet().endpoints().tokensWritten();
         mWorld.running()
                 .add(
                         mWorld.fleet()
@@ -70,7 +70,9 @@
         Fleet.await(
                 "a stream at " + instance,
                 World.START_TIMEOUT_MS,
-                () -> mWorld.fleet().tokensWritten() >= before + World.TOKENS_BEFORE_NEXT_STEP);
+                () ->
+                        mWorld.fleet().endpoints().tokensWritten()
+                                >= before + World.TOKENS_BEFORE_NEXT_STEP);
     }
 
     @When("{string} streams {int} tokens from each instance, {int} at a time")
@@ -130,7 +132,7 @@
     @Then("only engines of {string} have run requests")
     public void onlyEnginesOf(String region) {
         List<String> regions = mWorld.fleet().deployment().regions();
-        List<JsonNode> stats = mWorld.fleet().engineStats();
+        List<JsonNode> stats = mWorld.fleet().endpoints().engineStats();
         for (int i = 0; i < stats.size(); i++) {
             String here = regions.get(i % regions.size());
             if (!here.equals(region)) {
@@ -163,7 +165,7 @@
 
     @Then("no endpoint has seen a key")
     public void noEndpointHasSeenAKey() {
-        for (JsonNode stats : mWorld.fleet().engineStats()) {
+        for (JsonNode stats : mWorld.fleet().endpoints().engineStats()) {
             assertEquals(stats.path("credentials").size(), 0, stats.toString());
             assertFalse(stats.path("headerNames").toString().contains("authorization"));
         }
@@ -176,7 +178,7 @@
                 mWorld.fleet().process(id).signal("STOP");
             }
         }
-        mWorld.fleet().stopPlatform();
+        mWorld.fleet().platform().pause();
     }
 
     @Then("{string} gets whole answers from {string} for {int} seconds")
@@ -194,19 +196,19 @@
     @When("the engines count their requests")
     public void countRequests() {
         mStartedBefore =
-                mWorld.fleet().engineStats().stream()
+                mWorld.fleet().endpoints().engineStats().stream()
                         .map(stats -> stats.path("started").asLong())
                         .toList();
     }
 
     @When("engine {int} reports that it is leaving")
     public void engineLeaves(int number) {
-        mWorld.fleet().engine(number, "POST", "/standin/leaving", "{\"leaving\":true}");
+        mWorld.fleet().endpoints().engine(number, "POST", "/standin/leaving", "{\"leaving\":true}");
     }
 
     @When("the live list shows endpoint {string} as leaving")
     public void liveListShowsLeaving(String endpoint) {
-        mWorld.fleet().setLive(endpoint, "LEAVING", "");
+        mWorld.fleet().platform().setLive(endpoint, "LEAVING", "");
     }
 
     @When("{int} seconds pass")
@@ -229,7 +231,7 @@
 
     @Then("engine {int} has got no new request")
     public void noNewRequest(int number) {
-        long now = mWorld.fleet().engineStats().get(number).path("started").asLong();
+        long now = mWorld.fleet().endpoints().engineStats().get(number).path("started").asLong();
         assertEquals(now, mStartedBefore.get(number).longValue());
     }
 }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RateSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RateSteps.java
@@ -58,7 +58,7 @@
                         + "\r\n\r\n"
                         + body;
         for (int i = 0; i < times; i++) {
-            long before = mWorld.fleet().tokensWritten();
+            long before = mWorld.fleet().endpoints().tokensWritten();
             RawConnection.sendAndLeave(
                     mWorld.fleet().process(instance).port("callers"),
                     request,
@@ -66,7 +66,7 @@
                             Fleet.await(
                                     "tokens of the request",
                                     World.START_TIMEOUT_MS,
-                                    () -> mWorld.fleet().tokensWritten() > before));
+                                    () -> mWorld.fleet().endpoints().tokensWritten() > before));
         }
         Fleet.await(
                 "the ends of the requests",
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/StopSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/StopSteps.java
@@ -26,7 +26,7 @@
     @When("the instance {string} is killed")
     public void kill(String id) {
         mWorld.fleet().process(id).kill();
-        mWorld.fleet().removeLive(id);
+        mWorld.fleet().platform().removeLive(id);
     }
 
     @When("the instance {string} is told to stop")
@@ -37,7 +37,7 @@
     @Then("the instance {string} ends by itself")
     public void endsByItself(String id) {
         int code = mWorld.fleet().process(id).awaitEnd(30_000);
-        mWorld.fleet().removeLive(id);
+        mWorld.fleet().platform().removeLive(id);
         assertEquals(code, 0, "exit code");
     }
 
