Guard against odd, forged and unasked messages between instances

Ruled out: single changes, as they must continue the history's digest.

Conclusion: a configuration is adopted only from an instance that was asked and only if it is consistent; answers count only on their own connection.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ConfigurationSync.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ConfigurationSync.java
@@ -2,13 +2,17 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.filbertrudder.entry.log.Field;
 import org.filbertrudder.entry.log.PartLog;
 import org.filbertrudder.model.Change;
 import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.ConfigurationValidator;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.Problem;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.configuration.AdoptionResult;
 import org.filbertrudder.policy.configuration.ConfigurationLog;
@@ -25,6 +29,7 @@
     private final ConfigurationStore mStore;
     private final ConfigurationLog mConfigurationLog = new ConfigurationLog(RETAINED_CHANGES);
     private final Adoption mAdoption;
+    private final Set<InstanceId> mAsked = new HashSet<>();
     private Runnable mCloseWatch;
     private boolean mWatching;
     private boolean mCatchingUp;
@@ -155,9 +160,37 @@
                 && push.changes().get(0).revision() > current().revision() + 1;
     }
 
-    /** Handles a whole configuration that another instance has sent. */
-    void handle(PeerMessage.SnapshotPush push) {
-        offerSnapshot(Configuration.of(push.revision(), push.digest(), push.entities()));
+    /** Returns the request for what is missing here, to be sent to the given instance. */
+    PeerMessage.ChangesRequest request(InstanceId to) {
+        mAsked.add(to);
+        return new PeerMessage.ChangesRequest(current().revision());
+    }
+
+    /**
+     * Handles a whole configuration that another instance has sent.
+     *
+     * <p>Adopts it only if that instance was asked and the configuration is consistent, as nothing
+     * would ever replace a wrong one of a high revision.
+     */
+    void handle(PeerMessage.SnapshotPush push, InstanceId from) {
+        if (!mAsked.remove(from)) {
+            LOG.warn("A configuration that was not asked for was ignored.", sender(from));
+            return;
+        }
+        Configuration offered = Configuration.of(push.revision(), push.digest(), push.entities());
+        List<Problem> problems = ConfigurationValidator.validate(offered);
+        if (problems.isEmpty()) {
+            offerSnapshot(offered);
+        } else {
+            LOG.warn(
+                    "An inconsistent configuration was ignored. Check that instance's version.",
+                    sender(from),
+                    Field.of("problem", problems.get(0)));
+        }
+    }
+
+    private static Field sender(InstanceId from) {
+        return Field.of("from", from);
     }
 
     /** Returns what another instance needs to reach the revision in force. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -250,7 +250,7 @@
         on(PeerMessage.MembersRequest.class, (from, message) -> sendTable(from));
         on(PeerMessage.ChangePush.class, this::handleChanges);
         on(PeerMessage.ChangesRequest.class, (from, message) -> reply(from, mSync.answer(message)));
-        on(PeerMessage.SnapshotPush.class, (from, message) -> mSync.handle(message));
+        on(PeerMessage.SnapshotPush.class, (from, message) -> mSync.handle(message, id(from)));
         on(PeerMessage.ShardUpdates.class, this::handleOwners);
         on(PeerMessage.ShardHandover.class, (from, message) -> mShards.handle(message));
         on(PeerMessage.ReserveRequest.class, (from, message) -> mDesk.handle(id(from), message));
@@ -299,15 +299,13 @@
     private void noteRevision(Member sender, long revision) {
         mRevisions.put(sender.id(), revision);
         if (revision > mSync.current().revision()) {
-            mNetwork.send(
-                    PeerAddress.of(sender),
-                    new PeerMessage.ChangesRequest(mSync.current().revision()));
+            mNetwork.send(PeerAddress.of(sender), mSync.request(sender.id()));
         }
     }
 
     private void handleChanges(PeerConnection from, PeerMessage.ChangePush push) {
         if (mSync.handle(push, id(from))) {
-            reply(from, new PeerMessage.ChangesRequest(mSync.current().revision()));
+            reply(from, mSync.request(id(from)));
         }
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -4,6 +4,7 @@
 import io.vertx.core.buffer.Buffer;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
@@ -49,9 +50,8 @@
                     if (connection == null) {
                         call.fail(UpstreamListener.Failure.NOT_SENT);
                     } else if (!call.mDone) {
-                        call.mConnection = connection;
+                        call.open(connection);
                         connection.send(message);
-                        connection.onClose(() -> call.fail(UpstreamListener.Failure.BROKEN));
                     }
                 });
         return call;
@@ -77,34 +77,32 @@
     }
 
     /** Handles the parts of an answer; returns whether the message was one. */
-    boolean handle(PeerMessage message) {
+    boolean handle(PeerConnection from, PeerMessage message) {
         if (message instanceof PeerMessage.ForwardHead head) {
-            ForwardCall call = mCalls.get(head.stream());
-            if (call != null) {
-                call.mListener.head(head.status(), head.headers());
-            }
+            call(from, head.stream())
+                    .ifPresent(call -> call.mListener.head(head.status(), head.headers()));
         } else if (message instanceof PeerMessage.ForwardData data) {
-            ForwardCall call = mCalls.get(data.stream());
-            if (call != null) {
-                call.receive(data.data());
-            }
+            call(from, data.stream()).ifPresent(call -> call.receive(data.data()));
         } else if (message instanceof PeerMessage.ForwardEnd end) {
-            ForwardCall call = mCalls.get(end.stream());
-            if (call != null) {
-                call.end(end.complete());
-            }
+            call(from, end.stream()).ifPresent(call -> call.end(end.complete()));
         } else {
             return false;
         }
         return true;
     }
 
+    /** Returns the call that waits for answers on the connection. */
+    private Optional<ForwardCall> call(PeerConnection from, long stream) {
+        return Optional.ofNullable(mCalls.get(stream)).filter(call -> call.mConnection == from);
+    }
+
     /** Represents one forwarded request. */
     private final class ForwardCall implements Upstream {
 
         private final long mStream;
         private final UpstreamListener mListener;
         private PeerConnection mConnection;
+        private PeerConnection.CloseAction mCloseAction;
         private boolean mDone;
         private boolean mPaused;
         private long mOwedBytes;
@@ -114,6 +112,19 @@
             mListener = listener;
         }
 
+        void open(PeerConnection connection) {
+            mConnection = connection;
+            mCloseAction = connection.onClose(() -> fail(UpstreamListener.Failure.BROKEN));
+        }
+
+        private void finish() {
+            mDone = true;
+            mCalls.remove(mStream);
+            if (mCloseAction != null) {
+                mCloseAction.end();
+            }
+        }
+
         void receive(byte[] data) {
             mOwedBytes += data.length;
             mListener.data(Buffer.buffer(data));
@@ -131,16 +142,14 @@
             if (!complete) {
                 fail(UpstreamListener.Failure.BROKEN);
             } else if (!mDone) {
-                mDone = true;
-                mCalls.remove(mStream);
+                finish();
                 mListener.end();
             }
         }
 
         void fail(UpstreamListener.Failure failure) {
             if (!mDone) {
-                mDone = true;
-                mCalls.remove(mStream);
+                finish();
                 mListener.failed(failure);
             }
         }
@@ -150,8 +159,7 @@
             if (!mDone && mConnection != null) {
                 mConnection.send(new PeerMessage.ForwardCancel(mStream));
             }
-            mDone = true;
-            mCalls.remove(mStream);
+            finish();
         }
 
         @Override
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -85,21 +85,31 @@
             Configuration configuration) {
         checkAgain(start, configuration);
         int end = start.uri().indexOf('/', PREFIX.length());
-        ServiceId id = ServiceId.of(start.uri().substring(PREFIX.length(), end));
-        Service service =
-                configuration
-                        .service(id)
-                        .orElseThrow(() -> new RefusedException(Refusal.noEndpointAllowed()));
+        Service service = service(start, end, configuration);
         Exchange.Incoming incoming = mFactory.forwarded(start, service, start.uri().substring(end));
         Exchange exchange = new Exchange(incoming, sink, mContext.nowMs());
         StreamKey key = new StreamKey(connection, start.stream());
         sink.mExchange = exchange;
         mStreams.put(key, sink);
-        exchange.onEnd(() -> mStreams.remove(key));
-        connection.onClose(sink::cancel);
+        PeerConnection.CloseAction closeAction = connection.onClose(sink::cancel);
+        exchange.onEnd(
+                () -> {
+                    mStreams.remove(key);
+                    closeAction.end();
+                });
         mServe.accept(exchange);
     }
 
+    private static Service service(
+            PeerMessage.ForwardStart start, int end, Configuration configuration) {
+        if (end < 0) {
+            throw new RefusedException(Refusal.noEndpointAllowed());
+        }
+        return configuration
+                .service(ServiceId.of(start.uri().substring(PREFIX.length(), end)))
+                .orElseThrow(() -> new RefusedException(Refusal.noEndpointAllowed()));
+    }
+
     /** Checks key and account again, as this instance may know of a newer change. */
     private void checkAgain(PeerMessage.ForwardStart start, Configuration configuration) {
         if (start.key() == null) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -114,7 +114,7 @@
             ForwardServer server,
             PeerConnection connection,
             PeerMessage message) {
-        if (mTraffic.snapshot() != null && !forwards.handle(message)) {
+        if (mTraffic.snapshot() != null && !forwards.handle(connection, message)) {
             server.handle(connection, message);
         }
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -3,8 +3,9 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.parsetools.RecordParser;
-import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.Capabilities;
 import org.filbertrudder.model.message.Member;
@@ -18,7 +19,7 @@
     private final PeerCounters mCounters;
     private final Consumer<String> mOnViolation;
     private final RecordParser mParser = RecordParser.newFixed(MessageCodec.HEADER_BYTES);
-    private final List<Runnable> mCloseHandlers = new ArrayList<>();
+    private final Set<CloseAction> mCloseActions = new LinkedHashSet<>();
     private boolean mExpectsHeader = true;
     private boolean mGreeted;
     private Member mPeer;
@@ -67,6 +68,8 @@
             dispatch(MessageCodec.decode(body));
         } catch (MalformedFrameException e) {
             reject(e.getMessage());
+        } catch (RuntimeException e) {
+            reject("a message that cannot be handled: " + e);
         }
     }
 
@@ -102,13 +105,24 @@
         mSocket.write(frame);
     }
 
-    /** Runs the action once when the connection is closed. */
-    public void onClose(Runnable action) {
+    /**
+     * Runs the action once when the connection is closed.
+     *
+     * @return the registration; whoever no longer needs it must end it, as connections live long
+     */
+    public CloseAction onClose(Runnable action) {
+        CloseAction registration = new CloseAction(action);
         if (mClosed) {
             action.run();
         } else {
-            mCloseHandlers.add(action);
+            mCloseActions.add(registration);
         }
+        return registration;
+    }
+
+    /** Returns the number of actions that wait for the connection to close. */
+    int closeActions() {
+        return mCloseActions.size();
     }
 
     /** Returns the member that opened the connection; null before its greeting. */
@@ -129,8 +143,23 @@
 
     private void closed() {
         mClosed = true;
-        List<Runnable> handlers = List.copyOf(mCloseHandlers);
-        mCloseHandlers.clear();
-        handlers.forEach(Runnable::run);
+        List<CloseAction> actions = List.copyOf(mCloseActions);
+        mCloseActions.clear();
+        actions.forEach(each -> each.mAction.run());
+    }
+
+    /** Represents an action that runs when the connection closes. */
+    public final class CloseAction {
+
+        private final Runnable mAction;
+
+        private CloseAction(Runnable action) {
+            mAction = action;
+        }
+
+        /** Forgets the action. */
+        public void end() {
+            mCloseActions.remove(this);
+        }
     }
 }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
@@ -148,4 +148,50 @@
         network("client", PeerSecurity.plain()).send(server, MESSAGE);
         assertEquals(mReceived.poll(ARRIVAL_SECONDS, TimeUnit.SECONDS), MESSAGE);
     }
+
+    @Test
+    public void closesAConnectionWhoseMessageCannotBeHandledAndServesOthers() throws Exception {
+        PeerNetwork server =
+                new PeerNetwork(
+                        mVertx,
+                        mVertx.getOrCreateContext(),
+                        PeerSecurity.plain(),
+                        () -> member("server"),
+                        (connection, message) -> {
+                            if (message instanceof PeerMessage.ChangesRequest) {
+                                throw new IllegalStateException("no such revision");
+                            }
+                            mReceived.add(message);
+                        },
+                        mViolations::add);
+        PeerAddress address = new PeerAddress("127.0.0.1", server.listen("127.0.0.1", 0).join());
+        PeerNetwork client = network("client", PeerSecurity.plain());
+
+        client.send(address, new PeerMessage.ChangesRequest(-7));
+
+        String violation = mViolations.poll(ARRIVAL_SECONDS, TimeUnit.SECONDS);
+        assertTrue(violation.contains("no such revision"), violation);
+        assertEquals(server.counters().rejected(), 1);
+        network("other", PeerSecurity.plain()).send(address, MESSAGE);
+        assertTrue(mReceived.poll(ARRIVAL_SECONDS, TimeUnit.SECONDS) != null);
+    }
+
+    @Test
+    public void keepsNothingOfCloseActionsThatHaveEnded() throws Exception {
+        PeerAddress server = listen(PeerSecurity.plain());
+        PeerNetwork client = network("client", PeerSecurity.plain());
+        BlockingQueue<Integer> actions = new LinkedBlockingQueue<>();
+
+        client.withConnection(
+                server,
+                connection -> {
+                    int before = connection.closeActions();
+                    for (int i = 0; i < 1_000; i++) {
+                        connection.onClose(() -> {}).end();
+                    }
+                    actions.add(connection.closeActions() - before);
+                });
+
+        assertEquals(actions.poll(ARRIVAL_SECONDS, TimeUnit.SECONDS), Integer.valueOf(0));
+    }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -211,7 +211,7 @@
         Predicate<RegionId> mayRun =
                 region -> allowed[Integer.parseInt(region.value().substring(1))];
         int hops = 0;
-        while (true) {
+        while (hops <= 1) {
             Router router = new Router(region(here), tables[here], region -> true);
             Route route =
                     router.choose(
@@ -229,5 +229,6 @@
             here = Integer.parseInt(away.region().value().substring(1));
             hops++;
         }
+        return hops;
     }
 }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BadInputTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BadInputTest.java
@@ -82,6 +82,8 @@
         return new Object[][] {
             {"missing key", "POST", CHAT, null, GOOD_BODY, 401, "key_missing"},
             {"wrong key", "POST", CHAT, "fr.k1.nonsense", GOOD_BODY, 401, "key_invalid"},
+            {"right id, wrong secret", "POST", CHAT, "KEY-x", GOOD_BODY, 401, "key_invalid"},
+            {"right id, half a secret", "POST", CHAT, "HALF", GOOD_BODY, 401, "key_invalid"},
             {"odd key", "POST", CHAT, "fr...", GOOD_BODY, 401, "key_invalid"},
             {"withdrawn key", "POST", CHAT, "WITHDRAWN", GOOD_BODY, 401, "key_invalid"},
             {"key in the body", "POST", CHAT, "KEY", "KEY-IN-BODY", 400, "key_in_request"},
@@ -155,8 +157,12 @@
         Map<String, String> headers = new HashMap<>();
         headers.put("content-type", "application/json");
         if (key != null) {
-            String shown = key.replace("WITHDRAWN", mWithdrawnKey);
-            headers.put("authorization", "Bearer " + (shown.equals("KEY") ? mKey : shown));
+            String half = mKey.substring(0, mKey.length() - 20);
+            String shown =
+                    key.replace("WITHDRAWN", mWithdrawnKey)
+                            .replace("KEY", mKey)
+                            .replace("HALF", half);
+            headers.put("authorization", "Bearer " + shown);
         }
         String secret = mKey.substring(mKey.lastIndexOf('.') + 1);
         String sent =
