Follow cache events, wait for engines that are back soon, break streams at every byte

Causes: prompt affinity went by hash alone and did not know what an engine had cached or evicted; a stream that broke while the other engines rested for 250 ms ended in "answer_incomplete" though one would have been back at once; a request that needed a certain endpoint (alone, or others tried) held up the whole queue of its service.

Changed: the router prefers endpoints that probably hold the prefix (own use and cache events, dropped after 120 s or a failure); an endpoint that is back within a second is waited for when no other region can serve; the queue skips what cannot start now at no cost to its account (putBack is replaced by a poll that asks, and so is its test); engines get a priority by contract size. The engine stand-in has a prefix cache, late and gappy cache events, priorities, orders, and breaks a stream after any number of bytes.

Ruled out: typed errors for want of a retry budget, as the new test lifts it.

Before: WholeAnswerTest failed at the third offset.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -16,6 +16,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.queueing.EnginePriority;
 import org.filbertrudder.policy.retry.RetryBudget;
 import org.filbertrudder.policy.retry.SuspectRequests.Verdict;
 import org.filbertrudder.policy.routing.EndpointState;
@@ -33,10 +34,17 @@
     private final ForwardClient mForwards;
     private final Finisher mFinisher;
     private final RetryBudget mBudget = new RetryBudget();
+    private final CacheEventPoller mCacheEvents;
     private Dispatcher mDispatcher;
     private Consumer<Exchange> mResubmit = exchange -> {};
 
-    Attempts(TrafficContext context, HttpClient client, ForwardClient forwards, Finisher finisher) {
+    Attempts(
+            TrafficContext context,
+            HttpClient client,
+            ForwardClient forwards,
+            Finisher finisher,
+            CacheEventPoller cacheEvents) {
+        mCacheEvents = cacheEvents;
         mContext = context;
         mClient = client;
         mForwards = forwards;
@@ -52,6 +60,7 @@
     public void startLocal(Exchange exchange, EndpointState endpoint) {
         boolean ranBefore = begin(exchange);
         endpoint.started(exchange.alone());
+        notePrefix(exchange, endpoint);
         exchange.tried().add(endpoint.id());
         boolean alone = endpoint.load(mContext.nowMs()) == 1 && exchange.alone();
         LocalAttempt attempt = new LocalAttempt(exchange, endpoint, ranBefore, alone);
@@ -65,6 +74,14 @@
                         attempt));
     }
 
+    private void notePrefix(Exchange exchange, EndpointState endpoint) {
+        String prefix = exchange.incoming().affinityKey();
+        if (!prefix.isEmpty()) {
+            endpoint.prefixStored(prefix, mContext.nowMs());
+            mCacheEvents.used(endpoint);
+        }
+    }
+
     private boolean begin(Exchange exchange) {
         if (exchange.attempts() == 0) {
             mBudget.noteRequest(mContext.nowMs());
@@ -93,6 +110,9 @@
         headers.put("x-client-account", incoming.account().value());
         long leftMs = incoming.deadlineMs() - mContext.nowMs();
         headers.put("x-deadline-ms", Long.toString(Math.max(1, leftMs)));
+        if (incoming.isModel()) {
+            headers.put("x-priority", Integer.toString(priority(incoming)));
+        }
         if (exchange.relay().resumable()) {
             headers.put(
                     Exchange.RESUME_OFFSET_HEADER, Long.toString(exchange.relay().eventsSent()));
@@ -100,6 +120,14 @@
         return headers;
     }
 
+    private int priority(Exchange.Incoming incoming) {
+        return mContext.snapshot()
+                .configuration()
+                .account(incoming.account())
+                .map(account -> EnginePriority.of(account.contract()))
+                .orElse(EnginePriority.LOWEST);
+    }
+
     @Override
     public void startAway(Exchange exchange, RegionId region) {
         List<Member> members = mContext.snapshot().workingIn(region);
--- /dev/null
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CacheEventPoller.java
@@ -0,0 +1,83 @@
+package org.filbertrudder.entry.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.Json;
+import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.EndpointTable;
+
+/** Reads the cache events of the model engines that this thread has used. */
+final class CacheEventPoller {
+
+    private static final long POLL_MS = 2_000;
+    private static final long TIMEOUT_MS = 1_000;
+    private static final int STATUS_OK = 200;
+
+    private final TrafficContext mContext;
+    private final HttpClient mClient;
+    private final EndpointTable mTable;
+    private final Map<EndpointId, Long> mLastEvents = new HashMap<>();
+    private final Set<EndpointId> mUsed = new HashSet<>();
+    private long mNextPollMs;
+
+    CacheEventPoller(TrafficContext context, HttpClient client, EndpointTable table) {
+        mContext = context;
+        mClient = client;
+        mTable = table;
+    }
+
+    /** Notes that a request with a prompt prefix was sent to the endpoint. */
+    void used(EndpointState endpoint) {
+        mUsed.add(endpoint.id());
+    }
+
+    void tick(long nowMs) {
+        if (nowMs < mNextPollMs) {
+            return;
+        }
+        mNextPollMs = nowMs + POLL_MS;
+        mTable.in(mContext.snapshot().self().region()).stream()
+                .filter(state -> mUsed.contains(state.id()))
+                .forEach(this::poll);
+        mUsed.clear();
+    }
+
+    private void poll(EndpointState state) {
+        String uri = "/cache/events?after=" + mLastEvents.getOrDefault(state.id(), 0L);
+        mClient.request(HttpMethod.GET, state.endpoint().port(), state.endpoint().host(), uri)
+                .compose(request -> request.idleTimeout(TIMEOUT_MS).send())
+                .compose(
+                        response ->
+                                response.body()
+                                        .map(
+                                                body ->
+                                                        response.statusCode() == STATUS_OK
+                                                                ? body
+                                                                : Buffer.buffer("{}")))
+                .onSuccess(body -> note(state, body));
+    }
+
+    private void note(EndpointState state, Buffer body) {
+        try {
+            for (JsonNode event : Json.MAPPER.readTree(body.getBytes()).path("events")) {
+                mLastEvents.merge(state.id(), event.path("seq").asLong(), Math::max);
+                if (event.hasNonNull("stored")) {
+                    state.prefixStored(event.path("stored").asText(), mContext.nowMs());
+                } else if (event.hasNonNull("evicted")) {
+                    state.prefixEvicted(event.path("evicted").asText());
+                }
+            }
+        } catch (IOException e) {
+            // An engine without cache events is used by the own knowledge alone.
+            mLastEvents.remove(state.id());
+        }
+    }
+}
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Configuration;
 import org.filbertrudder.model.RegionId;
@@ -149,21 +150,27 @@
         }
     }
 
+    /** Starts what there is room for; those that need a certain endpoint hold up nobody else. */
     private void startWaiting(ServiceQueue queue) {
-        while (queue.mWaiting.size() > 0) {
-            Exchange next = queue.mWaiting.poll().orElseThrow();
-            next.setQueued(false);
-            if (next.ended()) {
-                continue;
-            }
-            Route route = choose(next, 0);
-            if (route instanceof Route.Wait) {
-                queue.mWaiting.putBack(next.incoming().account(), next);
-                next.setQueued(true);
+        while (true) {
+            Optional<Exchange> next = queue.mWaiting.poll(this::judge);
+            if (next.isEmpty()) {
                 return;
             }
-            start(next, route);
+            Exchange exchange = next.get();
+            exchange.setQueued(false);
+            if (!exchange.ended()) {
+                start(exchange, choose(exchange, 0));
+            }
+        }
+    }
+
+    private FairQueue.Turn judge(Exchange exchange) {
+        if (exchange.ended() || !(choose(exchange, 0) instanceof Route.Wait)) {
+            return FairQueue.Turn.START;
         }
+        boolean needsCertainEndpoint = exchange.alone() || !exchange.tried().isEmpty();
+        return needsCertainEndpoint ? FairQueue.Turn.SKIP : FairQueue.Turn.STOP;
     }
 
     /** Notes served tokens, from which the time that waiting requests need is estimated. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
@@ -30,7 +30,12 @@
                     "api-key",
                     "x-auth-token");
     private static final Set<String> OWN =
-            Set.of("x-request-id", "x-client-account", "x-deadline-ms", "x-resume-offset");
+            Set.of(
+                    "x-request-id",
+                    "x-client-account",
+                    "x-deadline-ms",
+                    "x-priority",
+                    "x-resume-offset");
 
     private HeaderFilter() {}
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -48,6 +48,7 @@
     private Attempts mAttempts;
     private BookingClaims mClaims;
     private LoadPoller mPoller;
+    private CacheEventPoller mCacheEvents;
 
     /** Creates a loop; ports that are 0 are replaced by the ones chosen when it is deployed. */
     public TrafficLoop(TrafficContext traffic, EntrySettings settings, ListenPorts ports) {
@@ -66,7 +67,8 @@
                                 .setKeepAlive(true));
         mFinisher = new Finisher(mTraffic.control()::tokens, mTraffic.metrics());
         ForwardClient forwards = new ForwardClient(context, mTraffic);
-        mAttempts = new Attempts(mTraffic, client, forwards, mFinisher);
+        mCacheEvents = new CacheEventPoller(mTraffic, client, mTable);
+        mAttempts = new Attempts(mTraffic, client, forwards, mFinisher, mCacheEvents);
         Router router =
                 new Router(
                         mSettings.region(),
@@ -228,6 +230,7 @@
         }
         mDispatcher.tick();
         mPoller.tick(mTraffic.nowMs());
+        mCacheEvents.tick(mTraffic.nowMs());
     }
 
     private void snapshotChanged() {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
@@ -2,13 +2,17 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.filbertrudder.model.AccountId;
 
@@ -25,8 +29,6 @@
     private final Map<AccountId, AccountQueue<T>> mQueues = new HashMap<>();
     private double mVirtualTime;
     private int mSize;
-    private Waiting<T> mLastPolled;
-    private double mLastServedBefore;
 
     /** Adds a request that costs the given number of tokens and must start by the deadline. */
     public void add(AccountId account, T request, long tokens, long deadlineMs) {
@@ -40,39 +42,50 @@
         mSize++;
     }
 
-    /** Returns a request that was polled but could not start to the head of its account's queue. */
-    public void putBack(AccountId account, T request) {
-        if (mLastPolled == null || !mLastPolled.request().equals(request)) {
-            throw new IllegalStateException("Only the request polled last can be put back.");
+    /** Removes and returns the request that runs next. */
+    public Optional<T> poll() {
+        return poll(request -> Turn.START);
+    }
+
+    /**
+     * Removes and returns the first request that can start, asking for each in the order of turns.
+     *
+     * <p>A request that is skipped keeps its place and costs its account nothing.
+     */
+    public Optional<T> poll(Function<T, Turn> judge) {
+        Set<Waiting<T>> skipped = Collections.newSetFromMap(new IdentityHashMap<>());
+        while (true) {
+            Optional<AccountQueue<T>> queue = next(skipped);
+            if (queue.isEmpty()) {
+                return Optional.empty();
+            }
+            Waiting<T> waiting = queue.get().first(skipped);
+            switch (judge.apply(waiting.request())) {
+                case START -> {
+                    return Optional.of(take(queue.get(), waiting));
+                }
+                case SKIP -> skipped.add(waiting);
+                default -> {
+                    return Optional.empty();
+                }
+            }
         }
-        AccountQueue<T> queue =
-                mQueues.computeIfAbsent(account, key -> new AccountQueue<>(account));
-        queue.mServed = mLastServedBefore;
-        queue.mWaiting.addFirst(mLastPolled);
-        queue.mWaitingTokens += mLastPolled.tokens();
-        mLastPolled = null;
-        mSize++;
     }
 
-    /** Removes and returns the request that runs next. */
-    public Optional<T> poll() {
-        Optional<AccountQueue<T>> next =
-                mQueues.values().stream()
-                        .filter(queue -> !queue.mWaiting.isEmpty())
-                        .min(AccountQueue.order());
-        return next.map(this::take);
+    private Optional<AccountQueue<T>> next(Set<Waiting<T>> skipped) {
+        return mQueues.values().stream()
+                .filter(queue -> queue.first(skipped) != null)
+                .min(AccountQueue.order(skipped));
     }
 
-    private T take(AccountQueue<T> queue) {
-        Waiting<T> first = queue.mWaiting.removeFirst();
-        queue.mWaitingTokens -= first.tokens();
-        mLastPolled = first;
-        mLastServedBefore = queue.mServed;
+    private T take(AccountQueue<T> queue, Waiting<T> waiting) {
+        queue.mWaiting.remove(waiting);
+        queue.mWaitingTokens -= waiting.tokens();
         mVirtualTime = Math.max(mVirtualTime, queue.mServed);
-        queue.mServed += first.tokens();
+        queue.mServed += waiting.tokens();
         mSize--;
         forgetIdle();
-        return first.request();
+        return waiting.request();
     }
 
     /** Forgets accounts that would start afresh anyway. */
@@ -127,6 +140,16 @@
         return mSize;
     }
 
+    /** Lists what happens to the request whose turn it is. */
+    public enum Turn {
+        /** The request starts. */
+        START,
+        /** The request cannot start now, but others may. */
+        SKIP,
+        /** Nothing can start now. */
+        STOP
+    }
+
     private record Waiting<T>(T request, long tokens, long deadlineMs) {}
 
     /** Holds the waiting requests of one account. */
@@ -141,11 +164,21 @@
             mAccount = account;
         }
 
-        static <T> Comparator<AccountQueue<T>> order() {
+        /** Returns the request whose turn is next, or null if there is none. */
+        Waiting<T> first(Set<Waiting<T>> skipped) {
+            for (Waiting<T> waiting : mWaiting) {
+                if (!skipped.contains(waiting)) {
+                    return waiting;
+                }
+            }
+            return null;
+        }
+
+        static <T> Comparator<AccountQueue<T>> order(Set<Waiting<T>> skipped) {
             Comparator<AccountQueue<T>> leastServed =
                     Comparator.comparingDouble(queue -> queue.mServed);
             return leastServed
-                    .thenComparingLong(queue -> queue.mWaiting.peekFirst().tokens())
+                    .thenComparingLong(queue -> queue.first(skipped).tokens())
                     .thenComparing(queue -> queue.mAccount);
         }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -13,6 +13,7 @@
     private static final long REPORT_LIFETIME_MS = 5_000;
 
     private final long mIdHash;
+    private final PrefixHints mPrefixes = new PrefixHints();
     private Endpoint mEndpoint;
     private int mInFlight;
     private int mFailures;
@@ -33,6 +34,21 @@
         return Rendezvous.weight(keyHash, mIdHash);
     }
 
+    /** Notes that a prompt prefix was used or stored there. */
+    public void prefixStored(String prefix, long nowMs) {
+        mPrefixes.stored(prefix, nowMs);
+    }
+
+    /** Notes that the endpoint has evicted a prompt prefix from its cache. */
+    public void prefixEvicted(String prefix) {
+        mPrefixes.evicted(prefix);
+    }
+
+    /** Returns whether the endpoint probably has the prompt prefix in its cache. */
+    boolean holdsPrefix(String prefix, long nowMs) {
+        return mPrefixes.contains(prefix, nowMs);
+    }
+
     void setEndpoint(Endpoint endpoint, long nowMs) {
         if (endpoint.port() != mEndpoint.port() || !endpoint.host().equals(mEndpoint.host())) {
             mSlowStartFromMs = nowMs;
@@ -115,6 +131,7 @@
         long backoffMs = Math.min(MAX_BACKOFF_MS, BASE_BACKOFF_MS << Math.min(mFailures, 5));
         mFailures++;
         mUnavailableUntilMs = nowMs + backoffMs;
+        mPrefixes.clear();
         mSlowStartFromMs = mUnavailableUntilMs;
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -18,6 +18,7 @@
 public final class Router {
 
     private static final double BALANCE_BOUND = 1.25;
+    private static final long SHORT_REST_MS = 1_000;
 
     private final RegionId mHere;
     private final EndpointTable mTable;
@@ -61,12 +62,16 @@
         if (free.isPresent()) {
             return new Route.Local(free.get());
         }
+        boolean mayWait = !local.isEmpty() || (localAllowed && backSoon(request, nowMs));
         if (request.forwarded()) {
-            return local.isEmpty() ? refuseLocal(request, localAllowed) : new Route.Wait();
+            return mayWait ? new Route.Wait() : refuseLocal(request, localAllowed);
         }
         Optional<RegionId> away = nearestAway(request, configuration);
-        if (local.isEmpty()) {
-            return away.<Route>map(Route.Away::new).orElseGet(() -> refuse(request, configuration));
+        if (local.isEmpty() && away.isPresent()) {
+            return new Route.Away(away.get());
+        }
+        if (!mayWait) {
+            return refuse(request, configuration);
         }
         if (away.isPresent() && worthLeaving(away.get(), configuration, localWaitMs)) {
             return new Route.Away(away.get());
@@ -74,6 +79,13 @@
         return new Route.Wait();
     }
 
+    /** Returns whether an endpoint that rests after a failure will be usable again soon. */
+    private boolean backSoon(RouteRequest request, long nowMs) {
+        return mTable.of(request.service(), mHere).stream()
+                .filter(state -> !request.tried().contains(state.id()))
+                .anyMatch(state -> state.usable(nowMs + SHORT_REST_MS));
+    }
+
     private static List<EndpointState> usable(
             List<EndpointState> endpoints, RouteRequest request, long nowMs) {
         return endpoints.stream()
@@ -107,9 +119,17 @@
         double average = usable.stream().mapToInt(state -> state.load(nowMs)).average().orElse(0);
         double bound = BALANCE_BOUND * (average + 1);
         long keyHash = Rendezvous.hash(request.affinityKey());
-        return free.stream()
-                .filter(state -> state.load(nowMs) + 1 <= bound)
-                .max(Comparator.comparingLong(state -> state.affinity(keyHash)));
+        List<EndpointState> balanced =
+                free.stream().filter(state -> state.load(nowMs) + 1 <= bound).toList();
+        Optional<EndpointState> warm =
+                balanced.stream()
+                        .filter(state -> state.holdsPrefix(request.affinityKey(), nowMs))
+                        .max(byAffinity(keyHash));
+        return warm.isPresent() ? warm : balanced.stream().max(byAffinity(keyHash));
+    }
+
+    private static Comparator<EndpointState> byAffinity(long keyHash) {
+        return Comparator.comparingLong(state -> state.affinity(keyHash));
     }
 
     private static Comparator<EndpointState> leastLoaded(long nowMs) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/queueing/FairQueueTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/queueing/FairQueueTest.java
@@ -1,11 +1,12 @@
 package org.filbertrudder.policy.queueing;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
 import org.filbertrudder.model.AccountId;
 import org.testng.annotations.Test;
 
@@ -64,16 +65,33 @@
     }
 
     @Test
-    public void putsAPolledRequestBackInItsPlace() {
+    public void aSkippedRequestKeepsItsPlaceAndCostsItsAccountNothing() {
         FairQueue<String> queue = new FairQueue<>();
-        queue.add(LARGE, "first", 10, 1_000);
+        queue.add(LARGE, "first", 1_000, 1_000);
         queue.add(LARGE, "second", 10, 1_000);
+        queue.add(SMALL, "small", 500, 1_000);
 
-        queue.putBack(LARGE, queue.poll().orElseThrow());
+        Optional<String> started = queue.poll(skip("first", "small"));
 
-        assertEquals(drain(queue, 2), List.of("first", "second"));
+        assertEquals(started, Optional.of("second"));
+        assertEquals(drain(queue, 2), List.of("small", "first"));
         assertEquals(queue.size(), 0);
-        assertThrows(IllegalStateException.class, () -> queue.putBack(LARGE, "other"));
+    }
+
+    @Test
+    public void nothingStartsBehindARequestThatStopsTheQueue() {
+        FairQueue<String> queue = new FairQueue<>();
+        queue.add(LARGE, "first", 10, 1_000);
+        queue.add(LARGE, "second", 10, 1_000);
+
+        assertEquals(queue.poll(request -> FairQueue.Turn.STOP), Optional.empty());
+        assertEquals(queue.poll(skip("first", "second")), Optional.empty());
+        assertEquals(drain(queue, 2), List.of("first", "second"));
+    }
+
+    private static Function<String, FairQueue.Turn> skip(String... requests) {
+        return request ->
+                List.of(requests).contains(request) ? FairQueue.Turn.SKIP : FairQueue.Turn.START;
     }
 
     @Test
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -175,6 +175,66 @@
         return seeds;
     }
 
+    @DataProvider
+    public Object[][] rests() {
+        return new Object[][] {{1, Route.Wait.class}, {6, Route.Refuse.class}};
+    }
+
+    @Test(dataProvider = "rests")
+    public void waitsForAnEndpointThatRestsOnlyIfItIsBackSoon(int failures, Class<?> expected) {
+        Configuration configuration = configuration(1, 1);
+        EndpointTable table = table(configuration);
+        EndpointState only = table.of(SERVICE, region(0)).get(0);
+        for (int i = 0; i < failures; i++) {
+            only.started(false);
+            only.failed(NOW_MS);
+        }
+
+        Route route =
+                new Router(region(0), table, region -> true)
+                        .choose(request(region -> true, false), configuration, 0, NOW_MS);
+
+        assertEquals(route.getClass(), expected);
+    }
+
+    private static EndpointState chosen(EndpointTable table, Configuration configuration) {
+        RouteRequest request =
+                new RouteRequest(SERVICE, region -> true, "prefix", Set.of(), false, false);
+        Router router = new Router(region(0), table, region -> true);
+        return ((Route.Local) router.choose(request, configuration, 0, NOW_MS)).endpoint();
+    }
+
+    @Test
+    public void prefersTheEndpointThatHoldsThePrefixUntilItIsEvicted() {
+        Configuration configuration = configuration(1, 8);
+        EndpointTable table = table(configuration);
+        EndpointState byHash = chosen(table, configuration);
+        EndpointState other =
+                table.of(SERVICE, region(0)).stream().filter(e -> e != byHash).findFirst().get();
+
+        other.prefixStored("prefix", NOW_MS);
+
+        assertEquals(chosen(table, configuration), other);
+        other.prefixEvicted("prefix");
+        assertEquals(chosen(table, configuration), byHash);
+    }
+
+    @Test
+    public void forgetsThePrefixesOfAnEndpointThatHasFailedAndOldHints() {
+        Configuration configuration = configuration(1, 8);
+        EndpointTable table = table(configuration);
+        EndpointState byHash = chosen(table, configuration);
+        List<EndpointState> others =
+                table.of(SERVICE, region(0)).stream().filter(e -> e != byHash).toList();
+
+        others.get(0).prefixStored("prefix", NOW_MS - 1_000_000);
+        others.get(1).prefixStored("prefix", NOW_MS - 1_000);
+        others.get(1).started(false);
+        others.get(1).failed(NOW_MS - 20_000);
+
+        assertEquals(chosen(table, configuration), byHash);
+    }
+
     @Test(dataProvider = "seeds")
     public void noRequestTravelsInALoopInAnyTopology(long seed) {
         Random random = new Random(seed);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/GatewayCapacity.java
@@ -32,7 +32,7 @@
         try (Fleet fleet =
                 Fleet.start(
                         Deployment.BUREAU,
-                        new FleetOptions(3, ENGINE_TOKENS_PER_SECOND, ENGINE_SLOTS),
+                        FleetOptions.of(3).withEngines(ENGINE_TOKENS_PER_SECOND, ENGINE_SLOTS),
                         logs)) {
             fleet.awaitShards();
             fleet.raiseContracts(1e9);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/RoutingExperiment.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/RoutingExperiment.java
@@ -1,10 +1,10 @@
 package org.filbertrudder.measure;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -21,7 +21,10 @@
  * Compares the router with random and least-loaded choice in one region of eight engines.
  *
  * <p>Prompts share one of 200 prefixes with the popularity of a Zipf law. An engine keeps the last
- * 24 prefixes; a prompt whose prefix it lacks costs 300 ms more before the first token.
+ * 24 prefixes; a prompt whose prefix it lacks costs 300 ms more before the first token. Cache
+ * events come a second late and every seventh is lost. Halfway all caches are emptied, as if the
+ * region had taken over the traffic of another; the requests right after that are shown on rows of
+ * their own.
  */
 final class RoutingExperiment implements Experiment {
 
@@ -33,6 +36,9 @@
     private static final long WARM_MS = 30;
     private static final long DECODE_MS = 1_000;
     private static final int REQUESTS = 60_000;
+    private static final int COLD_REQUESTS = 3_000;
+    private static final long EVENT_LAG_MS = 1_000;
+    private static final int LOST_EVENT = 7;
     private static final double[] LOADS = {0.5, 0.8, 0.95};
 
     @Override
@@ -41,6 +47,7 @@
                 new Table(
                         "load",
                         "choice",
+                        "caches",
                         "cache_hits",
                         "first_token_p50_ms",
                         "first_token_p99_ms",
@@ -56,7 +63,8 @@
     private enum Choice {
         RANDOM,
         LEAST_LOADED,
-        ROUTER
+        AFFINITY,
+        AFFINITY_AND_EVENTS
     }
 
     /** Runs one load with one way to choose. */
@@ -70,8 +78,10 @@
         private final Router mRouter;
         private final Map<EndpointState, Engine> mEngines = new HashMap<>();
         private final PriorityQueue<End> mEnds = new PriorityQueue<>();
-        private final Histogram mFirstTokenMs = new Histogram(3_600_000, 3);
+        private final PriorityQueue<CacheEvent> mEvents = new PriorityQueue<>();
+        private Histogram mFirstTokenMs = new Histogram(3_600_000, 3);
         private long mHits;
+        private long mEventNumber;
 
         Run(long seed, double load, Choice choice) {
             mRandom = new Random(seed);
@@ -94,16 +104,30 @@
                 nowMs += -Math.log(1 - mRandom.nextDouble()) / perMs;
                 finishUntil((long) nowMs);
                 arrive((long) nowMs, prefix());
+                if (i == REQUESTS / 2) {
+                    report(table, "WARM", REQUESTS / 2);
+                    mEngines.values().forEach(engine -> engine.mPrefixes.clear());
+                } else if (i == REQUESTS / 2 + COLD_REQUESTS) {
+                    report(table, "EMPTIED", COLD_REQUESTS);
+                }
             }
+        }
+
+        /** Adds a row and starts to count anew. */
+        private void report(Table table, String caches, int requests) {
             long most = mEngines.values().stream().mapToLong(e -> e.mServed).max().orElse(0);
             long least = mEngines.values().stream().mapToLong(e -> e.mServed).min().orElse(0);
             table.add(
                     mLoad,
                     mChoice,
-                    (double) mHits / REQUESTS,
+                    caches,
+                    (double) mHits / requests,
                     mFirstTokenMs.getValueAtPercentile(50),
                     mFirstTokenMs.getValueAtPercentile(99),
                     (double) most / Math.max(1, least));
+            mHits = 0;
+            mFirstTokenMs = new Histogram(3_600_000, 3);
+            mEngines.values().forEach(engine -> engine.mServed = 0);
         }
 
         private int prefix() {
@@ -115,6 +139,45 @@
             while (!mEnds.isEmpty() && mEnds.peek().atMs() <= nowMs) {
                 mEnds.poll().endpoint().succeeded();
             }
+            while (!mEvents.isEmpty() && mEvents.peek().atMs() <= nowMs) {
+                deliver(mEvents.poll());
+            }
+        }
+
+        private static void deliver(CacheEvent event) {
+            if (event.stored()) {
+                event.endpoint().prefixStored(name(event.prefix()), event.atMs());
+            } else {
+                event.endpoint().prefixEvicted(name(event.prefix()));
+            }
+        }
+
+        private static String name(int prefix) {
+            return "prefix-" + prefix;
+        }
+
+        /** Sends a cache event that arrives late, or not at all. */
+        private void publish(EndpointState endpoint, int prefix, boolean stored, long nowMs) {
+            mEventNumber++;
+            if (mEventNumber % LOST_EVENT != 0) {
+                mEvents.add(new CacheEvent(nowMs + EVENT_LAG_MS, endpoint, prefix, stored));
+            }
+        }
+
+        /** Uses a prefix at an engine; returns whether it was cached. */
+        private boolean use(EndpointState endpoint, int prefix, long nowMs) {
+            Engine engine = mEngines.get(endpoint);
+            boolean hit = engine.use(prefix);
+            if (mChoice == Choice.AFFINITY_AND_EVENTS) {
+                endpoint.prefixStored(name(prefix), nowMs);
+                if (!hit) {
+                    publish(endpoint, prefix, true, nowMs);
+                }
+                engine.evict().ifPresent(old -> publish(endpoint, old, false, nowMs));
+            } else {
+                engine.evict();
+            }
+            return hit;
         }
 
         /** Starts a request; one that no engine has room for waits for the next slot to end. */
@@ -128,7 +191,7 @@
                 chosen = choose(prefix, startMs);
             }
             chosen.started(false);
-            boolean hit = mEngines.get(chosen).use(prefix);
+            boolean hit = use(chosen, prefix, startMs);
             mHits += hit ? 1 : 0;
             long prefillMs = hit ? WARM_MS : COLD_MS;
             mFirstTokenMs.recordValue(startMs - nowMs + prefillMs);
@@ -137,8 +200,8 @@
         }
 
         private EndpointState choose(int prefix, long nowMs) {
-            if (mChoice == Choice.ROUTER) {
-                return byRouter("prefix-" + prefix, nowMs);
+            if (mChoice == Choice.AFFINITY || mChoice == Choice.AFFINITY_AND_EVENTS) {
+                return byRouter(name(prefix), nowMs);
             }
             List<EndpointState> free =
                     endpoints().stream().filter(state -> state.hasRoom(nowMs)).toList();
@@ -174,11 +237,26 @@
 
         boolean use(int prefix) {
             mServed++;
-            boolean hit = mPrefixes.put(prefix, true) != null;
-            if (mPrefixes.size() > CACHE_SIZE) {
-                mPrefixes.remove(new ArrayList<>(mPrefixes.keySet()).get(0));
+            return mPrefixes.put(prefix, true) != null;
+        }
+
+        /** Removes the prefix used least recently if there is one too many. */
+        Optional<Integer> evict() {
+            if (mPrefixes.size() <= CACHE_SIZE) {
+                return Optional.empty();
             }
-            return hit;
+            int oldest = mPrefixes.keySet().iterator().next();
+            mPrefixes.remove(oldest);
+            return Optional.of(oldest);
+        }
+    }
+
+    private record CacheEvent(long atMs, EndpointState endpoint, int prefix, boolean stored)
+            implements Comparable<CacheEvent> {
+
+        @Override
+        public int compareTo(CacheEvent other) {
+            return Long.compare(atMs, other.atMs);
         }
     }
 
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
@@ -32,7 +32,7 @@
                         "heap_mb",
                         "resident_mb",
                         "whole");
-        FleetOptions options = new FleetOptions(1, TOKENS_PER_SECOND, SLOTS);
+        FleetOptions options = FleetOptions.of(1).withEngines(TOKENS_PER_SECOND, SLOTS);
         try (Fleet fleet = Fleet.start(Deployment.BUREAU, options, logs)) {
             fleet.awaitShards();
             fleet.raiseContracts(1e9);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/EndpointsProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/EndpointsProcess.java
@@ -74,6 +74,11 @@
         return reply[0].json();
     }
 
+    /** Breaks the next stream of any engine after a number of bytes. */
+    public void breakNextStream(int afterBytes) {
+        engine(0, "POST", "/standin/break", "{\"afterBytes\":" + afterBytes + "}");
+    }
+
     /** Sends a request to an engine itself. */
     public Reply engine(int number, String method, String path, String body) {
         return mHttp.send(method, enginePorts().get(number), path, Map.of(), body);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -86,16 +86,22 @@
     }
 
     private List<String> endpointArguments() {
-        return List.of(
-                "endpoints",
-                "--engines",
-                Integer.toString(mDeployment.engines()),
-                "--services",
-                Integer.toString(mDeployment.services()),
-                "--slots",
-                Integer.toString(mOptions.slots()),
-                "--tokens-per-second",
-                Integer.toString(mOptions.tokensPerSecond()));
+        List<String> arguments =
+                new ArrayList<>(
+                        List.of(
+                                "endpoints",
+                                "--engines",
+                                Integer.toString(mDeployment.engines()),
+                                "--services",
+                                Integer.toString(mDeployment.services()),
+                                "--slots",
+                                Integer.toString(mOptions.slots()),
+                                "--tokens-per-second",
+                                Integer.toString(mOptions.tokensPerSecond()),
+                                "--weights-port",
+                                Integer.toString(mPlatform.port())));
+        arguments.addAll(mOptions.endpointArguments());
+        return arguments;
     }
 
     private ManagedProcess startStandIn(String name, List<String> arguments) {
@@ -335,17 +341,20 @@
     /** Sends a chat request through an instance. */
     public CompletableFuture<Reply> chat(
             String id, String key, String prompt, int maxTokens, boolean stream) {
-        String body =
-                String.format(
-                        "{\"model\":\"small\",\"max_tokens\":%d,\"stream\":%b,"
-                                + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
-                        maxTokens, stream, prompt);
         return mHttp.sendLater(
                 "POST",
                 process(id).port("callers"),
                 "/v1/chat/completions",
                 Map.of("authorization", "Bearer " + key, "content-type", "application/json"),
-                body);
+                chatBody(prompt, maxTokens, stream));
+    }
+
+    /** Returns the body of a chat request. */
+    public static String chatBody(String prompt, int maxTokens, boolean stream) {
+        return String.format(
+                "{\"model\":\"small\",\"max_tokens\":%d,\"stream\":%b,"
+                        + "\"messages\":[{\"role\":\"user\",\"content\":\"%s\"}]}",
+                maxTokens, stream, prompt);
     }
 
     /** Sends any request through an instance. */
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
@@ -19,7 +19,8 @@
         return "127.0.0.1:" + port();
     }
 
-    private int port() {
+    /** Returns the TCP port of the platform. */
+    public int port() {
         return mProcess.port("platform");
     }
 
--- a/filbertrudder-scenarios/src/test/resources/features/leaving.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/leaving.feature
@@ -22,8 +22,8 @@
   Scenario: A stopped instance finishes its streams and ends by itself
     Given a bureau fleet of 6 instances
     And a key "club" of "federation"
-    When "club" streams 150 tokens from "mtl-1"
-    And "club" streams 150 tokens from "mtl-1"
+    When "club" streams 600 tokens from "mtl-1"
+    And "club" streams 600 tokens from "mtl-1"
     And the instance "mtl-1" is told to stop
     Then all streams are whole
     And the instance "mtl-1" ends by itself
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/Main.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/Main.java
@@ -46,6 +46,14 @@
         endpoints.addArgument("--slots").type(Integer.class).setDefault(8);
         endpoints.addArgument("--tokens-per-second").type(Double.class).setDefault(100.0);
         endpoints.addArgument("--report-lag-ms").type(Long.class).setDefault(500L);
+        endpoints.addArgument("--prefill-ms").type(Long.class).setDefault(0L);
+        endpoints.addArgument("--cached-prompts").type(Integer.class).setDefault(64);
+        endpoints.addArgument("--event-lag-ms").type(Long.class).setDefault(1_000L);
+        endpoints.addArgument("--event-gap").type(Integer.class).setDefault(7);
+        endpoints.addArgument("--load-ms").type(Long.class).setDefault(500L);
+        endpoints.addArgument("--model-version").setDefault("v1");
+        endpoints.addArgument("--fencing").type(Boolean.class).setDefault(true);
+        endpoints.addArgument("--weights-port").type(Integer.class).setDefault(0);
         LoadTool.addTo(commands);
         return parser;
     }
@@ -63,14 +71,10 @@
 
     private static void runEndpoints(Namespace arguments) throws Exception {
         Vertx vertx = Vertx.vertx();
+        StreamBreak streamBreak = new StreamBreak();
         List<String> engines = new ArrayList<>();
         for (int i = 0; i < arguments.getInt("engines"); i++) {
-            EngineStandIn engine =
-                    new EngineStandIn(
-                            vertx,
-                            arguments.getInt("slots"),
-                            arguments.getDouble("tokens_per_second"),
-                            arguments.getLong("report_lag_ms"));
+            EngineStandIn engine = new EngineStandIn(vertx, engineOptions(arguments), streamBreak);
             engines.add(port(engine.listen(0)));
         }
         List<String> services = new ArrayList<>();
@@ -84,6 +88,21 @@
                         + String.join(",", services));
     }
 
+    private static EngineOptions engineOptions(Namespace arguments) {
+        return new EngineOptions(
+                arguments.getInt("slots"),
+                arguments.getDouble("tokens_per_second"),
+                arguments.getLong("report_lag_ms"),
+                arguments.getLong("prefill_ms"),
+                arguments.getInt("cached_prompts"),
+                arguments.getLong("event_lag_ms"),
+                arguments.getInt("event_gap"),
+                arguments.getLong("load_ms"),
+                arguments.getString("model_version"),
+                arguments.getBoolean("fencing"),
+                arguments.getInt("weights_port"));
+    }
+
     private static String port(Future<Integer> listening) throws Exception {
         return listening.toCompletionStage().toCompletableFuture().get().toString();
     }
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/PlatformStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/PlatformStandIn.java
@@ -31,6 +31,9 @@
     private final Map<String, JsonObject> mLive = new LinkedHashMap<>();
     private final Map<String, JsonObject> mDirectory = new LinkedHashMap<>();
     private final Map<String, String> mLeases = new LinkedHashMap<>();
+    private final Map<String, Long> mLeaseTtlsMs = new LinkedHashMap<>();
+    private final Map<String, Long> mLeaseTimers = new LinkedHashMap<>();
+    private final WeightStore mWeights;
     private long mNextLease = 1;
     private JsonArray mShownLive = new JsonArray();
     private long mReads;
@@ -41,6 +44,7 @@
     public PlatformStandIn(Vertx vertx, long liveLagMs) {
         mVertx = vertx;
         mLiveLagMs = liveLagMs;
+        mWeights = new WeightStore(vertx);
     }
 
     /** Starts to listen on loopback; returns the port. */
@@ -50,6 +54,10 @@
         router.post("/v3/kv/range").handler(context -> store(context, this::range));
         router.post("/v3/kv/txn").handler(context -> store(context, this::transact));
         router.post("/v3/lease/grant").handler(context -> store(context, this::grantLease));
+        router.post("/v3/lease/keepalive").handler(context -> store(context, this::keepAlive));
+        router.post("/v3/lease/revoke").handler(context -> store(context, this::revoke));
+        router.post("/v1/weights/fetch").handler(mWeights::fetch);
+        router.get("/standin/weights").handler(context -> send(context, mWeights.stats()));
         router.post("/v3/watch").handler(this::watch);
         router.get("/v1/live").handler(context -> send(context, mShownLive.toString()));
         router.put("/v1/directory/:id").handler(this::publish);
@@ -154,8 +162,39 @@
         mWrites++;
         long ttlMs = 1_000 * Long.parseLong(context.body().asJsonObject().getString("TTL"));
         String id = Long.toString(mNextLease++);
-        mVertx.setTimer(ttlMs, timer -> endLease(id));
-        send(context, new JsonObject().put("ID", id).toString());
+        mLeaseTtlsMs.put(id, ttlMs);
+        startLease(id);
+        send(context, new JsonObject().put("ID", id).put("TTL", seconds(id)).toString());
+    }
+
+    private void startLease(String id) {
+        Long timer = mLeaseTimers.remove(id);
+        if (timer != null) {
+            mVertx.cancelTimer(timer);
+        }
+        mLeaseTimers.put(id, mVertx.setTimer(mLeaseTtlsMs.get(id), ended -> endLease(id)));
+    }
+
+    private String seconds(String id) {
+        return Long.toString(mLeaseTtlsMs.get(id) / 1_000);
+    }
+
+    /** Renews a lease; the answer for one that has ended has no TTL, as in the real protocol. */
+    private void keepAlive(RoutingContext context) {
+        mWrites++;
+        String id = context.body().asJsonObject().getString("ID");
+        JsonObject result = new JsonObject().put("ID", id);
+        if (mLeaseTtlsMs.containsKey(id)) {
+            startLease(id);
+            result.put("TTL", seconds(id));
+        }
+        send(context, new JsonObject().put("result", result).toString());
+    }
+
+    private void revoke(RoutingContext context) {
+        mWrites++;
+        endLease(context.body().asJsonObject().getString("ID"));
+        send(context, "{}");
     }
 
     private void attach(String key, String lease) {
@@ -171,6 +210,11 @@
                 .filter(entry -> entry.getValue().equals(id))
                 .forEach(entry -> mData.delete(entry.getKey()));
         mLeases.values().removeIf(id::equals);
+        mLeaseTtlsMs.remove(id);
+        Long timer = mLeaseTimers.remove(id);
+        if (timer != null) {
+            mVertx.cancelTimer(timer);
+        }
     }
 
     private void tellWatches(StoreData.Item item) {
