Bound the endpoints that copies of a crashing request cost

Cause: copies sent at the same moment each went to an endpoint of their own before anybody knew of the first crash; a copy whose endpoint refused connections, because it had just crashed under another copy, was sent on at once without looking at the verdict. Copies that ran in one crash counted as several crashes, so an innocent request sent often could be convicted.

Ruled out: several crashes counted by the stand-in for one restart; that was so too (24 counted, 13 real) and is mended.

The scenarios about crashing requests, RetryTest and RouterTest pass.

Conclusion: until one copy has run to its end, the others at an instance run on the same endpoint; a failed attempt waits 250 ms for reports of other crashes before it goes on. Copies through R regions cost at most R endpoints and one more in a region where it runs alone.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -19,6 +19,7 @@
 import org.filbertrudder.policy.queueing.EnginePriority;
 import org.filbertrudder.policy.retry.RetryBudget;
 import org.filbertrudder.policy.retry.SuspectRequests.Verdict;
+import org.filbertrudder.policy.retry.UnprovenRequests;
 import org.filbertrudder.policy.routing.EndpointState;
 
 /** Runs attempts and decides after each failure whether the request may run again. */
@@ -26,6 +27,7 @@
 
     private static final PartLog LOG = PartLog.of("attempt");
     private static final int MAX_ATTEMPTS = 4;
+    private static final long REPORTS_TRAVEL_MS = 250;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_UNAVAILABLE = 503;
 
@@ -34,6 +36,7 @@
     private final ForwardClient mForwards;
     private final Finisher mFinisher;
     private final RetryBudget mBudget = new RetryBudget();
+    private final UnprovenRequests mUnproven;
     private final CacheEventPoller mCacheEvents;
     private Dispatcher mDispatcher;
     private Consumer<Exchange> mResubmit = exchange -> {};
@@ -43,7 +46,9 @@
             HttpClient client,
             ForwardClient forwards,
             Finisher finisher,
+            UnprovenRequests unproven,
             CacheEventPoller cacheEvents) {
+        mUnproven = unproven;
         mCacheEvents = cacheEvents;
         mContext = context;
         mClient = client;
@@ -63,6 +68,7 @@
         notePrefix(exchange, endpoint);
         exchange.tried().add(endpoint.id());
         boolean alone = endpoint.load(mContext.nowMs()) == 1 && exchange.alone();
+        noteCopyStarted(exchange, endpoint);
         LocalAttempt attempt = new LocalAttempt(exchange, endpoint, ranBefore, alone);
         exchange.onEnd(attempt::releaseEndpoint);
         exchange.setUpstream(
@@ -74,6 +80,12 @@
                         attempt));
     }
 
+    private void noteCopyStarted(Exchange exchange, EndpointState endpoint) {
+        if (exchange.incoming().isModel()) {
+            mUnproven.started(exchange.incoming().digest(), endpoint.id());
+        }
+    }
+
     private void notePrefix(Exchange exchange, EndpointState endpoint) {
         String prefix = exchange.incoming().affinityKey();
         if (!prefix.isEmpty()) {
@@ -187,20 +199,44 @@
         }
     }
 
-    /** Spreads the news of a crash, then runs the request alone or not at all. */
+    /**
+     * Spreads the news of a crash, then runs the request alone or not at all.
+     *
+     * <p>Waits for the reports of other instances, as copies of the request may have crashed other
+     * endpoints at the same moment.
+     */
     private void afterCrash(Exchange exchange, EndpointState endpoint, boolean alone) {
         Exchange.Incoming incoming = exchange.incoming();
         if (!incoming.isModel()) {
             afterFailure(exchange, true);
             return;
         }
-        String event = endpoint.id() + "/" + incoming.requestId() + "/" + exchange.attempts();
+        if (alone) {
+            mUnproven.convicted(incoming.digest());
+        }
         mContext.control()
                 .crashes()
                 .report(
                         new PeerMessage.CrashReport(
-                                incoming.account(), incoming.digest().bodySha256(), event, alone));
-        checkVerdict(exchange, () -> afterFailure(exchange, true));
+                                incoming.account(),
+                                incoming.digest().bodySha256(),
+                                endpoint.id(),
+                                System.currentTimeMillis(),
+                                alone));
+        awaitReports(exchange, () -> afterFailure(exchange, true));
+    }
+
+    /**
+     * Runs the action once reports of other crashes have had time to arrive.
+     *
+     * <p>An endpoint that refuses connections may just have crashed under a copy of the request.
+     */
+    private void awaitReports(Exchange exchange, Runnable action) {
+        if (exchange.incoming().isModel()) {
+            mContext.vertx().setTimer(REPORTS_TRAVEL_MS, timer -> checkVerdict(exchange, action));
+        } else {
+            action.run();
+        }
     }
 
     /** Runs the action unless the request has crashed endpoints before. */
@@ -300,12 +336,25 @@
         /** Frees the slot at the endpoint if the exchange ends before the attempt does. */
         void releaseEndpoint() {
             if (!mReleased) {
-                mReleased = true;
+                release();
                 mEndpoint.ended();
                 noteServed();
             }
         }
 
+        private void release() {
+            mReleased = true;
+            if (mExchange.incoming().isModel()) {
+                mUnproven.ended(mExchange.incoming().digest());
+            }
+        }
+
+        private void noteProved() {
+            if (mExchange.incoming().isModel()) {
+                mUnproven.proved(mExchange.incoming().digest());
+            }
+        }
+
         private void noteServed() {
             mDispatcher.served(mExchange.incoming().service().id(), mExchange.usedTokens());
         }
@@ -315,7 +364,7 @@
             boolean busy = status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY_REQUESTS;
             if (busy && mExchange.incoming().isModel()) {
                 mExchange.upstream().cancel();
-                mReleased = true;
+                release();
                 mEndpoint.ended();
                 afterFailure(mExchange, true);
                 return;
@@ -331,8 +380,9 @@
         @Override
         public void end() {
             if (!mReleased) {
-                mReleased = true;
+                release();
                 mEndpoint.succeeded();
+                noteProved();
                 noteServed();
             }
             finish(mExchange, true);
@@ -343,7 +393,7 @@
             if (mReleased) {
                 return;
             }
-            mReleased = true;
+            release();
             mEndpoint.failed(mContext.nowMs());
             LOG.warn(
                     "An attempt failed.",
@@ -352,7 +402,7 @@
                     Field.of("failure", failure));
             if (failure == Failure.NOT_SENT) {
                 mExchange.setMaybeRan(mRanBefore);
-                afterFailure(mExchange, false);
+                awaitReports(mExchange, () -> afterFailure(mExchange, false));
             } else {
                 afterCrash(mExchange, mEndpoint, mAlone);
             }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.policy.queueing.FairQueue;
+import org.filbertrudder.policy.retry.UnprovenRequests;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.Route;
 import org.filbertrudder.policy.routing.RouteRequest;
@@ -20,10 +22,17 @@
     private final TrafficContext mContext;
     private final Router mRouter;
     private final Finisher mFinisher;
+    private final UnprovenRequests mUnproven;
     private final Starter mStarter;
     private final Map<ServiceId, ServiceQueue> mQueues = new HashMap<>();
 
-    Dispatcher(TrafficContext context, Router router, Finisher finisher, Starter starter) {
+    Dispatcher(
+            TrafficContext context,
+            Router router,
+            Finisher finisher,
+            UnprovenRequests unproven,
+            Starter starter) {
+        mUnproven = unproven;
         mContext = context;
         mRouter = router;
         mFinisher = finisher;
@@ -64,11 +73,18 @@
                         region -> mayRunIn(exchange, configuration, region),
                         exchange.incoming().affinityKey(),
                         exchange.tried(),
+                        only(exchange),
                         exchange.alone(),
                         exchange.incoming().forwarded());
         return mRouter.choose(request, configuration, localWaitMs, mContext.nowMs());
     }
 
+    private Optional<EndpointId> only(Exchange exchange) {
+        return exchange.incoming().isModel()
+                ? mUnproven.onlyEndpoint(exchange.incoming().digest())
+                : Optional.empty();
+    }
+
     private static boolean mayRunIn(
             Exchange exchange, Configuration configuration, RegionId region) {
         if (exchange.triedRegions().contains(region)) {
@@ -84,7 +100,9 @@
     }
 
     private void start(Exchange exchange, Route route) {
-        if (route instanceof Route.Local local) {
+        if (isConvicted(exchange)) {
+            mFinisher.refuse(exchange, Refusal.crashing());
+        } else if (route instanceof Route.Local local) {
             mStarter.startLocal(exchange, local.endpoint());
         } else if (route instanceof Route.Away away) {
             mStarter.startAway(exchange, away.region());
@@ -93,6 +111,10 @@
         }
     }
 
+    private boolean isConvicted(Exchange exchange) {
+        return exchange.incoming().isModel() && mUnproven.isConvicted(exchange.incoming().digest());
+    }
+
     private static Refusal refusal(Exchange exchange, Route.Reason reason) {
         if (exchange.maybeRan() && !exchange.incoming().repeatable()) {
             return Refusal.broken();
@@ -169,7 +191,8 @@
         if (exchange.ended() || !(choose(exchange, 0) instanceof Route.Wait)) {
             return FairQueue.Turn.START;
         }
-        boolean needsCertainEndpoint = exchange.alone() || !exchange.tried().isEmpty();
+        boolean needsCertainEndpoint =
+                exchange.alone() || !exchange.tried().isEmpty() || only(exchange).isPresent();
         return needsCertainEndpoint ? FairQueue.Turn.SKIP : FairQueue.Turn.STOP;
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -24,6 +24,7 @@
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.retry.UnprovenRequests;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
@@ -34,6 +35,7 @@
     private static final PartLog LOG = PartLog.of("traffic");
     private static final long TICK_MS = 20;
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 10_000;
+    private static final int MAX_REMEMBERED_REQUESTS = 10_000;
 
     private final TrafficContext mTraffic;
     private final EntrySettings mSettings;
@@ -68,14 +70,15 @@
         mFinisher = new Finisher(mTraffic.control()::tokens, mTraffic.metrics());
         ForwardClient forwards = new ForwardClient(context, mTraffic);
         mCacheEvents = new CacheEventPoller(mTraffic, client, mTable);
-        mAttempts = new Attempts(mTraffic, client, forwards, mFinisher, mCacheEvents);
+        UnprovenRequests unproven = new UnprovenRequests(MAX_REMEMBERED_REQUESTS);
+        mAttempts = new Attempts(mTraffic, client, forwards, mFinisher, unproven, mCacheEvents);
         Router router =
                 new Router(
                         mSettings.region(),
                         mTable,
                         region -> !mTraffic.snapshot().workingIn(region).isEmpty(),
                         this::ownsForLoneRequests);
-        mDispatcher = new Dispatcher(mTraffic, router, mFinisher, mAttempts);
+        mDispatcher = new Dispatcher(mTraffic, router, mFinisher, unproven, mAttempts);
         mAttempts.setDispatcher(mDispatcher);
         mClaims = new BookingClaims(context, mTraffic, mFinisher);
         mPoller = new LoadPoller(mTraffic, client, mTable, this::updateLeaving);
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Change;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.Entity;
 import org.filbertrudder.model.KeyId;
 import org.filbertrudder.model.RegionId;
@@ -177,10 +178,12 @@
      *
      * @param account the client account that sent the request
      * @param bodySha256 the digest of the request's body
-     * @param eventId names the crash, so that it counts once
+     * @param endpoint the endpoint that crashed
+     * @param atMs when the crash was noticed, in milliseconds since the epoch
      * @param alone whether the request ran alone on the endpoint
      */
-    record CrashReport(AccountId account, String bodySha256, String eventId, boolean alone)
+    record CrashReport(
+            AccountId account, String bodySha256, EndpointId endpoint, long atMs, boolean alone)
             implements PeerMessage {}
 
     /**
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -14,6 +14,7 @@
 import org.filbertrudder.model.Change;
 import org.filbertrudder.model.Contract;
 import org.filbertrudder.model.Edit;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.EntityKey;
 import org.filbertrudder.model.EntityKind;
 import org.filbertrudder.model.FailureDomainId;
@@ -82,7 +83,7 @@
             {new PeerMessage.ReserveRequest(1, ACCOUNT, 2, 3)},
             {new PeerMessage.ForwardHead(1, 200, Map.of("a", "b"))},
             {new PeerMessage.ForwardEnd(1, true)},
-            {new PeerMessage.CrashReport(ACCOUNT, "digest", "event", true)},
+            {new PeerMessage.CrashReport(ACCOUNT, "digest", EndpointId.of("e"), 7, true)},
         };
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -1,8 +1,9 @@
 package org.filbertrudder.policy.retry;
 
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.Set;
+import java.util.List;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.message.PeerMessage;
 
 /**
@@ -13,6 +14,9 @@
  */
 public final class SuspectRequests {
 
+    private static final int MAX_CRASHES = 2;
+    private static final long SAME_CRASH_MS = 3_000;
+
     private final int mCapacity;
     private final long mRetentionMs;
     private final LinkedHashMap<RequestDigest, History> mHistories = new LinkedHashMap<>();
@@ -70,19 +74,33 @@
     /** Holds what is known of one request. */
     private static final class History {
 
-        private final Set<String> mEvents = new HashSet<>();
+        private final List<Crash> mCrashes = new ArrayList<>();
         private boolean mGuilty;
         private long mUpdatedMs;
 
+        /** Notes a crash and returns whether it was news; copies share the crash they ran in. */
         boolean note(PeerMessage.CrashReport report, long nowMs) {
             mUpdatedMs = nowMs;
-            boolean news = mEvents.add(report.eventId());
-            mGuilty |= report.alone() || mEvents.size() >= 2;
-            return news;
+            Crash crash = new Crash(report.endpoint(), report.atMs());
+            boolean news = mCrashes.stream().noneMatch(crash::isSameAs);
+            if (news && mCrashes.size() < MAX_CRASHES) {
+                mCrashes.add(crash);
+            }
+            boolean convicts = report.alone() && !mGuilty;
+            mGuilty |= report.alone() || mCrashes.size() >= MAX_CRASHES;
+            return news || convicts;
         }
 
         boolean expired(long nowMs, long retentionMs) {
             return nowMs - mUpdatedMs > retentionMs;
         }
     }
+
+    private record Crash(EndpointId endpoint, long atMs) {
+
+        boolean isSameAs(Crash other) {
+            return endpoint.equals(other.endpoint())
+                    && Math.abs(atMs - other.atMs()) < SAME_CRASH_MS;
+        }
+    }
 }
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/UnprovenRequests.java
@@ -0,0 +1,80 @@
+package org.filbertrudder.policy.retry;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.filbertrudder.model.EndpointId;
+
+/**
+ * Keeps the copies of a request on one endpoint until one of them has run to its end.
+ *
+ * <p>Copies that are sent at the same moment could otherwise crash an endpoint each before anybody
+ * knows of the first crash.
+ */
+public final class UnprovenRequests {
+
+    private final int mCapacity;
+    private final Map<RequestDigest, Running> mRunning = new HashMap<>();
+    private final LinkedHashMap<RequestDigest, Boolean> mOutcomes =
+            new LinkedHashMap<>(16, 0.75f, true);
+
+    /** Creates a memory for the outcomes of a number of requests. */
+    public UnprovenRequests(int capacity) {
+        mCapacity = capacity;
+    }
+
+    /** Returns the only endpoint where the request may run now; empty if it may run anywhere. */
+    public Optional<EndpointId> onlyEndpoint(RequestDigest request) {
+        if (Boolean.TRUE.equals(mOutcomes.get(request))) {
+            return Optional.empty();
+        }
+        return Optional.ofNullable(mRunning.get(request)).map(running -> running.mEndpoint);
+    }
+
+    /** Notes that a copy of the request has started. */
+    public void started(RequestDigest request, EndpointId endpoint) {
+        mRunning.computeIfAbsent(request, key -> new Running(endpoint)).mCopies++;
+    }
+
+    /** Notes that a copy of the request runs no longer. */
+    public void ended(RequestDigest request) {
+        Running running = mRunning.get(request);
+        if (running != null && --running.mCopies == 0) {
+            mRunning.remove(request);
+        }
+    }
+
+    /** Notes that the request has run to its end without harm. */
+    public void proved(RequestDigest request) {
+        note(request, true);
+    }
+
+    /** Notes that the request has crashed an endpoint on which it ran alone. */
+    public void convicted(RequestDigest request) {
+        note(request, false);
+    }
+
+    /** Returns whether the request must not run again. */
+    public boolean isConvicted(RequestDigest request) {
+        return Boolean.FALSE.equals(mOutcomes.get(request));
+    }
+
+    private void note(RequestDigest request, boolean harmless) {
+        mOutcomes.put(request, harmless);
+        if (mOutcomes.size() > mCapacity) {
+            mOutcomes.remove(mOutcomes.keySet().iterator().next());
+        }
+    }
+
+    /** Counts the copies that run on an endpoint. */
+    private static final class Running {
+
+        private final EndpointId mEndpoint;
+        private int mCopies;
+
+        Running(EndpointId endpoint) {
+            mEndpoint = endpoint;
+        }
+    }
+}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.policy.routing;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.filbertrudder.model.EndpointId;
@@ -13,6 +14,7 @@
  * @param allowed tells which regions may serve the request
  * @param affinityKey requests with the same key profit from the same endpoint; may be empty
  * @param tried endpoints that must not be tried again
+ * @param only the only endpoint of this region where the request may run; empty for any
  * @param alone whether the request may run only on an idle endpoint
  * @param forwarded whether another region has forwarded the request
  */
@@ -21,5 +23,6 @@
         Predicate<RegionId> allowed,
         String affinityKey,
         Set<EndpointId> tried,
+        Optional<EndpointId> only,
         boolean alone,
         boolean forwarded) {}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -94,15 +94,24 @@
                 .toList();
     }
 
+    private static boolean isAllowed(EndpointState state, RouteRequest request) {
+        return request.only().map(state.id()::equals).orElse(true);
+    }
+
     private Optional<EndpointState> pick(
             List<EndpointState> usable, RouteRequest request, long nowMs) {
         if (request.alone()) {
             return usable.stream()
                     .filter(state -> state.idle(nowMs))
+                    .filter(state -> isAllowed(state, request))
                     .filter(mAloneHere)
                     .findFirst();
         }
-        List<EndpointState> free = usable.stream().filter(state -> state.hasRoom(nowMs)).toList();
+        List<EndpointState> free =
+                usable.stream()
+                        .filter(state -> state.hasRoom(nowMs))
+                        .filter(state -> isAllowed(state, request))
+                        .toList();
         Optional<EndpointState> preferred = withAffinity(free, usable, request, nowMs);
         return preferred.isPresent() ? preferred : free.stream().min(leastLoaded(nowMs));
     }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/RetryTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/RetryTest.java
@@ -1,9 +1,12 @@
 package org.filbertrudder.policy.retry;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Optional;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.retry.SuspectRequests.Verdict;
 import org.testng.annotations.Test;
@@ -15,8 +18,13 @@
     private static final RequestDigest REQUEST = new RequestDigest(ACCOUNT, "digest");
     private static final long RETENTION_MS = 10_000;
 
-    private static PeerMessage.CrashReport crash(String event, boolean alone) {
-        return new PeerMessage.CrashReport(ACCOUNT, REQUEST.bodySha256(), event, alone);
+    private static PeerMessage.CrashReport crash(String endpoint, boolean alone) {
+        return crash(endpoint, 1_000, alone);
+    }
+
+    private static PeerMessage.CrashReport crash(String endpoint, long atMs, boolean alone) {
+        return new PeerMessage.CrashReport(
+                ACCOUNT, REQUEST.bodySha256(), EndpointId.of(endpoint), atMs, alone);
     }
 
     @Test
@@ -96,9 +104,51 @@
         assertEquals(suspects.verdict(REQUEST, RETENTION_MS + 1), Verdict.FREE);
 
         for (int i = 0; i < 5; i++) {
-            suspects.note(new PeerMessage.CrashReport(ACCOUNT, "other" + i, "e" + i, true), 1);
+            suspects.note(
+                    new PeerMessage.CrashReport(
+                            ACCOUNT, "other" + i, EndpointId.of("e" + i), 1, true),
+                    1);
         }
 
         assertEquals(suspects.size(), 2);
     }
+
+    @Test
+    public void copiesThatRanInTheSameCrashCountOnceAndALaterCrashCountsAgain() {
+        SuspectRequests suspects = new SuspectRequests(10, RETENTION_MS);
+
+        assertTrue(suspects.note(crash("one", 1_000, false), 0));
+        assertFalse(suspects.note(crash("one", 1_400, false), 1));
+        assertEquals(suspects.verdict(REQUEST, 2), Verdict.ALONE);
+
+        assertTrue(suspects.note(crash("one", 9_000, false), 3));
+        assertEquals(suspects.verdict(REQUEST, 4), Verdict.REFUSE);
+    }
+
+    @Test
+    public void keepsCopiesOnOneEndpointUntilOneHasRunToItsEnd() {
+        UnprovenRequests unproven = new UnprovenRequests(10);
+        assertEquals(unproven.onlyEndpoint(REQUEST), Optional.empty());
+
+        unproven.started(REQUEST, EndpointId.of("one"));
+        unproven.started(REQUEST, EndpointId.of("one"));
+        unproven.ended(REQUEST);
+        assertEquals(unproven.onlyEndpoint(REQUEST), Optional.of(EndpointId.of("one")));
+
+        unproven.ended(REQUEST);
+        assertEquals(unproven.onlyEndpoint(REQUEST), Optional.empty());
+    }
+
+    @Test
+    public void letsARequestThatHasRunToItsEndRunAnywhere() {
+        UnprovenRequests unproven = new UnprovenRequests(10);
+        unproven.started(REQUEST, EndpointId.of("one"));
+
+        unproven.proved(REQUEST);
+
+        assertEquals(unproven.onlyEndpoint(REQUEST), Optional.empty());
+        assertFalse(unproven.isConvicted(REQUEST));
+        unproven.convicted(REQUEST);
+        assertTrue(unproven.isConvicted(REQUEST));
+    }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -67,7 +68,7 @@
     }
 
     private static RouteRequest request(Predicate<RegionId> allowed, boolean forwarded) {
-        return new RouteRequest(SERVICE, allowed, "", Set.of(), false, forwarded);
+        return new RouteRequest(SERVICE, allowed, "", Set.of(), Optional.empty(), false, forwarded);
     }
 
     @Test
@@ -138,7 +139,14 @@
         EndpointTable table = table(configuration);
         Router router = new Router(region(0), table, region -> true);
         RouteRequest request =
-                new RouteRequest(SERVICE, region -> true, "prefix", Set.of(), false, false);
+                new RouteRequest(
+                        SERVICE,
+                        region -> true,
+                        "prefix",
+                        Set.of(),
+                        Optional.empty(),
+                        false,
+                        false);
         Map<EndpointId, Integer> counts = new HashMap<>();
 
         for (int i = 0; i < 16; i++) {
@@ -199,7 +207,14 @@
 
     private static EndpointState chosen(EndpointTable table, Configuration configuration) {
         RouteRequest request =
-                new RouteRequest(SERVICE, region -> true, "prefix", Set.of(), false, false);
+                new RouteRequest(
+                        SERVICE,
+                        region -> true,
+                        "prefix",
+                        Set.of(),
+                        Optional.empty(),
+                        false,
+                        false);
         Router router = new Router(region(0), table, region -> true);
         return ((Route.Local) router.choose(request, configuration, 0, NOW_MS)).endpoint();
     }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/RoutingCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/RoutingCapacity.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.measure;
 
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.filbertrudder.model.Configuration;
@@ -46,6 +47,7 @@
                                 region -> localAllowed || !region.value().equals("region-0"),
                                 "prefix-" + random.nextInt(500),
                                 Set.of(),
+                                Optional.empty(),
                                 false,
                                 false);
                 Route route = router.choose(request, configuration, 0, 1_000_000);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/RoutingExperiment.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/RoutingExperiment.java
@@ -221,6 +221,7 @@
                             region -> true,
                             affinityKey,
                             Set.of(),
+                            Optional.empty(),
                             false,
                             false);
             Route route = mRouter.choose(request, mConfiguration, 0, nowMs);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/CrashSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/CrashSteps.java
@@ -6,7 +6,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 /** Gives the scenarios their steps about crashing engines. */
 public class CrashSteps {
@@ -65,6 +67,17 @@
         }
     }
 
+    @When("{string} sends {int} copies of a crashing request through every instance at once")
+    public void sendCopies(String key, int copies) {
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (String id : mWorld.fleet().entries()) {
+            for (int i = 0; i < copies; i++) {
+                replies.add(mWorld.fleet().chat(id, mWorld.key(key), "CRASH-THE-ENGINE", 8, false));
+            }
+        }
+        replies.forEach(reply -> mWorld.setReply(reply.join()));
+    }
+
     @Then("at most {int} engines have crashed")
     public void crashes(int most) {
         long crashes =
--- a/filbertrudder-scenarios/src/test/resources/features/requests.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/requests.feature
@@ -65,3 +65,12 @@
     And an engine that runs a stream crashes
     And an engine that runs a stream crashes
     Then the stream ends with "request_crashes"
+
+  Scenario: Copies of a crashing request sent at the same moment cost at most one endpoint in each region
+    Given a utrecht fleet of 6 instances
+    And a key "club" of "federation"
+    When "club" sends 6 copies of a crashing request through every instance at once
+    Then at most 3 engines have crashed
+    When "club" sends a crashing request through every instance, 1 time
+    Then at most 3 engines have crashed
+    And the refusal is "request_crashes" and says not run: false
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineStandIn.java
@@ -45,6 +45,7 @@
     private HttpServer mServer;
     private int mPort;
     private boolean mLeaving;
+    private boolean mDown;
     private long mStarted;
     private long mCrashes;
     private long mTokensWritten;
@@ -160,6 +161,10 @@
 
     /** Drops all connections and stays away for a while. */
     private void crash() {
+        if (mDown) {
+            return;
+        }
+        mDown = true;
         mCrashes++;
         List.copyOf(mRunning).forEach(generation -> mVertx.cancelTimer(generation.mTimer));
         mRunning.clear();
@@ -168,7 +173,7 @@
         HttpServer crashed = mServer;
         List.copyOf(mConnections).forEach(HttpConnection::close);
         crashed.close();
-        mVertx.setTimer(RESTART_MS, timer -> listen(mPort));
+        mVertx.setTimer(RESTART_MS, timer -> listen(mPort).onComplete(done -> mDown = false));
     }
 
     private void report(RoutingContext context) {
