Give orders to engines, one giver for each service and region

Cause: orders to load versions and adapters or to change role were not built.

Changed: a service may name the version and adapters that its engines load, an endpoint its role. One instance of a region holds the right to give the orders under a lease in the store, with a fencing number that outlives all leases. It sends an order only while the lease is certain to outlast the delivery, by its own clock from before the store was asked, and repeats it until the report agrees. A quarter of the engines, but at least one, is away at a time; fetches keep to the giver's part of the weight store's rate. A request that an engine turns away with 503 has not run and goes elsewhere without touching the retry budget.

Ruled out: a fencing number alone, as some engines ignore it.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -64,6 +64,7 @@
     private TokenHolder mHolder;
     private TokenDesk mDesk;
     private ShardKeeper mShards;
+    private OrderDesk mOrders;
     private LiveListWatcher mLiveList;
     private long mStartedMs;
     private long mNextSlowTickMs;
@@ -136,6 +137,7 @@
                         new ShardPlanner(TokenSettings.DEFAULT.shards()),
                         mClockMs,
                         new FloodAnnouncer());
+        mOrders = new OrderDesk(mVertx, mContext, mStore, mMembership, mClockMs);
         mLiveList = new LiveListWatcher(mContext, mPlatform, mClockMs, this::liveListChanged);
         publish();
         send(mMembership.join(0));
@@ -168,6 +170,7 @@
             return;
         }
         mShards.tick(owner -> isGone(owner, nowMs));
+        mOrders.tick(mSync.current());
         mRevisions.keySet().removeIf(id -> mMembership.member(id).isEmpty());
         mCallerDirectory.tick(mMembership.self(), nowMs);
     }
@@ -335,6 +338,7 @@
                     send(mMembership.setOwnState(MemberState.LEAVING, now()));
                     publish();
                     mCallerDirectory.withdraw(mMembership.self());
+                    mOrders.releaseAll();
                     mVertx.setPeriodic(
                             TICK_MS,
                             timer -> {
@@ -438,6 +442,7 @@
                 mHolder.accounts(now()),
                 mSync.current().all(Account.class).size(),
                 mCrashes.size(),
+                mOrders.state(),
                 mStore.calls(),
                 new ControlState.PeerTraffic(
                         mNetwork.counters().messagesSent(),
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlState.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlState.java
@@ -22,6 +22,7 @@
  * @param accountsHeld the shares of accounts that this instance grants
  * @param accounts the number of configured client accounts
  * @param suspectRequests the number of requests known to have been at a crash
+ * @param orders the services that this instance gives orders to
  * @param storeCalls the calls made to the store
  * @param peerTraffic the traffic with other instances
  */
@@ -37,6 +38,7 @@
         List<TokenHolder.AccountState> accountsHeld,
         int accounts,
         int suspectRequests,
+        List<OrderDesk.OrderState> orders,
         StoreCalls storeCalls,
         PeerTraffic peerTraffic) {
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/StoreKeys.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/StoreKeys.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.entry.control;
 
 import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
 
 /** Names the keys that the system uses in the platform's store. */
 public final class StoreKeys {
@@ -18,6 +19,7 @@
     public static final String PARTS = "/filbertrudder/config/parts/";
 
     private static final String SHARDS = "/filbertrudder/shards/";
+    private static final String ORDERS = "/filbertrudder/orders/";
     private static final String CLAIMS = "/filbertrudder/claims/";
 
     private StoreKeys() {}
@@ -41,4 +43,14 @@
     public static String claim(String account, String digest) {
         return CLAIMS + account + "/" + digest;
     }
+
+    /** Returns the key that the giver of orders to a service in a region holds under a lease. */
+    public static String orderGiver(RegionId region, ServiceId service) {
+        return ORDERS + region + "/" + service + "/giver";
+    }
+
+    /** Returns the key of the last fencing number, which outlives all leases. */
+    public static String orderFence(RegionId region, ServiceId service) {
+        return ORDERS + region + "/" + service + "/fence";
+    }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -365,8 +365,9 @@
             if (busy && mExchange.incoming().isModel()) {
                 mExchange.upstream().cancel();
                 release();
-                mEndpoint.ended();
-                afterFailure(mExchange, true);
+                mEndpoint.turnedAway(mContext.nowMs());
+                mExchange.setMaybeRan(mRanBefore);
+                afterFailure(mExchange, false);
                 return;
             }
             passHead(mExchange, status, headers);
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
@@ -108,6 +108,17 @@
                 service,
                 "models",
                 "is empty. Name at least one model.");
+        require(
+                service.type() == ServiceKind.MODEL
+                        || (service.version().isEmpty() && service.adapters().isEmpty()),
+                service,
+                "version",
+                "is for model pools only. Leave 'version' and 'adapters' out.");
+        require(
+                service.adapters().isEmpty() || !service.version().isEmpty(),
+                service,
+                "adapters",
+                "need a version to be loaded with. Set 'version' too.");
         require(
                 served,
                 service,
@@ -250,6 +261,16 @@
                 rules,
                 "retryShare",
                 "is out of range. Use 0 to 1.");
+        require(
+                rules.awayLinkShare() >= 0 && rules.awayLinkShare() <= 1,
+                rules,
+                "awayLinkShare",
+                "is out of range. Use 0 to 1.");
+        require(
+                rules.weightLoadsPerMinute() > 0,
+                rules,
+                "weightLoadsPerMinute",
+                "is not positive. Use 1 or more.");
     }
 
     private void requireRegion(Entity entity, String field, RegionId region) {
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
@@ -66,6 +66,16 @@
         }
     }
 
+    /** Returns the inventory with other rules. */
+    public Inventory withRules(Rules newRules) {
+        return new Inventory(regions, links, services, endpoints, accounts, newRules);
+    }
+
+    /** Returns the inventory with other services. */
+    public Inventory withServices(List<Service> newServices) {
+        return new Inventory(regions, links, newServices, endpoints, accounts, rules);
+    }
+
     /** Returns the inventory that a configuration holds. */
     public static Inventory from(Configuration configuration) {
         return new Inventory(
--- a/filbertrudder-model/src/test/java/org/filbertrudder/model/InventoryTest.java
+++ b/filbertrudder-model/src/test/java/org/filbertrudder/model/InventoryTest.java
@@ -144,7 +144,7 @@
                                 "test",
                                 0,
                                 first.digest(),
-                                List.of(new Edit.Put(new Rules(1, 2, 3, 4, 0.5)))));
+                                List.of(new Edit.Put(Rules.of(1, 2, 3, 4, 0.5)))));
 
         assertEquals(first.rules(), Rules.DEFAULT);
         assertEquals(second.rules().maxQueueWaitMs(), 1);
@@ -161,7 +161,7 @@
             {new Edit.Put(new ApiKey(KeyId.of("k2"), AccountId.of("nobody"), digest))},
             {new Edit.Put(new ApiKey(KeyId.of("k2"), AccountId.of("club"), "short"))},
             {new Edit.Put(new Account(AccountId.of("club"), poor, Set.of(), Map.of()))},
-            {new Edit.Put(new Rules(-1, 2, 3, 4, 0.5))},
+            {new Edit.Put(Rules.of(-1, 2, 3, 4, 0.5))},
             {new Edit.Remove(EntityKey.of(EntityKind.ACCOUNT, "club"))},
             {new Edit.Remove(EntityKey.of(EntityKind.KEY, "k1"))},
             {new Edit.Remove(EntityKey.of(EntityKind.ENDPOINT, "chat-1"))},
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/EtcdStore.java
+++ b/filbertrudder-platform/src/main/java/org/filbertrudder/platform/EtcdStore.java
@@ -79,6 +79,21 @@
                 .map(answer -> Long.parseLong(answer.getString("ID")));
     }
 
+    @Override
+    public Uni<Boolean> renewLease(long lease) {
+        mWrites.incrementAndGet();
+        return call("/v3/lease/keepalive", new JsonObject().put("ID", Long.toString(lease)))
+                .map(answer -> answer.getJsonObject("result", answer))
+                .map(result -> Long.parseLong(result.getString("TTL", "0")) > 0);
+    }
+
+    @Override
+    public Uni<Void> revokeLease(long lease) {
+        mWrites.incrementAndGet();
+        return call("/v3/lease/revoke", new JsonObject().put("ID", Long.toString(lease)))
+                .replaceWithVoid();
+    }
+
     @Override
     public Uni<TransactionResult> commit(Transaction transaction) {
         mWrites.incrementAndGet();
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/Store.java
+++ b/filbertrudder-platform/src/main/java/org/filbertrudder/platform/Store.java
@@ -19,6 +19,12 @@
     /** Grants a lease that ends after a time in seconds; returns its id. */
     Uni<Long> grantLease(long seconds);
 
+    /** Renews a lease; returns whether it had not ended. */
+    Uni<Boolean> renewLease(long lease);
+
+    /** Ends a lease and all keys under it. */
+    Uni<Void> revokeLease(long lease);
+
     /** Runs a transaction. */
     Uni<TransactionResult> commit(Transaction transaction);
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -124,6 +124,12 @@
         mReservedAlone = false;
     }
 
+    /** Notes that the endpoint has turned a request away; it rests for a moment. */
+    public void turnedAway(long nowMs) {
+        ended();
+        mUnavailableUntilMs = nowMs + BASE_BACKOFF_MS;
+    }
+
     /** Notes a failed connection; the endpoint rests for a time that doubles with each failure. */
     public void failed(long nowMs) {
         mInFlight--;
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/configuration/ConfigurationLogTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/configuration/ConfigurationLogTest.java
@@ -28,7 +28,7 @@
                             author,
                             i,
                             current.digest(),
-                            List.of(new Edit.Put(new Rules(i, 100_000, 10, 10, 0.1))));
+                            List.of(new Edit.Put(Rules.of(i, 100_000, 10, 10, 0.1))));
             changes.add(change);
             current = current.apply(change);
         }
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/orders/OrderPlannerTest.java
@@ -0,0 +1,143 @@
+package org.filbertrudder.policy.orders;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.EngineRole;
+import org.filbertrudder.model.EngineSetup;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which engines get orders. */
+public class OrderPlannerTest {
+
+    private static final EngineSetup OLD = new EngineSetup("v1", List.of(), EngineRole.BOTH);
+    private static final EngineSetup NEW = new EngineSetup("v2", List.of(), EngineRole.BOTH);
+    private static final long LOADS_PER_MINUTE = 60;
+    private static final long TICK_MS = 100;
+
+    private static OrderPlanner planner() {
+        WeightPacer pacer = new WeightPacer();
+        pacer.setRate(LOADS_PER_MINUTE);
+        OrderPlanner planner = new OrderPlanner(pacer);
+        planner.restart(-10_000);
+        return planner;
+    }
+
+    private static OrderPlanner.Engine engine(int number, EngineSetup loaded, long receivedMs) {
+        return new OrderPlanner.Engine(
+                EndpointId.of("e" + number), NEW, new EngineReport(loaded, false, receivedMs));
+    }
+
+    @Test
+    public void ordersNothingThatIsLoadedAlready() {
+        assertEquals(planner().plan(List.of(engine(1, NEW, 0)), 0), List.of());
+    }
+
+    @Test
+    public void ordersNothingFromAnEngineWithoutAFreshReport() {
+        OrderPlanner.Engine silent = new OrderPlanner.Engine(EndpointId.of("e1"), NEW, null);
+
+        assertEquals(planner().plan(List.of(silent), 0), List.of());
+        assertEquals(planner().plan(List.of(engine(1, OLD, -9_000)), 0), List.of());
+    }
+
+    @Test
+    public void repeatsAnOrderThatTheReportDoesNotShow() {
+        OrderPlanner planner = planner();
+        List<OrderPlanner.Engine> engines = List.of(engine(1, OLD, 0));
+
+        assertEquals(planner.plan(engines, 0).size(), 1);
+        assertEquals(planner.plan(engines, 1_000).size(), 0);
+        assertEquals(planner.plan(engines, 3_100).size(), 1);
+    }
+
+    @Test
+    public void aNewGiverStartsWithoutCreditAtTheWeightStore() {
+        OrderPlanner planner = planner();
+        planner.restart(0);
+
+        assertEquals(planner.plan(List.of(engine(1, OLD, 0)), 0), List.of());
+        assertEquals(planner.plan(List.of(engine(1, OLD, 900)), 1_000).size(), 1);
+    }
+
+    @Test
+    public void aChangeOfAdaptersOrRoleNeedsNoWeights() {
+        OrderPlanner planner = planner();
+        planner.restart(0);
+        EngineSetup other = new EngineSetup("v2", List.of("a"), EngineRole.DECODE);
+
+        assertEquals(planner.plan(List.of(engine(1, other, 0)), 0).size(), 1);
+    }
+
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{1, 1L}, {3, 2L}, {8, 3L}, {13, 4L}, {60, 5L}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void keepsEnoughEnginesUpWithinThePaceWhileReportsLagAndOrdersGetLost(
+            int engines, long seed) {
+        Random random = new Random(seed);
+        OrderPlanner planner = planner();
+        Map<Integer, EngineSetup> loaded = new HashMap<>();
+        Map<Integer, Long> busyUntilMs = new HashMap<>();
+        Map<Integer, EngineReport> reports = new HashMap<>();
+        IntStream.range(0, engines).forEach(i -> loaded.put(i, OLD));
+        int fetches = 0;
+        long nowMs = 0;
+
+        while (!loaded.values().stream().allMatch(NEW::equals)) {
+            nowMs += TICK_MS;
+            for (int i = 0; i < engines; i++) {
+                if (nowMs >= busyUntilMs.getOrDefault(i, Long.MAX_VALUE)) {
+                    loaded.put(i, NEW);
+                    busyUntilMs.remove(i);
+                }
+                if (random.nextInt(5) == 0) {
+                    boolean busy = busyUntilMs.containsKey(i);
+                    reports.put(i, new EngineReport(loaded.get(i), busy, nowMs));
+                }
+            }
+            for (EndpointId ordered : planner.plan(engines(engines, reports), nowMs)) {
+                int number = Integer.parseInt(ordered.value().substring(1));
+                boolean lost = random.nextInt(10) == 0;
+                if (!lost && !loaded.get(number).equals(NEW) && !busyUntilMs.containsKey(number)) {
+                    busyUntilMs.put(number, nowMs + 500 + random.nextInt(4_000));
+                    fetches++;
+                }
+            }
+            assertTrue(busyUntilMs.size() <= Math.max(1, engines / 4), "away " + busyUntilMs);
+            assertTrue(fetches <= 1 + nowMs * LOADS_PER_MINUTE / 60_000, "fetches " + fetches);
+            assertTrue(nowMs < 1_200_000, "not done: " + loaded);
+        }
+    }
+
+    private static List<OrderPlanner.Engine> engines(
+            int count, Map<Integer, EngineReport> reports) {
+        List<OrderPlanner.Engine> engines = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            engines.add(new OrderPlanner.Engine(EndpointId.of("e" + i), NEW, reports.get(i)));
+        }
+        return engines;
+    }
+
+    @Test
+    public void aPausedGiverMaySendNothingAfterItsLease() {
+        OrderLease lease = new OrderLease(7, 15_000);
+
+        assertTrue(lease.allowsOrder(12_000));
+        assertFalse(lease.allowsOrder(13_000));
+        assertTrue(lease.ended(15_000));
+        assertTrue(lease.renewed(10_000, 15_000).allowsOrder(20_000));
+        assertFalse(lease.renewed(1_000, 1_000).allowsOrder(13_500));
+    }
+}
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -36,7 +36,7 @@
     }
 
     private static Endpoint endpoint(int region, int number) {
-        return new Endpoint(
+        return Endpoint.of(
                 EndpointId.of("e" + region + "-" + number),
                 SERVICE,
                 region(region),
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/LargeConfiguration.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/LargeConfiguration.java
@@ -51,7 +51,7 @@
         List<Entity> entities = new ArrayList<>();
         entities.add(Rules.DEFAULT);
         entities.add(
-                new Service(
+                Service.of(
                         MODEL,
                         ServiceKind.MODEL,
                         List.of("m1", "m2", "m3", "m4"),
@@ -84,7 +84,7 @@
 
     private static Endpoint endpoint(int number, int regions) {
         int region = number % regions;
-        return new Endpoint(
+        return Endpoint.of(
                 EndpointId.of("engine-" + number),
                 MODEL,
                 region(region),
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Demo.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Demo.java
@@ -116,7 +116,7 @@
 
     private boolean ruleChange() {
         Inventory now = mFleet.inventory();
-        Rules rules = new Rules(8_000, 100_000, 32, now.rules().awayCostMs(), 0.1);
+        Rules rules = Rules.of(8_000, 100_000, 32, now.rules().awayCostMs(), 0.1);
         Inventory changed =
                 new Inventory(
                         now.regions(),
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Deployment.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Deployment.java
@@ -107,7 +107,7 @@
                 services(mModelService, mPlainService),
                 endpoints(enginePorts, servicePorts, engineSlots),
                 accountList(),
-                new Rules(10_000, 120_000, 64, mAwayCostMs, 0.1));
+                Rules.of(10_000, 120_000, 64, mAwayCostMs, 0.1));
     }
 
     private List<Region> regionList() {
@@ -139,9 +139,9 @@
 
     private static List<Service> services(String model, String plain) {
         return List.of(
-                new Service(
+                Service.of(
                         ServiceId.of(model), ServiceKind.MODEL, List.of("small"), List.of(), true),
-                new Service(
+                Service.of(
                         ServiceId.of(plain),
                         ServiceKind.PLAIN,
                         List.of(),
@@ -163,7 +163,7 @@
 
     private Endpoint endpoint(String service, int number, int port, int slots) {
         String region = mRegions.get(number % mRegions.size());
-        return new Endpoint(
+        return Endpoint.of(
                 EndpointId.of(service + "-" + number),
                 ServiceId.of(service),
                 RegionId.of(region),
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
@@ -42,6 +42,11 @@
         mHttp.send("POST", port(), "/standin/faults", Map.of(), json);
     }
 
+    /** Returns what the weight store has counted. */
+    public JsonNode weightStore() {
+        return mHttp.send("GET", port(), "/standin/weights", Map.of(), null).json();
+    }
+
     /** Returns the calls that the store has counted. */
     public JsonNode storeCalls() {
         return mHttp.send("GET", port(), "/standin/calls", Map.of(), null).json();
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/ChangeSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/ChangeSteps.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.filbertrudder.model.Inventory;
-import org.filbertrudder.model.Rules;
 
 /** Gives the scenarios their steps about changes and the store. */
 public class ChangeSteps {
@@ -46,16 +45,7 @@
 
     private Inventory withWait(int waitMs) {
         Inventory now = mWorld.fleet().inventory();
-        Rules old = now.rules();
-        Rules rules =
-                new Rules(
-                        waitMs,
-                        old.requestTimeoutMs(),
-                        old.maxOutputTokens(),
-                        old.awayCostMs(),
-                        old.retryShare());
-        return new Inventory(
-                now.regions(), now.links(), now.services(), now.endpoints(), now.accounts(), rules);
+        return now.withRules(now.rules().withMaxQueueWaitMs(waitMs));
     }
 
     private Reply putInventory(String instance, Inventory inventory, String ifMatch) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/WholeAnswerTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/WholeAnswerTest.java
@@ -27,27 +27,13 @@
         FleetOptions options = FleetOptions.of(3).withEngines(FAST_TOKENS_PER_SECOND, SLOTS);
         mFleet = Fleet.start(Deployment.BUREAU, options, logs);
         mFleet.raiseContracts(100);
-        mFleet.awaitRevision(mFleet.apply(withEveryRetry(mFleet.inventory())));
+        // Every request here needs a retry, so their share must not be limited.
+        Inventory inventory = mFleet.inventory();
+        Rules rules = inventory.rules().withRetryShare(1);
+        mFleet.awaitRevision(mFleet.apply(inventory.withRules(rules)));
         mFleet.awaitShards();
     }
 
-    /** Lifts the limit on retries, as here every request needs one. */
-    private static Inventory withEveryRetry(Inventory inventory) {
-        Rules rules = inventory.rules();
-        return new Inventory(
-                inventory.regions(),
-                inventory.links(),
-                inventory.services(),
-                inventory.endpoints(),
-                inventory.accounts(),
-                new Rules(
-                        rules.maxQueueWaitMs(),
-                        rules.requestTimeoutMs(),
-                        rules.maxOutputTokens(),
-                        rules.awayCostMs(),
-                        1.0));
-    }
-
     @AfterClass(alwaysRun = true)
     public void stop() {
         mFleet.close();
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineSetup.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/EngineSetup.java
@@ -17,7 +17,9 @@
     private final EngineOptions mOptions;
     private final HttpClient mClient;
     private final JsonArray mAccepted = new JsonArray();
+    private final JsonArray mAway = new JsonArray();
     private JsonObject mLoaded;
+    private long mSwitchedMs;
     private long mFence;
     private long mStaleAccepted;
     private long mRefused;
@@ -56,6 +58,7 @@
         mNext = wanted;
         if (!mSwitching && !wanted.equals(mLoaded)) {
             mSwitching = true;
+            mSwitchedMs = System.currentTimeMillis();
         }
         return STATUS_OK;
     }
@@ -98,6 +101,7 @@
             idle();
         } else {
             mNext = null;
+            mAway.add(new JsonArray().add(mSwitchedMs).add(System.currentTimeMillis()));
         }
     }
 
