Stop a holder that has lost all contact; take over from one killed while leaving

Causes: (1) the known gap of the rate bound: an instance cut off from members, store and live list, but not from its callers, went on granting while others took its shards over; (2) a member that was killed while it was leaving stayed LEAVING for ever, as no suspicion outranks that state, so nobody took its shards; found by a test for (1).

Changed: a holder with peers in its region that neither gets an answer to its heartbeats nor finds itself on the live list for 5 s grants and lends nothing; the earliest take-over is 8.5 s after the last contact. Each instance watches one neighbour of its own region, so that a region that is cut off keeps contact. A leaving neighbour that falls silent is given up after 6.5 s.

Ruled out: stopping an instance without peers in its region, as nobody there could take over and its callers need it.

Before: MembershipTest found a silent leaving member still LEAVING after 10 s.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -31,6 +31,7 @@
 import org.filbertrudder.policy.membership.PeerSend;
 import org.filbertrudder.policy.membership.RelayRole;
 import org.filbertrudder.policy.shards.GoneRule;
+import org.filbertrudder.policy.shards.IsolationRule;
 import org.filbertrudder.policy.shards.ShardDirectory;
 import org.filbertrudder.policy.shards.ShardPlanner;
 import org.filbertrudder.policy.tokens.TokenHolder;
@@ -150,6 +151,7 @@
         send(mMembership.tick(mSync.current().revision(), nowMs));
         mLiveList.tick(mMembership.members().size(), nowMs);
         mSync.tick(mRelayRole.held(), nowMs);
+        mDesk.apply(mHolder.setIsolated(isIsolated(nowMs)));
         mDesk.apply(mHolder.tick(nowMs));
         mDesk.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
@@ -175,6 +177,14 @@
         mCallerDirectory.tick(mMembership.self(), nowMs);
     }
 
+    private boolean isIsolated(long nowMs) {
+        return IsolationRule.isIsolated(
+                mMembership.hasPeersInRegion(),
+                mMembership.lastAnswerMs().orElse(mStartedMs),
+                mLiveList.lastListedMs(mMembership.self().id()).orElse(mStartedMs),
+                nowMs);
+    }
+
     private boolean isGone(ShardOwner owner, long nowMs) {
         return GoneRule.isGone(
                 mMembership.member(owner.owner()).map(Member::state),
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -30,6 +31,7 @@
     private long mPollMs = MIN_POLL_MS;
     private long mNextPollMs;
     private boolean mReading;
+    private Long mListedMs;
 
     LiveListWatcher(
             Context context, PlatformDirectory platform, LongSupplier clockMs, Runnable onChange) {
@@ -68,6 +70,15 @@
         LOG.debug("The live list cannot be read.", Field.of("error", failure.getMessage()));
     }
 
+    /** Returns when an answer last named the instance; absent if none ever did. */
+    Optional<Long> lastListedMs(InstanceId id) {
+        boolean named = mInstances.stream().anyMatch(each -> each.id().equals(id.value()));
+        if (named) {
+            mListedMs = mReadMs;
+        }
+        return Optional.ofNullable(mListedMs);
+    }
+
     /** Returns whether a recent answer does not name the instance. */
     boolean lacks(InstanceId id, long nowMs) {
         return nowMs - mReadMs < FRESH_POLLS * mPollMs
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -38,6 +38,7 @@
     private Member mSelf;
     private int mDigest;
     private int mSharedDigest;
+    private Long mLastAnswerMs;
     private long mVersion;
     private long mNextHeartbeatMs;
     private long mNextDeadRetryMs;
@@ -85,6 +86,24 @@
         return Optional.ofNullable(mContacts.get(id)).map(contact -> contact.mStateSinceMs);
     }
 
+    /** Returns when any member answered a heartbeat last; absent if none ever did. */
+    public Optional<Long> lastAnswerMs() {
+        return Optional.ofNullable(mLastAnswerMs);
+    }
+
+    /** Returns whether the region has other members that have not said that they leave. */
+    public boolean hasPeersInRegion() {
+        return mMembers.values().stream()
+                .filter(member -> !member.id().equals(mSelf.id()))
+                .filter(member -> member.region().equals(mSelf.region()))
+                .anyMatch(this::hasNotLeft);
+    }
+
+    private boolean hasNotLeft(Member member) {
+        Contact contact = mContacts.get(member.id());
+        return member.state() != MemberState.LEAVING && (contact == null || !contact.mHasLeft);
+    }
+
     /** Returns a number that grows with each change of the member table. */
     public long version() {
         return mVersion;
@@ -151,18 +170,27 @@
         return sends;
     }
 
-    /** Suspects silent neighbours and gives up suspected members that have not refuted it. */
+    /**
+     * Suspects silent neighbours and gives up suspected members that have not refuted it.
+     *
+     * <p>A neighbour that falls silent while it leaves is given up without a suspicion, as that
+     * would make it seem to stay.
+     */
     private List<PeerSend> judge(long nowMs) {
         List<Member> news = new ArrayList<>();
+        long givenUpMs = mSettings.suspectAfterMs() + mSettings.deadAfterMs();
         for (Member neighbour : neighbours()) {
             Contact contact = contact(neighbour.id(), nowMs);
             long patienceMs = mSettings.suspectAfterMs() * contact.mAccuseBackoff;
-            if (neighbour.state() != MemberState.SUSPECT
-                    && contact.silentForMs(nowMs) > patienceMs) {
+            if (neighbour.state() == MemberState.LIVE && contact.silentForMs(nowMs) > patienceMs) {
                 contact.mAccuseBackoff = Math.min(MAX_ACCUSE_BACKOFF, contact.mAccuseBackoff * 2);
                 contact.mAskedSinceMs = nowMs;
                 news.add(neighbour.in(MemberState.SUSPECT));
             }
+            if (neighbour.state() == MemberState.LEAVING
+                    && contact.silentForMs(nowMs) > givenUpMs) {
+                news.add(neighbour.in(MemberState.DEAD));
+            }
         }
         List<Member> changed = new ArrayList<>();
         news.stream().filter(member -> apply(member, nowMs)).forEach(changed::add);
@@ -232,6 +260,7 @@
     /** Handles the answer to a heartbeat. */
     public List<PeerSend> handle(PeerMessage.HeartbeatAck ack, long nowMs) {
         List<PeerSend> sends = new ArrayList<>(heardFrom(ack.sender(), nowMs));
+        mLastAnswerMs = nowMs;
         contact(ack.sender().id(), nowMs).noteAnswered();
         sends.addAll(compare(ack.sender(), ack.members(), nowMs));
         return sends;
@@ -292,11 +321,21 @@
         put(member);
         Contact contact = contact(member.id(), nowMs);
         contact.mStateSinceMs = nowMs;
+        contact.mHasLeft = hasLeft(member, contact);
         contact.noteAnswered();
         mNeighboursStale = true;
         return true;
     }
 
+    /** Returns whether the member has said that it leaves; its death after that is no silence. */
+    private static boolean hasLeft(Member member, Contact contact) {
+        return switch (member.state()) {
+            case LEAVING -> true;
+            case DEAD -> contact.mHasLeft;
+            default -> false;
+        };
+    }
+
     /** Asks for the whole table if the other side's differs and has had time to settle. */
     private List<PeerSend> compare(Member sender, int theirDigest, long nowMs) {
         if (theirDigest == digest() || nowMs < mNextSyncMs) {
@@ -349,13 +388,19 @@
         long position = position(mSelf);
         Comparator<Member> bySuccession =
                 Comparator.comparingLong(member -> (position(member) - position) & Long.MAX_VALUE);
-        Member successor = others.stream().min(bySuccession).orElseThrow();
-        List<Member> chosen = new ArrayList<>(List.of(successor));
+        Set<Member> chosen = new LinkedHashSet<>();
+        chosen.add(others.stream().min(bySuccession).orElseThrow());
+        // One neighbour in the region, so that a region that is cut off does not fall apart.
+        others.stream()
+                .filter(member -> member.region().equals(mSelf.region()))
+                .min(bySuccession)
+                .ifPresent(chosen::add);
         Rendezvous.rank(mSelf.id().value(), others, member -> member.id().value()).stream()
-                .filter(member -> !member.equals(successor))
-                .limit(mSettings.neighbours() - 1L)
+                .filter(member -> !chosen.contains(member))
+                .limit(Math.max(0, mSettings.neighbours() - chosen.size()))
+                .toList()
                 .forEach(chosen::add);
-        return chosen;
+        return List.copyOf(chosen);
     }
 
     private static long position(Member member) {
@@ -375,6 +420,7 @@
         private long mAskedSinceMs = NOT_ASKED;
         private long mWatchesUsMs = Long.MIN_VALUE / 2;
         private int mAccuseBackoff = 1;
+        private boolean mHasLeft;
 
         Contact(long nowMs) {
             mStateSinceMs = nowMs;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
@@ -37,6 +37,7 @@
     private long mNextLoanId = 1;
     private long mLastTickMs;
     private boolean mSuspended;
+    private boolean mIsolated;
     private boolean mLendingEnabled = true;
 
     /** Creates a holder without shards. */
@@ -147,6 +148,28 @@
         return mSuspended;
     }
 
+    /**
+     * Stops or resumes granting because of lost or regained contact.
+     *
+     * @return the dismissals of the requests that waited
+     */
+    public List<TokenEffect> setIsolated(boolean isolated) {
+        List<TokenEffect> effects = new ArrayList<>();
+        if (isolated && !mIsolated) {
+            mShares.values()
+                    .forEach(
+                            share ->
+                                    effects.addAll(
+                                            share.dismissWaiters(ReserveOutcome.NOT_HOLDER)));
+        }
+        mIsolated = isolated;
+        return effects;
+    }
+
+    private boolean grantsNothing() {
+        return mSuspended || mIsolated;
+    }
+
     /** Resumes granting after all shards held have been validated. */
     public void validated(long nowMs) {
         mSuspended = false;
@@ -161,7 +184,7 @@
         if (account.isEmpty()) {
             return refuse(asker, ReserveOutcome.UNKNOWN_ACCOUNT);
         }
-        if (mSuspended || !mShards.contains(shardOf(id, mSettings.shards()))) {
+        if (grantsNothing() || !mShards.contains(shardOf(id, mSettings.shards()))) {
             return refuse(asker, ReserveOutcome.NOT_HOLDER);
         }
         AccountShare share = mShares.computeIfAbsent(id, key -> newShare(account.get(), nowMs));
@@ -192,14 +215,14 @@
             return List.of();
         }
         share.settle(reservation, unusedTokens, nowMs);
-        return mSuspended ? List.of() : share.serve(nowMs);
+        return grantsNothing() ? List.of() : share.serve(nowMs);
     }
 
     /** Grants what has become possible and asks for the loans that are missing. */
     public List<TokenEffect> tick(long nowMs) {
         notePause(nowMs);
         mLastTickMs = nowMs;
-        if (mSuspended) {
+        if (grantsNothing()) {
             return List.of();
         }
         mPendingLoans.values().removeIf(pending -> pending.expired(mSettings, nowMs));
@@ -276,7 +299,7 @@
     /** Lends what this region can spare of an account; grants nothing if it holds no share. */
     public PeerMessage.LoanGrant lend(PeerMessage.LoanRequest request, long nowMs) {
         notePause(nowMs);
-        AccountShare share = mSuspended ? null : mShares.get(request.account());
+        AccountShare share = grantsNothing() ? null : mShares.get(request.account());
         LoanNeed lent =
                 share == null
                         ? new LoanNeed(0, 0)
@@ -301,7 +324,7 @@
         if (!isPending(grant.account())) {
             share.loansAnswered(nowMs);
         }
-        return mSuspended ? List.of() : share.serve(nowMs);
+        return grantsNothing() ? List.of() : share.serve(nowMs);
     }
 
     /** Returns the state of the accounts held, for the state dump. */
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/membership/MembershipTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/membership/MembershipTest.java
@@ -1,9 +1,11 @@
 package org.filbertrudder.policy.membership;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
@@ -149,4 +151,30 @@
                 sends.stream()
                         .anyMatch(send -> send.message() instanceof PeerMessage.MembersRequest));
     }
+
+    @Test
+    public void aMemberThatLeavesIsNoLongerAPeerAndOneThatFallsSilentStaysOne() {
+        Membership silent = membership("a", "b");
+        Membership left = membership("a", "b");
+        Member leaving = member("b").in(MemberState.LEAVING);
+        left.handle(new PeerMessage.MemberUpdates(List.of(leaving)), InstanceId.of("b"), 0);
+
+        tickUntil(silent, 0, 10_000);
+        tickUntil(left, 0, 10_000);
+
+        assertEquals(stateOf(silent, "b"), MemberState.DEAD);
+        assertTrue(silent.hasPeersInRegion());
+        assertEquals(stateOf(left, "b"), MemberState.DEAD);
+        assertFalse(left.hasPeersInRegion());
+    }
+
+    @Test
+    public void remembersTheLastAnswer() {
+        Membership membership = membership("a", "b", "c", "d", "e", "f", "g");
+        assertEquals(membership.lastAnswerMs(), Optional.empty());
+
+        membership.handle(new PeerMessage.HeartbeatAck(member("b"), 1, 0), 700);
+
+        assertEquals(membership.lastAnswerMs(), Optional.of(700L));
+    }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/LoanTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/LoanTest.java
@@ -197,4 +197,30 @@
         assertEquals(
                 ((TokenEffect.Reply) effects.get(0)).reply().outcome(), ReserveOutcome.TOO_LARGE);
     }
+
+    @Test
+    public void anIsolatedHolderGrantsAndLendsNothingUntilItHasContactAgain() {
+        count(reserve(mEast, 2_000, 0), 2_000);
+        reserve(mEast, 1_000, 9_000);
+
+        List<TokenEffect> dismissed = mEast.setIsolated(true);
+
+        assertEquals(dismissed.size(), 1);
+        assertEquals(outcome(dismissed), ReserveOutcome.NOT_HOLDER);
+        idleFor(3_000);
+        assertEquals(outcome(reserve(mEast, 1, 0)), ReserveOutcome.NOT_HOLDER);
+        PeerMessage.LoanGrant loan =
+                mEast.lend(new PeerMessage.LoanRequest(1, ACCOUNT, 10, 10), mNowMs);
+        assertEquals(loan.tokens(), 0.0);
+        mEast.setIsolated(false);
+        assertEquals(outcome(reserve(mEast, 1, 0)), ReserveOutcome.GRANTED);
+    }
+
+    private static ReserveOutcome outcome(List<TokenEffect> effects) {
+        return effects.stream()
+                .filter(TokenEffect.Reply.class::isInstance)
+                .map(effect -> ((TokenEffect.Reply) effect).reply().outcome())
+                .findFirst()
+                .orElseThrow();
+    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
@@ -57,6 +57,11 @@
         mProcess.signal("STOP");
     }
 
+    /** Sends a signal by name, such as STOP or CONT. */
+    public void signal(String name) {
+        mProcess.signal(name);
+    }
+
     void kill() {
         mProcess.kill();
     }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RandomMessages.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RandomMessages.java
@@ -11,6 +11,7 @@
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Change;
 import org.filbertrudder.model.Edit;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.Entity;
 import org.filbertrudder.model.EntityKey;
 import org.filbertrudder.model.EntityKind;
@@ -102,6 +103,8 @@
             return AccountId.of(mRandom.nextBoolean() ? "federation" : "none");
         } else if (type == KeyId.class) {
             return KeyId.of("none");
+        } else if (type == EndpointId.class) {
+            return EndpointId.of("none");
         }
         return newRecord(type);
     }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/StopSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/StopSteps.java
@@ -41,6 +41,11 @@
         assertEquals(code, 0, "exit code");
     }
 
+    @Then("every shard gets a holder that runs")
+    public void everyShardHeld() {
+        mWorld.fleet().awaitShards();
+    }
+
     @When("a new instance {string} starts in {string}")
     public void startInstance(String id, String region) {
         mWorld.fleet().startEntry(id, region, 0);
--- a/filbertrudder-scenarios/src/test/resources/features/leaving.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/leaving.feature
@@ -59,3 +59,12 @@
     When "bound" sends a steady load
     And every instance is replaced in turn
     Then no request of the load was cut or refused
+
+  Scenario: The shards of an instance that is killed while it leaves are taken over
+    Given a bureau fleet of 6 instances
+    When the store is hanging
+    And the instance "gas-1" is told to stop
+    And 1 seconds pass
+    And the instance "gas-1" is killed
+    And the store is up
+    Then every shard gets a holder that runs
