Measure fairness, retries and store outages on processes; draw plots

Cause: the experiments covered decisions and single instances only.

ExperimentsTest compares the router with cache events against three baselines, warm and with emptied caches.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -24,7 +24,10 @@
         EXPERIMENTS.put("capacity-control", new ControlCapacity());
         EXPERIMENTS.put("capacity-gateway", new GatewayCapacity());
         EXPERIMENTS.put("capacity-streams", new StreamCapacity());
+        EXPERIMENTS.put("capacity-outage", new OutageCapacity());
         EXPERIMENTS.put("fairness", new FairnessExperiment());
+        EXPERIMENTS.put("fairness-processes", new ProcessFairness());
+        EXPERIMENTS.put("retries-processes", new ProcessRetries());
         EXPERIMENTS.put("routing", new RoutingExperiment());
         EXPERIMENTS.put("capacity-routing", new RoutingCapacity());
     }
@@ -33,6 +36,7 @@
 
     /** Runs the experiment that the arguments name, or lists all of them. */
     public static void main(String[] arguments) {
+        System.setProperty("java.awt.headless", "true");
         LogSetup.apply(Level.WARNING, LogSetup.Format.TEXT);
         List<String> words = List.of(arguments);
         if (words.isEmpty()) {
@@ -58,6 +62,11 @@
                     Path.of(System.getProperty("filbertrudder.root", "."), "build", "measure");
             Files.createDirectories(directory);
             Files.writeString(directory.resolve(name + ".csv"), table.toCsv());
+            for (String column : Plot.plottable(table)) {
+                Files.writeString(
+                        directory.resolve(name + "-" + column + ".svg"),
+                        Plot.draw(name, table, column));
+            }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
@@ -42,6 +42,16 @@
         mHttp.send("POST", port(), "/standin/faults", Map.of(), json);
     }
 
+    /** Keeps the store's present state for a later return to it. */
+    public void saveStore() {
+        mHttp.send("POST", port(), "/standin/save", Map.of(), "{}");
+    }
+
+    /** Lets the store go back to the saved state, as after a restored backup. */
+    public void restoreStore() {
+        mHttp.send("POST", port(), "/standin/restore", Map.of(), "{}");
+    }
+
     /** Returns what the weight store has counted. */
     public JsonNode weightStore() {
         return mHttp.send("GET", port(), "/standin/weights", Map.of(), null).json();
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/measure/ExperimentsTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/measure/ExperimentsTest.java
@@ -54,10 +54,15 @@
         Table table = new RoutingExperiment().run(1);
 
         Map<String, Double> hits = new HashMap<>();
-        table.rows().forEach(row -> hits.put(row.get(0) + row.get(1), number(row.get(2))));
+        table.rows()
+                .forEach(row -> hits.put(row.get(0) + row.get(2) + row.get(1), number(row.get(3))));
         for (String load : List.of("0.500", "0.800", "0.950")) {
-            assertTrue(hits.get(load + "ROUTER") > hits.get(load + "RANDOM"), load);
-            assertTrue(hits.get(load + "ROUTER") > hits.get(load + "LEAST_LOADED"), load);
+            for (String caches : List.of("WARM", "EMPTIED")) {
+                double router = hits.get(load + caches + "AFFINITY_AND_EVENTS");
+                for (String baseline : List.of("RANDOM", "LEAST_LOADED", "AFFINITY")) {
+                    assertTrue(router > hits.get(load + caches + baseline), load + baseline);
+                }
+            }
         }
     }
 
@@ -72,4 +77,16 @@
         assertEquals(
                 new FairnessExperiment().run(7).toCsv(), new FairnessExperiment().run(7).toCsv());
     }
+
+    @Test
+    public void drawsEachColumnOfFigures() {
+        Table table = new Table("choice", "hits");
+        table.add("random", 0.45);
+        table.add("router", 0.83);
+
+        assertEquals(Plot.plottable(table), List.of("hits"));
+        String drawing = Plot.draw("routing", table, "hits");
+        assertTrue(drawing.contains("<svg"), drawing);
+        assertTrue(drawing.contains("2: router"), drawing);
+    }
 }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/ChangeSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/ChangeSteps.java
@@ -1,8 +1,10 @@
 package org.filbertrudder.scenarios;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.util.ArrayList;
@@ -122,4 +124,46 @@
         assertEquals(ids.stream().distinct().count(), ids.size());
         assertEquals(changes.get(changes.size() - 1).path("revision").asLong(), mRevision);
     }
+
+    @Given("the store's state is saved")
+    public void saveStore() {
+        mWorld.fleet().platform().saveStore();
+    }
+
+    @When("the store goes back to the saved state")
+    public void restoreStore() {
+        mWorld.fleet().platform().restoreStore();
+    }
+
+    @When("every call to the store takes {int} ms")
+    public void slowStore(int delayMs) {
+        mWorld.fleet().platform().storeFaults("{\"delayMs\":" + delayMs + "}");
+    }
+
+    @Then("the queue wait is {int} ms on all instances")
+    public void queueWaitEverywhere(int waitMs) {
+        for (String id : mWorld.fleet().entries()) {
+            Fleet.await(
+                    "a queue wait of " + waitMs + " ms at " + id,
+                    15_000,
+                    () ->
+                            mWorld.fleet()
+                                    .admin(id, "GET", "/inventory", null)
+                                    .body()
+                                    .contains("maxQueueWaitMs: " + waitMs + "\n"));
+        }
+    }
+
+    @Then("{string} gets whole answers from {string} for {int} seconds, each within {int} ms")
+    public void answersWithin(String key, String instance, int seconds, int withinMs) {
+        long untilNs = System.nanoTime() + seconds * 1_000_000_000L;
+        while (System.nanoTime() < untilNs) {
+            long startNs = System.nanoTime();
+            Reply reply =
+                    mWorld.fleet().chat(instance, mWorld.key(key), "In time?", 2, false).join();
+            long tookMs = (System.nanoTime() - startNs) / 1_000_000;
+            assertEquals(reply.status(), 200, reply.body());
+            assertTrue(tookMs <= withinMs, "took " + tookMs + " ms");
+        }
+    }
 }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/WholeAnswerTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/WholeAnswerTest.java
@@ -16,6 +16,7 @@
 
     private static final int TOKENS = 2;
     private static final int NEVER = -1;
+    private static final int MAX_ATTEMPTS = 10;
     private static final int FAST_TOKENS_PER_SECOND = 1_000;
     private static final int SLOTS = 8;
 
@@ -54,6 +55,7 @@
             int attempt = 0;
             while (!isWholeWhenBroken(instance, key, offset, attempt)) {
                 attempt++;
+                assertTrue(attempt < MAX_ATTEMPTS, "never whole when broken at " + offset);
             }
             repeats += attempt;
         }
--- a/filbertrudder-scenarios/src/test/resources/features/changes.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/changes.feature
@@ -52,3 +52,26 @@
     And the store is hanging
     Then "club" gets whole answers from "gas-1" for 12 seconds
     And "club" gets whole answers from "gas-2" for 2 seconds
+
+  Scenario: A store that goes back to an old state takes no instance back with it
+    Given a bureau fleet of 3 instances
+    And a key "club" of "federation"
+    And the store's state is saved
+    When an operator sets the queue wait to 7000 ms through "mtl-1"
+    Then the queue wait is 7000 ms on all instances
+    When the store goes back to the saved state
+    And a new instance "mtl-9" starts in "mtl"
+    And 8 seconds pass
+    Then the queue wait is 7000 ms on all instances
+    And "club" gets whole answers from "mtl-9" for 1 seconds
+    When an operator sets the queue wait to 6000 ms through "sag-1"
+    Then the change is refused with "store_behind"
+    And the queue wait is 7000 ms on all instances
+
+  Scenario: With a slow store requests are not slower and changes are accepted in the end
+    Given a bureau fleet of 3 instances
+    And a key "club" of "federation"
+    When every call to the store takes 1200 ms
+    Then "club" gets whole answers from "gas-1" for 6 seconds, each within 1000 ms
+    When an operator sets the queue wait to 7000 ms through "mtl-1"
+    Then the queue wait is 7000 ms on all instances
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/PlatformStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/PlatformStandIn.java
@@ -34,6 +34,7 @@
     private final Map<String, Long> mLeaseTtlsMs = new LinkedHashMap<>();
     private final Map<String, Long> mLeaseTimers = new LinkedHashMap<>();
     private final WeightStore mWeights;
+    private final CallRate mRate = new CallRate();
     private long mNextLease = 1;
     private JsonArray mShownLive = new JsonArray();
     private long mReads;
@@ -64,6 +65,8 @@
         router.delete("/v1/directory/:id").handler(this::withdraw);
         router.get("/v1/directory").handler(context -> send(context, directory().toString()));
         router.post("/standin/faults").handler(this::setFaults);
+        router.post("/standin/save").handler(context -> then(context, mData::save));
+        router.post("/standin/restore").handler(context -> then(context, mData::restore));
         router.get("/standin/calls").handler(context -> send(context, calls().toString()));
         router.put("/standin/live/:id").handler(this::setLive);
         router.delete("/standin/live/:id").handler(this::removeLive);
@@ -73,7 +76,13 @@
                 .map(HttpServer::actualPort);
     }
 
+    private static void then(RoutingContext context, Runnable action) {
+        action.run();
+        send(context, "{}");
+    }
+
     private void store(RoutingContext context, Consumer<RoutingContext> call) {
+        mRate.count();
         if (mFaults.mode() == StoreFaults.Mode.OUT) {
             context.request().connection().close();
         } else if (mFaults.mode() == StoreFaults.Mode.UP && mFaults.delayMs() > 0) {
@@ -229,6 +238,7 @@
     }
 
     private void watch(RoutingContext context) {
+        mRate.count();
         if (mFaults.mode() != StoreFaults.Mode.UP) {
             context.request().connection().close();
             return;
@@ -268,6 +278,7 @@
                 .put("watching", mWatches.size())
                 .put("keys", mData.size())
                 .put("leasedKeys", mLeases.size())
+                .put("perSecond", mRate.perSecond())
                 .put("revision", mData.revision());
     }
 
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/StoreData.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/StoreData.java
@@ -8,6 +8,7 @@
 final class StoreData {
 
     private final NavigableMap<String, Item> mItems = new TreeMap<>();
+    private NavigableMap<String, Item> mSaved = new TreeMap<>();
     private long mRevision = 1;
 
     /** Returns the items from a key up to, but not with, an end; a null end means one key. */
@@ -40,6 +41,17 @@
         mItems.remove(key);
     }
 
+    /** Keeps the present state for a later return to it. */
+    void save() {
+        mSaved = new TreeMap<>(mItems);
+    }
+
+    /** Goes back to the saved state, as after a restored backup. */
+    void restore() {
+        mItems.clear();
+        mItems.putAll(mSaved);
+    }
+
     long revision() {
         return mRevision;
     }
