--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -11,6 +11,7 @@
     private static final long MAX_BACKOFF_MS = 8_000;
     private static final long SLOW_START_MS = 5_000;
     private static final long REPORT_LIFETIME_MS = 5_000;
+    private static final int SLOTS_PER_MARGIN = 4;
 
     private final long mIdHash;
     private final PrefixHints mPrefixes = new PrefixHints();
@@ -83,7 +84,17 @@
 
     /** Returns whether the endpoint can start another request now. */
     public boolean hasRoom(long nowMs) {
-        return usable(nowMs) && !mReservedAlone && load(nowMs) < limit(nowMs);
+        return usable(nowMs) && !mReservedAlone && load(nowMs) < limit(nowMs) + margin(nowMs);
+    }
+
+    /**
+     * Returns how many requests more than its slots the endpoint may hold waiting.
+     *
+     * <p>The count of the requests that others have sent lags. Without a margin, slots that have
+     * become free meanwhile would stay empty until the next report.
+     */
+    private int margin(long nowMs) {
+        return reportedByOthers(nowMs) == 0 ? 0 : Math.max(1, mEndpoint.slots() / SLOTS_PER_MARGIN);
     }
 
     /** Returns whether nothing else runs on the endpoint, as far as is known. */
@@ -93,8 +104,11 @@
 
     /** Returns the number of requests running there, by own count and last report. */
     public int load(long nowMs) {
-        boolean fresh = nowMs - mReportedMs < REPORT_LIFETIME_MS;
-        return mInFlight + (fresh ? mReportedByOthers : 0);
+        return mInFlight + reportedByOthers(nowMs);
+    }
+
+    private int reportedByOthers(long nowMs) {
+        return nowMs - mReportedMs < REPORT_LIFETIME_MS ? mReportedByOthers : 0;
     }
 
     private int limit(long nowMs) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ProcessFairness.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ProcessFairness.java
@@ -36,7 +36,8 @@
                         "sent",
                         "served_share",
                         "first_token_p50_ms",
-                        "first_token_p99_ms");
+                        "first_token_p99_ms",
+                        "sent_away_of_all");
         FleetOptions options = FleetOptions.of(6).withEngines(TOKENS_PER_SECOND, SLOTS);
         Vertx vertx = Vertx.vertx();
         try (Fleet fleet = Fleet.start(Deployment.BUREAU, options, logs)) {
@@ -50,6 +51,8 @@
 
     private static void phase(
             Table table, Vertx vertx, Fleet fleet, String name, double largePerSecond, long seed) {
+        long received = counter(fleet, "requests.received");
+        long forwarded = counter(fleet, "requests.forwarded");
         List<StreamLoad> loads = new ArrayList<>();
         for (String account : SMALL) {
             loads.add(new StreamLoad(vertx, fleet, account, SMALL_PER_SECOND, seed));
@@ -59,6 +62,17 @@
         Pause.ms(PHASE_MS);
         loads.forEach(StreamLoad::stop);
         Pause.ms(DRAIN_MS);
-        loads.forEach(load -> load.report(table, name));
+        double callers =
+                counter(fleet, "requests.received")
+                        - received
+                        - (counter(fleet, "requests.forwarded") - forwarded);
+        double away = (counter(fleet, "requests.forwarded") - forwarded) / callers;
+        loads.forEach(load -> load.report(table, name, away));
+    }
+
+    private static long counter(Fleet fleet, String name) {
+        return fleet.entries().stream()
+                .mapToLong(id -> fleet.dump(id).path("metrics").path(name).asLong())
+                .sum();
     }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamLoad.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamLoad.java
@@ -101,13 +101,14 @@
     }
 
     /** Adds a row about the requests so far. */
-    synchronized void report(Table table, String phase) {
+    synchronized void report(Table table, String phase, double sentAway) {
         table.add(
                 phase,
                 mAccount,
                 mSent,
                 servedShare(),
                 mFirstTokenMs.getValueAtPercentile(50),
-                mFirstTokenMs.getValueAtPercentile(99));
+                mFirstTokenMs.getValueAtPercentile(99),
+                sentAway);
     }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -186,7 +186,12 @@
 
     /** Replaces the inventory; fails if it is not accepted. */
     public long apply(Inventory inventory) {
-        Reply reply = admin(anyEntry(), "PUT", "/inventory", inventory.toYaml());
+        return apply(inventory, anyEntry());
+    }
+
+    /** Replaces the inventory through an instance; fails if it is not accepted. */
+    public long apply(Inventory inventory, String id) {
+        Reply reply = admin(id, "PUT", "/inventory", inventory.toYaml());
         if (reply.status() != 200) {
             throw new IllegalStateException("The inventory was refused: " + reply.body());
         }
