Limit links, issue operators' tokens, check copies of a crashing request again

Causes: forwarded requests were not limited by the links' rate; operators' tokens could change only with a restart; copies that waited for their tokens or in the queue while another copy crashed an endpoint started on the next one without a new check (6 crashes for a bound of 3, on a machine that ran other tests too, where the wait was longer).

`operators issue|withdraw|list`. A giver of orders asks engines that agree only every 10 s, as 52 engines a second would be above the bytes of a member.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/EntryOptions.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/EntryOptions.java
@@ -18,6 +18,7 @@
 import org.filbertrudder.entry.log.LogSetup;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.OperatorRole;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.membership.PeerAddress;
@@ -140,8 +141,7 @@
                             && (parts[1].equals("read") || parts[1].equals("operate"))
                             && !parts[2].isBlank();
             if (known) {
-                OperatorCredential.Role role =
-                        OperatorCredential.Role.valueOf(parts[1].toUpperCase(Locale.ROOT));
+                OperatorRole role = OperatorRole.valueOf(parts[1].toUpperCase(Locale.ROOT));
                 operators.add(OperatorCredential.of(parts[0], role, parts[2]));
             } else if (!text.isBlank()) {
                 problem(
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/OperatorCommands.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/OperatorCommands.java
@@ -21,6 +21,7 @@
     static void addTo(Subparsers commands) {
         addInventory(commands);
         addKeys(commands);
+        addOperators(commands);
         Subparsers changes = group(commands, "changes", "look at changes");
         Subparser status = leaf(changes, "status", "tell where a revision is in force");
         status.addArgument("--revision").help("the revision; default: the newest");
@@ -93,6 +94,39 @@
         list.setDefault("run", action((client, args) -> client.get("/keys")));
     }
 
+    private static void addOperators(Subparsers commands) {
+        Subparsers operators = group(commands, "operators", "issue and withdraw operators' tokens");
+        Subparser issue = leaf(operators, "issue", "issue a token; its text is shown once");
+        issue.addArgument("name").help("the operator's name in the audit log");
+        issue.addArgument("--role").choices("READ", "OPERATE").setDefault("OPERATE");
+        issue.setDefault(
+                "run",
+                action(
+                        (client, args) ->
+                                client.send(
+                                        "POST",
+                                        "/operators",
+                                        "{\"name\":\""
+                                                + args.getString("name")
+                                                + "\",\"role\":\""
+                                                + args.getString("role")
+                                                + "\"}",
+                                        null)));
+        Subparser withdraw = leaf(operators, "withdraw", "withdraw an operator's token");
+        withdraw.addArgument("name").help("the operator's name");
+        withdraw.setDefault(
+                "run",
+                action(
+                        (client, args) ->
+                                client.send(
+                                        "DELETE",
+                                        "/operators/" + args.getString("name"),
+                                        "",
+                                        null)));
+        Subparser list = leaf(operators, "list", "list the operators in the configuration");
+        list.setDefault("run", action((client, args) -> client.get("/operators")));
+    }
+
     private static Subparsers group(Subparsers commands, String name, String help) {
         return commands.addParser(name).help(help).addSubparsers().metavar("ACTION");
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/admin/AdminApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/admin/AdminApi.java
@@ -13,9 +13,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.filbertrudder.entry.EntrySettings;
 import org.filbertrudder.entry.OperatorCredential;
-import org.filbertrudder.entry.OperatorCredential.Role;
 import org.filbertrudder.entry.control.ChangeRejectedException;
 import org.filbertrudder.entry.control.ChangeService;
 import org.filbertrudder.entry.control.ControlLoop;
@@ -32,6 +32,8 @@
 import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.model.Inventory;
 import org.filbertrudder.model.Json;
+import org.filbertrudder.model.Operator;
+import org.filbertrudder.model.OperatorRole;
 import org.filbertrudder.model.message.MemberState;
 
 /** Serves the HTTP API for operators on the control thread. */
@@ -71,16 +73,20 @@
     private Router router(Vertx vertx) {
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES));
-        router.get(BASE + "/inventory").handler(as(Role.READ, this::getInventory));
-        router.put(BASE + "/inventory").handler(as(Role.OPERATE, this::putInventory));
-        router.get(BASE + "/keys").handler(as(Role.READ, this::listKeys));
-        router.post(BASE + "/keys").handler(as(Role.OPERATE, this::issueKey));
-        router.delete(BASE + "/keys/:id").handler(as(Role.OPERATE, this::withdrawKey));
-        router.get(BASE + "/changes").handler(as(Role.READ, this::listChanges));
-        router.get(BASE + "/changes/status").handler(as(Role.READ, this::changeStatus));
-        router.get(BASE + "/instances").handler(as(Role.READ, this::listInstances));
-        router.post(BASE + "/drain").handler(as(Role.OPERATE, this::drain));
-        router.get(BASE + "/dump").handler(as(Role.READ, this::dump));
+        router.get(BASE + "/inventory").handler(as(OperatorRole.READ, this::getInventory));
+        router.put(BASE + "/inventory").handler(as(OperatorRole.OPERATE, this::putInventory));
+        router.get(BASE + "/keys").handler(as(OperatorRole.READ, this::listKeys));
+        router.post(BASE + "/keys").handler(as(OperatorRole.OPERATE, this::issueKey));
+        router.delete(BASE + "/keys/:id").handler(as(OperatorRole.OPERATE, this::withdrawKey));
+        router.get(BASE + "/operators").handler(as(OperatorRole.READ, this::listOperators));
+        router.post(BASE + "/operators").handler(as(OperatorRole.OPERATE, this::issueToken));
+        router.delete(BASE + "/operators/:name")
+                .handler(as(OperatorRole.OPERATE, this::withdrawToken));
+        router.get(BASE + "/changes").handler(as(OperatorRole.READ, this::listChanges));
+        router.get(BASE + "/changes/status").handler(as(OperatorRole.READ, this::changeStatus));
+        router.get(BASE + "/instances").handler(as(OperatorRole.READ, this::listInstances));
+        router.post(BASE + "/drain").handler(as(OperatorRole.OPERATE, this::drain));
+        router.get(BASE + "/dump").handler(as(OperatorRole.READ, this::dump));
         router.route()
                 .handler(
                         context ->
@@ -94,7 +100,7 @@
     }
 
     /** Lets only operators with the role through, and answers their errors. */
-    private Handler<RoutingContext> as(Role role, Handler<RoutingContext> handler) {
+    private Handler<RoutingContext> as(OperatorRole role, Handler<RoutingContext> handler) {
         return context -> {
             Optional<OperatorCredential> operator = operator(context);
             if (operator.isEmpty()) {
@@ -106,7 +112,7 @@
                         List.of());
                 return;
             }
-            if (role == Role.OPERATE && operator.get().role() != Role.OPERATE) {
+            if (role == OperatorRole.OPERATE && operator.get().role() != OperatorRole.OPERATE) {
                 fail(
                         context,
                         403,
@@ -130,7 +136,10 @@
             return Optional.empty();
         }
         String token = header.substring("Bearer ".length()).trim();
-        return mSettings.operators().stream()
+        Stream<OperatorCredential> configured =
+                mControl.snapshot().configuration().all(Operator.class).stream()
+                        .map(OperatorCredential::from);
+        return Stream.concat(mSettings.operators().stream(), configured)
                 .filter(operator -> operator.accepts(token))
                 .findFirst();
     }
@@ -219,6 +228,44 @@
                 key + " withdrawn");
     }
 
+    /** Issues a token to an operator; one who has a token already gets another instead. */
+    private void issueToken(RoutingContext context) {
+        NewOperator request = Json.read(context.body().asString(), NewOperator.class);
+        if (request.name() == null || request.role() == null) {
+            throw new InvalidValueException("name, role: are needed. The role is READ or OPERATE.");
+        }
+        IssuedToken issued = IssuedToken.create(request.name(), request.role());
+        accept(
+                context,
+                configuration -> List.of(new Edit.Put(issued.operator())),
+                revision -> new TokenAnswer(request.name(), issued.text(), revision),
+                "token of " + request.name() + " issued");
+    }
+
+    private void withdrawToken(RoutingContext context) {
+        EntityKey key = EntityKey.of(EntityKind.OPERATOR, context.pathParam("name"));
+        accept(
+                context,
+                configuration -> {
+                    if (configuration.find(key).isEmpty()) {
+                        throw new InvalidValueException(
+                                "There is no such operator in the configuration. Those in an"
+                                        + " instance's settings are changed there.");
+                    }
+                    return List.of(new Edit.Remove(key));
+                },
+                revision -> new Accepted(revision, "withdrawn"),
+                key + " withdrawn");
+    }
+
+    private void listOperators(RoutingContext context) {
+        List<OperatorSummary> operators =
+                mControl.snapshot().configuration().all(Operator.class).stream()
+                        .map(operator -> new OperatorSummary(operator.name(), operator.role()))
+                        .toList();
+        send(context, 200, operators);
+    }
+
     private void listKeys(RoutingContext context) {
         String after = Optional.ofNullable(context.request().getParam("after")).orElse("");
         String account = context.request().getParam("account");
@@ -349,6 +396,12 @@
 
     private record KeySummary(String id, String account) {}
 
+    private record NewOperator(String name, OperatorRole role) {}
+
+    private record TokenAnswer(String name, String token, long revision) {}
+
+    private record OperatorSummary(String name, OperatorRole role) {}
+
     private record Accepted(long revision, String state) {}
 
     private record Preview(List<Edit> edits) {}
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/admin/IssuedKey.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/admin/IssuedKey.java
@@ -1,7 +1,5 @@
 package org.filbertrudder.entry.admin;
 
-import java.security.SecureRandom;
-import java.util.HexFormat;
 import org.filbertrudder.entry.traffic.KeyCheck;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.ApiKey;
@@ -16,24 +14,17 @@
  */
 record IssuedKey(ApiKey key, String text) {
 
-    private static final SecureRandom RANDOM = new SecureRandom();
     private static final int ID_BYTES = 6;
     private static final int SECRET_BYTES = 24;
 
     /** Creates a key for an account. */
     static IssuedKey create(AccountId account) {
-        KeyId id = KeyId.of("k" + randomHex(ID_BYTES));
-        String secret = randomHex(SECRET_BYTES);
+        KeyId id = KeyId.of("k" + RandomHex.of(ID_BYTES));
+        String secret = RandomHex.of(SECRET_BYTES);
         return new IssuedKey(
                 new ApiKey(id, account, Digests.sha256(secret)), KeyCheck.format(id, secret));
     }
 
-    private static String randomHex(int bytes) {
-        byte[] random = new byte[bytes];
-        RANDOM.nextBytes(random);
-        return HexFormat.of().formatHex(random);
-    }
-
     @Override
     public String toString() {
         return "IssuedKey[" + key.id() + "]";
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderGiver.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderGiver.java
@@ -30,6 +30,7 @@
 
     private static final PartLog LOG = PartLog.of("orders");
     private static final long CALL_TIMEOUT_MS = 1_500;
+    private static final long QUIET_REPORTS_MS = 10_000;
     private static final int STATUS_OK = 200;
 
     private final HttpClient mClient;
@@ -38,6 +39,7 @@
     private final WeightPacer mPacer = new WeightPacer();
     private final OrderPlanner mPlanner = new OrderPlanner(mPacer);
     private final Map<EndpointId, EngineReport> mReports = new HashMap<>();
+    private long mNextReportsMs;
 
     OrderGiver(HttpClient client, RegionId region, LongSupplier clockMs) {
         mClient = client;
@@ -48,10 +50,14 @@
     /** Starts anew under a new lease. */
     void leaseAcquired() {
         mReports.clear();
+        mNextReportsMs = 0;
         mPlanner.restart(mClockMs.getAsLong());
     }
 
-    /** Sends the orders that are due and asks the engines for their state. */
+    /**
+     * Sends the orders that are due and asks the engines for their state: at each tick until all
+     * agree with the configuration, and seldom from then on.
+     */
     void tick(Service service, Configuration configuration, OrderLease lease) {
         long nowMs = mClockMs.getAsLong();
         mPacer.setRate(loadsPerMinute(configuration));
@@ -69,7 +75,16 @@
             mPlanner.plan(engines, nowMs)
                     .forEach(id -> order(byId.get(id), wanted(service, byId.get(id)), lease));
         }
-        endpoints.forEach(this::askForReport);
+        boolean done = engines.stream().allMatch(OrderGiver::agrees);
+        if (!done || nowMs >= mNextReportsMs) {
+            mNextReportsMs = nowMs + QUIET_REPORTS_MS;
+            endpoints.forEach(this::askForReport);
+        }
+    }
+
+    private static boolean agrees(OrderPlanner.Engine engine) {
+        EngineReport report = engine.report();
+        return report != null && !report.switching() && report.loaded().equals(engine.wanted());
     }
 
     /** Divides the rate of the weight store among all givers. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -160,6 +160,16 @@
                         new AwayAttempt(exchange, ranBefore)));
     }
 
+    @Override
+    public void hold(Exchange exchange) {
+        awaitReports(
+                exchange,
+                () -> {
+                    exchange.setAlone();
+                    mResubmit.accept(exchange);
+                });
+    }
+
     /** Decides after a failed attempt whether the request runs again. */
     private void afterFailure(Exchange exchange, boolean sent) {
         if (exchange.ended()) {
@@ -213,6 +223,8 @@
         }
         if (alone) {
             mUnproven.convicted(incoming.digest());
+        } else {
+            mUnproven.suspected(incoming.digest());
         }
         mContext.control()
                 .crashes()
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.filbertrudder.entry.control.Snapshot;
 import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Configuration;
 import org.filbertrudder.model.EndpointId;
@@ -79,6 +80,11 @@
         return mRouter.choose(request, configuration, localWaitMs, mContext.nowMs());
     }
 
+    private boolean mustLeave(Exchange exchange) {
+        Snapshot snapshot = mContext.snapshot();
+        return !mayRunIn(exchange, snapshot.configuration(), snapshot.self().region());
+    }
+
     private Optional<EndpointId> only(Exchange exchange) {
         return exchange.incoming().isModel()
                 ? mUnproven.onlyEndpoint(exchange.incoming().digest())
@@ -102,6 +108,8 @@
     private void start(Exchange exchange, Route route) {
         if (isConvicted(exchange)) {
             mFinisher.refuse(exchange, Refusal.crashing());
+        } else if (isSuspected(exchange)) {
+            mStarter.hold(exchange);
         } else if (route instanceof Route.Local local) {
             mStarter.startLocal(exchange, local.endpoint());
         } else if (route instanceof Route.Away away) {
@@ -115,6 +123,13 @@
         return exchange.incoming().isModel() && mUnproven.isConvicted(exchange.incoming().digest());
     }
 
+    /** Returns whether a copy of the request ran at a crash after this one was checked. */
+    private boolean isSuspected(Exchange exchange) {
+        return exchange.incoming().isModel()
+                && !exchange.alone()
+                && mUnproven.isSuspected(exchange.incoming().digest());
+    }
+
     private static Refusal refusal(Exchange exchange, Route.Reason reason) {
         if (exchange.maybeRan() && !exchange.incoming().repeatable()) {
             return Refusal.broken();
@@ -192,7 +207,10 @@
             return FairQueue.Turn.START;
         }
         boolean needsCertainEndpoint =
-                exchange.alone() || !exchange.tried().isEmpty() || only(exchange).isPresent();
+                exchange.alone()
+                        || !exchange.tried().isEmpty()
+                        || only(exchange).isPresent()
+                        || mustLeave(exchange);
         return needsCertainEndpoint ? FairQueue.Turn.SKIP : FairQueue.Turn.STOP;
     }
 
@@ -227,6 +245,9 @@
         /** Starts a request on an endpoint of this region. */
         void startLocal(Exchange exchange, EndpointState endpoint);
 
+        /** Checks a request again once reports of other crashes have had time to arrive. */
+        void hold(Exchange exchange);
+
         /** Forwards a request to another region. */
         void startAway(Exchange exchange, RegionId region);
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
@@ -17,12 +18,14 @@
     private final Context mThread;
     private final TrafficContext mContext;
     private final Map<Long, ForwardCall> mCalls = new HashMap<>();
+    private final LinkReach mReach;
     private PeerNetwork mNetwork;
     private long mNextStream = 1;
 
-    ForwardClient(Context thread, TrafficContext context) {
+    ForwardClient(Context thread, TrafficContext context, LinkReach reach) {
         mThread = thread;
         mContext = context;
+        mReach = reach;
     }
 
     void setNetwork(PeerNetwork network) {
@@ -41,7 +44,7 @@
             Map<String, String> attemptHeaders,
             UpstreamListener listener) {
         long stream = mNextStream++;
-        ForwardCall call = new ForwardCall(stream, listener);
+        ForwardCall call = new ForwardCall(stream, member.region(), listener);
         mCalls.put(stream, call);
         PeerMessage.ForwardStart message = message(stream, exchange, attemptHeaders);
         mNetwork.withConnection(
@@ -51,6 +54,7 @@
                         call.fail(UpstreamListener.Failure.NOT_SENT);
                     } else if (!call.mDone) {
                         call.open(connection);
+                        mReach.charge(member.region(), exchange.incoming().body().length());
                         connection.send(message);
                     }
                 });
@@ -100,6 +104,7 @@
     private final class ForwardCall implements Upstream {
 
         private final long mStream;
+        private final RegionId mRegion;
         private final UpstreamListener mListener;
         private PeerConnection mConnection;
         private PeerConnection.CloseAction mCloseAction;
@@ -107,8 +112,9 @@
         private boolean mPaused;
         private long mOwedBytes;
 
-        ForwardCall(long stream, UpstreamListener listener) {
+        ForwardCall(long stream, RegionId region, UpstreamListener listener) {
             mStream = stream;
+            mRegion = region;
             mListener = listener;
         }
 
@@ -126,6 +132,7 @@
         }
 
         void receive(byte[] data) {
+            mReach.charge(mRegion, data.length);
             mOwedBytes += data.length;
             mListener.data(Buffer.buffer(data));
             payBack();
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficLoop.java
@@ -68,16 +68,12 @@
                                 .setTcpNoDelay(true)
                                 .setKeepAlive(true));
         mFinisher = new Finisher(mTraffic.control()::tokens, mTraffic.metrics());
-        ForwardClient forwards = new ForwardClient(context, mTraffic);
+        LinkReach reach = new LinkReach(mTraffic, mSettings.trafficThreads());
+        ForwardClient forwards = new ForwardClient(context, mTraffic, reach);
         mCacheEvents = new CacheEventPoller(mTraffic, client, mTable);
         UnprovenRequests unproven = new UnprovenRequests(MAX_REMEMBERED_REQUESTS);
         mAttempts = new Attempts(mTraffic, client, forwards, mFinisher, unproven, mCacheEvents);
-        Router router =
-                new Router(
-                        mSettings.region(),
-                        mTable,
-                        region -> !mTraffic.snapshot().workingIn(region).isEmpty(),
-                        this::ownsForLoneRequests);
+        Router router = new Router(mSettings.region(), mTable, reach, this::ownsForLoneRequests);
         mDispatcher = new Dispatcher(mTraffic, router, mFinisher, unproven, mAttempts);
         mAttempts.setDispatcher(mDispatcher);
         mClaims = new BookingClaims(context, mTraffic, mFinisher);
@@ -203,7 +199,8 @@
         if (exchange.ended()) {
             mTraffic.control().tokens().settle(exchange.grant(), exchange.grant().tokens());
         } else {
-            mDispatcher.submit(exchange);
+            // The request may have been convicted while it waited for its tokens.
+            mAttempts.checkVerdict(exchange, () -> mDispatcher.submit(exchange));
         }
     }
 
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Configuration.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Configuration.java
@@ -23,6 +23,7 @@
                     Endpoint.class, EntityKind.ENDPOINT,
                     Account.class, EntityKind.ACCOUNT,
                     ApiKey.class, EntityKind.KEY,
+                    Operator.class, EntityKind.OPERATOR,
                     Rules.class, EntityKind.RULES);
 
     /** The configuration before the first change. */
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/ConfigurationValidator.java
@@ -29,6 +29,7 @@
         configuration.all(Endpoint.class).forEach(validator::checkEndpoint);
         configuration.all(Account.class).forEach(validator::checkAccount);
         configuration.all(ApiKey.class).forEach(validator::checkKey);
+        configuration.all(Operator.class).forEach(validator::checkOperator);
         validator.checkModels();
         validator.checkRules(configuration.rules());
         return List.copyOf(validator.mProblems);
@@ -58,7 +59,7 @@
     /** Returns whether no other entity depends on what the edit changes. */
     private static boolean isSelfContained(Edit edit) {
         return switch (edit.target().kind()) {
-            case KEY -> true;
+            case KEY, OPERATOR -> true;
             case ACCOUNT, RULES -> edit instanceof Edit.Put;
             default -> false;
         };
@@ -67,6 +68,8 @@
     private void checkSelfContained(Entity entity) {
         if (entity instanceof ApiKey key) {
             checkKey(key);
+        } else if (entity instanceof Operator operator) {
+            checkOperator(operator);
         } else if (entity instanceof Account account) {
             checkAccount(account);
         } else if (entity instanceof Rules rules) {
@@ -220,6 +223,15 @@
                 "is not a SHA-256 digest. Issue the key again.");
     }
 
+    private void checkOperator(Operator operator) {
+        require(operator.role() != null, operator, "role", "is missing. Use READ or OPERATE.");
+        require(
+                operator.tokenSha256() != null && isSha256(operator.tokenSha256()),
+                operator,
+                "tokenSha256",
+                "is not a SHA-256 digest. Issue the token again.");
+    }
+
     private static boolean isSha256(String text) {
         return text.length() == SHA256_DIGITS
                 && text.chars().allMatch(c -> (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'));
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Entity.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Entity.java
@@ -12,9 +12,11 @@
     @JsonSubTypes.Type(value = Endpoint.class, name = "ENDPOINT"),
     @JsonSubTypes.Type(value = Account.class, name = "ACCOUNT"),
     @JsonSubTypes.Type(value = ApiKey.class, name = "KEY"),
+    @JsonSubTypes.Type(value = Operator.class, name = "OPERATOR"),
     @JsonSubTypes.Type(value = Rules.class, name = "RULES")
 })
-public sealed interface Entity permits Region, Link, Service, Endpoint, Account, ApiKey, Rules {
+public sealed interface Entity
+        permits Region, Link, Service, Endpoint, Account, ApiKey, Operator, Rules {
 
     /** Returns the key of this entity within a configuration. */
     EntityKey entityKey();
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/EntityKind.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/EntityKind.java
@@ -8,5 +8,6 @@
     ENDPOINT,
     ACCOUNT,
     KEY,
+    OPERATOR,
     RULES
 }
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Inventory.java
@@ -96,7 +96,9 @@
         }
     }
 
-    /** Returns the edits that turn the configuration into this inventory; keys stay. */
+    /**
+     * Returns the edits that turn the configuration into this inventory; keys and operators stay.
+     */
     public List<Edit> editsFrom(Configuration configuration) {
         Map<EntityKey, Entity> wanted = new TreeMap<>();
         entities().forEach(entity -> wanted.put(entity.entityKey(), entity));
@@ -107,7 +109,8 @@
             }
         }
         for (EntityKey key : configuration.keys()) {
-            if (key.kind() != EntityKind.KEY && !wanted.containsKey(key)) {
+            boolean credential = key.kind() == EntityKind.KEY || key.kind() == EntityKind.OPERATOR;
+            if (!credential && !wanted.containsKey(key)) {
                 edits.add(new Edit.Remove(key));
             }
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/UnprovenRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/UnprovenRequests.java
@@ -16,7 +16,7 @@
 
     private final int mCapacity;
     private final Map<RequestDigest, Running> mRunning = new HashMap<>();
-    private final LinkedHashMap<RequestDigest, Boolean> mOutcomes =
+    private final LinkedHashMap<RequestDigest, Outcome> mOutcomes =
             new LinkedHashMap<>(16, 0.75f, true);
 
     /** Creates a memory for the outcomes of a number of requests. */
@@ -26,7 +26,7 @@
 
     /** Returns the only endpoint where the request may run now; empty if it may run anywhere. */
     public Optional<EndpointId> onlyEndpoint(RequestDigest request) {
-        if (Boolean.TRUE.equals(mOutcomes.get(request))) {
+        if (mOutcomes.get(request) == Outcome.PROVED) {
             return Optional.empty();
         }
         return Optional.ofNullable(mRunning.get(request)).map(running -> running.mEndpoint);
@@ -47,26 +47,44 @@
 
     /** Notes that the request has run to its end without harm. */
     public void proved(RequestDigest request) {
-        note(request, true);
+        note(request, Outcome.PROVED);
     }
 
     /** Notes that the request has crashed an endpoint on which it ran alone. */
     public void convicted(RequestDigest request) {
-        note(request, false);
+        note(request, Outcome.CONVICTED);
     }
 
     /** Returns whether the request must not run again. */
     public boolean isConvicted(RequestDigest request) {
-        return Boolean.FALSE.equals(mOutcomes.get(request));
+        return mOutcomes.get(request) == Outcome.CONVICTED;
     }
 
-    private void note(RequestDigest request, boolean harmless) {
-        mOutcomes.put(request, harmless);
+    /** Notes that the request ran on an endpoint that crashed. */
+    public void suspected(RequestDigest request) {
+        if (!isConvicted(request)) {
+            note(request, Outcome.SUSPECTED);
+        }
+    }
+
+    /** Returns whether the request ran at a crash and has not run to its end since. */
+    public boolean isSuspected(RequestDigest request) {
+        return mOutcomes.get(request) == Outcome.SUSPECTED;
+    }
+
+    private void note(RequestDigest request, Outcome outcome) {
+        mOutcomes.put(request, outcome);
         if (mOutcomes.size() > mCapacity) {
             mOutcomes.remove(mOutcomes.keySet().iterator().next());
         }
     }
 
+    private enum Outcome {
+        PROVED,
+        SUSPECTED,
+        CONVICTED
+    }
+
     /** Counts the copies that run on an endpoint. */
     private static final class Running {
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.filbertrudder.model.Configuration;
 import org.filbertrudder.model.Link;
 import org.filbertrudder.model.RegionId;
@@ -71,7 +72,9 @@
             return new Route.Away(away.get());
         }
         if (!mayWait) {
-            return refuse(request, configuration);
+            return reachableAway(request, configuration).isPresent()
+                    ? new Route.Wait()
+                    : refuse(request, configuration);
         }
         if (away.isPresent() && worthLeaving(away.get(), configuration, localWaitMs)) {
             return new Route.Away(away.get());
@@ -149,11 +152,19 @@
     }
 
     private Optional<RegionId> nearestAway(RouteRequest request, Configuration configuration) {
+        return away(request, configuration).filter(mReach::hasRoom).findFirst();
+    }
+
+    /** Returns a region that can be reached, though its link may have no room now. */
+    private Optional<RegionId> reachableAway(RouteRequest request, Configuration configuration) {
+        return away(request, configuration).findFirst();
+    }
+
+    private Stream<RegionId> away(RouteRequest request, Configuration configuration) {
         return configuration.nearestTo(mHere).stream()
                 .filter(request.allowed())
                 .filter(region -> hasEndpoint(request, region))
-                .filter(mReach::reachable)
-                .findFirst();
+                .filter(mReach::reachable);
     }
 
     private boolean hasEndpoint(RouteRequest request, RegionId region) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/RetryTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/RetryTest.java
@@ -151,4 +151,19 @@
         unproven.convicted(REQUEST);
         assertTrue(unproven.isConvicted(REQUEST));
     }
+
+    @Test
+    public void suspectsARequestThatRanAtACrashUntilItHasRunToItsEnd() {
+        UnprovenRequests unproven = new UnprovenRequests(10);
+
+        unproven.suspected(REQUEST);
+        assertTrue(unproven.isSuspected(REQUEST));
+
+        unproven.proved(REQUEST);
+        assertFalse(unproven.isSuspected(REQUEST));
+
+        unproven.convicted(REQUEST);
+        unproven.suspected(REQUEST);
+        assertTrue(unproven.isConvicted(REQUEST));
+    }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -183,6 +183,39 @@
         return seeds;
     }
 
+    private static RegionReach reach(Predicate<RegionId> room) {
+        return new RegionReach() {
+            @Override
+            public boolean reachable(RegionId region) {
+                return true;
+            }
+
+            @Override
+            public boolean hasRoom(RegionId region) {
+                return room.test(region);
+            }
+        };
+    }
+
+    private static Route routeAway(RegionReach reach) {
+        Configuration configuration = configuration(3, 1);
+        Predicate<RegionId> allowed = region -> !region.equals(region(0));
+        return new Router(region(0), table(configuration), reach)
+                .choose(request(allowed, false), configuration, 0, NOW_MS);
+    }
+
+    @Test
+    public void takesTheNextRegionIfTheLinkToTheNearestHasNoRoom() {
+        Route route = routeAway(reach(region -> !region.equals(region(1))));
+
+        assertEquals(route, new Route.Away(region(2)));
+    }
+
+    @Test
+    public void waitsForALinkRatherThanRefuseWhatMustLeave() {
+        assertEquals(routeAway(reach(region -> false)), new Route.Wait());
+    }
+
     @DataProvider
     public Object[][] rests() {
         return new Object[][] {{1, Route.Wait.class}, {6, Route.Refuse.class}};
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ControlCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ControlCapacity.java
@@ -15,6 +15,7 @@
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.Inventory;
 import org.filbertrudder.model.Json;
+import org.filbertrudder.model.OperatorRole;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.membership.PeerAddress;
@@ -106,9 +107,7 @@
                             platform,
                             platform,
                             seeds,
-                            List.of(
-                                    OperatorCredential.of(
-                                            "measure", OperatorCredential.Role.OPERATE, TOKEN)),
+                            List.of(OperatorCredential.of("measure", OperatorRole.OPERATE, TOKEN)),
                             PeerSecurity.plain(),
                             null,
                             1_000_000,
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/OperatorCommandsTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/OperatorCommandsTest.java
@@ -173,4 +173,36 @@
 
         assertTrue(answer.contains("credential_invalid"), answer);
     }
+
+    @Test
+    public void anOperatorsTokenIsIssuedReplacedAndWithdrawnWithoutARestart() {
+        String first = token(run("operators", "issue", "night-shift", "--role", "READ"));
+        String second = token(run("operators", "issue", "night-shift", "--role", "OPERATE"));
+
+        for (String id : mFleet.entries()) {
+            Fleet.await("the second token at " + id, 15_000, () -> status(id, second) == 200);
+            assertEquals(status(id, first), 401, id);
+        }
+        assertTrue(run("operators", "list").contains("night-shift"));
+        run("operators", "withdraw", "night-shift");
+        for (String id : mFleet.entries()) {
+            Fleet.await("the withdrawal at " + id, 15_000, () -> status(id, second) == 401);
+        }
+        assertTrue(run("operators", "withdraw", "night-shift").contains("no such operator"));
+    }
+
+    private String token(String answer) {
+        mFleet.awaitRevision(json(answer).path("revision").asLong());
+        return json(answer).path("token").asText();
+    }
+
+    private int status(String id, String token) {
+        return mFleet.send(
+                        "GET",
+                        mFleet.process(id).port("admin"),
+                        "/admin/v1/instances",
+                        Map.of("authorization", "Bearer " + token),
+                        null)
+                .status();
+    }
 }
