--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -244,15 +244,30 @@
      * <p>An endpoint that refuses connections may just have crashed under a copy of the request.
      */
     private void awaitReports(Exchange exchange, Runnable action) {
-        if (exchange.incoming().isModel()) {
-            mContext.vertx().setTimer(REPORTS_TRAVEL_MS, timer -> checkVerdict(exchange, action));
-        } else {
+        if (!exchange.incoming().isModel()) {
             action.run();
+            return;
         }
+        mContext.vertx()
+                .setTimer(
+                        REPORTS_TRAVEL_MS, timer -> withVerdict(exchange, verdict -> action.run()));
     }
 
-    /** Runs the action unless the request has crashed endpoints before. */
+    /** Runs the action unless the request has crashed endpoints before; a suspect waits first. */
     void checkVerdict(Exchange exchange, Runnable action) {
+        withVerdict(
+                exchange,
+                verdict -> {
+                    if (verdict == Verdict.ALONE) {
+                        awaitReports(exchange, action);
+                    } else {
+                        action.run();
+                    }
+                });
+    }
+
+    /** Refuses the request if it is guilty; tells the action how it may run otherwise. */
+    private void withVerdict(Exchange exchange, Consumer<Verdict> action) {
         mContext.control()
                 .crashes()
                 .verdict(exchange.incoming().digest())
@@ -261,7 +276,7 @@
                                 mForwards.execute(() -> applyVerdict(exchange, verdict, action)));
     }
 
-    private void applyVerdict(Exchange exchange, Verdict verdict, Runnable action) {
+    private void applyVerdict(Exchange exchange, Verdict verdict, Consumer<Verdict> action) {
         if (exchange.ended()) {
             return;
         }
@@ -272,7 +287,7 @@
         if (verdict == Verdict.ALONE) {
             exchange.setAlone();
         }
-        action.run();
+        action.accept(verdict);
     }
 
     /** Ends an attempt; only an endpoint's answer is kept for repeats, not a refusal. */
