--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ConfigurationCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ConfigurationCapacity.java
@@ -1,9 +1,11 @@
 package org.filbertrudder.measure;
 
 import java.util.List;
+import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Change;
 import org.filbertrudder.model.Configuration;
 import org.filbertrudder.model.ConfigurationValidator;
+import org.filbertrudder.model.Edit;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.MessageCodec;
@@ -25,7 +27,8 @@
                         "snapshot_mb",
                         "change_bytes",
                         "apply_ms",
-                        "validate_ms");
+                        "validate_all_ms",
+                        "validate_change_us");
         for (int accounts : ACCOUNTS) {
             measure(table, accounts);
         }
@@ -47,7 +50,27 @@
         startNs = System.nanoTime();
         ConfigurationValidator.validate(next);
         double validateMs = (System.nanoTime() - startNs) / 1e6;
-        table.add(accounts, heapMb, snapshotMb, changeBytes, applyMs, validateMs);
+        table.add(
+                accounts,
+                heapMb,
+                snapshotMb,
+                changeBytes,
+                applyMs,
+                validateMs,
+                validateChangeUs(next));
+    }
+
+    /** Returns the mean time to check a change that sets one account, in microseconds. */
+    private static double validateChangeUs(Configuration configuration) {
+        List<Edit> edits = List.of(new Edit.Put(configuration.all(Account.class).get(0)));
+        for (int i = 0; i < CHANGES; i++) {
+            ConfigurationValidator.validateEdits(configuration, edits);
+        }
+        long startNs = System.nanoTime();
+        for (int i = 0; i < CHANGES; i++) {
+            ConfigurationValidator.validateEdits(configuration, edits);
+        }
+        return (System.nanoTime() - startNs) / 1e3 / CHANGES;
     }
 
     private static Configuration applyMany(Configuration start, int changes) {
