--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderLeaseKeeper.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderLeaseKeeper.java
@@ -16,6 +16,7 @@
 import org.filbertrudder.platform.Store;
 import org.filbertrudder.platform.StoreException;
 import org.filbertrudder.platform.Transaction;
+import org.filbertrudder.platform.TransactionResult;
 import org.filbertrudder.policy.orders.OrderLease;
 
 /** Holds the right to give orders to one service in one region, under a lease in the store. */
@@ -93,7 +94,7 @@
     /** Gives the lease up, so that another instance need not wait for its end. */
     void release() {
         if (mStoreLease != 0) {
-            mStore.revokeLease(mStoreLease).subscribe().with(done -> {}, failure -> {});
+            end(mStoreLease);
         }
         forget();
     }
@@ -117,87 +118,90 @@
 
     private void acquire(long askedMs) {
         mBusy = true;
-        String value = Json.write(new Giver(mSelf, UUID.randomUUID().toString()));
-        long[] granted = {0};
         mStore.get(mGiverKey)
-                .flatMap(found -> found.isEmpty() ? grant(granted) : none())
-                .flatMap(lease -> lease == 0 ? none() : take(value, lease))
+                .flatMap(found -> found.isEmpty() ? grantAndTake() : notTaken())
                 .emitOn(this::execute)
                 .subscribe()
                 .with(
-                        fence -> {
+                        taken -> {
                             mBusy = false;
-                            if (fence > 0) {
-                                acquired(fence, granted[0], askedMs);
-                            } else {
-                                abandon(granted[0]);
-                            }
+                            taken.ifPresent(each -> acquired(each, askedMs));
                         },
-                        failure ->
-                                execute(
-                                        () -> {
-                                            mBusy = false;
-                                            abandon(granted[0]);
-                                        }));
+                        failure -> execute(() -> mBusy = false));
     }
 
-    private Uni<Long> grant(long[] granted) {
-        return mStore.grantLease(TERM_SECONDS).invoke(lease -> granted[0] = lease);
+    private static Uni<Optional<Taken>> notTaken() {
+        return Uni.createFrom().item(Optional.empty());
     }
 
-    private static Uni<Long> none() {
-        return Uni.createFrom().item(0L);
+    /** Takes the right under a new lease; a lease that was granted in vain is ended. */
+    private Uni<Optional<Taken>> grantAndTake() {
+        return mStore.grantLease(TERM_SECONDS)
+                .flatMap(
+                        lease ->
+                                take(lease)
+                                        .invoke(taken -> endIfNotTaken(taken, lease))
+                                        .onFailure()
+                                        .invoke(() -> end(lease)));
     }
 
-    /** Ends a lease that was granted in vain. */
-    private void abandon(long lease) {
-        if (lease != 0) {
-            mStore.revokeLease(lease).subscribe().with(done -> {}, failure -> {});
+    private void endIfNotTaken(Optional<Taken> taken, long lease) {
+        if (taken.isEmpty()) {
+            end(lease);
         }
     }
 
-    /** Writes this instance as the giver with the next fencing number; returns it, or 0. */
-    private Uni<Long> take(String value, long lease) {
+    private void end(long lease) {
+        mStore.revokeLease(lease).subscribe().with(done -> {}, failure -> {});
+    }
+
+    /** Writes this instance as the giver with the next fencing number. */
+    private Uni<Optional<Taken>> take(long lease) {
         return mStore.get(mFenceKey)
                 .flatMap(
                         found -> {
-                            long fence = 1 + found.stream().mapToLong(this::fence).sum();
                             long version = found.isEmpty() ? 0 : found.get(0).modRevision();
-                            Transaction transaction =
-                                    Transaction.builder()
-                                            .ifUnchanged(mGiverKey, 0)
-                                            .ifUnchanged(mFenceKey, version)
-                                            .put(mGiverKey, value, lease)
-                                            .put(mFenceKey, Long.toString(fence))
-                                            .build();
-                            return mStore.commit(transaction)
-                                    .map(result -> result.succeeded() ? fence : 0L)
-                                    .onFailure(StoreException.class)
-                                    .recoverWithUni(failure -> settle(value, fence));
+                            return write(lease, lastFence(found) + 1, version);
                         });
     }
 
-    private long fence(KeyValue keyValue) {
-        return Long.parseLong(keyValue.value());
+    private static long lastFence(List<KeyValue> found) {
+        return found.isEmpty() ? 0 : Long.parseLong(found.get(0).value());
+    }
+
+    private Uni<Optional<Taken>> write(long lease, long fence, long fenceVersion) {
+        String value = Json.write(new Giver(mSelf, UUID.randomUUID().toString()));
+        Transaction transaction =
+                Transaction.builder()
+                        .ifUnchanged(mGiverKey, 0)
+                        .ifUnchanged(mFenceKey, fenceVersion)
+                        .put(mGiverKey, value, lease)
+                        .put(mFenceKey, Long.toString(fence))
+                        .build();
+        return mStore.commit(transaction)
+                .map(TransactionResult::succeeded)
+                .onFailure(StoreException.class)
+                .recoverWithUni(failure -> settle(value))
+                .map(done -> done ? Optional.of(new Taken(lease, fence)) : Optional.empty());
     }
 
     /** Finds out by reading whether a write without an answer took effect. */
-    private Uni<Long> settle(String value, long fence) {
-        return mStore.get(mGiverKey).map(found -> isOurs(found, value) ? fence : 0L);
+    private Uni<Boolean> settle(String value) {
+        return mStore.get(mGiverKey).map(found -> isOurs(found, value));
     }
 
     private static boolean isOurs(List<KeyValue> found, String value) {
         return !found.isEmpty() && found.get(0).value().equals(value);
     }
 
-    private void acquired(long fence, long storeLease, long askedMs) {
-        mStoreLease = storeLease;
-        mLease = new OrderLease(fence, askedMs + TERM_MS);
+    private void acquired(Taken taken, long askedMs) {
+        mStoreLease = taken.lease();
+        mLease = new OrderLease(taken.fence(), askedMs + TERM_MS);
         mNextCallMs = askedMs + RENEWAL_MS;
         LOG.info(
                 "This instance gives the orders.",
                 Field.of("service", mService),
-                Field.of("fence", fence));
+                Field.of("fence", taken.fence()));
         mOnAcquired.run();
     }
 
@@ -205,5 +209,7 @@
         mContext.runOnContext(ignored -> action.run());
     }
 
+    private record Taken(long lease, long fence) {}
+
     private record Giver(InstanceId instance, String attempt) {}
 }
