--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Rules.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Rules.java
@@ -79,6 +79,18 @@
                 weightLoadsPerMinute);
     }
 
+    /** Returns the rules with another limit on weight loads. */
+    public Rules withWeightLoadsPerMinute(int newLimit) {
+        return new Rules(
+                maxQueueWaitMs,
+                requestTimeoutMs,
+                maxOutputTokens,
+                awayCostMs,
+                retryShare,
+                awayLinkShare,
+                newLimit);
+    }
+
     @Override
     public EntityKey entityKey() {
         return EntityKey.of(EntityKind.RULES, NAME);
--- a/filbertrudder-scenarios/src/test/resources/features/orders.feature
+++ b/filbertrudder-scenarios/src/test/resources/features/orders.feature
@@ -12,6 +12,7 @@
 
   Scenario Outline: A giver that is paused and wakes gives no order under its old lease
     Given a bureau fleet of 6 instances whose engines <check> fencing numbers
+    And a weight store that serves 600 loads a minute
     When an operator sets version "v2" with adapters ""
     Then within 60 seconds all engines have loaded version "v2" with adapters ""
     When the giver of orders in "mtl" is paused
