--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -139,7 +139,9 @@
                         mClockMs,
                         new FloodAnnouncer());
         mOrders = new OrderDesk(mVertx, mContext, mStore, mMembership, mClockMs);
-        mLiveList = new LiveListWatcher(mContext, mPlatform, mClockMs, this::liveListChanged);
+        mLiveList =
+                new LiveListWatcher(
+                        mContext, self.id(), mPlatform, mClockMs, this::liveListChanged);
         publish();
         send(mMembership.join(0));
         mVertx.setPeriodic(TICK_MS, timer -> tick());
@@ -181,7 +183,7 @@
         return IsolationRule.isIsolated(
                 mMembership.hasPeersInRegion(),
                 mMembership.lastAnswerMs().orElse(mStartedMs),
-                mLiveList.lastListedMs(mMembership.self().id()).orElse(mStartedMs),
+                mLiveList.lastListedMs().orElse(mStartedMs),
                 nowMs);
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
@@ -23,6 +23,7 @@
     private static final long FRESH_POLLS = 5;
 
     private final Context mContext;
+    private final InstanceId mSelf;
     private final PlatformDirectory mPlatform;
     private final LongSupplier mClockMs;
     private final Runnable mOnChange;
@@ -34,7 +35,12 @@
     private Long mListedMs;
 
     LiveListWatcher(
-            Context context, PlatformDirectory platform, LongSupplier clockMs, Runnable onChange) {
+            Context context,
+            InstanceId self,
+            PlatformDirectory platform,
+            LongSupplier clockMs,
+            Runnable onChange) {
+        mSelf = self;
         mContext = context;
         mPlatform = platform;
         mClockMs = clockMs;
@@ -59,6 +65,9 @@
     private void read(List<LiveInstance> instances) {
         mReading = false;
         mReadMs = mClockMs.getAsLong();
+        if (names(instances, mSelf)) {
+            mListedMs = mReadMs;
+        }
         if (!instances.equals(mInstances)) {
             mInstances = List.copyOf(instances);
             mOnChange.run();
@@ -70,19 +79,18 @@
         LOG.debug("The live list cannot be read.", Field.of("error", failure.getMessage()));
     }
 
-    /** Returns when an answer last named the instance; absent if none ever did. */
-    Optional<Long> lastListedMs(InstanceId id) {
-        boolean named = mInstances.stream().anyMatch(each -> each.id().equals(id.value()));
-        if (named) {
-            mListedMs = mReadMs;
-        }
+    /** Returns when an answer last named this instance; absent if none ever did. */
+    Optional<Long> lastListedMs() {
         return Optional.ofNullable(mListedMs);
     }
 
     /** Returns whether a recent answer does not name the instance. */
     boolean lacks(InstanceId id, long nowMs) {
-        return nowMs - mReadMs < FRESH_POLLS * mPollMs
-                && mInstances.stream().noneMatch(each -> each.id().equals(id.value()));
+        return nowMs - mReadMs < FRESH_POLLS * mPollMs && !names(mInstances, id);
+    }
+
+    private static boolean names(List<LiveInstance> instances, InstanceId id) {
+        return instances.stream().anyMatch(each -> each.id().equals(id.value()));
     }
 
     /** Returns the endpoints that are leaving. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -82,7 +82,7 @@
 
     private void noteCopyStarted(Exchange exchange, EndpointState endpoint) {
         if (exchange.incoming().isModel()) {
-            mUnproven.started(exchange.incoming().digest(), endpoint.id());
+            mUnproven.started(exchange.digest(), endpoint.id());
         }
     }
 
@@ -222,16 +222,16 @@
             return;
         }
         if (alone) {
-            mUnproven.convicted(incoming.digest());
+            mUnproven.convicted(exchange.digest());
         } else {
-            mUnproven.suspected(incoming.digest());
+            mUnproven.suspected(exchange.digest());
         }
         mContext.control()
                 .crashes()
                 .report(
                         new PeerMessage.CrashReport(
                                 incoming.account(),
-                                incoming.digest().bodySha256(),
+                                exchange.digest().bodySha256(),
                                 endpoint.id(),
                                 System.currentTimeMillis(),
                                 alone));
@@ -270,7 +270,7 @@
     private void withVerdict(Exchange exchange, Consumer<Verdict> action) {
         mContext.control()
                 .crashes()
-                .verdict(exchange.incoming().digest())
+                .verdict(exchange.digest())
                 .thenAccept(
                         verdict ->
                                 mForwards.execute(() -> applyVerdict(exchange, verdict, action)));
@@ -372,13 +372,13 @@
         private void release() {
             mReleased = true;
             if (mExchange.incoming().isModel()) {
-                mUnproven.ended(mExchange.incoming().digest());
+                mUnproven.ended(mExchange.digest());
             }
         }
 
         private void noteProved() {
             if (mExchange.incoming().isModel()) {
-                mUnproven.proved(mExchange.incoming().digest());
+                mUnproven.proved(mExchange.digest());
             }
         }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -87,7 +87,7 @@
 
     private Optional<EndpointId> only(Exchange exchange) {
         return exchange.incoming().isModel()
-                ? mUnproven.onlyEndpoint(exchange.incoming().digest())
+                ? mUnproven.onlyEndpoint(exchange.digest())
                 : Optional.empty();
     }
 
@@ -120,14 +120,14 @@
     }
 
     private boolean isConvicted(Exchange exchange) {
-        return exchange.incoming().isModel() && mUnproven.isConvicted(exchange.incoming().digest());
+        return exchange.incoming().isModel() && mUnproven.isConvicted(exchange.digest());
     }
 
     /** Returns whether a copy of the request ran at a crash after this one was checked. */
     private boolean isSuspected(Exchange exchange) {
         return exchange.incoming().isModel()
                 && !exchange.alone()
-                && mUnproven.isSuspected(exchange.incoming().digest());
+                && mUnproven.isSuspected(exchange.digest());
     }
 
     private static Refusal refusal(Exchange exchange, Route.Reason reason) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -36,6 +36,7 @@
     private boolean mMaybeRan;
     private boolean mAlone;
     private boolean mQueued;
+    private RequestDigest mDigest;
     private boolean mEnded;
     private Runnable mOnEnd = () -> {};
     private Answer mAnswer;
@@ -156,6 +157,15 @@
         mAlone = true;
     }
 
+    /** Returns what recognises the request when it is sent again; worked out once. */
+    RequestDigest digest() {
+        if (mDigest == null) {
+            String bodySha256 = Digests.sha256(mIncoming.body().getBytes());
+            mDigest = new RequestDigest(mIncoming.account(), bodySha256);
+        }
+        return mDigest;
+    }
+
     /** Returns whether the request waits in a queue. */
     boolean queued() {
         return mQueued;
@@ -243,9 +253,5 @@
         boolean isModel() {
             return service.type() == ServiceKind.MODEL;
         }
-
-        RequestDigest digest() {
-            return new RequestDigest(account, Digests.sha256(body.getBytes()));
-        }
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -42,11 +42,6 @@
         return news;
     }
 
-    /** Clears a request that has run to its end. */
-    public void clear(RequestDigest request) {
-        mHistories.remove(request);
-    }
-
     /** Returns how the request may run. */
     public Verdict verdict(RequestDigest request, long nowMs) {
         History history = mHistories.get(request);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ControlCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ControlCapacity.java
@@ -60,10 +60,10 @@
         long heapBefore = HeapGauge.usedBytes();
         List<Entry> entries = startEntries(size, port, http);
         apply(entries.get(0), http, 0);
-        sleep(SETTLE_MS);
+        Pause.ms(SETTLE_MS);
         long heapMb = (HeapGauge.usedBytes() - heapBefore) / size / 1_000;
         Totals before = totals(entries, http, port);
-        sleep(WINDOW_MS);
+        Pause.ms(WINDOW_MS);
         Totals after = totals(entries, http, port);
         double seconds = (after.atNs() - before.atNs()) / 1e9;
         double inForceMs = changes(entries, http);
@@ -152,7 +152,7 @@
             long revision = apply(entries.get(i % entries.size()), http, i);
             long startNs = System.nanoTime();
             while (!entries.stream().allMatch(entry -> entry.revision() >= revision)) {
-                sleep(1);
+                Pause.ms(1);
             }
             totalNs += System.nanoTime() - startNs;
         }
@@ -183,14 +183,6 @@
                 json.path("watching").asLong());
     }
 
-    private static void sleep(long durationMs) {
-        try {
-            Thread.sleep(durationMs);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private record Totals(
             long atNs,
             long bytes,
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ProcessFairness.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ProcessFairness.java
@@ -51,8 +51,8 @@
 
     private static void phase(
             Table table, Vertx vertx, Fleet fleet, String name, double largePerSecond, long seed) {
-        long received = counter(fleet, "requests.received");
-        long forwarded = counter(fleet, "requests.forwarded");
+        long received = fleet.counter("requests.received");
+        long forwarded = fleet.counter("requests.forwarded");
         List<StreamLoad> loads = new ArrayList<>();
         for (String account : SMALL) {
             loads.add(new StreamLoad(vertx, fleet, account, SMALL_PER_SECOND, seed));
@@ -63,16 +63,10 @@
         loads.forEach(StreamLoad::stop);
         Pause.ms(DRAIN_MS);
         double callers =
-                counter(fleet, "requests.received")
+                fleet.counter("requests.received")
                         - received
-                        - (counter(fleet, "requests.forwarded") - forwarded);
-        double away = (counter(fleet, "requests.forwarded") - forwarded) / callers;
+                        - (fleet.counter("requests.forwarded") - forwarded);
+        double away = (fleet.counter("requests.forwarded") - forwarded) / callers;
         loads.forEach(load -> load.report(table, name, away));
     }
-
-    private static long counter(Fleet fleet, String name) {
-        return fleet.entries().stream()
-                .mapToLong(id -> fleet.dump(id).path("metrics").path(name).asLong())
-                .sum();
-    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ProcessRetries.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ProcessRetries.java
@@ -39,8 +39,8 @@
 
     private static void phase(
             Table table, Vertx vertx, Fleet fleet, String name, int crashing, long seed) {
-        long received = counter(fleet, "requests.received");
-        long retries = counter(fleet, "requests.retries");
+        long received = fleet.counter("requests.received");
+        long retries = fleet.counter("requests.retries");
         StreamLoad load = new StreamLoad(vertx, fleet, "federation", PER_SECOND, seed).start();
         for (int i = 0; i < ROUNDS; i++) {
             for (int engine = 0; engine < crashing; engine++) {
@@ -50,14 +50,8 @@
         }
         load.stop();
         Pause.ms(DRAIN_MS);
-        long requests = counter(fleet, "requests.received") - received;
-        double share = (double) (counter(fleet, "requests.retries") - retries) / requests;
+        long requests = fleet.counter("requests.received") - received;
+        double share = (double) (fleet.counter("requests.retries") - retries) / requests;
         table.add(name, crashing, requests, load.servedShare(), share);
     }
-
-    private static long counter(Fleet fleet, String name) {
-        return fleet.entries().stream()
-                .mapToLong(id -> fleet.dump(id).path("metrics").path(name).asLong())
-                .sum();
-    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/StreamCapacity.java
@@ -58,7 +58,7 @@
         long tokensBefore = tokens(fleet);
         long cpuBefore = process.cpuMs();
         long startNs = System.nanoTime();
-        sleep(WINDOW_MS);
+        Pause.ms(WINDOW_MS);
         double tokens = tokens(fleet) - tokensBefore;
         double cpuUs = (process.cpuMs() - cpuBefore) * 1e3;
         double seconds = (System.nanoTime() - startNs) / 1e9;
@@ -86,12 +86,4 @@
                 .mapToLong(stats -> stats.path("tokens").asLong())
                 .sum();
     }
-
-    private static void sleep(long durationMs) {
-        try {
-            Thread.sleep(durationMs);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -311,6 +311,13 @@
         return dump(id).path("metrics").path("requests.running").asInt();
     }
 
+    /** Returns the sum of a counter over all instances. */
+    public long counter(String name) {
+        return entries().stream()
+                .mapToLong(id -> dump(id).path("metrics").path(name).asLong())
+                .sum();
+    }
+
     /** Returns the state dump of an instance. */
     public JsonNode dump(String id) {
         Reply reply = admin(id, "GET", "/dump", null);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/PlatformProcess.java
@@ -62,11 +62,6 @@
         return mHttp.send("GET", port(), "/standin/calls", Map.of(), null).json();
     }
 
-    /** Pauses the process, so that nothing gets an answer from it. */
-    public void pause() {
-        mProcess.signal("STOP");
-    }
-
     /** Sends a signal by name, such as STOP or CONT. */
     public void signal(String name) {
         mProcess.signal(name);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/FleetSteps.java
@@ -178,7 +178,7 @@
                 mWorld.fleet().process(id).signal("STOP");
             }
         }
-        mWorld.fleet().platform().pause();
+        mWorld.fleet().platform().signal("STOP");
     }
 
     @Then("{string} gets whole answers from {string} for {int} seconds")
