--- /dev/null
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -0,0 +1,68 @@
+package org.filbertrudder.app;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.logging.Level;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.filbertrudder.entry.log.LogSetup;
+import org.filbertrudder.gateway.Gateway;
+import org.filbertrudder.gateway.GatewaySettings;
+import org.filbertrudder.platform.PlatformProtocol;
+import org.filbertrudder.platform.PlatformStateSource;
+import org.filbertrudder.platform.SettingsFile;
+
+/** Runs a gateway instance on the users' platform until it is told to stop. */
+final class GatewayCommand {
+
+    private GatewayCommand() {}
+
+    static int run(Namespace arguments, Map<String, String> environment) {
+        Optional<GatewaySettings> settings = settings(environment);
+        if (settings.isEmpty()) {
+            return ExitCode.USAGE;
+        }
+        LogSetup.applyBounded(Level.INFO);
+        try {
+            Gateway gateway =
+                    Gateway.start(
+                                    settings.get(),
+                                    vertx -> new PlatformStateSource(vertx, settings.get()),
+                                    new PlatformProtocol())
+                            .join();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "shutdown"));
+            gateway.stopped().join();
+            return ExitCode.OK;
+        } catch (CompletionException e) {
+            System.err.println("The instance could not start: " + e.getCause());
+            return ExitCode.FAILED;
+        }
+    }
+
+    private static void stop(Gateway gateway) {
+        gateway.shutDown().join();
+        LogSetup.flush();
+        Runtime.getRuntime().halt(ExitCode.OK);
+    }
+
+    static int check(Namespace arguments, Map<String, String> environment) {
+        if (settings(environment).isEmpty()) {
+            return ExitCode.USAGE;
+        }
+        System.out.println("The settings file is valid.");
+        return ExitCode.OK;
+    }
+
+    private static Optional<GatewaySettings> settings(Map<String, String> environment) {
+        String path = environment.get(SettingsFile.PATH_VARIABLE);
+        if (path == null) {
+            System.err.println(
+                    "Set " + SettingsFile.PATH_VARIABLE + " to the path of the settings file.");
+            return Optional.empty();
+        }
+        SettingsFile.Result result = SettingsFile.read(Path.of(path));
+        result.problems().forEach(System.err::println);
+        return result.settings();
+    }
+}
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
@@ -59,6 +59,12 @@
         Subparser entry = commands.addParser("entry").help("run an entry instance");
         EntryOptions.addTo(entry);
         entry.setDefault("run", (Command) EntryCommand::run);
+        commands.addParser("gateway")
+                .help("run an instance on the users' platform")
+                .setDefault("run", (Command) GatewayCommand::run);
+        commands.addParser("check-platform-settings")
+                .help("check the platform's settings file")
+                .setDefault("run", (Command) GatewayCommand::check);
         Subparser check =
                 commands.addParser("check-settings").help("check the settings of an instance");
         EntryOptions.addTo(check);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Closer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Closer.java
@@ -6,17 +6,17 @@
 import java.util.function.Supplier;
 
 /** Gathers resources and closes them in the reverse order. */
-final class Closer {
+public final class Closer {
 
     private final Deque<Supplier<CompletableFuture<Void>>> mActions = new ArrayDeque<>();
 
     /** Adds an action that closes a resource. */
-    void add(Supplier<CompletableFuture<Void>> action) {
+    public void add(Supplier<CompletableFuture<Void>> action) {
         mActions.push(action);
     }
 
     /** Closes everything; one that fails does not keep the others open. */
-    CompletableFuture<Void> close() {
+    public CompletableFuture<Void> close() {
         CompletableFuture<Void> closed = CompletableFuture.completedFuture(null);
         while (!mActions.isEmpty()) {
             Supplier<CompletableFuture<Void>> action = mActions.pop();
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/Entry.java
@@ -23,9 +23,9 @@
 import org.filbertrudder.entry.traffic.TrafficMetrics;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
-import org.filbertrudder.platform.EtcdStore;
-import org.filbertrudder.platform.PlatformDirectory;
-import org.filbertrudder.platform.Store;
+import org.filbertrudder.store.EtcdStore;
+import org.filbertrudder.store.PlatformDirectory;
+import org.filbertrudder.store.Store;
 
 /** Runs one entry instance: a control thread and some traffic threads. */
 public final class Entry {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CallerDirectoryPublisher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CallerDirectoryPublisher.java
@@ -3,8 +3,8 @@
 import org.filbertrudder.entry.log.Field;
 import org.filbertrudder.entry.log.PartLog;
 import org.filbertrudder.model.message.Member;
-import org.filbertrudder.platform.DirectoryEntry;
-import org.filbertrudder.platform.PlatformDirectory;
+import org.filbertrudder.store.DirectoryEntry;
+import org.filbertrudder.store.PlatformDirectory;
 
 /** Keeps this instance in the platform's directory for callers while it takes work. */
 final class CallerDirectoryPublisher {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ChangeService.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ChangeService.java
@@ -15,7 +15,7 @@
 import org.filbertrudder.model.ConfigurationValidator;
 import org.filbertrudder.model.Edit;
 import org.filbertrudder.model.Problem;
-import org.filbertrudder.platform.StoreException;
+import org.filbertrudder.store.StoreException;
 
 /** Accepts operators' changes: validates them, then writes them by compare-and-swap. */
 public final class ChangeService {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ConfigurationStore.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ConfigurationStore.java
@@ -10,10 +10,10 @@
 import org.filbertrudder.model.Digests;
 import org.filbertrudder.model.Entity;
 import org.filbertrudder.model.Json;
-import org.filbertrudder.platform.KeyValue;
-import org.filbertrudder.platform.Store;
-import org.filbertrudder.platform.Transaction;
-import org.filbertrudder.platform.TransactionResult;
+import org.filbertrudder.store.KeyValue;
+import org.filbertrudder.store.Store;
+import org.filbertrudder.store.Transaction;
+import org.filbertrudder.store.TransactionResult;
 
 /** Keeps the configuration in the platform's store: a root, the changes and snapshots in parts. */
 final class ConfigurationStore {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlState.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlState.java
@@ -5,7 +5,7 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.ShardOwner;
-import org.filbertrudder.platform.StoreCalls;
+import org.filbertrudder.store.StoreCalls;
 import org.filbertrudder.policy.tokens.TokenHolder;
 
 /**
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashMemory.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashMemory.java
@@ -18,13 +18,37 @@
     private final Context mContext;
     private final LongSupplier mClockMs;
     private final BiConsumer<PeerMessage, InstanceId> mFlood;
-    private final SuspectRequests mSuspects = new SuspectRequests(MAX_REQUESTS, RETENTION_MS);
+    private final SuspectRequests mSuspects;
+    private volatile int mSize;
 
     /** Creates a memory; the action passes a message on to all members but the one named. */
-    CrashMemory(Context context, LongSupplier clockMs, BiConsumer<PeerMessage, InstanceId> flood) {
+    public CrashMemory(
+            Context context, LongSupplier clockMs, BiConsumer<PeerMessage, InstanceId> flood) {
+        this(context, clockMs, flood, new SuspectRequests(MAX_REQUESTS, RETENTION_MS));
+    }
+
+    private CrashMemory(
+            Context context,
+            LongSupplier clockMs,
+            BiConsumer<PeerMessage, InstanceId> flood,
+            SuspectRequests suspects) {
         mContext = context;
         mClockMs = clockMs;
         mFlood = flood;
+        mSuspects = suspects;
+    }
+
+    /** Creates a memory that convicts a request after a number of crashes. */
+    public static CrashMemory convictingAfter(
+            int maxCrashes,
+            Context context,
+            LongSupplier clockMs,
+            BiConsumer<PeerMessage, InstanceId> flood) {
+        return new CrashMemory(
+                context,
+                clockMs,
+                flood,
+                new SuspectRequests(MAX_REQUESTS, RETENTION_MS, maxCrashes));
     }
 
     /** Spreads the news that an endpoint crashed under a request; from any thread. */
@@ -32,6 +56,7 @@
         mContext.runOnContext(
                 ignored -> {
                     mSuspects.note(report, mClockMs.getAsLong());
+                    mSize = mSuspects.size();
                     mFlood.accept(report, null);
                 });
     }
@@ -45,14 +70,16 @@
     }
 
     /** Notes the report of another instance and passes it on if it was news. */
-    void handle(PeerMessage.CrashReport report, InstanceId from) {
-        if (mSuspects.note(report, mClockMs.getAsLong())) {
+    public void handle(PeerMessage.CrashReport report, InstanceId from) {
+        boolean news = mSuspects.note(report, mClockMs.getAsLong());
+        mSize = mSuspects.size();
+        if (news) {
             mFlood.accept(report, from);
         }
     }
 
-    /** Returns the number of requests remembered. */
-    int size() {
-        return mSuspects.size();
+    /** Returns the number of requests remembered; from any thread. */
+    public int size() {
+        return mSize;
     }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderDesk.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderDesk.java
@@ -14,7 +14,7 @@
 import org.filbertrudder.model.Service;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.Member;
-import org.filbertrudder.platform.Store;
+import org.filbertrudder.store.Store;
 import org.filbertrudder.policy.Rendezvous;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.orders.EngineReport;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/LogSetup.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/LogSetup.java
@@ -27,6 +27,25 @@
         OWN.setLevel(level);
     }
 
+    /** Sends all log lines to standard output as JSON, without ever blocking who logs. */
+    public static void applyBounded(Level level) {
+        for (Handler handler : ROOT.getHandlers()) {
+            ROOT.removeHandler(handler);
+        }
+        BoundedLineHandler lines = new BoundedLineHandler(System.out, new JsonLineFormatter());
+        lines.setLevel(Level.ALL);
+        ROOT.addHandler(lines);
+        ROOT.setLevel(Level.WARNING);
+        OWN.setLevel(level);
+    }
+
+    /** Waits for a moment until the lines so far are written. */
+    public static void flush() {
+        for (Handler handler : ROOT.getHandlers()) {
+            handler.flush();
+        }
+    }
+
     /** Lists the formats of log lines. */
     public enum Format {
         TEXT,
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/BookingClaims.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/BookingClaims.java
@@ -17,11 +17,11 @@
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.message.MemberState;
-import org.filbertrudder.platform.KeyValue;
-import org.filbertrudder.platform.Store;
-import org.filbertrudder.platform.StoreException;
-import org.filbertrudder.platform.Transaction;
-import org.filbertrudder.platform.TransactionResult;
+import org.filbertrudder.store.KeyValue;
+import org.filbertrudder.store.Store;
+import org.filbertrudder.store.StoreException;
+import org.filbertrudder.store.Transaction;
+import org.filbertrudder.store.TransactionResult;
 
 /**
  * Makes sure that a request with an idempotency key runs at most once in the whole fleet.
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -11,6 +11,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.policy.queueing.FairQueue;
+import org.filbertrudder.policy.queueing.ServedRate;
 import org.filbertrudder.policy.retry.UnprovenRequests;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.Route;
@@ -166,11 +167,10 @@
 
     private long expectedWaitMs(Exchange exchange) {
         ServiceQueue queue = queue(exchange);
-        if (queue.mWaiting.size() == 0 || queue.mTokensPerMs <= 0) {
+        if (queue.mWaiting.size() == 0) {
             return 0;
         }
-        return (long)
-                (queue.mWaiting.tokensAhead(exchange.incoming().account()) / queue.mTokensPerMs);
+        return queue.mServed.waitMs(queue.mWaiting.tokensAhead(exchange.incoming().account()));
     }
 
     /** Starts waiting requests of a service as long as there is room. */
@@ -217,7 +217,7 @@
     /** Notes served tokens, from which the time that waiting requests need is estimated. */
     void served(ServiceId service, long tokens) {
         ServiceQueue queue = mQueues.computeIfAbsent(service, key -> new ServiceQueue());
-        queue.noteServed(tokens, mContext.nowMs());
+        queue.mServed.note(tokens, mContext.nowMs());
         pump(service);
     }
 
@@ -255,17 +255,8 @@
     /** Holds the waiting requests of one service and the speed at which it serves. */
     private static final class ServiceQueue {
 
-        private static final double SMOOTHING_MS = 2_000;
-
         private final FairQueue<Exchange> mWaiting = new FairQueue<>();
-        private double mTokensPerMs;
-        private long mServedMs;
+        private final ServedRate mServed = new ServedRate();
         private boolean mPumping;
-
-        void noteServed(long tokens, long nowMs) {
-            double decay = Math.exp((mServedMs - nowMs) / SMOOTHING_MS);
-            mTokensPerMs = mTokensPerMs * decay + tokens / SMOOTHING_MS;
-            mServedMs = nowMs;
-        }
     }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficContext.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficContext.java
@@ -4,7 +4,7 @@
 import java.util.function.LongSupplier;
 import org.filbertrudder.entry.control.ControlLoop;
 import org.filbertrudder.entry.control.Snapshot;
-import org.filbertrudder.platform.Store;
+import org.filbertrudder.store.Store;
 
 /**
  * Gives the parts of a traffic thread access to the rest of the instance.
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -0,0 +1,132 @@
+package org.filbertrudder.gateway;
+
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.filbertrudder.entry.Closer;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.gateway.control.StateSource;
+import org.filbertrudder.gateway.traffic.GatewayMetrics;
+import org.filbertrudder.gateway.traffic.GatewayTraffic;
+import org.filbertrudder.gateway.traffic.HttpProtocol;
+import org.filbertrudder.gateway.traffic.SideServers;
+
+/** Runs one gateway instance: a control thread and a traffic thread. */
+public final class Gateway {
+
+    private static final PartLog LOG = PartLog.of("gateway");
+    private static final int EVENT_LOOPS = 2;
+    private static final int WORKER_THREADS = 1;
+
+    private final GatewaySettings mSettings;
+    private final HttpProtocol mProtocol;
+    private final Closer mCloser = new Closer();
+    private final GatewayMetrics mMetrics = new GatewayMetrics();
+    private final CompletableFuture<Void> mStopped = new CompletableFuture<>();
+    private Vertx mVertx;
+    private GatewayControl mControl;
+    private GatewayTraffic mTraffic;
+    private boolean mStopping;
+
+    private Gateway(GatewaySettings settings, HttpProtocol protocol) {
+        mSettings = settings;
+        mProtocol = protocol;
+    }
+
+    /**
+     * Starts an instance.
+     *
+     * @param source creates the access to the store
+     * @return the running instance; fails if a port is taken
+     */
+    public static CompletableFuture<Gateway> start(
+            GatewaySettings settings, Function<Vertx, StateSource> source, HttpProtocol protocol) {
+        Gateway gateway = new Gateway(settings, protocol);
+        return gateway.run(source).thenApply(done -> gateway);
+    }
+
+    private CompletableFuture<Void> run(Function<Vertx, StateSource> source) {
+        mVertx =
+                Vertx.vertx(
+                        new VertxOptions()
+                                .setEventLoopPoolSize(EVENT_LOOPS)
+                                .setWorkerPoolSize(WORKER_THREADS)
+                                .setInternalBlockingPoolSize(WORKER_THREADS));
+        mCloser.add(() -> mVertx.close().toCompletionStage().toCompletableFuture());
+        LOG.info(
+                "Starting.",
+                Field.of("instance", mSettings.id()),
+                Field.of("domain", mSettings.failureDomain()),
+                Field.of("region", mSettings.region()));
+        return mVertx.deployVerticle(new ControlVerticle(source.apply(mVertx)))
+                .compose(
+                        id -> {
+                            mTraffic =
+                                    new GatewayTraffic(mSettings, mControl, mProtocol, mMetrics);
+                            return mVertx.deployVerticle(mTraffic);
+                        })
+                .compose(
+                        id ->
+                                mVertx.deployVerticle(
+                                        new SideServers(mSettings, mControl, mProtocol, mMetrics)))
+                .<Void>mapEmpty()
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    /** Stops the instance without cutting a request that can end in time. */
+    public synchronized CompletableFuture<Void> shutDown() {
+        if (!mStopping) {
+            mStopping = true;
+            LOG.info("Stopping.", Field.of("instance", mSettings.id()));
+            mControl.leave()
+                    .thenCompose(done -> mTraffic.drain())
+                    .thenCompose(done -> mControl.stop())
+                    .whenComplete(
+                            (done, failure) -> {
+                                LOG.info("Stopped.", Field.of("instance", mSettings.id()));
+                                mStopped.complete(null);
+                            });
+        }
+        return mStopped;
+    }
+
+    /** Completes when the instance has stopped. */
+    public CompletableFuture<Void> stopped() {
+        return mStopped;
+    }
+
+    /** Closes everything that is still open; for use in tests. */
+    public CompletableFuture<Void> close() {
+        return mCloser.close();
+    }
+
+    /** Runs the control state on an event loop of its own. */
+    private final class ControlVerticle extends AbstractVerticle {
+
+        private final StateSource mSource;
+
+        ControlVerticle(StateSource source) {
+            mSource = source;
+        }
+
+        @Override
+        public void start(Promise<Void> started) {
+            mControl = new GatewayControl(vertx, context, mSettings, mSource);
+            mControl.start()
+                    .whenComplete(
+                            (done, failure) -> {
+                                if (failure == null) {
+                                    started.complete();
+                                } else {
+                                    started.fail(failure);
+                                }
+                            });
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Serves routes by host and path in front of services of any kind, in all regions. */
+package org.filbertrudder.gateway;
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -0,0 +1,161 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.filbertrudder.entry.control.TokensRefusedException;
+import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.policy.retry.SuspectRequests.Verdict;
+
+/** Decides whether a request may run at all: its key, its history and its account's contract. */
+final class Admission {
+
+    /** How long a request waits for the state to be confirmed before it is refused, in ms. */
+    private static final long CONFIRMATION_WAIT_MS = 700;
+
+    /** How long a request waits for tokens at the longest, in milliseconds. */
+    private static final long MAX_TOKEN_WAIT_MS = 1_500;
+
+    /** Part of the time left that a request may wait for tokens. */
+    private static final long TOKEN_WAIT_DIVISOR = 3;
+
+    private final Vertx mVertx;
+    private final Context mContext;
+    private final GatewayControl mControl;
+    private final ExchangeFinisher mFinisher;
+    private final Consumer<GatewayExchange> mDispatch;
+
+    Admission(
+            Vertx vertx,
+            Context context,
+            GatewayControl control,
+            ExchangeFinisher finisher,
+            Consumer<GatewayExchange> dispatch) {
+        mVertx = vertx;
+        mContext = context;
+        mControl = control;
+        mFinisher = finisher;
+        mDispatch = dispatch;
+    }
+
+    /** Admits a request of a caller. */
+    void admit(GatewayExchange exchange) {
+        awaitFreshState(exchange, () -> checkHistory(exchange, () -> reserve(exchange)));
+    }
+
+    /** Admits a request that another instance has admitted and forwarded. */
+    void admitForwarded(GatewayExchange exchange) {
+        awaitFreshState(
+                exchange, () -> checkHistory(exchange, () -> mDispatch.accept(exchange)));
+    }
+
+    private void awaitFreshState(GatewayExchange exchange, Runnable next) {
+        boolean keyed = exchange.account().isPresent();
+        if (!keyed || mControl.fence().isOpen(Clocks.now())) {
+            next.run();
+            return;
+        }
+        onConfirmation(
+                CONFIRMATION_WAIT_MS,
+                () -> {
+                    if (mControl.fence().isOpen(Clocks.now())) {
+                        next.run();
+                    } else {
+                        mFinisher.refuse(exchange, Refusal.stateOutdated());
+                    }
+                });
+    }
+
+    /** Runs the action on this thread after the next confirmation or the time, if earlier. */
+    void onConfirmation(long waitMs, Runnable action) {
+        boolean[] done = new boolean[1];
+        Runnable once =
+                () -> {
+                    if (!done[0]) {
+                        done[0] = true;
+                        action.run();
+                    }
+                };
+        long timer = mVertx.setTimer(waitMs, ignored -> once.run());
+        mControl.nextConfirmation()
+                .thenRun(
+                        () ->
+                                mContext.runOnContext(
+                                        ignored -> {
+                                            mVertx.cancelTimer(timer);
+                                            once.run();
+                                        }));
+    }
+
+    private void checkHistory(GatewayExchange exchange, Runnable next) {
+        if (exchange.ended()) {
+            return;
+        }
+        if (mControl.crashes().size() == 0) {
+            next.run();
+            return;
+        }
+        mControl.crashes()
+                .verdict(exchange.digest())
+                .thenAccept(verdict -> mContext.runOnContext(ignored -> judge(exchange, verdict, next)));
+    }
+
+    private void judge(GatewayExchange exchange, Verdict verdict, Runnable next) {
+        if (exchange.ended()) {
+            return;
+        }
+        if (verdict == Verdict.REFUSE) {
+            mFinisher.refuse(exchange, Refusal.crashing());
+        } else {
+            next.run();
+        }
+    }
+
+    private void reserve(GatewayExchange exchange) {
+        Optional<AccountRule> limited =
+                exchange.account().filter(account -> account.contract().isPresent());
+        if (limited.isEmpty()) {
+            mDispatch.accept(exchange);
+            return;
+        }
+        long leftMs = exchange.endMs() - Clocks.steadyMs();
+        long waitMs = Math.min(MAX_TOKEN_WAIT_MS, leftMs / TOKEN_WAIT_DIVISOR);
+        mControl.allowances()
+                .reserve(
+                        limited.get().id(),
+                        limited.get().cost(exchange.head().tokens()),
+                        waitMs)
+                .whenComplete(
+                        (grant, failure) ->
+                                mContext.runOnContext(
+                                        ignored -> {
+                                            if (failure != null) {
+                                                mFinisher.refuse(exchange, refusal(failure));
+                                                return;
+                                            }
+                                            exchange.setGrant(grant);
+                                            if (exchange.ended()) {
+                                                mControl.allowances()
+                                                        .settle(grant, grant.tokens());
+                                            } else {
+                                                mDispatch.accept(exchange);
+                                            }
+                                        }));
+    }
+
+    private static Refusal refusal(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof TokensRefusedException refused) {
+            return switch (refused.kind()) {
+                case RATE_EXCEEDED -> Refusal.rateExceeded(refused.retryAfterMs());
+                case TOO_LARGE -> Refusal.tooLarge();
+                default -> Refusal.unavailable();
+            };
+        }
+        return Refusal.unavailable();
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -0,0 +1,296 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.gateway.GatewaySettings;
+import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.config.CallerLimits;
+import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.config.RouteRule;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.policy.freshness.Moment;
+
+/** Serves callers: reads requests, finds their route and account, and hands them on. */
+final class CallerServer {
+
+    private static final PartLog LOG = PartLog.of("callers");
+
+    /** The longest head that the parser takes; operators' limits lie below, in bytes. */
+    private static final int PARSER_MAX_HEAD_BYTES = 64 * 1024;
+
+    private static final int PARSER_MAX_LINE_BYTES = 16 * 1024;
+
+    /** How long an answer about missing routes and keys waits for newer knowledge, in ms. */
+    private static final long LOOKUP_WAIT_MS = 900;
+
+    private final Vertx mVertx;
+    private final GatewaySettings mSettings;
+    private final GatewayControl mControl;
+    private final HttpProtocol mProtocol;
+    private final Admission mAdmission;
+    private final RandomGenerator mRandom;
+    private final BooleanSupplier mStopping;
+    private final BooleanSupplier mRefusing;
+    private final Begin mBegin;
+    private final Map<HttpConnection, Long> mIdleSinceMs = new HashMap<>();
+    private HttpServer mServer;
+
+    CallerServer(
+            Vertx vertx,
+            GatewaySettings settings,
+            GatewayControl control,
+            HttpProtocol protocol,
+            Admission admission,
+            RandomGenerator random,
+            BooleanSupplier stopping,
+            BooleanSupplier refusing,
+            Begin begin) {
+        mVertx = vertx;
+        mSettings = settings;
+        mControl = control;
+        mProtocol = protocol;
+        mAdmission = admission;
+        mRandom = random;
+        mStopping = stopping;
+        mRefusing = refusing;
+        mBegin = begin;
+    }
+
+    Future<Void> listen() {
+        HttpServerOptions options =
+                new HttpServerOptions()
+                        .setMaxHeaderSize(PARSER_MAX_HEAD_BYTES)
+                        .setMaxInitialLineLength(PARSER_MAX_LINE_BYTES)
+                        .setTcpNoDelay(true);
+        mServer = mVertx.createHttpServer(options);
+        mServer.requestHandler(this::receive);
+        mServer.invalidRequestHandler(this::refuseInvalid);
+        mServer.connectionHandler(this::opened);
+        return mServer.listen(mSettings.callers().port(), mSettings.callers().host()).mapEmpty();
+    }
+
+    private void opened(HttpConnection connection) {
+        mIdleSinceMs.put(connection, Clocks.steadyMs());
+        connection.closeHandler(ignored -> mIdleSinceMs.remove(connection));
+    }
+
+    private void refuseInvalid(HttpServerRequest request) {
+        LOG.info("Bytes that are no request were refused.");
+        Refusal refusal = Refusal.malformed("Send a request in the form of HTTP/1.1.");
+        request.response()
+                .setStatusCode(refusal.status())
+                .putHeader("connection", "close")
+                .end(refusal.body())
+                .onComplete(ignored -> request.connection().close());
+    }
+
+    private void receive(HttpServerRequest request) {
+        long arrivedMs = Clocks.steadyMs();
+        HttpConnection connection = request.connection();
+        mIdleSinceMs.remove(connection);
+        request.response().endHandler(ignored -> noteIdle(connection));
+        CallerSink sink = new CallerSink(request.response(), mProtocol, mStopping);
+        GatewayConfiguration configuration = mControl.snapshot().configuration();
+        if (configuration == null || mRefusing.getAsBoolean()) {
+            refuse(request, sink, configuration == null ? Refusal.notReady() : Refusal.stopping());
+            return;
+        }
+        Optional<Refusal> problem = check(request, configuration.limits());
+        if (problem.isPresent()) {
+            refuse(request, sink, problem.get());
+            return;
+        }
+        RequestHead head;
+        try {
+            head = mProtocol.readRequest(request.headers());
+        } catch (MalformedRequestException e) {
+            refuse(request, sink, Refusal.malformed(e.getMessage()));
+            return;
+        }
+        readBody(
+                request,
+                configuration.limits().maxBodyBytes(),
+                sink,
+                body -> resolve(request, head, body, sink, arrivedMs));
+    }
+
+    private void noteIdle(HttpConnection connection) {
+        mIdleSinceMs.put(connection, Clocks.steadyMs());
+        connection.closeHandler(ignored -> mIdleSinceMs.remove(connection));
+    }
+
+    private void refuse(HttpServerRequest request, CallerSink sink, Refusal refusal) {
+        LOG.info(
+                "Refused.",
+                Field.of("outcome", refusal.code()),
+                Field.of("status", refusal.status()),
+                Field.of("uri", request.uri()));
+        sink.refuse(refusal);
+    }
+
+    private static Optional<Refusal> check(HttpServerRequest request, CallerLimits limits) {
+        MultiMap headers = request.headers();
+        List<String> codings = headers.getAll("transfer-encoding");
+        boolean known =
+                codings.isEmpty()
+                        || (codings.size() == 1 && codings.get(0).equalsIgnoreCase("chunked"));
+        if (!known) {
+            return Optional.of(Refusal.unknownCoding());
+        }
+        if (headBytes(request) > limits.maxHeaderBytes()) {
+            return Optional.of(Refusal.headTooLong(limits.maxHeaderBytes()));
+        }
+        String length = headers.get("content-length");
+        if (length != null && Long.parseLong(length) > limits.maxBodyBytes()) {
+            return Optional.of(Refusal.bodyTooLong(limits.maxBodyBytes()));
+        }
+        return Optional.empty();
+    }
+
+    private static long headBytes(HttpServerRequest request) {
+        long[] bytes = {request.uri().length()};
+        request.headers().forEach((name, value) -> bytes[0] += name.length() + value.length() + 4);
+        return bytes[0];
+    }
+
+    private void readBody(
+            HttpServerRequest request,
+            long maxBytes,
+            CallerSink sink,
+            Consumer<Buffer> whenWhole) {
+        Buffer body = Buffer.buffer();
+        boolean[] refused = new boolean[1];
+        request.handler(
+                part -> {
+                    if (refused[0]) {
+                        return;
+                    }
+                    body.appendBuffer(part);
+                    if (body.length() > maxBytes) {
+                        refused[0] = true;
+                        refuse(request, sink, Refusal.bodyTooLong(maxBytes));
+                    }
+                });
+        request.endHandler(
+                ignored -> {
+                    if (!refused[0]) {
+                        whenWhole.accept(body);
+                    }
+                });
+    }
+
+    /** Finds the route and account; what is missing here is looked up once more in newer state. */
+    private void resolve(
+            HttpServerRequest request,
+            RequestHead head,
+            Buffer body,
+            CallerSink sink,
+            long arrivedMs) {
+        if (serve(request, head, body, sink, arrivedMs)) {
+            return;
+        }
+        Moment asked = Clocks.now();
+        mAdmission.onConfirmation(
+                LOOKUP_WAIT_MS,
+                () -> {
+                    if (serve(request, head, body, sink, arrivedMs)) {
+                        return;
+                    }
+                    boolean certain = mControl.fence().isConfirmedSince(asked, Clocks.now());
+                    refuse(request, sink, certain ? unknown(request, head) : Refusal.stateOutdated());
+                });
+    }
+
+    private Refusal unknown(HttpServerRequest request, RequestHead head) {
+        boolean routed =
+                mControl.snapshot().configuration().route(head.host(), request.path()).isPresent();
+        return routed ? Refusal.unauthorized() : Refusal.noRoute();
+    }
+
+    /** Starts the request if its route and account are known. */
+    private boolean serve(
+            HttpServerRequest request,
+            RequestHead head,
+            Buffer body,
+            CallerSink sink,
+            long arrivedMs) {
+        GatewayConfiguration configuration = mControl.snapshot().configuration();
+        Optional<RouteRule> route = configuration.route(head.host(), request.path());
+        if (route.isEmpty()) {
+            return false;
+        }
+        boolean keyed = configuration.hasAccounts() && !route.get().open();
+        Optional<AccountRule> account =
+                keyed ? head.key().flatMap(configuration::accountOfKey) : Optional.empty();
+        if (keyed && account.isEmpty()) {
+            return false;
+        }
+        GatewayExchange exchange =
+                new GatewayExchange(
+                        head,
+                        request.method().name(),
+                        request.uri(),
+                        body,
+                        route.get(),
+                        account,
+                        route.get().serviceAt(mRandom.nextDouble()),
+                        false,
+                        sink,
+                        arrivedMs);
+        mBegin.begin(exchange);
+        request.response().closeHandler(ignored -> mBegin.callerLeft(exchange));
+        request.response().exceptionHandler(ignored -> mBegin.callerLeft(exchange));
+        if (request.response().closed()) {
+            mBegin.callerLeft(exchange);
+            return true;
+        }
+        mAdmission.admit(exchange);
+        return true;
+    }
+
+    /** Closes connections that have been idle for longer than the operators allow. */
+    void closeIdle(boolean all) {
+        GatewayConfiguration configuration = mControl.snapshot().configuration();
+        long limitMs = configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
+        long nowMs = Clocks.steadyMs();
+        List<HttpConnection> idle = new ArrayList<>();
+        mIdleSinceMs.forEach(
+                (connection, sinceMs) -> {
+                    if (all || nowMs - sinceMs > limitMs) {
+                        idle.add(connection);
+                    }
+                });
+        idle.forEach(HttpConnection::close);
+    }
+
+    Future<Void> close() {
+        return mServer.close();
+    }
+
+    /** Begins exchanges and ends those whose caller has left. */
+    interface Begin {
+
+        /** Begins an exchange. */
+        void begin(GatewayExchange exchange);
+
+        /** Ends an exchange whose caller has left. */
+        void callerLeft(GatewayExchange exchange);
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -0,0 +1,235 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.impl.NetSocketInternal;
+import org.filbertrudder.gateway.control.Clocks;
+
+/**
+ * Represents one HTTP/1.1 connection to an endpoint, used by one request at a time.
+ *
+ * <p>Stands on the codec of the HTTP library without its client, as that one cannot skip an answer
+ * that belongs to an earlier request, tell a reset from an end, or keep the time that an endpoint
+ * grants to an idle connection by the steady clock.
+ */
+final class EndpointConnection {
+
+    private static final int MAX_LINE_BYTES = 8 * 1024;
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+    private static final int MIN_FINAL_STATUS = 200;
+
+    /** Kept from the time that an endpoint grants to an idle connection, in milliseconds. */
+    private static final long IDLE_MARGIN_MS = 500;
+
+    /** How long a connection is kept whose endpoint grants no whole second, in milliseconds. */
+    private static final long UNSTATED_IDLE_MS = 300;
+
+    private final NetSocketInternal mSocket;
+    private final HttpProtocol mProtocol;
+    private final Runnable mOnIdleClosed;
+    private AttemptListener mListener;
+    private String mRequestId;
+    private boolean mInAnswer;
+    private boolean mSkipping;
+    private boolean mReusable = true;
+    private boolean mUnframed;
+    private boolean mClosed;
+    private long mIdleSinceMs;
+    private long mIdleForMs = UNSTATED_IDLE_MS;
+    private Runnable mOnFree = () -> {};
+
+    EndpointConnection(NetSocket socket, HttpProtocol protocol, Runnable onIdleClosed) {
+        mSocket = (NetSocketInternal) socket;
+        mProtocol = protocol;
+        mOnIdleClosed = onIdleClosed;
+        mIdleSinceMs = Clocks.steadyMs();
+        ChannelPipeline pipeline = mSocket.channelHandlerContext().pipeline();
+        pipeline.addBefore(
+                "handler",
+                "codec",
+                new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false));
+        mSocket.messageHandler(this::receive);
+        mSocket.exceptionHandler(failure -> broken());
+        mSocket.closeHandler(ignored -> broken());
+    }
+
+    /** Sends a request; the action runs when the connection may be used again. */
+    void send(
+            String requestId,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            Buffer body,
+            AttemptListener listener,
+            Runnable onFree) {
+        mListener = listener;
+        mRequestId = requestId;
+        mOnFree = onFree;
+        mInAnswer = false;
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(method),
+                        uri,
+                        Unpooled.wrappedBuffer(body.getBytes()),
+                        headers,
+                        EmptyHttpHeaders.INSTANCE);
+        if (body.length() > 0 || !"GET".equals(method)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+        }
+        mSocket.writeMessage(request);
+    }
+
+    /** Returns an empty set of headers for a request. */
+    static HttpHeaders newHeaders() {
+        return new DefaultHttpHeaders(false);
+    }
+
+    private void receive(Object message) {
+        try {
+            if (message instanceof HttpObject part) {
+                receive(part);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void receive(HttpObject part) {
+        if (part.decoderResult().isFailure() || mListener == null) {
+            // Bytes that are no answer, or that nobody has asked for.
+            close();
+            return;
+        }
+        if (part instanceof HttpResponse response) {
+            receiveHead(response);
+        }
+        if (part instanceof HttpContent content && mInAnswer) {
+            receiveContent(content);
+        }
+    }
+
+    private void receiveHead(HttpResponse response) {
+        if (response.status().code() < MIN_FINAL_STATUS) {
+            return;
+        }
+        AnswerHead head = mProtocol.readAnswer(response);
+        boolean foreign = head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
+        boolean nameless = head.requestId().isEmpty() && head.isSuccess();
+        mInAnswer = true;
+        mSkipping = foreign || nameless;
+        mUnframed =
+                !HttpUtil.isTransferEncodingChunked(response)
+                        && !HttpUtil.isContentLengthSet(response);
+        if (mSkipping) {
+            // The answer belongs to an earlier request; the right one may still follow.
+            mReusable = false;
+            return;
+        }
+        mReusable &= HttpUtil.isKeepAlive(response) && !mUnframed;
+        mIdleForMs =
+                head.keepAliveMs().isPresent()
+                        ? Math.max(0, head.keepAliveMs().getAsLong() - IDLE_MARGIN_MS)
+                        : UNSTATED_IDLE_MS;
+        mListener.head(head);
+    }
+
+    private void receiveContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (!mSkipping && content.content().isReadable()) {
+            mListener.data(Buffer.buffer(ByteBufUtil.getBytes(content.content())));
+        }
+        if (!last) {
+            return;
+        }
+        mInAnswer = false;
+        if (mSkipping) {
+            mSkipping = false;
+            return;
+        }
+        if (mListener != null) {
+            finish();
+        }
+    }
+
+    private void finish() {
+        AttemptListener listener = mListener;
+        mListener = null;
+        mIdleSinceMs = Clocks.steadyMs();
+        Runnable onFree = mOnFree;
+        mOnFree = () -> {};
+        if (!mReusable) {
+            close();
+        }
+        listener.end();
+        onFree.run();
+    }
+
+    private void broken() {
+        mClosed = true;
+        AttemptListener listener = mListener;
+        mListener = null;
+        if (listener != null) {
+            mOnFree.run();
+            listener.failed(AttemptListener.Failure.BROKEN);
+        } else {
+            mOnIdleClosed.run();
+        }
+    }
+
+    /** Gives the running request up by closing the connection. */
+    void cancel() {
+        mListener = null;
+        Runnable onFree = mOnFree;
+        mOnFree = () -> {};
+        close();
+        onFree.run();
+    }
+
+    void close() {
+        mClosed = true;
+        mReusable = false;
+        mSocket.close();
+    }
+
+    /** Returns whether another request may be sent. */
+    boolean isReusable() {
+        return mReusable && !mClosed;
+    }
+
+    /** Returns how long the connection has been idle, in milliseconds. */
+    long idleMs(long nowMs) {
+        return nowMs - mIdleSinceMs;
+    }
+
+    /** Returns whether the endpoint may close the idle connection soon. */
+    boolean isExpired(long nowMs) {
+        return idleMs(nowMs) >= mIdleForMs;
+    }
+
+    void pause() {
+        mSocket.channelHandlerContext().channel().config().setAutoRead(false);
+    }
+
+    void resume() {
+        mSocket.channelHandlerContext().channel().config().setAutoRead(true);
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnections.java
@@ -0,0 +1,161 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+
+/** Keeps idle connections to endpoints and opens new ones. */
+final class EndpointConnections {
+
+    /** How long a connection may take to open; several round trips inside a region. */
+    private static final int CONNECT_TIMEOUT_MS = 400;
+
+    /**
+     * How long a connection may have been idle for a request that must not run twice; one that the
+     * endpoint is just closing would leave its outcome unknown.
+     */
+    private static final long FRESH_IDLE_MS = 1_000;
+
+    private final NetClient mClient;
+    private final HttpProtocol mProtocol;
+    private final Map<EndpointId, Pool> mPools = new HashMap<>();
+    private long mOpened;
+
+    EndpointConnections(Vertx vertx, HttpProtocol protocol) {
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions()
+                                .setTcpNoDelay(true)
+                                .setConnectTimeout(CONNECT_TIMEOUT_MS));
+        mProtocol = protocol;
+    }
+
+    /**
+     * Gives a connection to the action, or null if none can be opened.
+     *
+     * @param repeatable whether the request may be sent again if the connection turns out closed
+     */
+    void acquire(Endpoint endpoint, boolean repeatable, Consumer<EndpointConnection> action) {
+        Pool pool = pool(endpoint);
+        EndpointConnection idle = pool.poll(repeatable);
+        if (idle != null) {
+            action.accept(idle);
+        } else {
+            open(pool, endpoint, action);
+        }
+    }
+
+    /** Returns the connections to an endpoint; those to an earlier address are closed. */
+    private Pool pool(Endpoint endpoint) {
+        Pool pool = mPools.get(endpoint.id());
+        if (pool == null || !pool.matches(endpoint)) {
+            if (pool != null) {
+                pool.closeExpired(Long.MAX_VALUE);
+            }
+            pool = new Pool(endpoint);
+            mPools.put(endpoint.id(), pool);
+        }
+        return pool;
+    }
+
+    /** Gives a new connection to the action, or null if the endpoint does not accept it. */
+    void open(Endpoint endpoint, Consumer<EndpointConnection> action) {
+        open(pool(endpoint), endpoint, action);
+    }
+
+    private void open(Pool pool, Endpoint endpoint, Consumer<EndpointConnection> action) {
+        mOpened++;
+        mClient.connect(endpoint.port(), endpoint.host())
+                .onComplete(
+                        result -> {
+                            if (result.failed()) {
+                                action.accept(null);
+                                return;
+                            }
+                            EndpointConnection[] connection = new EndpointConnection[1];
+                            connection[0] =
+                                    new EndpointConnection(
+                                            result.result(),
+                                            mProtocol,
+                                            () -> pool.mIdle.remove(connection[0]));
+                            action.accept(connection[0]);
+                        });
+    }
+
+    /** Takes a connection back; one that cannot be used again is closed. */
+    void release(Endpoint endpoint, EndpointConnection connection) {
+        Pool pool = mPools.get(endpoint.id());
+        if (pool == null || !pool.matches(endpoint) || !connection.isReusable()) {
+            connection.close();
+        } else {
+            pool.mIdle.addFirst(connection);
+        }
+    }
+
+    /** Closes connections that are about to expire or whose endpoint is gone. */
+    void tick(Set<EndpointId> known) {
+        long nowMs = Clocks.steadyMs();
+        Iterator<Map.Entry<EndpointId, Pool>> each = mPools.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<EndpointId, Pool> entry = each.next();
+            boolean gone = !known.contains(entry.getKey());
+            entry.getValue().closeExpired(gone ? Long.MAX_VALUE : nowMs);
+            if (gone) {
+                each.remove();
+            }
+        }
+    }
+
+    /** Returns the number of connections opened so far. */
+    long opened() {
+        return mOpened;
+    }
+
+    /** Holds the idle connections to one endpoint, the last used first. */
+    private static final class Pool {
+
+        private final Endpoint mEndpoint;
+        private final Deque<EndpointConnection> mIdle = new ArrayDeque<>();
+
+        Pool(Endpoint endpoint) {
+            mEndpoint = endpoint;
+        }
+
+        boolean matches(Endpoint endpoint) {
+            return endpoint.host().equals(mEndpoint.host()) && endpoint.port() == mEndpoint.port();
+        }
+
+        EndpointConnection poll(boolean repeatable) {
+            long nowMs = Clocks.steadyMs();
+            closeExpired(nowMs);
+            EndpointConnection last = mIdle.peekFirst();
+            if (last == null || (!repeatable && last.idleMs(nowMs) > FRESH_IDLE_MS)) {
+                return null;
+            }
+            return mIdle.pollFirst();
+        }
+
+        void closeExpired(long nowMs) {
+            List<EndpointConnection> expired = new ArrayList<>();
+            mIdle.stream()
+                    .filter(
+                            connection ->
+                                    !connection.isReusable() || connection.isExpired(nowMs))
+                    .forEach(expired::add);
+            mIdle.removeAll(expired);
+            expired.forEach(EndpointConnection::close);
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointDoctor.java
@@ -0,0 +1,108 @@
+package org.filbertrudder.gateway.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.retry.RequestDigest;
+import org.filbertrudder.policy.routing.EndpointState;
+
+/**
+ * Finds out whether an endpoint whose connection broke has crashed.
+ *
+ * <p>One new connection decides: if it is refused, the endpoint gets no requests for a while, and
+ * the requests that broke there at the same time are reported to the other instances.
+ */
+final class EndpointDoctor {
+
+    private static final PartLog LOG = PartLog.of("endpoints");
+
+    /** An endpoint that is at another address than registered rests until the next reading. */
+    private static final int STATUS_MISDIRECTED = 421;
+
+    private final EndpointConnections mConnections;
+    private final GatewayControl mControl;
+    private final Map<EndpointId, List<RequestDigest>> mBroken = new HashMap<>();
+    private final Set<EndpointId> mDown = new HashSet<>();
+
+    EndpointDoctor(EndpointConnections connections, GatewayControl control) {
+        mConnections = connections;
+        mControl = control;
+    }
+
+    /** Notes a connection that broke while it carried a request. */
+    void lost(EndpointState endpoint, GatewayExchange exchange) {
+        boolean examined = mBroken.containsKey(endpoint.id());
+        mBroken.computeIfAbsent(endpoint.id(), id -> new ArrayList<>()).add(exchange.digest());
+        if (examined) {
+            return;
+        }
+        mConnections.open(
+                endpoint.endpoint(),
+                connection -> {
+                    List<RequestDigest> broken = mBroken.remove(endpoint.id());
+                    if (connection != null) {
+                        mConnections.release(endpoint.endpoint(), connection);
+                        return;
+                    }
+                    unreachable(endpoint);
+                    broken.forEach(digest -> report(endpoint.id(), digest));
+                });
+    }
+
+    /** Checks an endpoint that has not answered for a long time. */
+    void silent(EndpointState endpoint) {
+        mConnections.open(
+                endpoint.endpoint(),
+                connection -> {
+                    if (connection != null) {
+                        mConnections.release(endpoint.endpoint(), connection);
+                    } else {
+                        unreachable(endpoint);
+                    }
+                });
+    }
+
+    private void report(EndpointId endpoint, RequestDigest digest) {
+        mControl.crashes()
+                .report(
+                        new PeerMessage.CrashReport(
+                                digest.account(),
+                                digest.bodySha256(),
+                                endpoint,
+                                System.currentTimeMillis(),
+                                false));
+    }
+
+    /** Notes an endpoint that accepts no connection. */
+    void unreachable(EndpointState endpoint) {
+        endpoint.notReachable(Clocks.steadyMs());
+        if (mDown.add(endpoint.id())) {
+            LOG.info("An endpoint accepts no connection.", Field.of("endpoint", endpoint.id()));
+        }
+    }
+
+    /** Notes an endpoint that has refused to run a request. */
+    void turnedAway(EndpointState endpoint, int status) {
+        if (status == STATUS_MISDIRECTED) {
+            unreachable(endpoint);
+        } else {
+            endpoint.rest(Clocks.steadyMs());
+        }
+    }
+
+    /** Notes an answer. */
+    void noteAlive(EndpointState endpoint) {
+        if (mDown.remove(endpoint.id())) {
+            LOG.info("An endpoint answers again.", Field.of("endpoint", endpoint.id()));
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -0,0 +1,247 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.filbertrudder.entry.control.TokenGrant;
+import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.config.RouteRule;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.Digests;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.retry.RequestDigest;
+
+/** Holds the state of one request from its arrival to the end of its answer. */
+final class GatewayExchange {
+
+    private static final AccountId EVERYBODY = AccountId.of("everybody");
+
+    private final RequestHead mHead;
+    private final String mMethod;
+    private final String mUri;
+    private final Buffer mBody;
+    private final RouteRule mRoute;
+    private final Optional<AccountRule> mAccount;
+    private final ServiceId mService;
+    private final boolean mForwarded;
+    private final AnswerSink mSink;
+    private final long mArrivedMs;
+    private final long mEndMs;
+    private final Set<EndpointId> mTried = new HashSet<>();
+    private final Set<RegionId> mTriedRegions = new HashSet<>();
+    private final List<Runnable> mOnEnd = new ArrayList<>();
+    private final StringBuilder mTrace = new StringBuilder();
+    private TokenGrant mGrant;
+    private RequestDigest mDigest;
+    private Attempt mAttempt;
+    private StreamRelay mRelay;
+    private int mSends;
+    private int mRuns;
+    private boolean mQueued;
+    private boolean mEnded;
+    private boolean mCallerLeft;
+
+    GatewayExchange(
+            RequestHead head,
+            String method,
+            String uri,
+            Buffer body,
+            RouteRule route,
+            Optional<AccountRule> account,
+            ServiceId service,
+            boolean forwarded,
+            AnswerSink sink,
+            long arrivedMs) {
+        mHead = head;
+        mMethod = method;
+        mUri = uri;
+        mBody = body;
+        mRoute = route;
+        mAccount = account;
+        mService = service;
+        mForwarded = forwarded;
+        mSink = sink;
+        mArrivedMs = arrivedMs;
+        mEndMs = arrivedMs + Math.min(route.timeoutMs(), head.deadlineMs().orElse(Long.MAX_VALUE));
+    }
+
+    RequestHead head() {
+        return mHead;
+    }
+
+    String method() {
+        return mMethod;
+    }
+
+    String uri() {
+        return mUri;
+    }
+
+    Buffer body() {
+        return mBody;
+    }
+
+    RouteRule route() {
+        return mRoute;
+    }
+
+    Optional<AccountRule> account() {
+        return mAccount;
+    }
+
+    /** Returns the account whose turn it is; requests without a key share one. */
+    AccountId queueAccount() {
+        return mAccount.map(AccountRule::id).orElse(EVERYBODY);
+    }
+
+    ServiceId service() {
+        return mService;
+    }
+
+    /** Returns whether another instance has forwarded the request. */
+    boolean forwarded() {
+        return mForwarded;
+    }
+
+    AnswerSink sink() {
+        return mSink;
+    }
+
+    long arrivedMs() {
+        return mArrivedMs;
+    }
+
+    /** Returns when the final answer is due, by the caller's and the route's limits. */
+    long endMs() {
+        return mEndMs;
+    }
+
+    /** Returns the rank of the request; the account's overrides the route's. */
+    int priority() {
+        return mAccount.flatMap(AccountRule::priority).orElse(mRoute.priority());
+    }
+
+    boolean mayRunIn(RegionId region) {
+        return !mTriedRegions.contains(region)
+                && mRoute.allows(region)
+                && mAccount.map(account -> account.allows(region)).orElse(true);
+    }
+
+    Set<EndpointId> tried() {
+        return mTried;
+    }
+
+    Set<RegionId> triedRegions() {
+        return mTriedRegions;
+    }
+
+    TokenGrant grant() {
+        return mGrant;
+    }
+
+    void setGrant(TokenGrant grant) {
+        mGrant = grant;
+    }
+
+    /** Returns what recognises the request when it is sent again. */
+    RequestDigest digest() {
+        if (mDigest == null) {
+            Buffer text = Buffer.buffer(mUri).appendString("\n").appendBuffer(mBody);
+            mDigest = new RequestDigest(queueAccount(), Digests.sha256(text.getBytes()));
+        }
+        return mDigest;
+    }
+
+    Attempt attempt() {
+        return mAttempt;
+    }
+
+    void setAttempt(Attempt attempt) {
+        mAttempt = attempt;
+    }
+
+    /** Returns the relay of a stream that has begun; null before. */
+    StreamRelay relay() {
+        return mRelay;
+    }
+
+    void setRelay(StreamRelay relay) {
+        mRelay = relay;
+    }
+
+    /** Returns how often the request was handed to an endpoint or another instance. */
+    int sends() {
+        return mSends;
+    }
+
+    void countSend() {
+        mSends++;
+        mRuns++;
+    }
+
+    /** Takes back the last send, as the request has certainly not run there. */
+    void takeBackRun() {
+        mRuns--;
+    }
+
+    /** Returns how often the request may have run. */
+    int runs() {
+        return mRuns;
+    }
+
+    /** Returns whether the request may run once more. */
+    boolean mayRunAgain() {
+        return mRuns == 0 || (mRoute.isRepeatable() && mRuns < mRoute.maxRuns());
+    }
+
+    boolean queued() {
+        return mQueued;
+    }
+
+    void setQueued(boolean queued) {
+        mQueued = queued;
+    }
+
+    boolean ended() {
+        return mEnded;
+    }
+
+    boolean callerLeft() {
+        return mCallerLeft;
+    }
+
+    void setCallerLeft() {
+        mCallerLeft = true;
+    }
+
+    /** Adds a step to the line that is logged at the end. */
+    void trace(String step) {
+        if (mTrace.length() > 0) {
+            mTrace.append(' ');
+        }
+        mTrace.append(step);
+    }
+
+    String traceText() {
+        return mTrace.toString();
+    }
+
+    void onEnd(Runnable action) {
+        mOnEnd.add(action);
+    }
+
+    /** Ends the exchange once; returns whether this call did so. */
+    boolean markEnded() {
+        if (mEnded) {
+            return false;
+        }
+        mEnded = true;
+        mOnEnd.forEach(Runnable::run);
+        return true;
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayMetrics.java
@@ -0,0 +1,59 @@
+package org.filbertrudder.gateway.traffic;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import java.util.Locale;
+import java.util.Map;
+
+/** Counts what the gateway does and writes it as text. */
+public final class GatewayMetrics {
+
+    private final MetricRegistry mRegistry = new MetricRegistry();
+
+    /** Returns the counter of a name. */
+    public Counter counter(String name) {
+        return mRegistry.counter(name);
+    }
+
+    /** Returns the histogram of latencies of a name, in milliseconds. */
+    public Histogram latencyMs(String name) {
+        return mRegistry.histogram(name + "_ms");
+    }
+
+    /** Adds a value that is read when the metrics are written. */
+    public void gauge(String name, Gauge<?> gauge) {
+        mRegistry.gauge(name, () -> gauge);
+    }
+
+    /** Writes one line for each value: its name, a space and the value. */
+    public String toText() {
+        StringBuilder text = new StringBuilder();
+        mRegistry.getCounters()
+                .forEach((name, counter) -> line(text, name, counter.getCount()));
+        for (Map.Entry<String, Gauge> entry : mRegistry.getGauges().entrySet()) {
+            line(text, entry.getKey(), entry.getValue().getValue());
+        }
+        mRegistry.getHistograms().forEach((name, histogram) -> write(text, name, histogram));
+        return text.toString();
+    }
+
+    private static void write(StringBuilder text, String name, Histogram histogram) {
+        Snapshot snapshot = histogram.getSnapshot();
+        line(text, name + "_count", histogram.getCount());
+        line(text, name + "{quantile=\"0.5\"}", rounded(snapshot.getMedian()));
+        line(text, name + "{quantile=\"0.95\"}", rounded(snapshot.get95thPercentile()));
+        line(text, name + "{quantile=\"0.99\"}", rounded(snapshot.get99thPercentile()));
+        line(text, name + "_max", snapshot.getMax());
+    }
+
+    private static String rounded(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+
+    private static void line(StringBuilder text, String name, Object value) {
+        text.append("filbertrudder_").append(name).append(' ').append(value).append('\n');
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -0,0 +1,391 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.gateway.GatewaySettings;
+import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.config.RouteRule;
+import org.filbertrudder.gateway.config.ServiceRule;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.gateway.control.EndpointView;
+import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.KeyId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.peer.PeerSecurity;
+import org.filbertrudder.policy.Rendezvous;
+import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.EndpointTable;
+import org.filbertrudder.policy.routing.Router;
+
+/** Serves callers and forwarded requests on one thread. */
+public final class GatewayTraffic extends AbstractVerticle {
+
+    private static final PartLog LOG = PartLog.of("traffic");
+    private static final long TICK_MS = 20;
+    private static final long SLOW_TICK_MS = 1_000;
+
+    /** How long a stopping instance accepts requests of callers that have not heard of it. */
+    private static final long ACCEPT_WHILE_STOPPING_MS = 3_000;
+
+    /** Kept from the time that a stop may take, for the last bytes and the exit. */
+    private static final long STOP_MARGIN_MS = 500;
+
+    private final GatewaySettings mSettings;
+    private final GatewayControl mControl;
+    private final HttpProtocol mProtocol;
+    private final GatewayMetrics mMetrics;
+    private final EndpointTable mTable = new EndpointTable();
+    private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
+    private final RandomGenerator mRandom = new SplittableRandom();
+    private CallerServer mCallers;
+    private PeerNetwork mNetwork;
+    private PeerForwards mForwards;
+    private PeerReceiver mReceiver;
+    private RegionBoard mBoard;
+    private EndpointConnections mConnections;
+    private RequestDispatcher mDispatcher;
+    private ExchangeFinisher mFinisher;
+    private Admission mAdmission;
+    private long mNextSlowTickMs;
+    private long mStoppingSinceMs = Long.MAX_VALUE;
+
+    /** Creates the traffic part of an instance. */
+    public GatewayTraffic(
+            GatewaySettings settings,
+            GatewayControl control,
+            HttpProtocol protocol,
+            GatewayMetrics metrics) {
+        mSettings = settings;
+        mControl = control;
+        mProtocol = protocol;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void start(Promise<Void> started) {
+        mNetwork =
+                new PeerNetwork(
+                        vertx,
+                        context,
+                        PeerSecurity.plain(),
+                        () -> mControl.snapshot().self(),
+                        this::receive,
+                        violation -> LOG.warn("A peer was rejected.", Field.of("why", violation)));
+        mBoard = new RegionBoard(mTable, mControl::snapshot, mNetwork);
+        mForwards = new PeerForwards(mNetwork);
+        mConnections = new EndpointConnections(vertx, mProtocol);
+        mFinisher = new ExchangeFinisher(mControl, mMetrics);
+        AttemptRunner runner =
+                new AttemptRunner(
+                        vertx,
+                        mControl,
+                        mProtocol,
+                        mConnections,
+                        mForwards,
+                        mBoard,
+                        new EndpointDoctor(mConnections, mControl),
+                        new RetryBudgets(mSettings.bounds()),
+                        mFinisher,
+                        mRandom);
+        DeploymentRegions regions = new DeploymentRegions(mSettings.domains().values());
+        Router router = new Router(mSettings.region(), mTable, mBoard);
+        mDispatcher = new RequestDispatcher(router, regions, mRandom, runner);
+        runner.setDispatcher(mDispatcher);
+        mAdmission =
+                new Admission(vertx, context, mControl, mFinisher, mDispatcher::submit);
+        mReceiver = new PeerReceiver(this::acceptForwarded, this::callerLeft);
+        mCallers =
+                new CallerServer(
+                        vertx,
+                        mSettings,
+                        mControl,
+                        mProtocol,
+                        mAdmission,
+                        mRandom,
+                        this::isStopping,
+                        this::isRefusing,
+                        new CallerExchanges());
+        addGauges();
+        mControl.onChange(() -> context.runOnContext(ignored -> snapshotChanged()));
+        snapshotChanged();
+        vertx.setPeriodic(TICK_MS, timer -> tick());
+        Future.fromCompletionStage(
+                        mNetwork.listen(mSettings.callers().host(), mSettings.forwardPort()), context)
+                .compose(port -> mCallers.listen())
+                .onComplete(started);
+    }
+
+    private void addGauges() {
+        mMetrics.gauge("requests_running", mActive::size);
+        mMetrics.gauge("requests_waiting", mDispatcher::waiting);
+        mMetrics.gauge("endpoint_connections_opened", mConnections::opened);
+    }
+
+    private boolean isStopping() {
+        return mStoppingSinceMs != Long.MAX_VALUE;
+    }
+
+    private boolean isRefusing() {
+        return isStopping() && Clocks.steadyMs() - mStoppingSinceMs > ACCEPT_WHILE_STOPPING_MS;
+    }
+
+    private void receive(PeerConnection connection, PeerMessage message) {
+        // Answers come over this instance's own connections, on which the other side is silent.
+        if (mForwards.handle(connection, message) || connection.peer() == null) {
+            return;
+        }
+        if (!mBoard.handle(connection.peer().id(), message)) {
+            mReceiver.handle(connection, message);
+        }
+    }
+
+    private void begin(GatewayExchange exchange) {
+        mMetrics.counter(exchange.forwarded() ? "requests_forwarded_here" : "requests_received")
+                .inc();
+        mActive.add(exchange);
+        long leftMs = Math.max(1, exchange.endMs() - Clocks.steadyMs());
+        long timer = vertx.setTimer(leftMs, ignored -> timeOut(exchange));
+        exchange.onEnd(
+                () -> {
+                    vertx.cancelTimer(timer);
+                    mActive.remove(exchange);
+                    mDispatcher.remove(exchange);
+                });
+    }
+
+    private void timeOut(GatewayExchange exchange) {
+        mFinisher.refuse(exchange, Refusal.timedOut(exchange.runs() == 0));
+    }
+
+    private void callerLeft(GatewayExchange exchange) {
+        if (exchange.ended() || exchange.callerLeft()) {
+            return;
+        }
+        exchange.setCallerLeft();
+        // A request that may run only once is not broken off while it runs.
+        if (exchange.route().isRepeatable() || exchange.relay() != null || exchange.runs() == 0) {
+            mFinisher.callerLeft(exchange);
+        }
+    }
+
+    /** Turns a forwarded request into an exchange, after checking again whether it may run. */
+    private Optional<GatewayExchange> acceptForwarded(
+            PeerMessage.ForwardStart start, MultiMap headers, AnswerSink sink) {
+        long nowMs = Clocks.steadyMs();
+        GatewayConfiguration configuration = mControl.snapshot().configuration();
+        if (configuration == null || isRefusing()) {
+            sink.refuse(configuration == null ? Refusal.notReady() : Refusal.stopping());
+            return Optional.empty();
+        }
+        String resumeAfter = headers.get(PeerReceiver.RESUME_AFTER);
+        headers.remove(PeerReceiver.RESUME_AFTER);
+        RequestHead head = mProtocol.readRequest(headers);
+        String path = start.uri().split("\\?", 2)[0];
+        Optional<RouteRule> route = configuration.route(head.host(), path);
+        Optional<AccountRule> account =
+                Optional.ofNullable(start.account()).flatMap(configuration::account);
+        boolean known = route.isPresent() && holdsKey(configuration, start, route.get(), account);
+        if (!known) {
+            // The two instances may know different versions for a moment.
+            sink.refuse(Refusal.stateOutdated());
+            return Optional.empty();
+        }
+        GatewayExchange exchange =
+                new GatewayExchange(
+                        head.forwarded(start.deadlineMs()),
+                        start.method(),
+                        start.uri(),
+                        io.vertx.core.buffer.Buffer.buffer(start.body()),
+                        route.get(),
+                        account,
+                        route.get().serviceAt(mRandom.nextDouble()),
+                        true,
+                        sink,
+                        nowMs);
+        if (resumeAfter != null) {
+            exchange.setRelay(new StreamRelay(sink, Long.parseLong(resumeAfter)));
+        }
+        begin(exchange);
+        mAdmission.admitForwarded(exchange);
+        return Optional.of(exchange);
+    }
+
+    private static boolean holdsKey(
+            GatewayConfiguration configuration,
+            PeerMessage.ForwardStart start,
+            RouteRule route,
+            Optional<AccountRule> account) {
+        if (route.open() || !configuration.hasAccounts()) {
+            return true;
+        }
+        KeyId key = start.key();
+        return account.isPresent()
+                && key != null
+                && configuration.accountOfKeyDigest(key).equals(account);
+    }
+
+    private void tick() {
+        long nowMs = Clocks.steadyMs();
+        mDispatcher.tick();
+        mBoard.tick(nowMs);
+        if (nowMs >= mNextSlowTickMs) {
+            mNextSlowTickMs = nowMs + SLOW_TICK_MS;
+            mConnections.tick(knownEndpoints());
+            mCallers.closeIdle(isRefusing());
+        }
+    }
+
+    private Set<EndpointId> knownEndpoints() {
+        Set<EndpointId> known = new HashSet<>();
+        mControl.snapshot().endpoints().forEach(view -> known.add(view.endpoint().id()));
+        return known;
+    }
+
+    private void snapshotChanged() {
+        GatewaySnapshot snapshot = mControl.snapshot();
+        mForwards.membersChanged(snapshot.members());
+        if (snapshot.configuration() == null) {
+            return;
+        }
+        updateTable(snapshot);
+        endWithdrawn(snapshot.configuration());
+    }
+
+    private void updateTable(GatewaySnapshot snapshot) {
+        long nowMs = Clocks.steadyMs();
+        List<Endpoint> endpoints = new ArrayList<>();
+        Set<EndpointId> unusable = new HashSet<>();
+        for (EndpointView view : snapshot.endpoints()) {
+            endpoints.add(view.endpoint());
+            if (!view.usable()) {
+                unusable.add(view.endpoint().id());
+            }
+        }
+        mTable.setEndpoints(endpoints, nowMs);
+        mTable.setLeaving(unusable);
+        List<Member> here = snapshot.workingIn(mSettings.region());
+        for (EndpointView view : snapshot.endpoints()) {
+            mTable.state(view.endpoint().id())
+                    .ifPresent(state -> updateState(state, view, snapshot.configuration(), here));
+        }
+    }
+
+    private void updateState(
+            EndpointState state,
+            EndpointView view,
+            GatewayConfiguration configuration,
+            List<Member> here) {
+        ServiceRule service = configuration.service(view.endpoint().service()).orElse(null);
+        if (service == null) {
+            return;
+        }
+        service.engine().ifPresent(engine -> state.setEngineMemory(engine.memoryTokens()));
+        if (service.warmupPerSecond() > 0) {
+            state.setCold(
+                    view.coldUntilMs(),
+                    ownsWhileCold(view.endpoint(), here) ? (int) service.warmupPerSecond() : 0);
+        }
+    }
+
+    /** Returns whether this instance is the one that sends requests to a cold endpoint. */
+    private boolean ownsWhileCold(Endpoint endpoint, List<Member> here) {
+        return Rendezvous.first(endpoint.id().value(), here, member -> member.id().value())
+                .map(member -> member.id().equals(mSettings.id()))
+                .orElse(true);
+    }
+
+    /** Gives up the waiting requests of keys that have been withdrawn. */
+    private void endWithdrawn(GatewayConfiguration configuration) {
+        for (GatewayExchange exchange : List.copyOf(mActive)) {
+            boolean withdrawn =
+                    exchange.account().isPresent()
+                            && !exchange.forwarded()
+                            && exchange.runs() == 0
+                            && exchange.head()
+                                    .key()
+                                    .flatMap(configuration::accountOfKey)
+                                    .isEmpty();
+            if (withdrawn) {
+                mFinisher.refuse(exchange, Refusal.unauthorized());
+            }
+        }
+    }
+
+    /**
+     * Stops serving: for a while callers that have not heard of it are still served, then running
+     * requests end.
+     *
+     * @return completes when nothing runs any more, or when the time of a stop is nearly over
+     */
+    public CompletableFuture<Void> drain() {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        context.runOnContext(ignored -> beginDrain(drained));
+        return drained;
+    }
+
+    private void beginDrain(CompletableFuture<Void> drained) {
+        mStoppingSinceMs = Clocks.steadyMs();
+        long lastMs = mStoppingSinceMs + mSettings.bounds().graceMs() - STOP_MARGIN_MS;
+        vertx.setPeriodic(
+                TICK_MS,
+                timer -> {
+                    boolean idle = isRefusing() && mActive.isEmpty();
+                    boolean late = Clocks.steadyMs() >= lastMs;
+                    if (idle || late) {
+                        vertx.cancelTimer(timer);
+                        finishDrain(drained);
+                    }
+                });
+    }
+
+    private void finishDrain(CompletableFuture<Void> drained) {
+        LOG.info("The last requests end.", Field.of("running", mActive.size()));
+        for (GatewayExchange exchange : List.copyOf(mActive)) {
+            mFinisher.refuse(
+                    exchange, exchange.runs() == 0 ? Refusal.stopping() : Refusal.broken());
+        }
+        mCallers.closeIdle(true);
+        vertx.setTimer(TICK_MS, ignored -> drained.complete(null));
+    }
+
+    @Override
+    public void stop(Promise<Void> stopped) {
+        mCallers.close()
+                .compose(done -> Future.fromCompletionStage(mNetwork.close(), context))
+                .onComplete(stopped);
+    }
+
+    /** Connects the callers' server with the exchanges that run here. */
+    private final class CallerExchanges implements CallerServer.Begin {
+
+        @Override
+        public void begin(GatewayExchange exchange) {
+            GatewayTraffic.this.begin(exchange);
+        }
+
+        @Override
+        public void callerLeft(GatewayExchange exchange) {
+            GatewayTraffic.this.callerLeft(exchange);
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerForwards.java
@@ -0,0 +1,197 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.gateway.config.KeyDigests;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.KeyId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.membership.PeerAddress;
+
+/** Forwards requests to instances in other regions and receives their answers. */
+final class PeerForwards {
+
+    private final PeerNetwork mNetwork;
+    private final Map<Long, ForwardAttempt> mAttempts = new HashMap<>();
+    private long mNextStream = 1;
+
+    PeerForwards(PeerNetwork network) {
+        mNetwork = network;
+    }
+
+    /** Forwards a request to a member, with the events that the caller has already. */
+    Attempt start(
+            Member member,
+            GatewayExchange exchange,
+            GatewaySnapshot snapshot,
+            long leftMs,
+            AttemptListener listener) {
+        long stream = mNextStream++;
+        ForwardAttempt attempt =
+                new ForwardAttempt(stream, member.id(), exchange.head().requestId(), listener);
+        mAttempts.put(stream, attempt);
+        Map<String, String> headers = new HashMap<>(exchange.head().passedHeaders());
+        if (exchange.relay() != null) {
+            headers.put(PeerReceiver.RESUME_AFTER, Long.toString(exchange.relay().lastId()));
+        }
+        PeerMessage.ForwardStart message =
+                new PeerMessage.ForwardStart(
+                        stream,
+                        exchange.head().requestId(),
+                        exchange.account().map(account -> account.id()).orElse(null),
+                        exchange.head().key().map(KeyDigests::of).orElse((KeyId) null),
+                        snapshot.configuration().version(),
+                        snapshot.self().region(),
+                        exchange.method(),
+                        exchange.uri(),
+                        headers,
+                        exchange.body().getBytes(),
+                        leftMs);
+        mNetwork.withConnection(
+                new PeerAddress(member.host(), member.forwardPort()),
+                connection -> attempt.open(connection, message));
+        return attempt;
+    }
+
+    /** Handles the parts of an answer; returns whether the message was one. */
+    boolean handle(PeerConnection from, PeerMessage message) {
+        if (message instanceof PeerMessage.ForwardHead head) {
+            find(from, head.stream()).ifPresent(attempt -> attempt.receive(head));
+        } else if (message instanceof PeerMessage.ForwardData data) {
+            find(from, data.stream()).ifPresent(attempt -> attempt.receive(data.data()));
+        } else if (message instanceof PeerMessage.ForwardEnd end) {
+            find(from, end.stream()).ifPresent(attempt -> attempt.end(end.complete()));
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private Optional<ForwardAttempt> find(PeerConnection from, long stream) {
+        return Optional.ofNullable(mAttempts.get(stream))
+                .filter(attempt -> attempt.mConnection == from);
+    }
+
+    /** Ends the attempts at members that have fallen silent. */
+    void membersChanged(List<Member> members) {
+        for (Member member : members) {
+            boolean silent =
+                    member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD;
+            if (silent) {
+                List.copyOf(mAttempts.values()).stream()
+                        .filter(attempt -> attempt.mMember.equals(member.id()))
+                        .forEach(ForwardAttempt::lose);
+            }
+        }
+    }
+
+    /** Represents one forwarded request. */
+    private final class ForwardAttempt implements Attempt {
+
+        private final long mStream;
+        private final InstanceId mMember;
+        private final String mRequestId;
+        private final AttemptListener mListener;
+        private PeerConnection mConnection;
+        private PeerConnection.CloseAction mCloseAction;
+        private boolean mDone;
+        private boolean mPaused;
+        private long mOwedBytes;
+
+        ForwardAttempt(
+                long stream, InstanceId member, String requestId, AttemptListener listener) {
+            mStream = stream;
+            mMember = member;
+            mRequestId = requestId;
+            mListener = listener;
+        }
+
+        void open(PeerConnection connection, PeerMessage.ForwardStart message) {
+            if (mDone) {
+                return;
+            }
+            if (connection == null) {
+                fail(AttemptListener.Failure.NOT_SENT);
+                return;
+            }
+            mConnection = connection;
+            mCloseAction = connection.onClose(this::lose);
+            connection.send(message);
+        }
+
+        private void finish() {
+            mDone = true;
+            mAttempts.remove(mStream);
+            if (mCloseAction != null) {
+                mCloseAction.end();
+            }
+        }
+
+        void receive(PeerMessage.ForwardHead head) {
+            mListener.head(ForwardHeaders.read(mRequestId, head.status(), head.headers()));
+        }
+
+        void receive(byte[] data) {
+            mOwedBytes += data.length;
+            mListener.data(Buffer.buffer(data));
+            payBack();
+        }
+
+        private void payBack() {
+            if (!mPaused && !mDone && mOwedBytes >= PeerReceiver.CREDIT_STEP_BYTES) {
+                mConnection.send(new PeerMessage.ForwardCredit(mStream, mOwedBytes));
+                mOwedBytes = 0;
+            }
+        }
+
+        void end(boolean complete) {
+            if (!complete) {
+                lose();
+            } else if (!mDone) {
+                finish();
+                mListener.end();
+            }
+        }
+
+        void lose() {
+            fail(
+                    mConnection == null
+                            ? AttemptListener.Failure.NOT_SENT
+                            : AttemptListener.Failure.BROKEN);
+        }
+
+        private void fail(AttemptListener.Failure failure) {
+            if (!mDone) {
+                finish();
+                mListener.failed(failure);
+            }
+        }
+
+        @Override
+        public void cancel() {
+            if (!mDone && mConnection != null) {
+                mConnection.send(new PeerMessage.ForwardCancel(mStream));
+            }
+            finish();
+        }
+
+        @Override
+        public void pause() {
+            mPaused = true;
+        }
+
+        @Override
+        public void resume() {
+            mPaused = false;
+            payBack();
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -0,0 +1,234 @@
+package org.filbertrudder.gateway.traffic;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.filbertrudder.gateway.config.RequestKind;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.queueing.FairQueue;
+import org.filbertrudder.policy.queueing.ServedRate;
+import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.RegionGraph;
+import org.filbertrudder.policy.routing.Route;
+import org.filbertrudder.policy.routing.RouteRequest;
+import org.filbertrudder.policy.routing.Router;
+
+/** Starts requests at endpoints or in other regions, and keeps those that have to wait. */
+final class RequestDispatcher {
+
+    /** The least time that a request needs once it starts, in milliseconds. */
+    private static final long MIN_RUN_MS = 100;
+
+    /** How long callers wait for the first event, in multiples of the goal (protocol page). */
+    private static final long STREAM_PATIENCE_GOALS = 4;
+
+    private static final long MIN_STREAM_PATIENCE_MS = 2_000;
+
+    /** Bounds of the time after which a refused caller is asked to come back, in milliseconds. */
+    private static final long MIN_RETRY_AFTER_MS = 250;
+
+    private static final long MAX_RETRY_AFTER_MS = 4_000;
+
+    private final Router mRouter;
+    private final RegionGraph mRegions;
+    private final Starter mStarter;
+    private final RandomGenerator mRandom;
+    private final Map<ServiceId, ServiceQueue> mQueues = new HashMap<>();
+
+    RequestDispatcher(
+            Router router, RegionGraph regions, RandomGenerator random, Starter starter) {
+        mRandom = random;
+        mRouter = router;
+        mRegions = regions;
+        mStarter = starter;
+    }
+
+    /** Runs the request now or queues it; requests that wait already go first. */
+    void submit(GatewayExchange exchange) {
+        ServiceQueue queue = queue(exchange.service());
+        if (queue.mWaiting.size() > 0) {
+            enqueue(exchange, queue);
+            pump(exchange.service());
+        } else {
+            route(exchange, queue);
+        }
+    }
+
+    private ServiceQueue queue(ServiceId service) {
+        return mQueues.computeIfAbsent(service, key -> new ServiceQueue());
+    }
+
+    private void route(GatewayExchange exchange, ServiceQueue queue) {
+        Route route = choose(exchange, expectedWaitMs(exchange, queue));
+        if (route instanceof Route.Wait) {
+            enqueue(exchange, queue);
+        } else {
+            start(exchange, route);
+        }
+    }
+
+    private Route choose(GatewayExchange exchange, long localWaitMs) {
+        RouteRequest request =
+                new RouteRequest(
+                        exchange.service(),
+                        exchange::mayRunIn,
+                        "",
+                        exchange.tried(),
+                        Optional.empty(),
+                        false,
+                        exchange.forwarded(),
+                        exchange.head().prompt());
+        return mRouter.choose(request, mRegions, localWaitMs, Clocks.steadyMs());
+    }
+
+    private void start(GatewayExchange exchange, Route route) {
+        if (route instanceof Route.Local local) {
+            mStarter.startLocal(exchange, local.endpoint());
+        } else if (route instanceof Route.Away away) {
+            mStarter.startAway(exchange, away.region());
+        } else {
+            mStarter.giveUp(exchange, Refusal.unavailable());
+        }
+    }
+
+    private void enqueue(GatewayExchange exchange, ServiceQueue queue) {
+        long nowMs = Clocks.steadyMs();
+        long waitMs = expectedWaitMs(exchange, queue);
+        long latestStartMs = latestStartMs(exchange);
+        if (nowMs + waitMs > latestStartMs) {
+            mStarter.giveUp(exchange, Refusal.overloaded(retryAfterMs(waitMs)));
+            return;
+        }
+        exchange.setQueued(true);
+        queue.mWaiting.add(exchange.queueAccount(), exchange, cost(exchange), latestStartMs);
+    }
+
+    private static long cost(GatewayExchange exchange) {
+        return Math.max(1, exchange.head().tokens().orElse(1L));
+    }
+
+    /** Returns when the request must start so that its caller is still there for the answer. */
+    private static long latestStartMs(GatewayExchange exchange) {
+        long endMs = exchange.endMs() - MIN_RUN_MS;
+        if (exchange.route().kind() != RequestKind.STREAM) {
+            return endMs;
+        }
+        long patienceMs =
+                Math.max(MIN_STREAM_PATIENCE_MS, STREAM_PATIENCE_GOALS * exchange.route().goalMs());
+        return Math.min(endMs, exchange.arrivedMs() + patienceMs * 3 / 4);
+    }
+
+    private long retryAfterMs(long waitMs) {
+        double spread = 0.75 + 0.5 * mRandom.nextDouble();
+        long limitedMs = Math.max(MIN_RETRY_AFTER_MS, Math.min(waitMs, MAX_RETRY_AFTER_MS));
+        return (long) (limitedMs * spread);
+    }
+
+    private static long expectedWaitMs(GatewayExchange exchange, ServiceQueue queue) {
+        if (queue.mWaiting.size() == 0) {
+            return 0;
+        }
+        return queue.mServed.waitMs(queue.mWaiting.tokensAhead(exchange.queueAccount()));
+    }
+
+    /** Starts waiting requests of a service as long as there is room. */
+    void pump(ServiceId service) {
+        ServiceQueue queue = mQueues.get(service);
+        if (queue == null || queue.mPumping) {
+            return;
+        }
+        queue.mPumping = true;
+        try {
+            startWaiting(queue);
+        } finally {
+            queue.mPumping = false;
+        }
+    }
+
+    private void startWaiting(ServiceQueue queue) {
+        while (true) {
+            Optional<GatewayExchange> next = queue.mWaiting.poll(this::judge);
+            if (next.isEmpty()) {
+                return;
+            }
+            GatewayExchange exchange = next.get();
+            exchange.setQueued(false);
+            if (!exchange.ended()) {
+                start(exchange, queue.mNextRoute);
+            }
+        }
+    }
+
+    private FairQueue.Turn judge(GatewayExchange exchange) {
+        if (exchange.ended()) {
+            return FairQueue.Turn.START;
+        }
+        ServiceQueue queue = queue(exchange.service());
+        queue.mNextRoute = choose(exchange, expectedWaitMs(exchange, queue));
+        // Requests differ in where they may run, so one that waits holds up no other.
+        return queue.mNextRoute instanceof Route.Wait
+                ? FairQueue.Turn.SKIP
+                : FairQueue.Turn.START;
+    }
+
+    /** Notes served tokens, from which the time that waiting requests need is estimated. */
+    void served(GatewayExchange exchange) {
+        queue(exchange.service()).mServed.note(cost(exchange), Clocks.steadyMs());
+    }
+
+    /** Removes a request that has ended while it waited. */
+    void remove(GatewayExchange exchange) {
+        if (exchange.queued()) {
+            exchange.setQueued(false);
+            queue(exchange.service()).mWaiting.remove(exchange);
+        }
+    }
+
+    /** Gives up requests that have waited too long and tries to start the others. */
+    void tick() {
+        long nowMs = Clocks.steadyMs();
+        for (Map.Entry<ServiceId, ServiceQueue> entry : Map.copyOf(mQueues).entrySet()) {
+            ServiceQueue queue = entry.getValue();
+            if (queue.mWaiting.size() == 0) {
+                continue;
+            }
+            List<GatewayExchange> expired = queue.mWaiting.removeExpired(nowMs);
+            for (GatewayExchange exchange : expired) {
+                exchange.setQueued(false);
+                mStarter.giveUp(exchange, Refusal.overloaded(retryAfterMs(MIN_RETRY_AFTER_MS)));
+            }
+            pump(entry.getKey());
+        }
+    }
+
+    /** Returns the number of waiting requests. */
+    int waiting() {
+        return mQueues.values().stream().mapToInt(queue -> queue.mWaiting.size()).sum();
+    }
+
+    /** Starts attempts and gives requests up. */
+    interface Starter {
+
+        /** Starts a request at an endpoint of this region. */
+        void startLocal(GatewayExchange exchange, EndpointState endpoint);
+
+        /** Forwards a request to another region. */
+        void startAway(GatewayExchange exchange, RegionId region);
+
+        /** Ends a request that cannot be started, truthfully about whether it may have run. */
+        void giveUp(GatewayExchange exchange, Refusal refusal);
+    }
+
+    /** Holds the waiting requests of one service and the speed at which it serves. */
+    private static final class ServiceQueue {
+
+        private final FairQueue<GatewayExchange> mWaiting = new FairQueue<>();
+        private final ServedRate mServed = new ServedRate();
+        private Route mNextRoute;
+        private boolean mPumping;
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RetryBudgets.java
@@ -0,0 +1,53 @@
+package org.filbertrudder.gateway.traffic;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.filbertrudder.gateway.BoundSettings;
+import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.retry.RetryBudget;
+
+/** Limits the retries that each service gets from this instance to its part of the whole. */
+final class RetryBudgets {
+
+    /**
+     * Part of the fixed allowance that instances use; the budget fades while the bound is on a
+     * sliding window, so nearly twice the part can fall into one window.
+     */
+    private static final double EXTRA_PART = 0.5;
+
+    private final BoundSettings mBounds;
+    private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
+
+    RetryBudgets(BoundSettings bounds) {
+        mBounds = bounds;
+    }
+
+    void noteRequest(ServiceId service) {
+        budget(service).noteRequest(Clocks.steadyMs());
+    }
+
+    boolean tryRetry(ServiceId service, int instances) {
+        RetryBudget budget = budget(service);
+        budget.setAlwaysPossible(extra(instances));
+        return budget.tryRetry(share(), Clocks.steadyMs());
+    }
+
+    boolean hasRoom(ServiceId service, int instances) {
+        RetryBudget budget = budget(service);
+        budget.setAlwaysPossible(extra(instances));
+        return budget.hasRoom(share(), Clocks.steadyMs());
+    }
+
+    private double share() {
+        return mBounds.retryShare() * EXTRA_PART;
+    }
+
+    private double extra(int instances) {
+        return mBounds.retryExtra() * EXTRA_PART / Math.max(1, instances);
+    }
+
+    private RetryBudget budget(ServiceId service) {
+        return mBudgets.computeIfAbsent(service, key -> new RetryBudget());
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
@@ -0,0 +1,121 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.AbstractVerticle;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.Set;
+import org.filbertrudder.gateway.GatewaySettings;
+import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.model.Json;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.policy.membership.PeerAddress;
+
+/** Serves readiness checks, the callers' directory, metrics and the state dump. */
+public final class SideServers extends AbstractVerticle {
+
+    private static final String METRICS_PATH = "/metrics";
+    private static final String DUMP_PATH = "/dump";
+
+    /** How long callers may use an answer of the directory; bounds how long a stop goes unheard. */
+    private static final long DIRECTORY_VALID_MS = 2_000;
+
+    /** The most addresses that callers use of one answer. */
+    private static final int MAX_ADDRESSES = 64;
+
+    private final GatewaySettings mSettings;
+    private final GatewayControl mControl;
+    private final HttpProtocol mProtocol;
+    private final GatewayMetrics mMetrics;
+
+    /** Creates the servers of an instance. */
+    public SideServers(
+            GatewaySettings settings,
+            GatewayControl control,
+            HttpProtocol protocol,
+            GatewayMetrics metrics) {
+        mSettings = settings;
+        mControl = control;
+        mProtocol = protocol;
+        mMetrics = metrics;
+    }
+
+    @Override
+    public void start(Promise<Void> started) {
+        listen(mSettings.readiness())
+                .compose(done -> listen(mSettings.directory()))
+                .compose(
+                        done ->
+                                listen(
+                                        new PeerAddress(
+                                                mSettings.callers().host(),
+                                                mSettings.metricsPort())))
+                .onComplete(started);
+    }
+
+    private Future<Void> listen(PeerAddress address) {
+        return vertx.createHttpServer()
+                .requestHandler(this::serve)
+                .listen(address.port(), address.host())
+                .mapEmpty();
+    }
+
+    private void serve(HttpServerRequest request) {
+        String path = request.path();
+        if (path.equals(mProtocol.readinessPath())) {
+            request.response().setStatusCode(isReady() ? 200 : 503).end();
+        } else if (path.equals(mProtocol.directoryPath())) {
+            resolve(request);
+        } else if (path.equals(METRICS_PATH)) {
+            request.response().end(mMetrics.toText());
+        } else if (path.equals(DUMP_PATH)) {
+            mControl.state()
+                    .thenAccept(state -> request.response().end(Json.writeIndented(state)));
+        } else {
+            request.response().setStatusCode(404).end();
+        }
+    }
+
+    private boolean isReady() {
+        return mControl.ready().isDone() && !mControl.snapshot().leaving();
+    }
+
+    private void resolve(HttpServerRequest request) {
+        GatewaySnapshot snapshot = mControl.snapshot();
+        DirectoryQuestion question = mProtocol.readDirectoryQuestion(request.params());
+        RegionId region = question.region().map(RegionId::of).orElse(mSettings.region());
+        List<PeerAddress> addresses =
+                instances(snapshot, region, question.host()).stream()
+                        .limit(MAX_ADDRESSES)
+                        .map(member -> new PeerAddress(member.host(), member.callerPort()))
+                        .toList();
+        if (addresses.isEmpty()) {
+            request.response().setStatusCode(503).end();
+            return;
+        }
+        request.response()
+                .putHeader("content-type", "application/json")
+                .end(mProtocol.directoryAnswer(addresses, DIRECTORY_VALID_MS));
+    }
+
+    /** Returns the instances of the caller's region, else those where the host's data may be. */
+    private static List<Member> instances(
+            GatewaySnapshot snapshot, RegionId region, String host) {
+        List<Member> local = snapshot.workingIn(region);
+        if (!local.isEmpty()) {
+            return local;
+        }
+        GatewayConfiguration configuration = snapshot.configuration();
+        Set<RegionId> homes = configuration == null ? Set.of() : configuration.homesOf(host);
+        List<Member> working = snapshot.members().stream().filter(Member::takesWork).toList();
+        List<Member> atHome =
+                working.stream()
+                        .filter(member -> homes.isEmpty() || homes.contains(member.region()))
+                        .toList();
+        return atHome.isEmpty() ? working : atHome;
+    }
+}
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -35,7 +35,11 @@
     @JsonSubTypes.Type(value = PeerMessage.ForwardData.class, name = "fd"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardEnd.class, name = "fe"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardCancel.class, name = "fc"),
-    @JsonSubTypes.Type(value = PeerMessage.ForwardCredit.class, name = "fw")
+    @JsonSubTypes.Type(value = PeerMessage.ForwardCredit.class, name = "fw"),
+    @JsonSubTypes.Type(value = PeerMessage.StateRequest.class, name = "tr"),
+    @JsonSubTypes.Type(value = PeerMessage.StateReply.class, name = "ts"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadReport.class, name = "lo"),
+    @JsonSubTypes.Type(value = PeerMessage.RegionReport.class, name = "rg")
 })
 public sealed interface PeerMessage {
 
@@ -255,4 +259,57 @@
      * @param bytes the number of bytes consumed since the last message
      */
     record ForwardCredit(long stream, long bytes) implements PeerMessage {}
+
+    /**
+     * Asks for the operators' state as the receiver knows it, while the store is out of reach.
+     *
+     * @param id correlates the reply
+     * @param revision the store revision of the configuration that the sender has
+     */
+    record StateRequest(long id, long revision) implements PeerMessage {}
+
+    /**
+     * Tells the operators' state and its age.
+     *
+     * @param id the id of the request
+     * @param ageMs how long before the reply the state was confirmed by the store, in milliseconds
+     * @param revision the store revision of the configuration
+     * @param configuration the configuration as written; empty if the sender has this revision
+     * @param evacuations the store revision of each evacuation, by failure domain
+     * @param endpoints what the endpoints have registered, by id
+     */
+    record StateReply(
+            long id,
+            long ageMs,
+            long revision,
+            String configuration,
+            Map<String, Long> evacuations,
+            Map<String, String> endpoints)
+            implements PeerMessage {}
+
+    /**
+     * Tells the instances of a region what the sender has running at its endpoints.
+     *
+     * @param loads the load at each endpoint in use
+     */
+    record LoadReport(List<EndpointLoad> loads) implements PeerMessage {}
+
+    /**
+     * Describes the requests of one instance at an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @param requests the number of requests
+     * @param prefillMs the time to read the prompts that have no first token yet, in milliseconds
+     * @param memoryTokens the engine memory that the requests occupy at their end, in tokens
+     */
+    record EndpointLoad(EndpointId endpoint, int requests, double prefillMs, long memoryTokens) {}
+
+    /**
+     * Tells other regions how long new requests would wait in the sender's region.
+     *
+     * @param region the sender's region
+     * @param startDelaysMs the wait before a request starts, by service, in milliseconds; a service
+     *     that can start none is missing
+     */
+    record RegionReport(RegionId region, Map<String, Long> startDelaysMs) implements PeerMessage {}
 }
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/freshness/package-info.java
@@ -0,0 +1,2 @@
+/** Decides how long what an instance knows may be acted on. */
+package org.filbertrudder.policy.freshness;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -301,8 +301,8 @@
             return List.of();
         }
         Member known = mMembers.get(sender.id());
-        if (known != null && known.incarnation() == sender.incarnation() && doubted(known)) {
-            // Tells the sender of the doubt, so that it refutes it.
+        if (known != null && isOutdated(sender, known)) {
+            // Tells the sender what is known of it, so that it claims a higher incarnation.
             return List.of(
                     new PeerSend(
                             PeerAddress.of(sender), new PeerMessage.MemberUpdates(List.of(known))));
@@ -310,6 +310,15 @@
         return apply(sender, nowMs) ? flood(List.of(sender), sender.id(), nowMs) : List.of();
     }
 
+    /**
+     * Returns whether what is known of a member hides what it says of itself: it is doubted, or its
+     * clock has stepped back since an earlier start.
+     */
+    private static boolean isOutdated(Member sender, Member known) {
+        return known.incarnation() > sender.incarnation()
+                || (known.incarnation() == sender.incarnation() && doubted(known));
+    }
+
     private static boolean doubted(Member member) {
         return member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD;
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -14,17 +14,24 @@
  */
 public final class SuspectRequests {
 
-    private static final int MAX_CRASHES = 2;
+    private static final int USUAL_MAX_CRASHES = 2;
     private static final long SAME_CRASH_MS = 3_000;
 
     private final int mCapacity;
     private final long mRetentionMs;
+    private final int mMaxCrashes;
     private final LinkedHashMap<RequestDigest, History> mHistories = new LinkedHashMap<>();
 
     /** Creates a memory for a number of requests, each kept for a time in milliseconds. */
     public SuspectRequests(int capacity, long retentionMs) {
+        this(capacity, retentionMs, USUAL_MAX_CRASHES);
+    }
+
+    /** Creates a memory that convicts a request after a number of crashes. */
+    public SuspectRequests(int capacity, long retentionMs, int maxCrashes) {
         mCapacity = capacity;
         mRetentionMs = retentionMs;
+        mMaxCrashes = maxCrashes;
     }
 
     /** Notes a crash and returns whether it was news; one that is reported twice counts once. */
@@ -34,7 +41,7 @@
         if (history == null || history.expired(nowMs, mRetentionMs)) {
             history = new History();
         }
-        boolean news = history.note(report, nowMs);
+        boolean news = history.note(report, nowMs, mMaxCrashes);
         mHistories.put(request, history);
         if (mHistories.size() > mCapacity) {
             mHistories.remove(mHistories.keySet().iterator().next());
@@ -74,15 +81,15 @@
         private long mUpdatedMs;
 
         /** Notes a crash and returns whether it was news; copies share the crash they ran in. */
-        boolean note(PeerMessage.CrashReport report, long nowMs) {
+        boolean note(PeerMessage.CrashReport report, long nowMs, int maxCrashes) {
             mUpdatedMs = nowMs;
             Crash crash = new Crash(report.endpoint(), report.atMs());
             boolean news = mCrashes.stream().noneMatch(crash::isSameAs);
-            if (news && mCrashes.size() < MAX_CRASHES) {
+            if (news && mCrashes.size() < maxCrashes) {
                 mCrashes.add(crash);
             }
             boolean convicts = report.alone() && !mGuilty;
-            mGuilty |= report.alone() || mCrashes.size() >= MAX_CRASHES;
+            mGuilty |= report.alone() || mCrashes.size() >= maxCrashes;
             return news || convicts;
         }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -15,6 +15,8 @@
 
     private final long mIdHash;
     private final PrefixHints mPrefixes = new PrefixHints();
+    private final EngineLoad mEngine = new EngineLoad(mPrefixes);
+    private final WarmupGate mWarmup = new WarmupGate();
     private Endpoint mEndpoint;
     private int mInFlight;
     private int mFailures;
@@ -84,7 +86,73 @@
 
     /** Returns whether the endpoint can start another request now. */
     public boolean hasRoom(long nowMs) {
-        return usable(nowMs) && !mReservedAlone && load(nowMs) < limit(nowMs) + margin(nowMs);
+        return usable(nowMs)
+                && !mReservedAlone
+                && mWarmup.hasRoom(nowMs)
+                && load(nowMs) < limit(nowMs) + margin(nowMs);
+    }
+
+    /** Returns whether the endpoint can start a request with the prompt now. */
+    boolean hasRoom(PromptDemand prompt, long nowMs) {
+        return hasRoom(nowMs) && mEngine.hasRoom(prompt);
+    }
+
+    /** Returns how long the prompt would wait for its first token there, in milliseconds. */
+    double startDelayMs(PromptDemand prompt, long nowMs) {
+        return mEngine.backlogMs() + mEngine.prefillMs(prompt, nowMs);
+    }
+
+    /** Returns how long the prompts that wait there take to read, in milliseconds. */
+    public double backlogMs() {
+        return mEngine.backlogMs();
+    }
+
+    /** Returns the reading time of this instance's own waiting prompts, in milliseconds. */
+    public double ownPrefillMs() {
+        return mEngine.ownPrefillMs();
+    }
+
+    /** Returns the memory that this instance's own requests occupy there, in tokens. */
+    public long ownMemoryTokens() {
+        return mEngine.ownMemoryTokens();
+    }
+
+    /** Returns the number of this instance's own requests there. */
+    public int inFlight() {
+        return mInFlight;
+    }
+
+    /** Sets the memory that running requests and cached prompt parts share, in tokens. */
+    public void setEngineMemory(long memoryTokens) {
+        mEngine.setMemoryTokens(memoryTokens);
+    }
+
+    /** Notes what other instances have running there, as they have told. */
+    public void reportedByOthers(
+            int requests, double prefillMs, long memoryTokens, long nowMs) {
+        mReportedByOthers = requests;
+        mReportedMs = nowMs;
+        mEngine.reportedByOthers(prefillMs, memoryTokens);
+    }
+
+    /** Adds a prompt to the estimated load of the engine. */
+    public PromptRun startPrompt(PromptDemand prompt, long nowMs) {
+        return mEngine.start(prompt, nowMs);
+    }
+
+    /**
+     * Limits the requests to a cold endpoint.
+     *
+     * @param untilMs when it is warm
+     * @param perSecond the requests a second that this instance may send until then; 0 for none
+     */
+    public void setCold(long untilMs, int perSecond) {
+        mWarmup.setCold(untilMs, perSecond);
+    }
+
+    /** Returns whether the endpoint is cold. */
+    public boolean isCold(long nowMs) {
+        return mWarmup.isCold(nowMs);
     }
 
     /**
@@ -125,6 +193,12 @@
         mReservedAlone = alone;
     }
 
+    /** Notes that a request has been sent, also for the limit of a cold endpoint. */
+    public void started(boolean alone, long nowMs) {
+        started(alone);
+        mWarmup.noteStart(nowMs);
+    }
+
     /** Notes the end of a request that got an answer. */
     public void succeeded() {
         mInFlight--;
@@ -141,7 +215,12 @@
     /** Notes that the endpoint has turned a request away; it rests for a moment. */
     public void turnedAway(long nowMs) {
         ended();
-        mUnavailableUntilMs = nowMs + BASE_BACKOFF_MS;
+        rest(nowMs);
+    }
+
+    /** Keeps new requests away for a moment. */
+    public void rest(long nowMs) {
+        mUnavailableUntilMs = Math.max(mUnavailableUntilMs, nowMs + BASE_BACKOFF_MS);
     }
 
     /** Notes a failed connection; the endpoint rests for a time that doubles with each failure. */
@@ -155,6 +234,16 @@
         mSlowStartFromMs = mUnavailableUntilMs;
     }
 
+    /**
+     * Keeps new requests away for a time that doubles with each failure.
+     *
+     * <p>The endpoint accepts no connections, so it has probably restarted or gone.
+     */
+    public void notReachable(long nowMs) {
+        mInFlight++;
+        failed(nowMs);
+    }
+
     /** Notes a load report: all requests that the endpoint runs or holds waiting. */
     public void reported(int requests, long nowMs) {
         mReportedByOthers = Math.max(0, requests - mInFlight);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
@@ -52,6 +53,11 @@
         return group == null ? List.of() : Collections.unmodifiableList(group);
     }
 
+    /** Returns the endpoint with the id. */
+    public Optional<EndpointState> state(EndpointId id) {
+        return Optional.ofNullable(mStates.get(id));
+    }
+
     /** Returns the endpoints of all services in a region. */
     public List<EndpointState> in(RegionId region) {
         List<EndpointState> found = new ArrayList<>();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
@@ -17,6 +17,7 @@
  * @param only the only endpoint of this region where the request may run; empty for any
  * @param alone whether the request may run only on an idle endpoint
  * @param forwarded whether another region has forwarded the request
+ * @param prompt what the request needs of a model engine, if that is known
  */
 public record RouteRequest(
         ServiceId service,
@@ -25,4 +26,18 @@
         Set<EndpointId> tried,
         Optional<EndpointId> only,
         boolean alone,
-        boolean forwarded) {}
+        boolean forwarded,
+        Optional<PromptDemand> prompt) {
+
+    /** Describes a request whose prompt is not known in detail. */
+    public RouteRequest(
+            ServiceId service,
+            Predicate<RegionId> allowed,
+            String affinityKey,
+            Set<EndpointId> tried,
+            Optional<EndpointId> only,
+            boolean alone,
+            boolean forwarded) {
+        this(service, allowed, affinityKey, tried, only, alone, forwarded, Optional.empty());
+    }
+}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -6,7 +6,6 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.filbertrudder.model.Configuration;
-import org.filbertrudder.model.Link;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.policy.Rendezvous;
 
@@ -21,6 +20,12 @@
     private static final double BALANCE_BOUND = 1.25;
     private static final long SHORT_REST_MS = 1_000;
 
+    /** The assumed wait at engines that are all cold, in milliseconds; they bear few requests. */
+    private static final long COLD_WAIT_MS = 1_000;
+
+    /** Delays of the first token that differ by less count as equal, in milliseconds. */
+    private static final double DELAY_CLASS_MS = 50;
+
     private final RegionId mHere;
     private final EndpointTable mTable;
     private final RegionReach mReach;
@@ -54,6 +59,12 @@
     /** Decides where a request runs, given how long it would wait in this region. */
     public Route choose(
             RouteRequest request, Configuration configuration, long localWaitMs, long nowMs) {
+        return choose(request, RegionGraph.of(configuration), localWaitMs, nowMs);
+    }
+
+    /** Decides where a request runs, given how long it would wait in this region. */
+    public Route choose(
+            RouteRequest request, RegionGraph configuration, long localWaitMs, long nowMs) {
         boolean localAllowed = request.allowed().test(mHere);
         List<EndpointState> local =
                 localAllowed
@@ -61,7 +72,9 @@
                         : List.of();
         Optional<EndpointState> free = pick(local, request, nowMs);
         if (free.isPresent()) {
-            return new Route.Local(free.get());
+            return startsSoonerAway(free.get(), request, configuration)
+                    .<Route>map(Route.Away::new)
+                    .orElseGet(() -> new Route.Local(free.get()));
         }
         boolean mayWait = !local.isEmpty() || (localAllowed && backSoon(request, nowMs));
         if (request.forwarded()) {
@@ -76,7 +89,8 @@
                     ? new Route.Wait()
                     : refuse(request, configuration);
         }
-        if (away.isPresent() && worthLeaving(away.get(), configuration, localWaitMs)) {
+        long hereMs = localWaitMs + promptWaitMs(local, request, nowMs);
+        if (away.isPresent() && worthLeaving(away.get(), request, configuration, hereMs)) {
             return new Route.Away(away.get());
         }
         return new Route.Wait();
@@ -110,6 +124,9 @@
                     .filter(mAloneHere)
                     .findFirst();
         }
+        if (request.prompt().isPresent()) {
+            return withPrompt(request.prompt().get(), usable, request, nowMs);
+        }
         List<EndpointState> free =
                 usable.stream()
                         .filter(state -> state.hasRoom(nowMs))
@@ -119,6 +136,39 @@
         return preferred.isPresent() ? preferred : free.stream().min(leastLoaded(nowMs));
     }
 
+    /** Prefers the engine that probably produces the first token soonest. */
+    private static Optional<EndpointState> withPrompt(
+            PromptDemand prompt, List<EndpointState> usable, RouteRequest request, long nowMs) {
+        long keyHash = Rendezvous.hash(prompt.affinityKey());
+        Comparator<EndpointState> soonest =
+                Comparator.comparingDouble(
+                        state -> delayClass(state.startDelayMs(prompt, nowMs)));
+        return usable.stream()
+                .filter(state -> state.hasRoom(prompt, nowMs))
+                .filter(state -> isAllowed(state, request))
+                .min(soonest.thenComparing(byAffinity(keyHash).reversed()));
+    }
+
+    /** Rounds a delay, so that small differences do not scatter prompts that share parts. */
+    private static double delayClass(double delayMs) {
+        return Math.floor(delayMs / DELAY_CLASS_MS);
+    }
+
+    /** Returns the region where the prompt would be read clearly sooner, if there is one. */
+    private Optional<RegionId> startsSoonerAway(
+            EndpointState here, RouteRequest request, RegionGraph regions) {
+        if (request.prompt().isEmpty() || request.forwarded() || request.alone()) {
+            return Optional.empty();
+        }
+        long hereMs = (long) here.backlogMs();
+        return nearestAway(request, regions)
+                .filter(region -> worthLeaving(region, request, regions, hereMs));
+    }
+
+    private double awayDelayMs(RegionId region, RouteRequest request, RegionGraph regions) {
+        return mReach.startDelayMs(request.service(), region) + 2 * delayMs(region, regions);
+    }
+
     /** Prefers the endpoint whose prompt cache is warm unless it has more than its share. */
     private Optional<EndpointState> withAffinity(
             List<EndpointState> free,
@@ -151,20 +201,23 @@
         return byShare.thenComparing(EndpointState::id);
     }
 
-    private Optional<RegionId> nearestAway(RouteRequest request, Configuration configuration) {
+    private Optional<RegionId> nearestAway(RouteRequest request, RegionGraph configuration) {
         return away(request, configuration).filter(mReach::hasRoom).findFirst();
     }
 
     /** Returns a region that can be reached, though its link may have no room now. */
-    private Optional<RegionId> reachableAway(RouteRequest request, Configuration configuration) {
+    private Optional<RegionId> reachableAway(RouteRequest request, RegionGraph configuration) {
         return away(request, configuration).findFirst();
     }
 
-    private Stream<RegionId> away(RouteRequest request, Configuration configuration) {
+    private Stream<RegionId> away(RouteRequest request, RegionGraph configuration) {
         return configuration.nearestTo(mHere).stream()
                 .filter(request.allowed())
                 .filter(region -> hasEndpoint(request, region))
-                .filter(mReach::reachable);
+                .filter(mReach::reachable)
+                .sorted(
+                        Comparator.comparingDouble(
+                                region -> awayDelayMs(region, request, configuration)));
     }
 
     private boolean hasEndpoint(RouteRequest request, RegionId region) {
@@ -172,13 +225,27 @@
                 .anyMatch(state -> !state.leaving() && !request.tried().contains(state.id()));
     }
 
-    private boolean worthLeaving(RegionId region, Configuration configuration, long localWaitMs) {
-        double awayMs = configuration.rules().awayCostMs() + 2 * delayMs(region, configuration);
-        return localWaitMs > awayMs;
+    /** Returns how long a prompt waits at the engines here, beyond the queue before them. */
+    private static long promptWaitMs(
+            List<EndpointState> local, RouteRequest request, long nowMs) {
+        if (request.prompt().isEmpty()) {
+            return 0;
+        }
+        return (long)
+                local.stream()
+                        .filter(state -> !state.isCold(nowMs))
+                        .mapToDouble(EndpointState::backlogMs)
+                        .min()
+                        .orElse(COLD_WAIT_MS);
+    }
+
+    private boolean worthLeaving(
+            RegionId region, RouteRequest request, RegionGraph regions, long hereMs) {
+        return hereMs > regions.awayCostMs() + awayDelayMs(region, request, regions);
     }
 
-    private double delayMs(RegionId region, Configuration configuration) {
-        return configuration.link(mHere, region).map(Link::delayMs).orElse(Double.MAX_VALUE);
+    private double delayMs(RegionId region, RegionGraph configuration) {
+        return configuration.delayMs(mHere, region);
     }
 
     private Route refuseLocal(RouteRequest request, boolean localAllowed) {
@@ -187,7 +254,7 @@
                 exists ? Route.Reason.NONE_AVAILABLE : Route.Reason.NO_ENDPOINT_ALLOWED);
     }
 
-    private Route refuse(RouteRequest request, Configuration configuration) {
+    private Route refuse(RouteRequest request, RegionGraph configuration) {
         boolean exists =
                 configuration.regionIds().stream()
                         .filter(request.allowed())
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenEffect.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenEffect.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.policy.tokens;
 
+import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.PeerMessage;
 
@@ -21,4 +22,12 @@
      * @param request the request
      */
     record AskLoan(RegionId region, PeerMessage.LoanRequest request) implements TokenEffect {}
+
+    /**
+     * Asks another instance for a loan.
+     *
+     * @param lender the instance
+     * @param request the request
+     */
+    record AskInstance(InstanceId lender, PeerMessage.LoanRequest request) implements TokenEffect {}
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
@@ -32,9 +32,8 @@
     private final Set<Integer> mShards = new TreeSet<>();
     private final Map<AccountId, AccountShare> mShares = new HashMap<>();
     private final Set<AccountId> mActive = new TreeSet<>();
-    private final Map<Long, PendingLoan> mPendingLoans = new HashMap<>();
+    private final LoanBook mLoans;
     private Configuration mConfiguration = Configuration.EMPTY;
-    private long mNextLoanId = 1;
     private long mLastTickMs;
     private boolean mSuspended;
     private boolean mIsolated;
@@ -44,6 +43,7 @@
     public TokenHolder(RegionId region, TokenSettings settings, long nowMs) {
         mRegion = region;
         mSettings = settings;
+        mLoans = new LoanBook(settings);
         mLastTickMs = nowMs;
     }
 
@@ -225,7 +225,7 @@
         if (grantsNothing()) {
             return List.of();
         }
-        mPendingLoans.values().removeIf(pending -> pending.expired(mSettings, nowMs));
+        mLoans.expire(nowMs);
         List<TokenEffect> effects = new ArrayList<>();
         for (AccountId id : List.copyOf(mActive)) {
             AccountShare share = mShares.get(id);
@@ -255,23 +255,11 @@
             return List.of();
         }
         List<RegionId> lenders = lenders(id);
-        if (lenders.isEmpty() || isPending(id)) {
-            return List.of();
-        }
-        LoanNeed need = share.askLoan(nowMs);
-        double tokens = need.tokens() + newTokens;
+        List<PeerMessage.LoanRequest> requests =
+                mLoans.ask(id, share, newTokens, lenders.size(), nowMs);
         List<TokenEffect> effects = new ArrayList<>();
-        for (RegionId lender : lenders) {
-            long loanId = mNextLoanId++;
-            mPendingLoans.put(loanId, new PendingLoan(id, nowMs));
-            effects.add(
-                    new TokenEffect.AskLoan(
-                            lender,
-                            new PeerMessage.LoanRequest(
-                                    loanId,
-                                    id,
-                                    need.ratePerSecond() / lenders.size(),
-                                    Math.ceil(tokens / lenders.size()))));
+        for (int i = 0; i < requests.size(); i++) {
+            effects.add(new TokenEffect.AskLoan(lenders.get(i), requests.get(i)));
         }
         return effects;
     }
@@ -292,39 +280,18 @@
                 .toList();
     }
 
-    private boolean isPending(AccountId id) {
-        return mPendingLoans.values().stream().anyMatch(loan -> loan.account().equals(id));
-    }
-
     /** Lends what this region can spare of an account; grants nothing if it holds no share. */
     public PeerMessage.LoanGrant lend(PeerMessage.LoanRequest request, long nowMs) {
         notePause(nowMs);
         AccountShare share = grantsNothing() ? null : mShares.get(request.account());
-        LoanNeed lent =
-                share == null
-                        ? new LoanNeed(0, 0)
-                        : share.lend(
-                                new LoanNeed(request.ratePerSecond(), request.tokens()), nowMs);
-        return new PeerMessage.LoanGrant(
-                request.id(),
-                request.account(),
-                lent.ratePerSecond(),
-                lent.tokens(),
-                mSettings.loanTermMs());
+        return mLoans.lend(request, share, nowMs);
     }
 
     /** Adds a loan; one that was not asked for, is doubled or comes too late is ignored. */
     public List<TokenEffect> loanGranted(PeerMessage.LoanGrant grant, long nowMs) {
-        PendingLoan pending = mPendingLoans.remove(grant.id());
         AccountShare share = mShares.get(grant.account());
-        if (pending == null || share == null || !pending.account().equals(grant.account())) {
-            return List.of();
-        }
-        share.borrow(new LoanNeed(grant.ratePerSecond(), grant.tokens()), pending.askedMs(), nowMs);
-        if (!isPending(grant.account())) {
-            share.loansAnswered(nowMs);
-        }
-        return grantsNothing() ? List.of() : share.serve(nowMs);
+        boolean added = mLoans.granted(grant, share, nowMs);
+        return added && !grantsNothing() ? share.serve(nowMs) : List.of();
     }
 
     /** Returns the state of the accounts held, for the state dump. */
@@ -351,11 +318,4 @@
      */
     public record AccountState(
             AccountId account, double level, double ratePerSecond, int outstanding) {}
-
-    private record PendingLoan(AccountId account, long askedMs) {
-
-        boolean expired(TokenSettings settings, long nowMs) {
-            return nowMs - askedMs > settings.loanReplyTimeoutMs();
-        }
-    }
 }
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/EtcdStore.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/KeyValue.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/KeyValue.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 /**
  * Holds one key of the store with its value.
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/LiveInstance.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/LiveInstance.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 /**
  * Describes an instance or endpoint on the platform's live list.
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/PlatformDirectory.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/PlatformDirectory.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import io.smallrye.mutiny.Uni;
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/StoreCalls.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/StoreCalls.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 /**
  * Counts calls to the store.
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/StoreException.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/StoreException.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 /** Signals that a call to the store has failed; the kind tells what is known of its effect. */
 public final class StoreException extends RuntimeException {
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/Transaction.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/Transaction.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/filbertrudder-platform/src/main/java/org/filbertrudder/platform/TransactionResult.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/TransactionResult.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.store;
 
 import java.util.List;
 
