--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -47,7 +47,7 @@
     /** A larger difference between the clocks may hide a suspension of the process, in ms. */
     private static final long MAX_CLOCK_GAP_MS = 250;
 
-    private static final long REGISTER_INTERVAL_MS = 3_000;
+    private static final long REGISTER_INTERVAL_MS = 2_000;
     private static final long INSTANCES_INTERVAL_MS = 5_000;
     private static final int MAX_ASKED_PEERS = 2;
 
@@ -186,6 +186,7 @@
             send(mMembership.join(mFollower.revision()));
         }
         updateShares(Clocks.steadyMs());
+        publish();
     }
 
     /**
@@ -195,14 +196,20 @@
      * takes itself for the only one.
      */
     private void updateShares(long nowMs) {
-        if (mRegistered == null) {
-            return;
+        if (mRegistered != null) {
+            mShares.setMembers(knownMembers(), nowMs);
+        }
+    }
+
+    /** Returns the members, and the registered instances that have not been met yet. */
+    private List<Member> knownMembers() {
+        List<Member> known = new ArrayList<>(mMembership.members());
+        if (mRegistered != null) {
+            mRegistered.stream()
+                    .filter(member -> mMembership.member(member.id()).isEmpty())
+                    .forEach(known::add);
         }
-        List<Member> holders = new ArrayList<>(mMembership.members());
-        mRegistered.stream()
-                .filter(member -> mMembership.member(member.id()).isEmpty())
-                .forEach(holders::add);
-        mShares.setMembers(holders, nowMs);
+        return known;
     }
 
     private void publish() {
@@ -211,7 +218,7 @@
                         mFollower.configuration(),
                         mFollower.endpoints(),
                         mMembership.self(),
-                        mMembership.members());
+                        knownMembers());
         mListeners.forEach(Runnable::run);
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
@@ -31,6 +31,9 @@
 
     private static final long MIN_STALL_MS = 1_000;
 
+    /** After this time another region's reports count a forwarded request, in milliseconds. */
+    private static final long REPORT_DELAY_MS = 700;
+
     private final Vertx mVertx;
     private final GatewayControl mControl;
     private final HttpProtocol mProtocol;
@@ -78,7 +81,8 @@
     }
 
     @Override
-    public void startAway(GatewayExchange exchange, RegionId region) {
+    public void startAway(
+            GatewayExchange exchange, RegionId region, Optional<EndpointState> expected) {
         if (!mayStart(exchange)) {
             return;
         }
@@ -89,7 +93,7 @@
             return;
         }
         Member member = members.get(mRandom.nextInt(members.size()));
-        new AwayAttempt(exchange, region, member).start();
+        new AwayAttempt(exchange, region, member).start(expected);
     }
 
     /** Checks, at the last moment, that the request may still be sent; gives it up otherwise. */
@@ -117,6 +121,12 @@
 
     @Override
     public void giveUp(GatewayExchange exchange, Refusal refusal) {
+        HeldAnswer held = exchange.heldAnswer();
+        if (held != null && !exchange.ended() && !exchange.sink().headSent()) {
+            held.sendTo(exchange.sink());
+            mFinisher.answered(exchange, held.head().status());
+            return;
+        }
         boolean truthful = !refusal.notRun() || exchange.runs() == 0;
         mFinisher.refuse(exchange, truthful ? refusal : Refusal.broken());
     }
@@ -225,7 +235,15 @@
                 headers.remove("content-length");
                 mExchange.sink().head(head.status(), headers);
             } else {
-                mExchange.relay().restart();
+                resumeStream(head);
+            }
+        }
+
+        /** Goes on with a stream whose first events were sent from here or another instance. */
+        private void resumeStream(AnswerHead head) {
+            mExchange.relay().restart();
+            if (!mExchange.sink().headSent()) {
+                mExchange.sink().head(head.status(), head.passedHeaders());
             }
         }
 
@@ -234,6 +252,10 @@
             if (mOver) {
                 return;
             }
+            if (mHead == null) {
+                spoiled("no-head");
+                return;
+            }
             if (mStreaming) {
                 noteProgress();
                 if (!mExchange.relay().data(data)) {
@@ -309,6 +331,9 @@
             }
             if (mHead.isServerError() && mayReplaceError()) {
                 mExchange.trace("status-" + mHead.status());
+                if (mHead.signed()) {
+                    mExchange.holdAnswer(new HeldAnswer(mHead, mBody));
+                }
                 over(false);
                 again(mExchange, Refusal.broken());
                 return;
@@ -318,13 +343,11 @@
                 giveUp(mExchange, Refusal.broken());
                 return;
             }
-            if (!mPiping) {
-                Map<String, String> headers = mHead.passedHeaders();
-                headers.put("content-length", Integer.toString(mBody.length()));
-                mExchange.sink().head(mHead.status(), headers);
-                mExchange.sink().write(mBody);
+            if (mPiping) {
+                mExchange.sink().end();
+            } else {
+                new HeldAnswer(mHead, mBody).sendTo(mExchange.sink());
             }
-            mExchange.sink().end();
             mFinisher.answered(mExchange, mHead.status());
         }
 
@@ -519,6 +542,7 @@
         private final RegionId mRegion;
         private final Member mMember;
         private Attempt mForward;
+        private Optional<PromptRun> mExpected = Optional.empty();
 
         AwayAttempt(GatewayExchange exchange, RegionId region, Member member) {
             super(exchange);
@@ -526,7 +550,7 @@
             mMember = member;
         }
 
-        void start() {
+        void start(Optional<EndpointState> expected) {
             long nowMs = Clocks.steadyMs();
             GatewaySnapshot snapshot = mControl.snapshot();
             mExchange.triedRegions().add(mRegion);
@@ -534,12 +558,26 @@
             mExchange.setAttempt(this);
             mExchange.countSend();
             mBoard.noteSent(mExchange.service(), mRegion);
+            if (expected.isPresent()) {
+                mExpected =
+                        mExchange
+                                .head()
+                                .prompt()
+                                .map(prompt -> expected.get().startPrompt(prompt, nowMs));
+                mVertx.setTimer(REPORT_DELAY_MS, ignored -> endEstimate());
+            }
             long leftMs = mExchange.endMs() - nowMs;
             mForward = mForwards.start(mMember, mExchange, snapshot, leftMs, this);
         }
 
+        /** Leaves the load to the reports of the other region, which count the request by now. */
+        private void endEstimate() {
+            mExpected.ifPresent(PromptRun::end);
+        }
+
         @Override
         void release(boolean answered) {
+            endEstimate();
             if (answered) {
                 mDispatcher.served(mExchange);
             }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -40,6 +40,7 @@
     private RequestDigest mDigest;
     private Attempt mAttempt;
     private StreamRelay mRelay;
+    private HeldAnswer mHeldAnswer;
     private int mSends;
     private int mRuns;
     private boolean mQueued;
@@ -132,6 +133,17 @@
                 && mAccount.map(account -> account.allows(region)).orElse(true);
     }
 
+    /** Returns the only regions where the request may run; empty means any region. */
+    Set<RegionId> homes() {
+        Set<RegionId> ofAccount = mAccount.map(AccountRule::homes).orElse(Set.of());
+        if (ofAccount.isEmpty() || mRoute.homes().isEmpty()) {
+            return ofAccount.isEmpty() ? mRoute.homes() : ofAccount;
+        }
+        Set<RegionId> both = new HashSet<>(ofAccount);
+        both.retainAll(mRoute.homes());
+        return both;
+    }
+
     Set<EndpointId> tried() {
         return mTried;
     }
@@ -194,9 +206,24 @@
         return mRuns;
     }
 
-    /** Returns whether the request may run once more. */
+    /**
+     * Returns whether the request may run once more.
+     *
+     * <p>A forwarded request runs once at most, as the instance that forwarded it counts its runs.
+     */
     boolean mayRunAgain() {
-        return mRuns == 0 || (mRoute.isRepeatable() && mRuns < mRoute.maxRuns());
+        boolean repeatable = mRoute.isRepeatable() && !mForwarded;
+        return mRuns == 0 || (repeatable && mRuns < mRoute.maxRuns());
+    }
+
+    /** Returns an endpoint's own error answer that may still be passed on; null if none. */
+    HeldAnswer heldAnswer() {
+        return mHeldAnswer;
+    }
+
+    /** Keeps an endpoint's own error answer for the case that nobody gives a better one. */
+    void holdAnswer(HeldAnswer answer) {
+        mHeldAnswer = answer;
     }
 
     boolean queued() {
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/HeldAnswer.java
@@ -0,0 +1,22 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Map;
+
+/**
+ * Holds a whole answer of an endpoint.
+ *
+ * @param head the head of the answer
+ * @param body the body
+ */
+record HeldAnswer(AnswerHead head, Buffer body) {
+
+    /** Sends the answer. */
+    void sendTo(AnswerSink sink) {
+        Map<String, String> headers = head.passedHeaders();
+        headers.put("content-length", Integer.toString(body.length()));
+        sink.head(head.status(), headers);
+        sink.write(body);
+        sink.end();
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
@@ -135,13 +135,29 @@
         Map<String, Long> named = new HashMap<>();
         delays.forEach((service, delay) -> named.put(service.value(), delay));
         PeerMessage.RegionReport report =
-                new PeerMessage.RegionReport(snapshot.self().region(), named);
+                new PeerMessage.RegionReport(
+                        snapshot.self().region(), named, regionLoads(snapshot, nowMs));
         snapshot.members().stream()
                 .filter(Member::takesWork)
                 .filter(member -> !member.region().equals(snapshot.self().region()))
                 .forEach(member -> mNetwork.send(forwardAddress(member), report));
     }
 
+    private List<PeerMessage.EndpointLoad> regionLoads(GatewaySnapshot snapshot, long nowMs) {
+        List<PeerMessage.EndpointLoad> loads = new ArrayList<>();
+        for (EndpointState state : mTable.in(snapshot.self().region())) {
+            if (state.load(nowMs) > 0) {
+                loads.add(
+                        new PeerMessage.EndpointLoad(
+                                state.id(),
+                                state.load(nowMs),
+                                Math.rint(state.backlogMs()),
+                                state.memoryTokens()));
+            }
+        }
+        return loads;
+    }
+
     private static PeerAddress forwardAddress(Member member) {
         return new PeerAddress(member.host(), member.forwardPort());
     }
@@ -159,6 +175,7 @@
                     .forEach((service, delay) -> state.mDelaysMs.put(ServiceId.of(service), delay));
             state.mReportedMs = Clocks.steadyMs();
             mRegions.put(report.region(), state);
+            applyRegion(report);
             return true;
         }
         return false;
@@ -173,8 +190,21 @@
                 sums.merge(load.endpoint(), load, RegionBoard::sum);
             }
         }
-        for (EndpointState state : mTable.in(mSnapshot.get().self().region())) {
-            PeerMessage.EndpointLoad load = sums.get(state.id());
+        apply(mSnapshot.get().self().region(), sums);
+    }
+
+    private void applyRegion(PeerMessage.RegionReport report) {
+        Map<EndpointId, PeerMessage.EndpointLoad> loads = new HashMap<>();
+        report.loads().forEach(load -> loads.put(load.endpoint(), load));
+        if (!report.region().equals(mSnapshot.get().self().region())) {
+            apply(report.region(), loads);
+        }
+    }
+
+    private void apply(RegionId region, Map<EndpointId, PeerMessage.EndpointLoad> loads) {
+        long nowMs = Clocks.steadyMs();
+        for (EndpointState state : mTable.in(region)) {
+            PeerMessage.EndpointLoad load = loads.get(state.id());
             if (load == null) {
                 state.reportedByOthers(0, 0, 0, nowMs);
             } else {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -1,9 +1,11 @@
 package org.filbertrudder.gateway.traffic;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.control.Clocks;
@@ -12,6 +14,7 @@
 import org.filbertrudder.policy.queueing.FairQueue;
 import org.filbertrudder.policy.queueing.ServedRate;
 import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.PromptDemand;
 import org.filbertrudder.policy.routing.RegionGraph;
 import org.filbertrudder.policy.routing.Route;
 import org.filbertrudder.policy.routing.RouteRequest;
@@ -33,6 +36,9 @@
 
     private static final long MAX_RETRY_AFTER_MS = 4_000;
 
+    /** The kinds of request without room after which a pass over the queue ends. */
+    private static final int MAX_SKIPPED = 16;
+
     private final Router mRouter;
     private final RegionGraph mRegions;
     private final Starter mStarter;
@@ -89,7 +95,7 @@
         if (route instanceof Route.Local local) {
             mStarter.startLocal(exchange, local.endpoint());
         } else if (route instanceof Route.Away away) {
-            mStarter.startAway(exchange, away.region());
+            mStarter.startAway(exchange, away.region(), away.expected());
         } else {
             mStarter.giveUp(exchange, Refusal.unavailable());
         }
@@ -150,6 +156,7 @@
     }
 
     private void startWaiting(ServiceQueue queue) {
+        queue.mSkipped.clear();
         while (true) {
             Optional<GatewayExchange> next = queue.mWaiting.poll(this::judge);
             if (next.isEmpty()) {
@@ -168,11 +175,19 @@
             return FairQueue.Turn.START;
         }
         ServiceQueue queue = queue(exchange.service());
+        if (queue.mSkipped.size() >= MAX_SKIPPED) {
+            return FairQueue.Turn.STOP;
+        }
+        if (queue.mSkipped.stream().anyMatch(skipped -> skipped.isAtMost(exchange))) {
+            return FairQueue.Turn.SKIP;
+        }
         queue.mNextRoute = choose(exchange, expectedWaitMs(exchange, queue));
         // Requests differ in where they may run, so one that waits holds up no other.
-        return queue.mNextRoute instanceof Route.Wait
-                ? FairQueue.Turn.SKIP
-                : FairQueue.Turn.START;
+        if (queue.mNextRoute instanceof Route.Wait) {
+            queue.mSkipped.add(Skipped.of(exchange));
+            return FairQueue.Turn.SKIP;
+        }
+        return FairQueue.Turn.START;
     }
 
     /** Notes served tokens, from which the time that waiting requests need is estimated. */
@@ -217,17 +232,48 @@
         void startLocal(GatewayExchange exchange, EndpointState endpoint);
 
         /** Forwards a request to another region. */
-        void startAway(GatewayExchange exchange, RegionId region);
+        void startAway(
+                GatewayExchange exchange, RegionId region, Optional<EndpointState> expected);
 
         /** Ends a request that cannot be started, truthfully about whether it may have run. */
         void giveUp(GatewayExchange exchange, Refusal refusal);
     }
 
+    /**
+     * Describes a request that found no room, so that others like it need not be tried.
+     *
+     * @param homes where the request may run
+     * @param fresh whether it has not been tried anywhere
+     * @param memoryTokens the engine memory that it needs
+     */
+    private record Skipped(Set<RegionId> homes, boolean fresh, long memoryTokens) {
+
+        static Skipped of(GatewayExchange exchange) {
+            return new Skipped(exchange.homes(), isFresh(exchange), memoryTokens(exchange));
+        }
+
+        boolean isAtMost(GatewayExchange exchange) {
+            return fresh
+                    && isFresh(exchange)
+                    && memoryTokens <= memoryTokens(exchange)
+                    && homes.equals(exchange.homes());
+        }
+
+        private static boolean isFresh(GatewayExchange exchange) {
+            return exchange.sends() == 0 && !exchange.forwarded();
+        }
+
+        private static long memoryTokens(GatewayExchange exchange) {
+            return exchange.head().prompt().map(PromptDemand::memoryTokens).orElse(0L);
+        }
+    }
+
     /** Holds the waiting requests of one service and the speed at which it serves. */
     private static final class ServiceQueue {
 
         private final FairQueue<GatewayExchange> mWaiting = new FairQueue<>();
         private final ServedRate mServed = new ServedRate();
+        private final List<Skipped> mSkipped = new ArrayList<>();
         private Route mNextRoute;
         private boolean mPumping;
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
@@ -93,7 +93,8 @@
                         .limit(MAX_ADDRESSES)
                         .map(member -> new PeerAddress(member.host(), member.callerPort()))
                         .toList();
-        if (addresses.isEmpty()) {
+        // Before the first reading of the registered instances only this one is known.
+        if (addresses.isEmpty() || !mControl.ready().isDone()) {
             request.response().setStatusCode(503).end();
             return;
         }
@@ -116,6 +117,6 @@
                 working.stream()
                         .filter(member -> homes.isEmpty() || homes.contains(member.region()))
                         .toList();
-        return atHome.isEmpty() ? working : atHome;
+        return atHome;
     }
 }
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -310,6 +310,9 @@
      * @param region the sender's region
      * @param startDelaysMs the wait before a request starts, by service, in milliseconds; a service
      *     that can start none is missing
+     * @param loads the load of the region's endpoints in use, from all instances there
      */
-    record RegionReport(RegionId region, Map<String, Long> startDelaysMs) implements PeerMessage {}
+    record RegionReport(
+            RegionId region, Map<String, Long> startDelaysMs, List<EndpointLoad> loads)
+            implements PeerMessage {}
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -102,6 +102,11 @@
         return mEngine.backlogMs() + mEngine.prefillMs(prompt, nowMs);
     }
 
+    /** Returns the tokens of the prompt's shared parts that are probably not cached there. */
+    long missingSharedTokens(PromptDemand prompt, long nowMs) {
+        return mEngine.missingSharedTokens(prompt, nowMs);
+    }
+
     /** Returns how long the prompts that wait there take to read, in milliseconds. */
     public double backlogMs() {
         return mEngine.backlogMs();
@@ -112,6 +117,11 @@
         return mEngine.ownPrefillMs();
     }
 
+    /** Returns the memory that all known requests occupy there, in tokens. */
+    public long memoryTokens() {
+        return mEngine.memoryTokens();
+    }
+
     /** Returns the memory that this instance's own requests occupy there, in tokens. */
     public long ownMemoryTokens() {
         return mEngine.ownMemoryTokens();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -53,6 +53,18 @@
         return group == null ? List.of() : Collections.unmodifiableList(group);
     }
 
+    /** Returns the endpoints of a service in all regions, usable or not. */
+    public List<EndpointState> of(ServiceId service) {
+        List<EndpointState> found = new ArrayList<>();
+        mGroups.forEach(
+                (group, states) -> {
+                    if (group.service().equals(service)) {
+                        found.addAll(states);
+                    }
+                });
+        return found;
+    }
+
     /** Returns the endpoint with the id. */
     public Optional<EndpointState> state(EndpointId id) {
         return Optional.ofNullable(mStates.get(id));
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -40,6 +40,12 @@
 
     /** Returns the time to read the parts of the prompt that are probably not cached there. */
     double prefillMs(PromptDemand prompt, long nowMs) {
+        long cached = sharedTokens(prompt) - missingSharedTokens(prompt, nowMs);
+        return Math.max(0, prompt.promptTokens() - cached) / PREFILL_TOKENS_PER_MS;
+    }
+
+    /** Returns the tokens of the shared parts that are probably not cached there. */
+    long missingSharedTokens(PromptDemand prompt, long nowMs) {
         long cached = 0;
         for (PromptPart part : prompt.sharedParts()) {
             if (!mPrefixes.contains(part.id(), nowMs)) {
@@ -47,7 +53,11 @@
             }
             cached += part.tokens();
         }
-        return Math.max(0, prompt.promptTokens() - cached) / PREFILL_TOKENS_PER_MS;
+        return sharedTokens(prompt) - cached;
+    }
+
+    private static long sharedTokens(PromptDemand prompt) {
+        return prompt.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
     }
 
     double backlogMs() {
@@ -55,7 +65,7 @@
     }
 
     boolean hasRoom(PromptDemand prompt) {
-        long used = mOwnMemoryTokens + mOthersMemoryTokens;
+        long used = memoryTokens();
         boolean fits = used == 0 || used + prompt.memoryTokens() <= mMemoryLimitTokens;
         return fits && backlogMs() < MAX_BACKLOG_MS;
     }
@@ -64,6 +74,10 @@
         return mOwnPrefillMs;
     }
 
+    long memoryTokens() {
+        return mOwnMemoryTokens + mOthersMemoryTokens;
+    }
+
     long ownMemoryTokens() {
         return mOwnMemoryTokens;
     }
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -0,0 +1,79 @@
+package org.filbertrudder.policy.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.policy.Rendezvous;
+
+/**
+ * Chooses the engine for a prompt among those of all regions.
+ *
+ * <p>The engine with the least cost wins. The cost is the expected time to the first token, plus
+ * what it costs to read shared parts that another engine keeps already, plus what it costs to leave
+ * the region. A part that is not known to be kept anywhere has one home, the same for all
+ * instances, so that they do not each have it read at another engine.
+ */
+final class PromptPlacement {
+
+    /**
+     * What a needless token read costs, in milliseconds of waiting. Deployments price about 5,000
+     * of them at a third of a long request's worth, which waiting for half of its goal would lose.
+     */
+    private static final double REREAD_MS_PER_TOKEN = 0.12;
+
+    /** Costs that differ by less count as equal, in milliseconds. */
+    private static final double COST_CLASS_MS = 50;
+
+    private final RegionId mHere;
+
+    PromptPlacement(RegionId here) {
+        mHere = here;
+    }
+
+    /** Returns the best engine with room; empty if none has any. */
+    Optional<EndpointState> choose(
+            PromptDemand prompt, List<EndpointState> usable, RegionGraph regions, long nowMs) {
+        Optional<EndpointState> home = home(prompt, usable);
+        long keyHash = Rendezvous.hash(prompt.affinityKey());
+        Comparator<EndpointState> cheapest =
+                Comparator.comparingDouble(
+                        state ->
+                                Math.floor(
+                                        cost(state, prompt, home, regions, nowMs) / COST_CLASS_MS));
+        Comparator<EndpointState> byAffinity =
+                Comparator.comparingLong(state -> -state.affinity(keyHash));
+        return usable.stream()
+                .filter(state -> state.hasRoom(prompt, nowMs))
+                .min(cheapest.thenComparing(byAffinity));
+    }
+
+    /** Returns the engine that is assumed to keep the prompt's shared parts. */
+    private static Optional<EndpointState> home(PromptDemand prompt, List<EndpointState> usable) {
+        if (prompt.affinityKey().isEmpty()) {
+            return Optional.empty();
+        }
+        long keyHash = Rendezvous.hash(prompt.affinityKey());
+        return usable.stream().max(Comparator.comparingLong(state -> state.affinity(keyHash)));
+    }
+
+    private double cost(
+            EndpointState state,
+            PromptDemand prompt,
+            Optional<EndpointState> home,
+            RegionGraph regions,
+            long nowMs) {
+        boolean isHome = home.isPresent() && home.get() == state;
+        long rereadTokens = isHome ? 0 : state.missingSharedTokens(prompt, nowMs);
+        return state.startDelayMs(prompt, nowMs)
+                + rereadTokens * REREAD_MS_PER_TOKEN
+                + awayMs(state, regions);
+    }
+
+    private double awayMs(EndpointState state, RegionGraph regions) {
+        RegionId there = state.endpoint().region();
+        return there.equals(mHere)
+                ? 0
+                : regions.awayCostMs() + 2 * regions.delayMs(mHere, there);
+    }
+}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.policy.routing;
 
+import java.util.Optional;
 import org.filbertrudder.model.RegionId;
 
 /** Represents the outcome of a routing decision. */
@@ -16,8 +17,15 @@
      * Forwards the request to another region.
      *
      * @param region the region
+     * @param expected the endpoint that is expected to run it there, if that matters
      */
-    record Away(RegionId region) implements Route {}
+    record Away(RegionId region, Optional<EndpointState> expected) implements Route {
+
+        /** Forwards the request to any endpoint of a region. */
+        Away(RegionId region) {
+            this(region, Optional.empty());
+        }
+    }
 
     /** Waits until an endpoint of this region has room. */
     record Wait() implements Route {}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -20,16 +20,11 @@
     private static final double BALANCE_BOUND = 1.25;
     private static final long SHORT_REST_MS = 1_000;
 
-    /** The assumed wait at engines that are all cold, in milliseconds; they bear few requests. */
-    private static final long COLD_WAIT_MS = 1_000;
-
-    /** Delays of the first token that differ by less count as equal, in milliseconds. */
-    private static final double DELAY_CLASS_MS = 50;
-
     private final RegionId mHere;
     private final EndpointTable mTable;
     private final RegionReach mReach;
     private final Predicate<EndpointState> mAloneHere;
+    private final PromptPlacement mPlacement;
 
     /** Creates a router for one region that may use every endpoint for any request. */
     public Router(RegionId here, EndpointTable table, RegionReach reach) {
@@ -54,6 +49,7 @@
         mTable = table;
         mReach = reach;
         mAloneHere = aloneHere;
+        mPlacement = new PromptPlacement(here);
     }
 
     /** Decides where a request runs, given how long it would wait in this region. */
@@ -65,6 +61,9 @@
     /** Decides where a request runs, given how long it would wait in this region. */
     public Route choose(
             RouteRequest request, RegionGraph configuration, long localWaitMs, long nowMs) {
+        if (request.prompt().isPresent() && !request.alone()) {
+            return placePrompt(request.prompt().get(), request, configuration, nowMs);
+        }
         boolean localAllowed = request.allowed().test(mHere);
         List<EndpointState> local =
                 localAllowed
@@ -72,9 +71,7 @@
                         : List.of();
         Optional<EndpointState> free = pick(local, request, nowMs);
         if (free.isPresent()) {
-            return startsSoonerAway(free.get(), request, configuration)
-                    .<Route>map(Route.Away::new)
-                    .orElseGet(() -> new Route.Local(free.get()));
+            return new Route.Local(free.get());
         }
         boolean mayWait = !local.isEmpty() || (localAllowed && backSoon(request, nowMs));
         if (request.forwarded()) {
@@ -89,13 +86,43 @@
                     ? new Route.Wait()
                     : refuse(request, configuration);
         }
-        long hereMs = localWaitMs + promptWaitMs(local, request, nowMs);
-        if (away.isPresent() && worthLeaving(away.get(), request, configuration, hereMs)) {
+        if (away.isPresent() && worthLeaving(away.get(), request, configuration, localWaitMs)) {
             return new Route.Away(away.get());
         }
         return new Route.Wait();
     }
 
+    /** Places a prompt at the best engine of all regions; one without room anywhere waits. */
+    private Route placePrompt(
+            PromptDemand prompt, RouteRequest request, RegionGraph regions, long nowMs) {
+        List<EndpointState> candidates =
+                request.forwarded()
+                        ? mTable.of(request.service(), mHere)
+                        : mTable.of(request.service());
+        List<EndpointState> usable =
+                usable(candidates, request, nowMs).stream()
+                        .filter(state -> isAllowed(state, request))
+                        .filter(state -> mayReach(state.endpoint().region(), request))
+                        .toList();
+        Optional<EndpointState> chosen = mPlacement.choose(prompt, usable, regions, nowMs);
+        if (chosen.isPresent()) {
+            RegionId region = chosen.get().endpoint().region();
+            return region.equals(mHere)
+                    ? new Route.Local(chosen.get())
+                    : new Route.Away(region, chosen);
+        }
+        boolean backSoon =
+                candidates.stream()
+                        .filter(state -> mayReach(state.endpoint().region(), request))
+                        .filter(state -> !request.tried().contains(state.id()))
+                        .anyMatch(state -> state.usable(nowMs + SHORT_REST_MS));
+        return usable.isEmpty() && !backSoon ? refuse(request, regions) : new Route.Wait();
+    }
+
+    private boolean mayReach(RegionId region, RouteRequest request) {
+        return request.allowed().test(region) && (region.equals(mHere) || mReach.reachable(region));
+    }
+
     /** Returns whether an endpoint that rests after a failure will be usable again soon. */
     private boolean backSoon(RouteRequest request, long nowMs) {
         return mTable.of(request.service(), mHere).stream()
@@ -124,9 +151,6 @@
                     .filter(mAloneHere)
                     .findFirst();
         }
-        if (request.prompt().isPresent()) {
-            return withPrompt(request.prompt().get(), usable, request, nowMs);
-        }
         List<EndpointState> free =
                 usable.stream()
                         .filter(state -> state.hasRoom(nowMs))
@@ -136,35 +160,6 @@
         return preferred.isPresent() ? preferred : free.stream().min(leastLoaded(nowMs));
     }
 
-    /** Prefers the engine that probably produces the first token soonest. */
-    private static Optional<EndpointState> withPrompt(
-            PromptDemand prompt, List<EndpointState> usable, RouteRequest request, long nowMs) {
-        long keyHash = Rendezvous.hash(prompt.affinityKey());
-        Comparator<EndpointState> soonest =
-                Comparator.comparingDouble(
-                        state -> delayClass(state.startDelayMs(prompt, nowMs)));
-        return usable.stream()
-                .filter(state -> state.hasRoom(prompt, nowMs))
-                .filter(state -> isAllowed(state, request))
-                .min(soonest.thenComparing(byAffinity(keyHash).reversed()));
-    }
-
-    /** Rounds a delay, so that small differences do not scatter prompts that share parts. */
-    private static double delayClass(double delayMs) {
-        return Math.floor(delayMs / DELAY_CLASS_MS);
-    }
-
-    /** Returns the region where the prompt would be read clearly sooner, if there is one. */
-    private Optional<RegionId> startsSoonerAway(
-            EndpointState here, RouteRequest request, RegionGraph regions) {
-        if (request.prompt().isEmpty() || request.forwarded() || request.alone()) {
-            return Optional.empty();
-        }
-        long hereMs = (long) here.backlogMs();
-        return nearestAway(request, regions)
-                .filter(region -> worthLeaving(region, request, regions, hereMs));
-    }
-
     private double awayDelayMs(RegionId region, RouteRequest request, RegionGraph regions) {
         return mReach.startDelayMs(request.service(), region) + 2 * delayMs(region, regions);
     }
@@ -225,20 +220,6 @@
                 .anyMatch(state -> !state.leaving() && !request.tried().contains(state.id()));
     }
 
-    /** Returns how long a prompt waits at the engines here, beyond the queue before them. */
-    private static long promptWaitMs(
-            List<EndpointState> local, RouteRequest request, long nowMs) {
-        if (request.prompt().isEmpty()) {
-            return 0;
-        }
-        return (long)
-                local.stream()
-                        .filter(state -> !state.isCold(nowMs))
-                        .mapToDouble(EndpointState::backlogMs)
-                        .min()
-                        .orElse(COLD_WAIT_MS);
-    }
-
     private boolean worthLeaving(
             RegionId region, RouteRequest request, RegionGraph regions, long hereMs) {
         return hereMs > regions.awayCostMs() + awayDelayMs(region, request, regions);
