--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.stream.Collectors;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.KeyId;
 import org.filbertrudder.model.RegionId;
@@ -80,20 +79,27 @@
         return Optional.empty();
     }
 
-    /** Returns the regions that may serve all routes of a host; empty means any region. */
+    /**
+     * Returns the regions that suit the routes of a host; empty means any region.
+     *
+     * <p>These are the homes that all its routes with homes have in common, or if there are none,
+     * the homes of any of them.
+     */
     public Set<RegionId> homesOf(String host) {
-        Map<String, RouteRule> prefixes = mRoutes.getOrDefault(host, Map.of());
-        Set<RegionId> homes = null;
-        for (RouteRule route : prefixes.values()) {
-            if (!route.homes().isEmpty()) {
-                homes = homes == null ? new TreeSet<>(route.homes()) : intersect(homes, route);
+        Set<RegionId> common = null;
+        Set<RegionId> any = new TreeSet<>();
+        for (RouteRule route : mRoutes.getOrDefault(host, Map.of()).values()) {
+            if (route.homes().isEmpty()) {
+                continue;
+            }
+            any.addAll(route.homes());
+            if (common == null) {
+                common = new TreeSet<>(route.homes());
+            } else {
+                common.retainAll(route.homes());
             }
         }
-        return homes == null ? Set.of() : homes;
-    }
-
-    private static Set<RegionId> intersect(Set<RegionId> homes, RouteRule route) {
-        return homes.stream().filter(route.homes()::contains).collect(Collectors.toSet());
+        return common == null || common.isEmpty() ? any : common;
     }
 
     /** Returns the service with the id. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -18,6 +19,7 @@
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.gateway.control.Clocks;
@@ -182,8 +184,8 @@
             return;
         }
         exchange.setCallerLeft();
-        // A request that may run only once is not broken off while it runs.
-        if (exchange.route().isRepeatable() || exchange.relay() != null || exchange.runs() == 0) {
+        // A booking that may be running is not broken off, as nobody would know its outcome.
+        if (exchange.route().kind() != RequestKind.UNSAFE || exchange.runs() == 0) {
             mFinisher.callerLeft(exchange);
         }
     }
@@ -215,7 +217,7 @@
                         head.forwarded(start.deadlineMs()),
                         start.method(),
                         start.uri(),
-                        io.vertx.core.buffer.Buffer.buffer(start.body()),
+                        Buffer.buffer(start.body()),
                         route.get(),
                         account,
                         route.get().serviceAt(mRandom.nextDouble()),
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
@@ -6,6 +6,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Set;
+import org.filbertrudder.entry.log.Field;
+import org.filbertrudder.entry.log.PartLog;
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.control.GatewayControl;
@@ -18,6 +20,7 @@
 /** Serves readiness checks, the callers' directory, metrics and the state dump. */
 public final class SideServers extends AbstractVerticle {
 
+    private static final PartLog LOG = PartLog.of("directory");
     private static final String METRICS_PATH = "/metrics";
     private static final String DUMP_PATH = "/dump";
 
@@ -117,6 +120,13 @@
                 working.stream()
                         .filter(member -> homes.isEmpty() || homes.contains(member.region()))
                         .toList();
+        LOG.info(
+                "A caller is led to another region.",
+                Field.of("host", host),
+                Field.of("region", region),
+                Field.of("homes", homes),
+                Field.of("instances", atHome.stream().map(Member::id).toList()),
+                Field.of("known", snapshot.members().size()));
         return atHome;
     }
 }
--- /dev/null
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
@@ -0,0 +1,127 @@
+package org.filbertrudder.gateway.config;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests how requests find their route and account. */
+public class GatewayConfigurationTest {
+
+    private static RouteRule route(String host, String prefix, String... homes) {
+        return new RouteRule(
+                host + prefix,
+                host,
+                prefix,
+                RequestKind.SAFE,
+                1_000,
+                500,
+                0,
+                List.of(new Backend(ServiceId.of("s"), 1)),
+                2,
+                false,
+                false,
+                Set.of(homes).stream()
+                        .map(RegionId::of)
+                        .collect(java.util.stream.Collectors.toSet()));
+    }
+
+    private static GatewayConfiguration configuration(RouteRule... routes) {
+        AccountRule account =
+                new AccountRule(
+                        AccountId.of("club"), Optional.empty(), Optional.empty(), true, 10, Set.of());
+        return new GatewayConfiguration(
+                1,
+                List.of(routes),
+                List.of(),
+                List.of(account),
+                Map.of("secret", account.id()),
+                new CallerLimits(1, 1, 1, 1));
+    }
+
+    /** Lists paths and the prefix of the route that they take; null for none. */
+    @DataProvider
+    public Object[][] paths() {
+        return new Object[][] {
+            {"/a/x", "/a/"},
+            {"/a/", "/a/"},
+            {"/a/b/c", "/a/b/"},
+            {"/a/bc", "/a/"},
+            {"/ab", null},
+            {"/", null},
+            {"", null},
+            {"/c/d/e/f", "/c/d/e/"},
+            {"/c/d/x", null},
+        };
+    }
+
+    @Test(dataProvider = "paths")
+    public void theLongestPrefixWins(String path, String prefix) {
+        GatewayConfiguration configuration =
+                configuration(route("h", "/a/"), route("h", "/a/b/"), route("h", "/c/d/e/"));
+
+        assertEquals(
+                configuration.route("h", path).map(RouteRule::pathPrefix).orElse(null), prefix);
+    }
+
+    @Test
+    public void routesOfOtherHostsDoNotCount() {
+        assertTrue(configuration(route("h", "/")).route("other", "/x").isEmpty());
+    }
+
+    @Test
+    public void keysAreFoundByThemselvesAndByTheirDigests() {
+        GatewayConfiguration configuration = configuration();
+
+        assertEquals(
+                configuration.accountOfKeyDigest(KeyDigests.of("secret")),
+                configuration.accountOfKey("secret"));
+        assertTrue(configuration.accountOfKey("Secret").isEmpty());
+    }
+
+    @Test
+    public void theHomesOfAHostSuitAllItsRoutes() {
+        GatewayConfiguration configuration =
+                configuration(
+                        route("h", "/a/", "mtl", "sag"), route("h", "/b/"), route("h", "/c/", "sag"));
+
+        assertEquals(configuration.homesOf("h"), Set.of(RegionId.of("sag")));
+        assertEquals(configuration.homesOf("other"), Set.of());
+    }
+
+    /** Lists points and the service that they choose of two with weights 90 and 10. */
+    @DataProvider
+    public Object[][] points() {
+        return new Object[][] {{0.0, "old"}, {0.89, "old"}, {0.91, "new"}, {0.999, "new"}};
+    }
+
+    @Test(dataProvider = "points")
+    public void servicesShareTheRequestsByWeight(double point, String service) {
+        RouteRule route =
+                new RouteRule(
+                        "r",
+                        "h",
+                        "/",
+                        RequestKind.SAFE,
+                        1,
+                        1,
+                        0,
+                        List.of(
+                                new Backend(ServiceId.of("old"), 90),
+                                new Backend(ServiceId.of("new"), 10)),
+                        1,
+                        true,
+                        false,
+                        Set.of());
+
+        assertEquals(route.serviceAt(point), ServiceId.of(service));
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -0,0 +1,211 @@
+package org.filbertrudder.gateway.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.filbertrudder.policy.membership.PeerAddress;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what a connection makes of the bytes that an endpoint sends. */
+public class EndpointConnectionTest {
+
+    private static final String PROPER =
+            "HTTP/1.1 200 OK\r\nid: a1\r\nContent-Length: 5\r\n\r\nright";
+
+    private Vertx mVertx;
+
+    @BeforeClass
+    public void startLoop() {
+        mVertx = Vertx.vertx();
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stopLoop() {
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Sends request a1 to a server that answers with the script; returns the outcome. */
+    private Outcome exchange(Consumer<NetSocket> script) {
+        NetServer server = mVertx.createNetServer();
+        server.connectHandler(socket -> socket.handler(bytes -> script.accept(socket)));
+        server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+        CompletableFuture<Outcome> result = new CompletableFuture<>();
+        mVertx.runOnContext(
+                ignored ->
+                        mVertx.createNetClient()
+                                .connect(server.actualPort(), "127.0.0.1")
+                                .onSuccess(socket -> send(socket, result))
+                                .onFailure(result::completeExceptionally));
+        try {
+            return result.get(10, TimeUnit.SECONDS);
+        } catch (Exception e) {
+            throw new AssertionError("No outcome.", e);
+        } finally {
+            server.close();
+        }
+    }
+
+    private static void send(NetSocket socket, CompletableFuture<Outcome> result) {
+        EndpointConnection connection =
+                new EndpointConnection(socket, new PlainProtocol(), () -> {});
+        Buffer body = Buffer.buffer();
+        connection.send(
+                "a1",
+                "GET",
+                "/x",
+                EndpointConnection.newHeaders(),
+                Buffer.buffer(),
+                new AttemptListener() {
+                    @Override
+                    public void head(AnswerHead head) {}
+
+                    @Override
+                    public void data(Buffer data) {
+                        body.appendBuffer(data);
+                    }
+
+                    @Override
+                    public void end() {
+                        result.complete(
+                                new Outcome(true, body.toString(), connection.isReusable()));
+                    }
+
+                    @Override
+                    public void failed(Failure failure) {
+                        result.complete(new Outcome(false, body.toString(), false));
+                    }
+                },
+                () -> {});
+    }
+
+    /** Lists what an endpoint sends, whether it is whole, and whether the connection is kept. */
+    @DataProvider
+    public Object[][] answers() {
+        String stray = "HTTP/1.1 200 OK\r\nid: a0\r\nContent-Length: 5\r\n\r\nwrong";
+        return new Object[][] {
+            {PROPER, true, true},
+            {"HTTP/1.1 100 Continue\r\n\r\n" + PROPER, true, true},
+            {stray + PROPER, true, false},
+            {PROPER.replace("id: a1\r\n", "id: a1\r\nConnection: close\r\n"), true, false},
+            {"HTTP/1.1 200 OK\r\nid: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + "2\r\nri\r\n3\r\nght\r\n0\r\n\r\n", true, true},
+            {PROPER.substring(0, PROPER.length() - 1), false, false},
+            {"these are no bytes of the protocol\r\n\r\n", false, false},
+            {stray, false, false},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", false, false},
+            {"", false, false},
+        };
+    }
+
+    @Test(dataProvider = "answers")
+    public void onlyTheRightAnswerCountsAndOnlyIfItIsWhole(
+            String bytes, boolean whole, boolean kept) {
+        Outcome outcome =
+                exchange(
+                        socket ->
+                                socket.write(bytes)
+                                        .onComplete(done -> closeUnless(whole && kept, socket)));
+
+        assertEquals(outcome.whole(), whole);
+        if (whole) {
+            assertEquals(outcome.body(), "right");
+            assertEquals(outcome.reusable(), kept);
+        }
+    }
+
+    private static void closeUnless(boolean kept, NetSocket socket) {
+        if (!kept) {
+            socket.close();
+        }
+    }
+
+    @Test
+    public void anAnswerWithoutLengthEndsWithItsConnection() {
+        Outcome outcome =
+                exchange(socket -> socket.end(Buffer.buffer("HTTP/1.1 200 OK\r\nid: a1\r\n\r\nright")));
+
+        assertTrue(outcome.whole());
+        assertEquals(outcome.body(), "right");
+        assertFalse(outcome.reusable());
+    }
+
+    private record Outcome(boolean whole, String body, boolean reusable) {}
+
+    /** Reads the id of an answer from a header of that name. */
+    private static final class PlainProtocol implements HttpProtocol {
+
+        @Override
+        public RequestHead readRequest(MultiMap headers) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void writeAttempt(HttpHeaders headers, AttemptHead attempt) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public AnswerHead readAnswer(HttpResponse response) {
+            Map<String, String> passed = new HashMap<>();
+            return new AnswerHead(
+                    response.status().code(),
+                    Optional.ofNullable(response.headers().get("id")),
+                    false,
+                    true,
+                    false,
+                    OptionalInt.empty(),
+                    OptionalLong.of(5_000),
+                    passed);
+        }
+
+        @Override
+        public String retryAfterHeader() {
+            return "retry-after";
+        }
+
+        @Override
+        public String retryAfter(long retryAfterMs) {
+            return Long.toString(retryAfterMs);
+        }
+
+        @Override
+        public String readinessPath() {
+            return "/ready";
+        }
+
+        @Override
+        public String directoryPath() {
+            return "/directory";
+        }
+
+        @Override
+        public DirectoryQuestion readDirectoryQuestion(MultiMap query) {
+            return new DirectoryQuestion("", Optional.empty());
+        }
+
+        @Override
+        public String directoryAnswer(List<PeerAddress> instances, long validMs) {
+            return instances.toString();
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StreamRelayTest.java
@@ -0,0 +1,139 @@
+package org.filbertrudder.gateway.traffic;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests that streams are passed on whole and can go on after a break at any byte. */
+public class StreamRelayTest {
+
+    private static final int EVENTS = 6;
+
+    private static String event(int id) {
+        return "id: " + id + "\ndata: piece " + id + "\n\n";
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder text = new StringBuilder();
+        for (int id = from; id <= to; id++) {
+            text.append(event(id));
+        }
+        return text.toString();
+    }
+
+    /** Lists every byte of a stream at which it may break. */
+    @DataProvider
+    public Object[][] breaks() {
+        int length = events(1, EVENTS).length();
+        Object[][] rows = new Object[length][];
+        for (int i = 0; i < length; i++) {
+            rows[i] = new Object[] {i};
+        }
+        return rows;
+    }
+
+    @Test(dataProvider = "breaks")
+    public void aStreamThatBreaksGoesOnWithoutGapOrRepetition(int brokenAt) {
+        TextSink sink = new TextSink();
+        StreamRelay relay = new StreamRelay(sink, 0);
+        assertTrue(relay.data(Buffer.buffer(events(1, EVENTS).substring(0, brokenAt))));
+
+        relay.restart();
+        int next = (int) relay.lastId() + 1;
+        assertTrue(relay.data(Buffer.buffer(events(next, EVENTS))));
+
+        assertEquals(sink.mText.toString(), events(1, EVENTS));
+        assertTrue(relay.isAtEventBoundary());
+    }
+
+    @Test(dataProvider = "breaks")
+    public void partsOfAnyLengthMakeTheSameStream(int splitAt) {
+        TextSink sink = new TextSink();
+        StreamRelay relay = new StreamRelay(sink, 0);
+        String whole = events(1, EVENTS);
+
+        assertTrue(relay.data(Buffer.buffer(whole.substring(0, splitAt))));
+        assertTrue(relay.data(Buffer.buffer(whole.substring(splitAt))));
+
+        assertEquals(sink.mText.toString(), whole);
+        assertEquals(relay.events(), EVENTS);
+    }
+
+    @Test
+    public void eventsThatAResumedRunRepeatsAreDropped() {
+        TextSink sink = new TextSink();
+        StreamRelay relay = new StreamRelay(sink, 0);
+        relay.data(Buffer.buffer(events(1, 3)));
+        relay.restart();
+
+        assertTrue(relay.data(Buffer.buffer(events(2, EVENTS))));
+        assertEquals(sink.mText.toString(), events(1, EVENTS));
+    }
+
+    @Test
+    public void idsThatGoBackInOneRunAreImproper() {
+        StreamRelay relay = new StreamRelay(new TextSink(), 0);
+        relay.data(Buffer.buffer(events(1, 3)));
+
+        assertFalse(relay.data(Buffer.buffer(event(2))));
+    }
+
+    @Test
+    public void aStreamCannotEndInsideAnEvent() {
+        StreamRelay relay = new StreamRelay(new TextSink(), 0);
+        relay.data(Buffer.buffer("id: 1\ndata: pie"));
+
+        assertFalse(relay.isAtEventBoundary());
+    }
+
+    @Test
+    public void linesMayEndWithCarriageReturns() {
+        TextSink sink = new TextSink();
+        StreamRelay relay = new StreamRelay(sink, 0);
+        relay.data(Buffer.buffer("id: 7\r\ndata: x\r\n\r\n"));
+
+        assertEquals(relay.lastId(), 7);
+        assertEquals(sink.mText.length(), "id: 7\r\ndata: x\r\n\r\n".length());
+    }
+
+    /** Collects what is written. */
+    private static final class TextSink implements AnswerSink {
+
+        private final StringBuilder mText = new StringBuilder();
+
+        @Override
+        public void head(int status, Map<String, String> headers) {}
+
+        @Override
+        public boolean headSent() {
+            return true;
+        }
+
+        @Override
+        public void write(Buffer data) {
+            mText.append(data);
+        }
+
+        @Override
+        public boolean full() {
+            return false;
+        }
+
+        @Override
+        public void onDrain(Runnable action) {}
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public void refuse(Refusal refusal) {}
+    }
+}
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/freshness/FreshnessFenceTest.java
@@ -0,0 +1,93 @@
+package org.filbertrudder.policy.freshness;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests how long keys are trusted. */
+public class FreshnessFenceTest {
+
+    private static final long LIMIT_MS = 4_500;
+    private static final long GAP_MS = 250;
+
+    private static Moment at(long steadyMs, long wallMs) {
+        return new Moment(steadyMs, wallMs);
+    }
+
+    private static FreshnessFence confirmedAt(Moment moment) {
+        FreshnessFence fence = new FreshnessFence(LIMIT_MS, GAP_MS);
+        fence.confirm(moment, moment);
+        return fence;
+    }
+
+    @Test
+    public void isClosedBeforeTheFirstConfirmation() {
+        assertFalse(new FreshnessFence(LIMIT_MS, GAP_MS).isOpen(at(0, 0)));
+    }
+
+    /** Lists the time since the question by both clocks, and whether keys are still trusted. */
+    @DataProvider
+    public Object[][] later() {
+        return new Object[][] {
+            {0, 0, true},
+            {4_499, 4_499, true},
+            {4_500, 4_500, false},
+            {1_000, 1_200, true},
+            // The process was suspended for two seconds.
+            {1_000, 3_000, false},
+            // The time of day was set back.
+            {1_000, -2_000, false},
+        };
+    }
+
+    @Test(dataProvider = "later")
+    public void trustsKeysForALimitedTimeOnBothClocks(
+            long steadyLaterMs, long wallLaterMs, boolean open) {
+        FreshnessFence fence = confirmedAt(at(10_000, 500_000));
+
+        assertEquals(fence.isOpen(at(10_000 + steadyLaterMs, 500_000 + wallLaterMs)), open);
+    }
+
+    @Test
+    public void countsFromTheQuestionAndNotFromTheAnswer() {
+        FreshnessFence fence = new FreshnessFence(LIMIT_MS, GAP_MS);
+        fence.confirm(at(0, 0), at(4_000, 4_000));
+
+        assertEquals(fence.ageMs(at(4_100, 4_100)), 4_100);
+    }
+
+    @Test
+    public void ignoresAnAnswerWhoseQuestionWasAskedBeforeASuspension() {
+        FreshnessFence fence = new FreshnessFence(LIMIT_MS, GAP_MS);
+        fence.confirm(at(0, 0), at(100, 6_000));
+
+        assertFalse(fence.isOpen(at(100, 6_000)));
+    }
+
+    @Test
+    public void anOlderAnswerDoesNotRejuvenateNorAge() {
+        FreshnessFence fence = confirmedAt(at(2_000, 2_000));
+        fence.confirm(at(1_000, 1_000), at(2_100, 2_100));
+
+        assertEquals(fence.ageMs(at(3_000, 3_000)), 1_000);
+    }
+
+    @Test
+    public void opensAgainAfterAJumpOfTheTimeOfDay() {
+        FreshnessFence fence = confirmedAt(at(2_000, 2_000));
+        fence.confirm(at(2_500, 90_000), at(2_600, 90_100));
+
+        assertTrue(fence.isOpen(at(2_700, 90_200)));
+    }
+
+    @Test
+    public void tellsWhetherKnowledgeIsNewerThanAMoment() {
+        FreshnessFence fence = confirmedAt(at(2_000, 2_000));
+
+        assertTrue(fence.isConfirmedSince(at(1_999, 1_999), at(2_100, 2_100)));
+        assertFalse(fence.isConfirmedSince(at(2_001, 2_001), at(2_100, 2_100)));
+    }
+}
--- /dev/null
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for the users' platform: its store, its operator and its replicas. */
+package org.filbertrudder.standins.platform;
