--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
@@ -88,6 +88,11 @@
     }
 
     private void resolve(HttpServerRequest request) {
+        // Before the first reading of the registered instances only this one is known.
+        if (!mControl.ready().isDone()) {
+            request.response().setStatusCode(503).end();
+            return;
+        }
         GatewaySnapshot snapshot = mControl.snapshot();
         DirectoryQuestion question = mProtocol.readDirectoryQuestion(request.params());
         RegionId region = question.region().map(RegionId::of).orElse(mSettings.region());
@@ -96,8 +101,7 @@
                         .limit(MAX_ADDRESSES)
                         .map(member -> new PeerAddress(member.host(), member.callerPort()))
                         .toList();
-        // Before the first reading of the registered instances only this one is known.
-        if (addresses.isEmpty() || !mControl.ready().isDone()) {
+        if (addresses.isEmpty()) {
             request.response().setStatusCode(503).end();
             return;
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -19,6 +19,7 @@
     private final WarmupGate mWarmup = new WarmupGate();
     private Endpoint mEndpoint;
     private int mInFlight;
+    private long mStarts;
     private int mFailures;
     private long mUnavailableUntilMs;
     private long mSlowStartFromMs = Long.MIN_VALUE / 2;
@@ -127,6 +128,11 @@
         return mEngine.ownMemoryTokens();
     }
 
+    /** Returns how many requests this instance has sent there so far. */
+    long starts() {
+        return mStarts;
+    }
+
     /** Returns the number of this instance's own requests there. */
     public int inFlight() {
         return mInFlight;
@@ -200,6 +206,7 @@
     /** Notes that a request has been sent; alone keeps others away until it ends. */
     public void started(boolean alone) {
         mInFlight++;
+        mStarts++;
         mReservedAlone = alone;
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -193,7 +193,7 @@
         Comparator<EndpointState> byShare =
                 Comparator.comparingDouble(
                         state -> (double) state.load(nowMs) / state.endpoint().slots());
-        return byShare.thenComparing(EndpointState::id);
+        return byShare.thenComparingLong(EndpointState::starts).thenComparing(EndpointState::id);
     }
 
     private Optional<RegionId> nearestAway(RouteRequest request, RegionGraph configuration) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -6,9 +6,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.filbertrudder.standins.platform.KvStoreStandIn.Mode;
 import org.filbertrudder.standins.platform.ReplicaStandIn;
 import org.filbertrudder.standins.platform.ReplicaStandIn.Fault;
@@ -282,17 +286,10 @@
         PlatformCaller first = mFleet.caller("mtl-1");
         PlatformCaller second = mFleet.caller("sag-1");
         PlatformFleet.await(
-                "the limit is in force", () -> first.stream("/chat/x", KEY, "s").status() == 429);
+                "the limit is in force", () -> burst(first, second, 20).contains(429));
         int before = poolRuns();
         long startedNs = System.nanoTime();
-        List<CompletableFuture<Integer>> calls = new ArrayList<>();
-        for (int i = 0; i < 40; i++) {
-            PlatformCaller caller = i % 2 == 0 ? first : second;
-            calls.add(
-                    CompletableFuture.supplyAsync(
-                            () -> caller.stream("/chat/x", KEY, "s").status()));
-        }
-        calls.forEach(CompletableFuture::join);
+        burst(first, second, 40);
         double seconds = (System.nanoTime() - startedNs) / 1e9;
 
         double allowed = (2_000 * seconds + 2_000) / 680;
@@ -300,6 +297,22 @@
         assertTrue(poolRuns() - before >= 1);
     }
 
+    /** Sends streams at the same moment and returns their statuses. */
+    private static Set<Integer> burst(PlatformCaller first, PlatformCaller second, int calls) {
+        List<CompletableFuture<Integer>> running = new ArrayList<>();
+        ExecutorService threads = Executors.newFixedThreadPool(calls);
+        for (int i = 0; i < calls; i++) {
+            PlatformCaller caller = i % 2 == 0 ? first : second;
+            running.add(
+                    CompletableFuture.supplyAsync(
+                            () -> caller.stream("/chat/x", KEY, "s").status(), threads));
+        }
+        Set<Integer> statuses = new HashSet<>();
+        running.forEach(call -> statuses.add(call.join()));
+        threads.shutdown();
+        return statuses;
+    }
+
     private int poolRuns() {
         return mFleet.replicas().stream().mapToInt(replica -> replica.runs().size()).sum();
     }
