--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
@@ -393,6 +393,7 @@
 
         private final EndpointState mEndpoint;
         private EndpointConnection mConnection;
+        private boolean mBegun;
         private Optional<PromptRun> mPrompt = Optional.empty();
 
         LocalAttempt(GatewayExchange exchange, EndpointState endpoint) {
@@ -477,8 +478,10 @@
         @Override
         void noteProgress() {
             mDoctor.noteAlive(mEndpoint);
-            if (mPrompt.isPresent()) {
-                mPrompt.get().noteRead();
+            if (!mBegun) {
+                mBegun = true;
+                mExchange.trace("first@" + (Clocks.steadyMs() - mExchange.arrivedMs()));
+                mPrompt.ifPresent(PromptRun::noteRead);
             }
         }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -26,10 +26,11 @@
     /** The least time that a request needs once it starts, in milliseconds. */
     private static final long MIN_RUN_MS = 100;
 
-    /** How long callers wait for the first event, in multiples of the goal (protocol page). */
-    private static final long STREAM_PATIENCE_GOALS = 4;
+    /** A forwarded request starts at once or goes back, as its wait is the caller's region's. */
+    private static final long FORWARDED_WAIT_MS = 200;
 
-    private static final long MIN_STREAM_PATIENCE_MS = 2_000;
+    /** A request goes before those of the next lower rank that came so much earlier. */
+    private static final long RANK_MS = 400;
 
     /** Bounds of the time after which a refused caller is asked to come back, in milliseconds. */
     private static final long MIN_RETRY_AFTER_MS = 250;
@@ -110,22 +111,32 @@
             return;
         }
         exchange.setQueued(true);
-        queue.mWaiting.add(exchange.queueAccount(), exchange, cost(exchange), latestStartMs);
+        queue.mWaiting.add(
+                exchange.queueAccount(),
+                exchange,
+                cost(exchange),
+                latestStartMs,
+                exchange.arrivedMs() + RANK_MS * exchange.priority());
     }
 
     private static long cost(GatewayExchange exchange) {
         return Math.max(1, exchange.head().tokens().orElse(1L));
     }
 
-    /** Returns when the request must start so that its caller is still there for the answer. */
+    /**
+     * Returns when the request must start.
+     *
+     * <p>A stream that has not begun by its goal is late already. Under overload it would take the
+     * place of one that can still be in time, so its caller is rather told when to come back.
+     */
     private static long latestStartMs(GatewayExchange exchange) {
         long endMs = exchange.endMs() - MIN_RUN_MS;
-        if (exchange.route().kind() != RequestKind.STREAM) {
-            return endMs;
+        if (exchange.forwarded()) {
+            return Math.min(endMs, exchange.arrivedMs() + FORWARDED_WAIT_MS);
         }
-        long patienceMs =
-                Math.max(MIN_STREAM_PATIENCE_MS, STREAM_PATIENCE_GOALS * exchange.route().goalMs());
-        return Math.min(endMs, exchange.arrivedMs() + patienceMs * 3 / 4);
+        return exchange.route().kind() == RequestKind.STREAM
+                ? Math.min(endMs, exchange.arrivedMs() + exchange.route().goalMs())
+                : endMs;
     }
 
     private long retryAfterMs(long waitMs) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
@@ -1,10 +1,8 @@
 package org.filbertrudder.policy.queueing;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Iterator;
@@ -32,12 +30,21 @@
 
     /** Adds a request that costs the given number of tokens and must start by the deadline. */
     public void add(AccountId account, T request, long tokens, long deadlineMs) {
+        add(account, request, tokens, deadlineMs, 0);
+    }
+
+    /**
+     * Adds a request that costs the given number of tokens and must start by the deadline.
+     *
+     * @param order the account's requests run in ascending order; equal ones as they came
+     */
+    public void add(AccountId account, T request, long tokens, long deadlineMs, long order) {
         AccountQueue<T> queue =
                 mQueues.computeIfAbsent(account, key -> new AccountQueue<>(account));
         if (queue.mWaiting.isEmpty()) {
             queue.mServed = Math.max(queue.mServed, mVirtualTime);
         }
-        queue.mWaiting.addLast(new Waiting<>(request, tokens, deadlineMs));
+        queue.insert(new Waiting<>(request, tokens, deadlineMs, order));
         queue.mWaitingTokens += tokens;
         mSize++;
     }
@@ -150,13 +157,13 @@
         STOP
     }
 
-    private record Waiting<T>(T request, long tokens, long deadlineMs) {}
+    private record Waiting<T>(T request, long tokens, long deadlineMs, long order) {}
 
     /** Holds the waiting requests of one account. */
     private static final class AccountQueue<T> {
 
         private final AccountId mAccount;
-        private final Deque<Waiting<T>> mWaiting = new ArrayDeque<>();
+        private final List<Waiting<T>> mWaiting = new ArrayList<>();
         private double mServed;
         private long mWaitingTokens;
 
@@ -164,6 +171,15 @@
             mAccount = account;
         }
 
+        /** Adds a request behind all that come before it in order. */
+        void insert(Waiting<T> waiting) {
+            int at = mWaiting.size();
+            while (at > 0 && mWaiting.get(at - 1).order() > waiting.order()) {
+                at--;
+            }
+            mWaiting.add(at, waiting);
+        }
+
         /** Returns the request whose turn is next, or null if there is none. */
         Waiting<T> first(Set<Waiting<T>> skipped) {
             for (Waiting<T> waiting : mWaiting) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -9,6 +9,10 @@
 
     private static final long BASE_BACKOFF_MS = 250;
     private static final long MAX_BACKOFF_MS = 8_000;
+
+    /** One connection tells whether an endpoint is back, so it is tried often. */
+    private static final long MAX_UNREACHABLE_BACKOFF_MS = 1_000;
+
     private static final long SLOW_START_MS = 5_000;
     private static final long REPORT_LIFETIME_MS = 5_000;
     private static final int SLOTS_PER_MARGIN = 4;
@@ -252,13 +256,19 @@
     }
 
     /**
-     * Keeps new requests away for a time that doubles with each failure.
+     * Keeps new requests away for a time that doubles with each failure in a row.
      *
-     * <p>The endpoint accepts no connections, so it has probably restarted or gone.
+     * <p>The endpoint accepts no connections, so it has probably restarted or gone. Requests that
+     * fail at the same moment count as one failure.
      */
     public void notReachable(long nowMs) {
-        mInFlight++;
-        failed(nowMs);
+        if (nowMs < mUnavailableUntilMs) {
+            return;
+        }
+        long backoffMs = BASE_BACKOFF_MS << Math.min(mFailures, 5);
+        mFailures++;
+        mUnavailableUntilMs = nowMs + Math.min(MAX_UNREACHABLE_BACKOFF_MS, backoffMs);
+        mPrefixes.clear();
     }
 
     /** Notes a load report: all requests that the endpoint runs or holds waiting. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -15,8 +15,11 @@
     /** Share of the memory that running requests may fill; the rest keeps shared parts cached. */
     private static final double MEMORY_SHARE = 0.9;
 
-    /** Prompts waiting at an engine beyond this delay the first token past usual goals. */
-    private static final long MAX_BACKLOG_MS = 600;
+    /**
+     * Prompts beyond this reading time wait before the engine instead of in it, where the smallest
+     * account goes first; it covers the lag of load reports.
+     */
+    private static final long MAX_BACKLOG_MS = 400;
 
     private final PrefixHints mPrefixes;
     private long mMemoryLimitTokens = Long.MAX_VALUE;
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/queueing/FairQueueTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/queueing/FairQueueTest.java
@@ -112,4 +112,19 @@
         assertEquals(mQueue.tokensAhead(SMALL), 0);
         assertEquals(mQueue.tokensAhead(LARGE), 10_000);
     }
+
+    @Test
+    public void anUrgentRequestOvertakesOnlyTheSameAccountsLaterOrder() {
+        FairQueue<String> queue = new FairQueue<>();
+        AccountId account = AccountId.of("club");
+        queue.add(account, "long", 1, 10, 800);
+        queue.add(account, "label", 1, 10, 400);
+        queue.add(account, "chat", 1, 10, 0);
+        queue.add(account, "chat-2", 1, 10, 0);
+
+        assertEquals(queue.poll().orElseThrow(), "chat");
+        assertEquals(queue.poll().orElseThrow(), "chat-2");
+        assertEquals(queue.poll().orElseThrow(), "label");
+        assertEquals(queue.poll().orElseThrow(), "long");
+    }
 }
--- /dev/null
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/EndpointStateTest.java
@@ -0,0 +1,95 @@
+package org.filbertrudder.policy.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what is known of one endpoint. */
+public class EndpointStateTest {
+
+    private static final long NOW_MS = 100_000;
+
+    private EndpointState mState;
+
+    @BeforeMethod
+    public void createState() {
+        mState =
+                new EndpointState(
+                        Endpoint.of(
+                                EndpointId.of("e"),
+                                ServiceId.of("pool"),
+                                RegionId.of("mtl"),
+                                FailureDomainId.of("mtl-a"),
+                                "127.0.0.1",
+                                1,
+                                64),
+                        0);
+        mState.setEngineMemory(400_000);
+    }
+
+    private static PromptDemand prompt(long sharedTokens) {
+        return new PromptDemand(
+                List.of(new PromptPart("subject", sharedTokens), new PromptPart("own", 1_000)),
+                sharedTokens + 1_000,
+                100);
+    }
+
+    @Test
+    public void aCrashUnderManyRequestsKeepsTheEndpointAwayForAMomentOnly() {
+        for (int i = 0; i < 30; i++) {
+            mState.notReachable(NOW_MS);
+        }
+
+        assertFalse(mState.usable(NOW_MS + 200));
+        assertTrue(mState.usable(NOW_MS + 250));
+    }
+
+    @Test
+    public void anEndpointThatStaysAwayIsTriedOnceASecond() {
+        long nowMs = NOW_MS;
+        for (int i = 0; i < 10; i++) {
+            mState.notReachable(nowMs);
+            nowMs += 1_000;
+            assertTrue(mState.usable(nowMs));
+        }
+    }
+
+    @Test
+    public void aPromptCountsAsWaitingUntilItsFirstToken() {
+        PromptRun run = mState.startPrompt(prompt(4_500), NOW_MS);
+        assertEquals(mState.backlogMs(), 100.0);
+
+        run.noteRead();
+
+        assertEquals(mState.backlogMs(), 0.0);
+        assertEquals(mState.memoryTokens(), 5_600);
+        run.end();
+        run.end();
+        assertEquals(mState.memoryTokens(), 0);
+    }
+
+    @Test
+    public void aSharedPartIsReadOnce() {
+        mState.startPrompt(prompt(4_500), NOW_MS).end();
+
+        assertEquals(mState.missingSharedTokens(prompt(4_500), NOW_MS), 0);
+        assertEquals(mState.startDelayMs(prompt(4_500), NOW_MS), 1_000 / 55.0, 0.01);
+    }
+
+    @Test
+    public void aRestartForgetsTheSharedParts() {
+        mState.startPrompt(prompt(4_500), NOW_MS).end();
+        mState.notReachable(NOW_MS);
+
+        assertEquals(mState.missingSharedTokens(prompt(4_500), NOW_MS), 4_500);
+    }
+}
