--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -23,8 +23,6 @@
 import org.filbertrudder.model.message.ShardOwner;
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
-import org.filbertrudder.store.PlatformDirectory;
-import org.filbertrudder.store.Store;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.MembershipSettings;
 import org.filbertrudder.policy.membership.PeerAddress;
@@ -36,6 +34,8 @@
 import org.filbertrudder.policy.shards.ShardPlanner;
 import org.filbertrudder.policy.tokens.TokenHolder;
 import org.filbertrudder.policy.tokens.TokenSettings;
+import org.filbertrudder.store.PlatformDirectory;
+import org.filbertrudder.store.Store;
 
 /** Owns all control state of an instance and runs it on one thread. */
 public final class ControlLoop {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlState.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlState.java
@@ -5,8 +5,8 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.ShardOwner;
-import org.filbertrudder.store.StoreCalls;
 import org.filbertrudder.policy.tokens.TokenHolder;
+import org.filbertrudder.store.StoreCalls;
 
 /**
  * Shows the control state in a dump.
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListWatcher.java
@@ -10,9 +10,9 @@
 import org.filbertrudder.entry.log.PartLog;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.store.LiveInstance;
 import org.filbertrudder.store.PlatformDirectory;
-import org.filbertrudder.policy.membership.PeerAddress;
 
 /** Reads the platform's live list at intervals and keeps the newest answer. */
 final class LiveListWatcher {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderDesk.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderDesk.java
@@ -14,11 +14,11 @@
 import org.filbertrudder.model.Service;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.Member;
-import org.filbertrudder.store.Store;
 import org.filbertrudder.policy.Rendezvous;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.orders.EngineReport;
 import org.filbertrudder.policy.orders.OrderLease;
+import org.filbertrudder.store.Store;
 
 /** Divides the giving of orders among the instances of a region, one giver for each service. */
 final class OrderDesk {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderLeaseKeeper.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderLeaseKeeper.java
@@ -12,12 +12,12 @@
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.orders.OrderLease;
 import org.filbertrudder.store.KeyValue;
 import org.filbertrudder.store.Store;
 import org.filbertrudder.store.StoreException;
 import org.filbertrudder.store.Transaction;
 import org.filbertrudder.store.TransactionResult;
-import org.filbertrudder.policy.orders.OrderLease;
 
 /** Holds the right to give orders to one service in one region, under a lease in the store. */
 final class OrderLeaseKeeper {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ShardKeeper.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ShardKeeper.java
@@ -19,11 +19,6 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.ShardOwner;
-import org.filbertrudder.store.KeyValue;
-import org.filbertrudder.store.Store;
-import org.filbertrudder.store.StoreException;
-import org.filbertrudder.store.Transaction;
-import org.filbertrudder.store.TransactionResult;
 import org.filbertrudder.policy.Rendezvous;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.shards.ShardDirectory;
@@ -31,6 +26,11 @@
 import org.filbertrudder.policy.shards.ShardPlanner;
 import org.filbertrudder.policy.shards.TakeoverEvidence;
 import org.filbertrudder.policy.tokens.TokenHolder;
+import org.filbertrudder.store.KeyValue;
+import org.filbertrudder.store.Store;
+import org.filbertrudder.store.StoreException;
+import org.filbertrudder.store.Transaction;
+import org.filbertrudder.store.TransactionResult;
 
 /** Claims, validates and hands over the shards of this region by compare-and-swap in the store. */
 final class ShardKeeper {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -66,8 +66,7 @@
         return mVertx.deployVerticle(new ControlVerticle(source.apply(mVertx)))
                 .compose(
                         id -> {
-                            mTraffic =
-                                    new GatewayTraffic(mSettings, mControl, mProtocol, mMetrics);
+                            mTraffic = new GatewayTraffic(mSettings, mControl, mProtocol, mMetrics);
                             return mVertx.deployVerticle(mTraffic);
                         })
                 .compose(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/AllowanceDesk.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/AllowanceDesk.java
@@ -44,8 +44,7 @@
     private final Map<Long, Pending> mPending = new HashMap<>();
     private long mNextId = 1;
 
-    AllowanceDesk(
-            Context context, Membership membership, InstanceShares shares, Sender sender) {
+    AllowanceDesk(Context context, Membership membership, InstanceShares shares, Sender sender) {
         mContext = context;
         mMembership = membership;
         mShares = shares;
@@ -103,9 +102,7 @@
             ordered.add(self());
         }
         local.stream().filter(id -> !ordered.contains(id)).forEach(ordered::add);
-        mShares.holders(account).stream()
-                .filter(id -> !ordered.contains(id))
-                .forEach(ordered::add);
+        mShares.holders(account).stream().filter(id -> !ordered.contains(id)).forEach(ordered::add);
         Deque<InstanceId> live = new ArrayDeque<>();
         ordered.stream().filter(this::mayAnswer).forEach(live::add);
         return live;
@@ -237,8 +234,7 @@
         }
         PeerMessage.LoanGrant nothing =
                 new PeerMessage.LoanGrant(loan.request().id(), loan.request().account(), 0, 0, 0);
-        mContext.runOnContext(
-                ignored -> apply(mShares.loanGranted(nothing, Clocks.steadyMs())));
+        mContext.runOnContext(ignored -> apply(mShares.loanGranted(nothing, Clocks.steadyMs())));
     }
 
     /** Grants what has become possible and asks further holders in place of silent ones. */
@@ -252,7 +248,8 @@
                         silent.add(id);
                     }
                 });
-        silent.forEach(id -> Optional.ofNullable(mPending.remove(id)).ifPresent(p -> askNext(p, nowMs)));
+        silent.forEach(
+                id -> Optional.ofNullable(mPending.remove(id)).ifPresent(p -> askNext(p, nowMs)));
     }
 
     /** Sends messages to other instances by their ids. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -71,10 +71,10 @@
         if (before == null && !mComplete) {
             return registeredMs;
         }
-        boolean restarted =
-                before == null || before.entry().startedMs() != entry.startedMs();
+        boolean restarted = before == null || before.entry().startedMs() != entry.startedMs();
         if (restarted) {
-            return Math.max(registeredMs, nowMs + mWarmupMs.applyAsLong(entry.endpoint().service()));
+            return Math.max(
+                    registeredMs, nowMs + mWarmupMs.applyAsLong(entry.endpoint().service()));
         }
         return Math.max(registeredMs, before.coldUntilMs());
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -94,9 +94,7 @@
                 new FreshnessFence(
                         settings.bounds().keyWithdrawalMs() - FENCE_MARGIN_MS, MAX_CLOCK_GAP_MS);
         mFollower = new StateFollower(context, source, mFence, new FollowerListener());
-        mCrashes =
-                CrashMemory.convictingAfter(
-                        MAX_CRASHES, context, Clocks::steadyMs, this::flood);
+        mCrashes = CrashMemory.convictingAfter(MAX_CRASHES, context, Clocks::steadyMs, this::flood);
         registerHandlers();
     }
 
@@ -223,9 +221,7 @@
     }
 
     private void flood(PeerMessage message, InstanceId from) {
-        mMembership
-                .floodTargets(from, Clocks.steadyMs())
-                .forEach(to -> mNetwork.send(to, message));
+        mMembership.floodTargets(from, Clocks.steadyMs()).forEach(to -> mNetwork.send(to, message));
     }
 
     private void send(List<PeerSend> sends) {
@@ -233,9 +229,7 @@
     }
 
     private void sendTo(InstanceId to, PeerMessage message) {
-        mMembership
-                .member(to)
-                .ifPresent(member -> mNetwork.send(PeerAddress.of(member), message));
+        mMembership.member(to).ifPresent(member -> mNetwork.send(PeerAddress.of(member), message));
     }
 
     private void receive(PeerConnection connection, PeerMessage message) {
@@ -256,9 +250,7 @@
         on(
                 PeerMessage.Heartbeat.class,
                 (from, message) ->
-                        send(
-                                mMembership.handle(
-                                        message, mFollower.revision(), Clocks.steadyMs())));
+                        send(mMembership.handle(message, mFollower.revision(), Clocks.steadyMs())));
         on(
                 PeerMessage.HeartbeatAck.class,
                 (from, message) -> send(mMembership.handle(message, Clocks.steadyMs())));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewaySnapshot.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewaySnapshot.java
@@ -40,7 +40,6 @@
 
     /** Returns the number of instances that may be running. */
     public int runningCount() {
-        return (int)
-                members.stream().filter(member -> member.state() != MemberState.DEAD).count();
+        return (int) members.stream().filter(member -> member.state() != MemberState.DEAD).count();
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -228,7 +228,8 @@
         }
         boolean newer = mState.revision() > request.revision();
         Map<String, Long> evacuations = new HashMap<>();
-        mState.evacuations().forEach((domain, revision) -> evacuations.put(domain.value(), revision));
+        mState.evacuations()
+                .forEach((domain, revision) -> evacuations.put(domain.value(), revision));
         boolean endpointsNew = now.steadyMs() - mEndpointsReadMs < 2 * ENDPOINT_INTERVAL_MS;
         return Optional.of(
                 new PeerMessage.StateReply(
@@ -252,8 +253,7 @@
         Map<FailureDomainId, Long> evacuations = new HashMap<>();
         reply.evacuations()
                 .forEach((domain, at) -> evacuations.put(FailureDomainId.of(domain), at));
-        Moment asOf =
-                new Moment(asked.steadyMs() - reply.ageMs(), asked.wallMs() - reply.ageMs());
+        Moment asOf = new Moment(asked.steadyMs() - reply.ageMs(), asked.wallMs() - reply.ageMs());
         adopt(
                 new OperatorState(reply.revision(), reply.configuration(), evacuations),
                 asOf,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -49,8 +49,7 @@
 
     /** Admits a request that another instance has admitted and forwarded. */
     void admitForwarded(GatewayExchange exchange) {
-        awaitFreshState(
-                exchange, () -> checkHistory(exchange, () -> mDispatch.accept(exchange)));
+        awaitFreshState(exchange, () -> checkHistory(exchange, () -> mDispatch.accept(exchange)));
     }
 
     private void awaitFreshState(GatewayExchange exchange, Runnable next) {
@@ -101,7 +100,9 @@
         }
         mControl.crashes()
                 .verdict(exchange.digest())
-                .thenAccept(verdict -> mContext.runOnContext(ignored -> judge(exchange, verdict, next)));
+                .thenAccept(
+                        verdict ->
+                                mContext.runOnContext(ignored -> judge(exchange, verdict, next)));
     }
 
     private void judge(GatewayExchange exchange, Verdict verdict, Runnable next) {
@@ -125,10 +126,7 @@
         long leftMs = exchange.endMs() - Clocks.steadyMs();
         long waitMs = Math.min(MAX_TOKEN_WAIT_MS, leftMs / TOKEN_WAIT_DIVISOR);
         mControl.allowances()
-                .reserve(
-                        limited.get().id(),
-                        limited.get().cost(exchange.head().tokens()),
-                        waitMs)
+                .reserve(limited.get().id(), limited.get().cost(exchange.head().tokens()), waitMs)
                 .whenComplete(
                         (grant, failure) ->
                                 mContext.runOnContext(
@@ -139,8 +137,7 @@
                                             }
                                             exchange.setGrant(grant);
                                             if (exchange.ended()) {
-                                                mControl.allowances()
-                                                        .settle(grant, grant.tokens());
+                                                mControl.allowances().settle(grant, grant.tokens());
                                             } else {
                                                 mDispatch.accept(exchange);
                                             }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
@@ -408,8 +408,7 @@
             mExchange.setAttempt(this);
             mExchange.countSend();
             mEndpoint.started(false, nowMs);
-            mPrompt =
-                    mExchange.head().prompt().map(prompt -> mEndpoint.startPrompt(prompt, nowMs));
+            mPrompt = mExchange.head().prompt().map(prompt -> mEndpoint.startPrompt(prompt, nowMs));
             armStallTimer();
             mConnections.acquire(
                     mEndpoint.endpoint(), mExchange.route().isRepeatable(), this::connected);
@@ -433,9 +432,7 @@
                 mExchange.takeBackRun();
                 over(false);
                 mConnections.release(mEndpoint.endpoint(), connection);
-                giveUp(
-                        mExchange,
-                        leftMs <= 0 ? Refusal.timedOut(true) : Refusal.stateOutdated());
+                giveUp(mExchange, leftMs <= 0 ? Refusal.timedOut(true) : Refusal.stateOutdated());
                 return;
             }
             HttpHeaders headers = EndpointConnection.newHeaders();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -171,10 +171,7 @@
     }
 
     private void readBody(
-            HttpServerRequest request,
-            long maxBytes,
-            CallerSink sink,
-            Consumer<Buffer> whenWhole) {
+            HttpServerRequest request, long maxBytes, CallerSink sink, Consumer<Buffer> whenWhole) {
         Buffer body = Buffer.buffer();
         boolean[] refused = new boolean[1];
         request.handler(
@@ -214,7 +211,10 @@
                         return;
                     }
                     boolean certain = mControl.fence().isConfirmedSince(asked, Clocks.now());
-                    refuse(request, sink, certain ? unknown(request, head) : Refusal.stateOutdated());
+                    refuse(
+                            request,
+                            sink,
+                            certain ? unknown(request, head) : Refusal.stateOutdated());
                 });
     }
 
@@ -268,7 +268,8 @@
     /** Closes connections that have been idle for longer than the operators allow. */
     void closeIdle(boolean all) {
         GatewayConfiguration configuration = mControl.snapshot().configuration();
-        long limitMs = configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
+        long limitMs =
+                configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
         long nowMs = Clocks.steadyMs();
         List<HttpConnection> idle = new ArrayList<>();
         mIdleSinceMs.forEach(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -65,7 +65,8 @@
         pipeline.addBefore(
                 "handler",
                 "codec",
-                new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false));
+                new HttpClientCodec(
+                        MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false));
         mSocket.messageHandler(this::receive);
         mSocket.exceptionHandler(failure -> broken());
         mSocket.closeHandler(ignored -> broken());
@@ -132,7 +133,8 @@
             return;
         }
         AnswerHead head = mProtocol.readAnswer(response);
-        boolean foreign = head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
+        boolean foreign =
+                head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
         boolean nameless = head.requestId().isEmpty() && head.isSuccess();
         mInAnswer = true;
         mSkipping = foreign || nameless;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnections.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnections.java
@@ -150,9 +150,7 @@
         void closeExpired(long nowMs) {
             List<EndpointConnection> expired = new ArrayList<>();
             mIdle.stream()
-                    .filter(
-                            connection ->
-                                    !connection.isReusable() || connection.isExpired(nowMs))
+                    .filter(connection -> !connection.isReusable() || connection.isExpired(nowMs))
                     .forEach(expired::add);
             mIdle.removeAll(expired);
             expired.forEach(EndpointConnection::close);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayMetrics.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayMetrics.java
@@ -31,8 +31,7 @@
     /** Writes one line for each value: its name, a space and the value. */
     public String toText() {
         StringBuilder text = new StringBuilder();
-        mRegistry.getCounters()
-                .forEach((name, counter) -> line(text, name, counter.getCount()));
+        mRegistry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
         for (Map.Entry<String, Gauge> entry : mRegistry.getGauges().entrySet()) {
             line(text, entry.getKey(), entry.getValue().getValue());
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -43,7 +43,7 @@
 public final class GatewayTraffic extends AbstractVerticle {
 
     private static final PartLog LOG = PartLog.of("traffic");
-    private static final long TICK_MS = 20;
+    private static final long TICK_MS = 50;
     private static final long SLOW_TICK_MS = 1_000;
 
     /** How long a stopping instance accepts requests of callers that have not heard of it. */
@@ -113,8 +113,7 @@
         Router router = new Router(mSettings.region(), mTable, mBoard);
         mDispatcher = new RequestDispatcher(router, regions, mRandom, runner);
         runner.setDispatcher(mDispatcher);
-        mAdmission =
-                new Admission(vertx, context, mControl, mFinisher, mDispatcher::submit);
+        mAdmission = new Admission(vertx, context, mControl, mFinisher, mDispatcher::submit);
         mReceiver = new PeerReceiver(this::acceptForwarded, this::callerLeft);
         mCallers =
                 new CallerServer(
@@ -132,7 +131,8 @@
         snapshotChanged();
         vertx.setPeriodic(TICK_MS, timer -> tick());
         Future.fromCompletionStage(
-                        mNetwork.listen(mSettings.callers().host(), mSettings.forwardPort()), context)
+                        mNetwork.listen(mSettings.callers().host(), mSettings.forwardPort()),
+                        context)
                 .compose(port -> mCallers.listen())
                 .onComplete(started);
     }
@@ -323,10 +323,7 @@
                     exchange.account().isPresent()
                             && !exchange.forwarded()
                             && exchange.runs() == 0
-                            && exchange.head()
-                                    .key()
-                                    .flatMap(configuration::accountOfKey)
-                                    .isEmpty();
+                            && exchange.head().key().flatMap(configuration::accountOfKey).isEmpty();
             if (withdrawn) {
                 mFinisher.refuse(exchange, Refusal.unauthorized());
             }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerForwards.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerForwards.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.gateway.config.KeyDigests;
+import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.KeyId;
 import org.filbertrudder.model.message.Member;
@@ -106,8 +106,7 @@
         private boolean mPaused;
         private long mOwedBytes;
 
-        ForwardAttempt(
-                long stream, InstanceId member, String requestId, AttemptListener listener) {
+        ForwardAttempt(long stream, InstanceId member, String requestId, AttemptListener listener) {
             mStream = stream;
             mMember = member;
             mRequestId = requestId;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
@@ -86,14 +86,12 @@
     }
 
     static Refusal crashing() {
-        return new Refusal(
-                422, "crashing_request", "Endpoints crash under this request.", true, 0);
+        return new Refusal(422, "crashing_request", "Endpoints crash under this request.", true, 0);
     }
 
     /** Ends a request that may have run without a usable answer. */
     static Refusal broken() {
-        return new Refusal(
-                502, "answer_lost", "The endpoint gave no whole answer.", false, 0);
+        return new Refusal(502, "answer_lost", "The endpoint gave no whole answer.", false, 0);
     }
 
     /** Ends a request whose time is over. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
@@ -30,7 +30,7 @@
 final class RegionBoard implements RegionReach {
 
     /** How often instances of a region tell each other their load, in milliseconds. */
-    private static final long LOAD_INTERVAL_MS = 200;
+    private static final long LOAD_INTERVAL_MS = 250;
 
     /** How often a region tells the others its wait, in milliseconds; bytes there are priced. */
     private static final long REGION_INTERVAL_MS = 500;
@@ -78,7 +78,9 @@
 
     /** Notes a request that is sent to another region. */
     void noteSent(ServiceId service, RegionId region) {
-        mRegions.computeIfAbsent(region, key -> new RegionState()).mSent.merge(service, 1, Integer::sum);
+        mRegions.computeIfAbsent(region, key -> new RegionState())
+                .mSent
+                .merge(service, 1, Integer::sum);
     }
 
     /** Sends the reports that are due. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -46,8 +46,7 @@
     private final RandomGenerator mRandom;
     private final Map<ServiceId, ServiceQueue> mQueues = new HashMap<>();
 
-    RequestDispatcher(
-            Router router, RegionGraph regions, RandomGenerator random, Starter starter) {
+    RequestDispatcher(Router router, RegionGraph regions, RandomGenerator random, Starter starter) {
         mRandom = random;
         mRouter = router;
         mRegions = regions;
@@ -243,8 +242,7 @@
         void startLocal(GatewayExchange exchange, EndpointState endpoint);
 
         /** Forwards a request to another region. */
-        void startAway(
-                GatewayExchange exchange, RegionId region, Optional<EndpointState> expected);
+        void startAway(GatewayExchange exchange, RegionId region, Optional<EndpointState> expected);
 
         /** Ends a request that cannot be started, truthfully about whether it may have run. */
         void giveUp(GatewayExchange exchange, Refusal refusal);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
@@ -76,8 +76,7 @@
         } else if (path.equals(METRICS_PATH)) {
             request.response().end(mMetrics.toText());
         } else if (path.equals(DUMP_PATH)) {
-            mControl.state()
-                    .thenAccept(state -> request.response().end(Json.writeIndented(state)));
+            mControl.state().thenAccept(state -> request.response().end(Json.writeIndented(state)));
         } else {
             request.response().setStatusCode(404).end();
         }
@@ -111,8 +110,7 @@
     }
 
     /** Returns the instances of the caller's region, else those where the host's data may be. */
-    private static List<Member> instances(
-            GatewaySnapshot snapshot, RegionId region, String host) {
+    private static List<Member> instances(GatewaySnapshot snapshot, RegionId region, String host) {
         List<Member> local = snapshot.workingIn(region);
         if (!local.isEmpty()) {
             return local;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StreamRelay.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StreamRelay.java
@@ -1,6 +1,8 @@
 package org.filbertrudder.gateway.traffic;
 
 import io.vertx.core.buffer.Buffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Passes a stream of server-sent events on by whole events.
@@ -12,10 +14,11 @@
 
     private static final int MAX_EVENT_BYTES = 1024 * 1024;
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
+    private static final int BLANK_LINE_BYTES = 3;
     private static final long NO_ID = -1;
 
     private final AnswerSink mSink;
-    private Buffer mPending = Buffer.buffer();
+    private byte[] mPending = {};
     private int mScanned;
     private long mLastId;
     private boolean mResumed;
@@ -38,7 +41,7 @@
 
     /** Prepares for the answer of another attempt; a part of an event that came is dropped. */
     void restart() {
-        mPending = Buffer.buffer();
+        mPending = new byte[0];
         mScanned = 0;
         mResumed = true;
     }
@@ -49,26 +52,35 @@
      * @return whether the bytes are a proper continuation of the stream
      */
     boolean data(Buffer data) {
-        mPending.appendBuffer(data);
-        int start = 0;
+        byte[] bytes = joined(data.getBytes());
         Buffer out = Buffer.buffer();
         boolean proper = true;
-        int end = eventEnd(mScanned);
+        int start = 0;
+        int end = eventEnd(bytes, mScanned);
         while (end >= 0 && proper) {
-            proper = accept(start, end, out);
+            proper = accept(bytes, start, end, out);
             start = end;
-            end = eventEnd(start);
+            end = eventEnd(bytes, start);
         }
         if (out.length() > 0) {
             mSink.write(out);
         }
-        mPending = mPending.getBuffer(start, mPending.length());
-        mScanned = Math.max(0, mPending.length() - 3);
-        return proper && mPending.length() <= MAX_EVENT_BYTES;
+        mPending = Arrays.copyOfRange(bytes, start, bytes.length);
+        mScanned = Math.max(0, mPending.length - BLANK_LINE_BYTES);
+        return proper && mPending.length <= MAX_EVENT_BYTES;
+    }
+
+    private byte[] joined(byte[] data) {
+        if (mPending.length == 0) {
+            return data;
+        }
+        byte[] joined = Arrays.copyOf(mPending, mPending.length + data.length);
+        System.arraycopy(data, 0, joined, mPending.length, data.length);
+        return joined;
     }
 
-    private boolean accept(int start, int end, Buffer out) {
-        long id = id(start, end);
+    private boolean accept(byte[] bytes, int start, int end, Buffer out) {
+        long id = id(bytes, start, end);
         if (id != NO_ID) {
             if (id <= mLastId) {
                 // A resumed run may repeat what the caller has already; a first one must not.
@@ -77,60 +89,53 @@
             mLastId = id;
             mResumed = false;
         }
-        out.appendBuffer(mPending, start, end - start);
+        out.appendBytes(bytes, start, end - start);
         mEvents++;
         return true;
     }
 
     /** Returns the index after the next blank line; -1 if there is none yet. */
-    private int eventEnd(int from) {
-        for (int i = from; i + 1 < mPending.length(); i++) {
-            if (mPending.getByte(i) != '\n') {
+    private static int eventEnd(byte[] bytes, int from) {
+        for (int i = from; i + 1 < bytes.length; i++) {
+            if (bytes[i] != '\n') {
                 continue;
             }
-            if (mPending.getByte(i + 1) == '\n') {
+            if (bytes[i + 1] == '\n') {
                 return i + 2;
             }
-            boolean carriageReturn =
-                    i + 2 < mPending.length()
-                            && mPending.getByte(i + 1) == '\r'
-                            && mPending.getByte(i + 2) == '\n';
-            if (carriageReturn) {
+            if (i + 2 < bytes.length && bytes[i + 1] == '\r' && bytes[i + 2] == '\n') {
                 return i + 3;
             }
         }
         return -1;
     }
 
-    private long id(int start, int end) {
+    private static long id(byte[] bytes, int start, int end) {
         int line = start;
         while (line < end) {
             int next = line;
-            while (next < end && mPending.getByte(next) != '\n') {
+            while (next < end && bytes[next] != '\n') {
                 next++;
             }
-            if (isIdField(line, next)) {
-                return number(line + ID_FIELD.length, next);
+            boolean isId =
+                    next - line >= ID_FIELD.length
+                            && Arrays.equals(
+                                    bytes,
+                                    line,
+                                    line + ID_FIELD.length,
+                                    ID_FIELD,
+                                    0,
+                                    ID_FIELD.length);
+            if (isId) {
+                return number(bytes, line + ID_FIELD.length, next);
             }
             line = next + 1;
         }
         return NO_ID;
     }
 
-    private boolean isIdField(int start, int end) {
-        if (end - start < ID_FIELD.length) {
-            return false;
-        }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (mPending.getByte(start + i) != ID_FIELD[i]) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private long number(int start, int end) {
-        String text = mPending.getString(start, end).trim();
+    private static long number(byte[] bytes, int start, int end) {
+        String text = new String(bytes, start, end - start, StandardCharsets.US_ASCII).trim();
         try {
             return Long.parseLong(text);
         } catch (NumberFormatException e) {
@@ -140,6 +145,6 @@
 
     /** Returns whether the stream may end here: no event is incomplete. */
     boolean isAtEventBoundary() {
-        return mPending.length() == 0;
+        return mPending.length == 0;
     }
 }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
@@ -37,7 +37,12 @@
     private static GatewayConfiguration configuration(RouteRule... routes) {
         AccountRule account =
                 new AccountRule(
-                        AccountId.of("club"), Optional.empty(), Optional.empty(), true, 10, Set.of());
+                        AccountId.of("club"),
+                        Optional.empty(),
+                        Optional.empty(),
+                        true,
+                        10,
+                        Set.of());
         return new GatewayConfiguration(
                 1,
                 List.of(routes),
@@ -91,7 +96,9 @@
     public void theHomesOfAHostSuitAllItsRoutes() {
         GatewayConfiguration configuration =
                 configuration(
-                        route("h", "/a/", "mtl", "sag"), route("h", "/b/"), route("h", "/c/", "sag"));
+                        route("h", "/a/", "mtl", "sag"),
+                        route("h", "/b/"),
+                        route("h", "/c/", "sag"));
 
         assertEquals(configuration.homesOf("h"), Set.of(RegionId.of("sag")));
         assertEquals(configuration.homesOf("other"), Set.of());
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -107,8 +107,12 @@
             {"HTTP/1.1 100 Continue\r\n\r\n" + PROPER, true, true},
             {stray + PROPER, true, false},
             {PROPER.replace("id: a1\r\n", "id: a1\r\nConnection: close\r\n"), true, false},
-            {"HTTP/1.1 200 OK\r\nid: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + "2\r\nri\r\n3\r\nght\r\n0\r\n\r\n", true, true},
+            {
+                "HTTP/1.1 200 OK\r\nid: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "2\r\nri\r\n3\r\nght\r\n0\r\n\r\n",
+                true,
+                true
+            },
             {PROPER.substring(0, PROPER.length() - 1), false, false},
             {"these are no bytes of the protocol\r\n\r\n", false, false},
             {stray, false, false},
@@ -142,7 +146,10 @@
     @Test
     public void anAnswerWithoutLengthEndsWithItsConnection() {
         Outcome outcome =
-                exchange(socket -> socket.end(Buffer.buffer("HTTP/1.1 200 OK\r\nid: a1\r\n\r\nright")));
+                exchange(
+                        socket ->
+                                socket.end(
+                                        Buffer.buffer("HTTP/1.1 200 OK\r\nid: a1\r\n\r\nright")));
 
         assertTrue(outcome.whole());
         assertEquals(outcome.body(), "right");
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -312,7 +312,6 @@
      *     that can start none is missing
      * @param loads the load of the region's endpoints in use, from all instances there
      */
-    record RegionReport(
-            RegionId region, Map<String, Long> startDelaysMs, List<EndpointLoad> loads)
+    record RegionReport(RegionId region, Map<String, Long> startDelaysMs, List<EndpointLoad> loads)
             implements PeerMessage {}
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -148,8 +148,7 @@
     }
 
     /** Notes what other instances have running there, as they have told. */
-    public void reportedByOthers(
-            int requests, double prefillMs, long memoryTokens, long nowMs) {
+    public void reportedByOthers(int requests, double prefillMs, long memoryTokens, long nowMs) {
         mReportedByOthers = requests;
         mReportedMs = nowMs;
         mEngine.reportedByOthers(prefillMs, memoryTokens);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -72,8 +72,6 @@
 
     private double awayMs(EndpointState state, RegionGraph regions) {
         RegionId there = state.endpoint().region();
-        return there.equals(mHere)
-                ? 0
-                : regions.awayCostMs() + 2 * regions.delayMs(mHere, there);
+        return there.equals(mHere) ? 0 : regions.awayCostMs() + 2 * regions.delayMs(mHere, there);
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
@@ -83,7 +83,8 @@
     private void adopt(AccountId id, Contract contract, double fraction, long nowMs) {
         AccountShare share = mShares.get(id);
         if (share == null) {
-            mShares.put(id, new AccountShare(contract, fraction, mSettings, nowMs + START_DELAY_MS));
+            mShares.put(
+                    id, new AccountShare(contract, fraction, mSettings, nowMs + START_DELAY_MS));
         } else {
             share.setContract(contract, fraction, nowMs);
         }
@@ -99,7 +100,9 @@
     /** Returns the holders of an account's shares in a region, in a fixed order. */
     public List<InstanceId> holdersIn(RegionId region, AccountId account) {
         return Rendezvous.rank(
-                        account.value(), mMembers.getOrDefault(region, List.of()), InstanceId::value)
+                        account.value(),
+                        mMembers.getOrDefault(region, List.of()),
+                        InstanceId::value)
                 .stream()
                 .limit(HOLDERS_PER_REGION)
                 .toList();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/LoanBook.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/LoanBook.java
@@ -51,7 +51,8 @@
     }
 
     /**
-     * Adds a loan to the share; one that was not asked for, is doubled or comes too late is ignored.
+     * Adds a loan to the share; one that was not asked for, is doubled or comes too late is
+     * ignored.
      *
      * @return whether the loan was asked for
      */
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/PromptPlacementTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/PromptPlacementTest.java
@@ -122,8 +122,7 @@
 
         assertTrue(
                 choose(table, 0, prompt("s", 5_000, 6_000), region -> true) instanceof Route.Wait);
-        assertTrue(
-                choose(table, 0, prompt("s", 100, 600), region -> true) instanceof Route.Local);
+        assertTrue(choose(table, 0, prompt("s", 100, 600), region -> true) instanceof Route.Local);
     }
 
     @Test
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformCaller.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformCaller.java
@@ -96,8 +96,7 @@
         try {
             HttpResponse<String> response =
                     mClient.send(
-                            request.timeout(TIMEOUT).build(),
-                            HttpResponse.BodyHandlers.ofString());
+                            request.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.ofString());
             return new Answer(
                     response.statusCode(),
                     response.body(),
@@ -105,7 +104,8 @@
                     id,
                     response.headers().firstValue("filbertrudder-server-stamp"));
         } catch (IOException e) {
-            return new Answer(0, String.valueOf(e.getMessage()), Optional.empty(), id, Optional.empty());
+            return new Answer(
+                    0, String.valueOf(e.getMessage()), Optional.empty(), id, Optional.empty());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IllegalStateException(e);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -99,8 +99,7 @@
     /** Starts a replica. */
     public ReplicaStandIn startReplica(String id, String service, String region, int slots) {
         ReplicaStandIn replica =
-                new ReplicaStandIn(
-                        mVertx, mStore, id, service, region + "-a", "127.0.0.1", slots);
+                new ReplicaStandIn(mVertx, mStore, id, service, region + "-a", "127.0.0.1", slots);
         mReplicas.put(id, replica.start());
         return replica;
     }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -117,8 +117,11 @@
     @DataProvider
     public Object[][] bookingFaults() {
         return new Object[][] {
-            {Fault.BREAK, 502, 1}, {Fault.ERROR, 500, 1}, {Fault.FULL, 503, 0},
-            {Fault.HANG, 504, 1}, {Fault.UNSIGNED, 502, 1},
+            {Fault.BREAK, 502, 1},
+            {Fault.ERROR, 500, 1},
+            {Fault.FULL, 503, 0},
+            {Fault.HANG, 504, 1},
+            {Fault.UNSIGNED, 502, 1},
         };
     }
 
@@ -205,8 +208,7 @@
         PlatformCaller caller = mFleet.caller("mtl-1");
         mFleet.configure(false);
         PlatformFleet.await(
-                "the route is gone",
-                () -> caller.plain("POST", "/book/x", KEY).status() == 404);
+                "the route is gone", () -> caller.plain("POST", "/book/x", KEY).status() == 404);
 
         mFleet.configure(true);
 
@@ -285,8 +287,7 @@
         mFleet.configure(true);
         PlatformCaller first = mFleet.caller("mtl-1");
         PlatformCaller second = mFleet.caller("sag-1");
-        PlatformFleet.await(
-                "the limit is in force", () -> burst(first, second, 20).contains(429));
+        PlatformFleet.await("the limit is in force", () -> burst(first, second, 20).contains(429));
         int before = poolRuns();
         long startedNs = System.nanoTime();
         burst(first, second, 40);
@@ -347,7 +348,11 @@
         PlatformCaller directory = mFleet.directory("mtl-1");
         PlatformFleet.await(
                 "the directory no longer names it",
-                () -> !directory.get("/resolve?name=x&region=sag&zone=sag-a").body().contains(callers));
+                () ->
+                        !directory
+                                .get("/resolve?name=x&region=sag&zone=sag-a")
+                                .body()
+                                .contains(callers));
         stopped.join();
     }
 
@@ -382,9 +387,10 @@
     @Test
     public void theDumpAndTheMetricsTellTheState() {
         mFleet.caller("mtl-1").plain("GET", "/stock/x", KEY);
-        PlatformCaller side = new PlatformCaller(
-                new org.filbertrudder.policy.membership.PeerAddress(
-                        "127.0.0.1", mFleet.settings("mtl-1").metricsPort()));
+        PlatformCaller side =
+                new PlatformCaller(
+                        new org.filbertrudder.policy.membership.PeerAddress(
+                                "127.0.0.1", mFleet.settings("mtl-1").metricsPort()));
 
         assertTrue(side.get("/metrics").body().contains("filbertrudder_requests_answered 1"));
         assertTrue(side.get("/dump").body().contains("\"desk-mtl-1\""));
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
@@ -216,7 +216,8 @@
                 answer(request, 403, Json.MAPPER.createObjectNode());
                 return;
             }
-            if (each.path("lease").asLong(0) > 0 && !mLeases.containsKey(each.path("lease").asLong())) {
+            if (each.path("lease").asLong(0) > 0
+                    && !mLeases.containsKey(each.path("lease").asLong())) {
                 answer(request, 404, Json.MAPPER.createObjectNode());
                 return;
             }
@@ -263,10 +264,7 @@
         long id = mNextLease++;
         mLeases.put(id, new Lease(ttlMs));
         extend(id);
-        answer(
-                request,
-                200,
-                Json.MAPPER.createObjectNode().put("lease", id).put("ttlMs", ttlMs));
+        answer(request, 200, Json.MAPPER.createObjectNode().put("lease", id).put("ttlMs", ttlMs));
     }
 
     private void keep(HttpServerRequest request, long id) {
@@ -275,10 +273,7 @@
             return;
         }
         extend(id);
-        answer(
-                request,
-                200,
-                Json.MAPPER.createObjectNode().put("ttlMs", mLeases.get(id).mTtlMs));
+        answer(request, 200, Json.MAPPER.createObjectNode().put("ttlMs", mLeases.get(id).mTtlMs));
     }
 
     private void extend(long id) {
@@ -305,8 +300,7 @@
     }
 
     /** Holds one key with its value. */
-    private record Item(
-            String mKey, String mValue, long mRevision, long mCreated, long mLease) {
+    private record Item(String mKey, String mValue, long mRevision, long mCreated, long mLease) {
 
         ObjectNode toJson() {
             return Json.MAPPER
