--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
@@ -0,0 +1,261 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Map;
+import org.filbertrudder.gateway.control.Clocks;
+
+/** Follows one attempt and passes its answer on. */
+abstract class AnswerAttempt implements Attempt, AttemptListener {
+
+    /** A repeatable request without an answer after so many goals is tried elsewhere. */
+    private static final long STALL_GOALS = 2;
+
+    private static final long MIN_STALL_MS = 1_000;
+
+    /** Answers up to this length are passed on only when they are whole, in bytes. */
+    private static final int MAX_HELD_BYTES = 1024 * 1024;
+
+    final AttemptRunner mRunner;
+    final AttemptTools mTools;
+    final GatewayExchange mExchange;
+    private AnswerHead mHead;
+    private Buffer mBody = Buffer.buffer();
+    private boolean mStreaming;
+    private boolean mPiping;
+    private long mStallTimer = -1;
+    boolean mOver;
+
+    AnswerAttempt(AttemptRunner runner, GatewayExchange exchange) {
+        mRunner = runner;
+        mTools = runner.tools();
+        mExchange = exchange;
+    }
+
+    /** Ends this attempt's use of the endpoint or region. */
+    abstract void release(boolean answered);
+
+    /** Closes the connection that carries the attempt. */
+    abstract void abort();
+
+    /** Notes an endpoint that has certainly not run the request. */
+    abstract void turnedAway(AnswerHead head);
+
+    /** Notes an attempt whose connection was not opened or broke. */
+    abstract void lost(Failure failure);
+
+    /** Notes an attempt without an answer for a long time. */
+    abstract void silent();
+
+    void armStallTimer() {
+        if (!mExchange.route().isRepeatable()) {
+            return;
+        }
+        long stallMs = Math.max(MIN_STALL_MS, STALL_GOALS * mExchange.route().goalMs());
+        mStallTimer = mTools.vertx().setTimer(stallMs, ignored -> stalled());
+    }
+
+    private void stalled() {
+        boolean hopeless = mExchange.endMs() - Clocks.steadyMs() < MIN_STALL_MS;
+        if (mOver || mHead != null || hopeless || !mExchange.mayRunAgain()) {
+            return;
+        }
+        mExchange.trace("stalled");
+        over(false);
+        abort();
+        silent();
+        mRunner.again(mExchange, Refusal.broken());
+    }
+
+    void over(boolean answered) {
+        if (!mOver) {
+            mOver = true;
+            mTools.vertx().cancelTimer(mStallTimer);
+            mExchange.setAttempt(null);
+            release(answered);
+        }
+    }
+
+    @Override
+    public void cancel() {
+        if (!mOver) {
+            over(false);
+            abort();
+        }
+    }
+
+    @Override
+    public void head(AnswerHead head) {
+        mHead = head;
+        if (head.notRun() || !head.isSuccess() || !mExchange.isStream()) {
+            return;
+        }
+        if (!head.signed() || head.encoded()) {
+            spoiled("unsigned");
+            return;
+        }
+        startStream(head);
+    }
+
+    private void startStream(AnswerHead head) {
+        mStreaming = true;
+        mTools.vertx().cancelTimer(mStallTimer);
+        if (mExchange.relay() == null) {
+            mExchange.setRelay(new StreamRelay(mExchange.sink(), mExchange.head().lastEventId()));
+            Map<String, String> headers = head.passedHeaders();
+            headers.remove("content-length");
+            mExchange.sink().head(head.status(), headers);
+        } else {
+            resumeStream(head);
+        }
+    }
+
+    /** Goes on with a stream whose first events were sent from here or another instance. */
+    private void resumeStream(AnswerHead head) {
+        mExchange.relay().restart();
+        if (!mExchange.sink().headSent()) {
+            mExchange.sink().head(head.status(), head.passedHeaders());
+        }
+    }
+
+    @Override
+    public void data(Buffer data) {
+        if (mOver) {
+            return;
+        }
+        if (mHead == null) {
+            spoiled("no-head");
+            return;
+        }
+        if (mStreaming) {
+            noteProgress();
+            if (!mExchange.relay().data(data)) {
+                spoiled("odd-events");
+                return;
+            }
+        } else if (mPiping) {
+            mExchange.sink().write(data);
+        } else {
+            mBody.appendBuffer(data);
+            pipeLong();
+        }
+        if (mExchange.sink().full()) {
+            pause();
+            mExchange.sink().onDrain(this::resume);
+        }
+    }
+
+    /** Passes a long answer on as it comes instead of holding it until it is whole. */
+    private void pipeLong() {
+        boolean acceptable = mHead.isSuccess() && mHead.signed() && !mHead.encoded();
+        if (mBody.length() > MAX_HELD_BYTES && acceptable) {
+            mPiping = true;
+            mExchange.sink().head(mHead.status(), mHead.passedHeaders());
+            mExchange.sink().write(mBody);
+            mBody = Buffer.buffer();
+        }
+    }
+
+    /** Notes the first token of a stream. */
+    void noteProgress() {}
+
+    /** Ends an attempt whose answer cannot be the endpoint's own. */
+    private void spoiled(String step) {
+        mExchange.trace(step);
+        over(false);
+        abort();
+        continueOrBreak();
+    }
+
+    @Override
+    public void end() {
+        if (mOver) {
+            return;
+        }
+        if (mHead.notRun()) {
+            mExchange.takeBackRun();
+            over(false);
+            turnedAway(mHead);
+            mRunner.again(mExchange, Refusal.unavailable());
+        } else if (mStreaming) {
+            endStream();
+        } else {
+            endWhole();
+        }
+    }
+
+    private void endStream() {
+        if (!mExchange.relay().isAtEventBoundary()) {
+            spoiled("cut-event");
+            return;
+        }
+        over(true);
+        mExchange.sink().end();
+        mTools.finisher().answered(mExchange, mHead.status());
+    }
+
+    private void endWhole() {
+        boolean proper = mHead.signed() && !mHead.encoded();
+        if (mHead.isSuccess() && !proper) {
+            spoiled("unsigned");
+            return;
+        }
+        if (mHead.isServerError() && mayReplaceError()) {
+            mExchange.trace("status-" + mHead.status());
+            if (mHead.signed()) {
+                mExchange.holdAnswer(new HeldAnswer(mHead, mBody));
+            }
+            over(false);
+            mRunner.again(mExchange, Refusal.broken());
+            return;
+        }
+        over(true);
+        if (isFalsePromise()) {
+            mRunner.giveUp(mExchange, Refusal.broken());
+            return;
+        }
+        if (mPiping) {
+            mExchange.sink().end();
+        } else {
+            new HeldAnswer(mHead, mBody).sendTo(mExchange.sink());
+        }
+        mTools.finisher().answered(mExchange, mHead.status());
+    }
+
+    /** Returns whether a status promises that the request has not run although it may have. */
+    private boolean isFalsePromise() {
+        int status = mHead.status();
+        boolean promise = status == 429 || status == 503 || status == 408 || status == 421;
+        return promise && !mExchange.route().isRepeatable();
+    }
+
+    private boolean mayReplaceError() {
+        return !mPiping
+                && !mExchange.sink().headSent()
+                && mExchange.mayRunAgain()
+                && mTools.budgets()
+                        .hasRoom(mExchange.service(), mTools.control().snapshot().runningCount());
+    }
+
+    @Override
+    public void failed(Failure failure) {
+        if (mOver) {
+            return;
+        }
+        mExchange.trace(failure == Failure.NOT_SENT ? "unreachable" : "lost");
+        if (failure == Failure.NOT_SENT) {
+            mExchange.takeBackRun();
+        }
+        over(false);
+        lost(failure);
+        continueOrBreak();
+    }
+
+    private void continueOrBreak() {
+        if (mPiping) {
+            mTools.finisher().breakOff(mExchange);
+        } else {
+            mRunner.again(
+                    mExchange, mExchange.runs() == 0 ? Refusal.unavailable() : Refusal.broken());
+        }
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.filbertrudder.entry.control.TokenGrant;
 import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Digests;
@@ -122,6 +123,11 @@
         return mEndMs;
     }
 
+    /** Returns whether the request is answered by a stream of events. */
+    boolean isStream() {
+        return mRoute.kind() == RequestKind.STREAM;
+    }
+
     /** Returns the rank of the request; the account's overrides the route's. */
     int priority() {
         return mAccount.flatMap(AccountRule::priority).orElse(mRoute.priority());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -97,8 +97,8 @@
         mForwards = new PeerForwards(mNetwork);
         mConnections = new EndpointConnections(vertx, mProtocol);
         mFinisher = new ExchangeFinisher(mControl, mMetrics);
-        AttemptRunner runner =
-                new AttemptRunner(
+        AttemptTools tools =
+                new AttemptTools(
                         vertx,
                         mControl,
                         mProtocol,
@@ -107,8 +107,8 @@
                         mBoard,
                         new EndpointDoctor(mConnections, mControl),
                         new RetryBudgets(mSettings.bounds()),
-                        mFinisher,
-                        mRandom);
+                        mFinisher);
+        AttemptRunner runner = new AttemptRunner(tools, mRandom);
         DeploymentRegions regions = new DeploymentRegions(mSettings.domains().values());
         Router router = new Router(mSettings.region(), mTable, mBoard);
         mDispatcher = new RequestDispatcher(router, regions, mRandom, runner);
