Follow the settings file, notice silent connections between instances, write the last log lines

Cause: SIGHUP would have ended the process; a connection that falls silent without a reset kept forwards and heartbeats waiting for good; lines logged at the stop were lost (GatewayProcessTest failed). Ruled out: nothing yet for silent endpoint connections beyond the callers' time limits.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -32,6 +32,10 @@
                                     new PlatformProtocol())
                             .join();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "shutdown"));
+            SettingsReload reload =
+                    new SettingsReload(
+                            Path.of(environment.get(SettingsFile.PATH_VARIABLE)), gateway::reload);
+            reload.start();
             gateway.stopped().join();
             return ExitCode.OK;
         } catch (CompletionException e) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedLineHandler.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedLineHandler.java
@@ -24,6 +24,8 @@
 
     private final BlockingQueue<LogRecord> mWaiting = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
     private final AtomicLong mDropped = new AtomicLong();
+    private final AtomicLong mAccepted = new AtomicLong();
+    private final AtomicLong mWritten = new AtomicLong();
     private final PrintStream mOut;
     private final Formatter mFormatter;
 
@@ -37,7 +39,9 @@
 
     @Override
     public void publish(LogRecord record) {
-        if (!mWaiting.offer(record)) {
+        if (mWaiting.offer(record)) {
+            mAccepted.incrementAndGet();
+        } else {
             mDropped.incrementAndGet();
         }
     }
@@ -47,8 +51,10 @@
             while (true) {
                 LogRecord record = mWaiting.take();
                 StringBuilder lines = new StringBuilder();
+                long count = 0;
                 while (record != null) {
                     lines.append(mFormatter.format(record));
+                    count++;
                     record = mWaiting.poll();
                 }
                 long dropped = mDropped.getAndSet(0);
@@ -58,6 +64,7 @@
                 }
                 mOut.print(lines);
                 mOut.flush();
+                mWritten.addAndGet(count);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -67,7 +74,7 @@
     @Override
     public void flush() {
         long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_TIMEOUT_MS);
-        while (!mWaiting.isEmpty() && System.nanoTime() < untilNs) {
+        while (mWritten.get() < mAccepted.get() && System.nanoTime() < untilNs) {
             Thread.onSpinWait();
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -78,6 +78,16 @@
                 .toCompletableFuture();
     }
 
+    /**
+     * Adopts new settings while the instance runs.
+     *
+     * <p>Limits and seeds take effect at once; addresses and places only with the next start.
+     */
+    public void reload(GatewaySettings settings) {
+        LOG.info("The settings have changed.", Field.of("bounds", settings.bounds()));
+        mControl.reload(settings);
+    }
+
     /** Stops the instance without cutting a request that can end in time. */
     public synchronized CompletableFuture<Void> shutDown() {
         if (!mStopping) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -5,8 +5,10 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
@@ -14,6 +16,7 @@
 import org.filbertrudder.entry.control.CrashMemory;
 import org.filbertrudder.entry.log.Field;
 import org.filbertrudder.entry.log.PartLog;
+import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
@@ -78,10 +81,12 @@
     private InstanceShares mShares;
     private AllowanceDesk mAllowances;
     private List<Member> mRegistered;
+    private Set<InstanceId> mSuspected = Set.of();
     private long mNextRegisterMs;
     private long mNextInstancesMs;
     private long mPublishedVersion = -1;
     private volatile GatewaySnapshot mSnapshot;
+    private volatile BoundSettings mBounds;
 
     /** Creates the control state on a context of its own. */
     public GatewayControl(
@@ -90,14 +95,32 @@
         mContext = context;
         mSettings = settings;
         mSource = source;
-        mFence =
-                new FreshnessFence(
-                        settings.bounds().keyWithdrawalMs() - FENCE_MARGIN_MS, MAX_CLOCK_GAP_MS);
+        mBounds = settings.bounds();
+        mFence = new FreshnessFence(trustMs(mBounds), MAX_CLOCK_GAP_MS);
         mFollower = new StateFollower(context, source, mFence, new FollowerListener());
         mCrashes = CrashMemory.convictingAfter(MAX_CRASHES, context, Clocks::steadyMs, this::flood);
         registerHandlers();
     }
 
+    private static long trustMs(BoundSettings bounds) {
+        return bounds.keyWithdrawalMs() - FENCE_MARGIN_MS;
+    }
+
+    /** Returns the limits in force; may be called from any thread. */
+    public BoundSettings bounds() {
+        return mBounds;
+    }
+
+    /** Adopts the limits and seeds of new settings; may be called from any thread. */
+    public void reload(GatewaySettings settings) {
+        mContext.runOnContext(
+                ignored -> {
+                    mBounds = settings.bounds();
+                    mFence.setLimitMs(trustMs(mBounds));
+                    mMembership.addSeeds(settings.seeds());
+                });
+    }
+
     /** Joins the other instances; must run on the control context. */
     public CompletableFuture<Void> start() {
         Member self = self();
@@ -146,6 +169,7 @@
         keepRegistered(nowMs);
         if (mMembership.version() != mPublishedVersion) {
             mPublishedVersion = mMembership.version();
+            dropSilentConnections();
             updateShares(nowMs);
             publish();
         }
@@ -155,6 +179,20 @@
         }
     }
 
+    /** Connects anew to suspected members, as the connection itself may have fallen silent. */
+    private void dropSilentConnections() {
+        Set<InstanceId> suspected = new HashSet<>();
+        for (Member member : mMembership.members()) {
+            if (member.state() == MemberState.SUSPECT) {
+                suspected.add(member.id());
+                if (!mSuspected.contains(member.id())) {
+                    mNetwork.drop(PeerAddress.of(member));
+                }
+            }
+        }
+        mSuspected = suspected;
+    }
+
     private void keepRegistered(long nowMs) {
         if (nowMs >= mNextRegisterMs && mMembership.self().state() == MemberState.LIVE) {
             mNextRegisterMs = nowMs + REGISTER_INTERVAL_MS;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -106,7 +106,7 @@
                         mForwards,
                         mBoard,
                         new EndpointDoctor(mConnections, mControl),
-                        new RetryBudgets(mSettings.bounds()),
+                        new RetryBudgets(mControl::bounds),
                         mFinisher);
         AttemptRunner runner = new AttemptRunner(tools, mRandom);
         DeploymentRegions regions = new DeploymentRegions(mSettings.domains().values());
@@ -250,6 +250,8 @@
         long nowMs = Clocks.steadyMs();
         mDispatcher.tick();
         mBoard.tick(nowMs);
+        mForwards.tick(nowMs);
+        mReceiver.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
             mConnections.tick(knownEndpoints());
@@ -344,7 +346,7 @@
 
     private void beginDrain(CompletableFuture<Void> drained) {
         mStoppingSinceMs = Clocks.steadyMs();
-        long lastMs = mStoppingSinceMs + mSettings.bounds().graceMs() - STOP_MARGIN_MS;
+        long lastMs = mStoppingSinceMs + mControl.bounds().graceMs() - STOP_MARGIN_MS;
         vertx.setPeriodic(
                 TICK_MS,
                 timer -> {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerForwards.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerForwards.java
@@ -2,10 +2,13 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.filbertrudder.gateway.config.KeyDigests;
+import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.KeyId;
@@ -19,8 +22,12 @@
 /** Forwards requests to instances in other regions and receives their answers. */
 final class PeerForwards {
 
+    /** The other side shows several times in this span that the connection works. */
+    private static final long SILENCE_MS = 2_000;
+
     private final PeerNetwork mNetwork;
     private final Map<Long, ForwardAttempt> mAttempts = new HashMap<>();
+    private final Map<PeerConnection, Long> mHeardMs = new HashMap<>();
     private long mNextStream = 1;
 
     PeerForwards(PeerNetwork network) {
@@ -63,6 +70,10 @@
 
     /** Handles the parts of an answer; returns whether the message was one. */
     boolean handle(PeerConnection from, PeerMessage message) {
+        mHeardMs.computeIfPresent(from, (connection, heardMs) -> Clocks.steadyMs());
+        if (message instanceof PeerMessage.ForwardAlive) {
+            return true;
+        }
         if (message instanceof PeerMessage.ForwardHead head) {
             find(from, head.stream()).ifPresent(attempt -> attempt.receive(head));
         } else if (message instanceof PeerMessage.ForwardData data) {
@@ -80,6 +91,22 @@
                 .filter(attempt -> attempt.mConnection == from);
     }
 
+    /** Closes connections on which attempts wait and nothing comes any more. */
+    void tick(long nowMs) {
+        Set<PeerConnection> waiting = new HashSet<>();
+        mAttempts.values().stream()
+                .filter(attempt -> attempt.mConnection != null)
+                .forEach(attempt -> waiting.add(attempt.mConnection));
+        mHeardMs.keySet().retainAll(waiting);
+        for (PeerConnection connection : waiting) {
+            long heardMs = mHeardMs.computeIfAbsent(connection, key -> nowMs);
+            if (nowMs - heardMs > SILENCE_MS) {
+                mHeardMs.remove(connection);
+                connection.close();
+            }
+        }
+    }
+
     /** Ends the attempts at members that have fallen silent. */
     void membersChanged(List<Member> members) {
         for (Member member : members) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerReceiver.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/PeerReceiver.java
@@ -3,7 +3,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
@@ -20,9 +23,13 @@
     /** The bytes that are confirmed at once. */
     static final long CREDIT_STEP_BYTES = 64 * 1024;
 
+    /** How often a working connection is shown, in milliseconds. */
+    private static final long ALIVE_INTERVAL_MS = 500;
+
     private final Intake mIntake;
     private final Consumer<GatewayExchange> mCancel;
     private final Map<Key, PeerSink> mSinks = new HashMap<>();
+    private long mNextAliveMs;
 
     PeerReceiver(Intake intake, Consumer<GatewayExchange> cancel) {
         mIntake = intake;
@@ -46,6 +53,17 @@
         }
     }
 
+    /** Shows the other sides that wait for answers that their connections work. */
+    void tick(long nowMs) {
+        if (nowMs < mNextAliveMs) {
+            return;
+        }
+        mNextAliveMs = nowMs + ALIVE_INTERVAL_MS;
+        Set<PeerConnection> waiting = new HashSet<>();
+        mSinks.keySet().forEach(key -> waiting.add(key.connection()));
+        waiting.forEach(connection -> connection.send(new PeerMessage.ForwardAlive()));
+    }
+
     private void receive(PeerConnection from, PeerMessage.ForwardStart start) {
         Key key = new Key(from, start.stream());
         PeerSink sink = new PeerSink(key);
@@ -63,7 +81,7 @@
     interface Intake {
 
         /** Returns the exchange; empty if it was refused. */
-        java.util.Optional<GatewayExchange> accept(
+        Optional<GatewayExchange> accept(
                 PeerMessage.ForwardStart start, MultiMap headers, AnswerSink sink);
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RetryBudgets.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RetryBudgets.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.ServiceId;
@@ -16,10 +17,10 @@
      */
     private static final double EXTRA_PART = 0.5;
 
-    private final BoundSettings mBounds;
+    private final Supplier<BoundSettings> mBounds;
     private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
 
-    RetryBudgets(BoundSettings bounds) {
+    RetryBudgets(Supplier<BoundSettings> bounds) {
         mBounds = bounds;
     }
 
@@ -40,11 +41,11 @@
     }
 
     private double share() {
-        return mBounds.retryShare() * EXTRA_PART;
+        return mBounds.get().retryShare() * EXTRA_PART;
     }
 
     private double extra(int instances) {
-        return mBounds.retryExtra() * EXTRA_PART / Math.max(1, instances);
+        return mBounds.get().retryExtra() * EXTRA_PART / Math.max(1, instances);
     }
 
     private RetryBudget budget(ServiceId service) {
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -36,6 +36,7 @@
     @JsonSubTypes.Type(value = PeerMessage.ForwardEnd.class, name = "fe"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardCancel.class, name = "fc"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardCredit.class, name = "fw"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardAlive.class, name = "fa"),
     @JsonSubTypes.Type(value = PeerMessage.StateRequest.class, name = "tr"),
     @JsonSubTypes.Type(value = PeerMessage.StateReply.class, name = "ts"),
     @JsonSubTypes.Type(value = PeerMessage.LoadReport.class, name = "lo"),
@@ -260,6 +261,9 @@
      */
     record ForwardCredit(long stream, long bytes) implements PeerMessage {}
 
+    /** Shows that the connection works while forwarded requests wait for their answers. */
+    record ForwardAlive() implements PeerMessage {}
+
     /**
      * Asks for the operators' state as the receiver knows it, while the store is out of reach.
      *
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -81,6 +81,14 @@
         mOutgoing.computeIfAbsent(to, this::connect).whenOpen(action);
     }
 
+    /** Closes the outgoing connection to an address; the next message opens a new one. */
+    public void drop(PeerAddress to) {
+        Outgoing outgoing = mOutgoing.get(to);
+        if (outgoing != null) {
+            outgoing.close();
+        }
+    }
+
     private Outgoing connect(PeerAddress to) {
         Outgoing outgoing = new Outgoing();
         Future<NetSocket> connected = mClient.connect(to.port(), to.host());
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/freshness/FreshnessFence.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/freshness/FreshnessFence.java
@@ -9,7 +9,7 @@
  */
 public final class FreshnessFence {
 
-    private final long mLimitMs;
+    private volatile long mLimitMs;
     private final long mMaxClockGapMs;
     private volatile Moment mAskedAt;
 
@@ -25,6 +25,11 @@
         mMaxClockGapMs = maxClockGapMs;
     }
 
+    /** Changes the greatest age that is trusted, in milliseconds. */
+    public void setLimitMs(long limitMs) {
+        mLimitMs = limitMs;
+    }
+
     /** Notes that the state known is complete as of the moment; an older one changes nothing. */
     public void confirm(Moment askedAt, Moment now) {
         boolean jumped = now.clockGapMs(askedAt) > mMaxClockGapMs;
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -26,7 +26,10 @@
     public static final String TOKEN = "demo-operator-token";
 
     private static final long POLL_MS = 50;
-    private static final String PRODUCT_JAR = "filbertrudder-app-0.1.0-all.jar";
+
+    /** Names the jar of the product. */
+    public static final String PRODUCT_JAR = "filbertrudder-app-0.1.0-all.jar";
+
     private static final String STANDINS_JAR = "filbertrudder-standins-0.1.0-all.jar";
 
     private final Deployment mDeployment;
@@ -108,7 +111,8 @@
         return ManagedProcess.start(jar("standins", STANDINS_JAR), log(name), arguments);
     }
 
-    private static Path jar(String module, String name) {
+    /** Returns the path of a packaged jar of a module. */
+    public static Path jar(String module, String name) {
         String root = System.getProperty("filbertrudder.root", "..");
         return Path.of(root, "filbertrudder-" + module, "target", name).toAbsolutePath();
     }
--- /dev/null
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
@@ -0,0 +1,170 @@
+package org.filbertrudder.scenarios.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.filbertrudder.policy.membership.PeerAddress;
+import org.filbertrudder.scenarios.Fleet;
+import org.filbertrudder.standins.platform.KvStoreStandIn;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the gateway as the process that the platform runs: settings file, signals, exit codes. */
+public class GatewayProcessTest {
+
+    private static final long EXIT_TIMEOUT_MS = 20_000;
+    private static final int USAGE = 2;
+
+    private Vertx mVertx;
+    private int mStorePort;
+    private Path mFolder;
+    private Process mProcess;
+
+    @BeforeClass
+    public void startStore() {
+        mVertx = Vertx.vertx();
+        KvStoreStandIn store = new KvStoreStandIn(mVertx, "127.0.0.1");
+        mStorePort = store.start();
+        store.put(
+                "op/config",
+                "{\"version\":1,\"routes\":[],\"services\":[],\"limits\":{},\"tenants\":[]}");
+    }
+
+    @AfterClass(alwaysRun = true)
+    public void stopStore() {
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @BeforeMethod
+    public void createFolder() throws IOException {
+        mFolder = Files.createTempDirectory("gateway");
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void endProcess() {
+        if (mProcess != null) {
+            mProcess.destroyForcibly();
+        }
+    }
+
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
+        }
+        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+
+    private String settings(List<Integer> ports, int graceSeconds) {
+        return """
+        nodeName = "edge-1"
+        zone = "mtl-a"
+        portRange = [%d,%d]
+        seeds = []
+        [zones]
+        mtl-a = "mtl"
+        [listen]
+        front = "127.0.0.1:%d"
+        ready = "127.0.0.1:%d"
+        control = "127.0.0.1:%d"
+        directory = "127.0.0.1:%d"
+        [bounds]
+        graceS = %d
+        revokeMs = 5000
+        retryRatio = 0.2
+        retryExtra = 52
+        [infra]
+        addr = "127.0.0.1:%d"
+        """
+                .formatted(
+                        ports.get(0),
+                        ports.get(0),
+                        ports.get(1),
+                        ports.get(2),
+                        ports.get(3),
+                        ports.get(4),
+                        graceSeconds,
+                        mStorePort);
+    }
+
+    private Path log() {
+        return mFolder.resolve("log");
+    }
+
+    private void start(String settings) throws IOException {
+        Path file = mFolder.resolve("boot.toml");
+        Files.writeString(file, settings);
+        ProcessBuilder builder =
+                new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx160m",
+                        "-jar",
+                        Fleet.jar("app", Fleet.PRODUCT_JAR).toString(),
+                        "gateway");
+        builder.environment().put("FILBERTRUDDER_NODE_FILE", file.toString());
+        builder.redirectErrorStream(true).redirectOutput(log().toFile());
+        mProcess = builder.start();
+    }
+
+    private boolean logged(String text) {
+        try {
+            return Files.readString(log()).contains(text);
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private int awaitExit() throws InterruptedException {
+        boolean ended = mProcess.waitFor(EXIT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        return ended ? mProcess.exitValue() : -1;
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
+    }
+
+    @Test
+    public void wrongSettingsEndTheStartWithAllProblemsNamed()
+            throws IOException, InterruptedException {
+        start("nodeName = 7");
+
+        assertEquals(awaitExit(), USAGE);
+        assertTrue(logged("nodeName: ") && logged("listen.front: ") && logged("zones: "));
+    }
+
+    @Test
+    public void adoptsChangedSettingsOnASignalAndStopsOnAnother()
+            throws IOException, InterruptedException {
+        List<Integer> ports = freePorts(5);
+        start(settings(ports, 8));
+        PlatformCaller readiness = new PlatformCaller(new PeerAddress("127.0.0.1", ports.get(2)));
+        PlatformFleet.await("it is ready", () -> readiness.get("/readyz").status() == 200);
+
+        Files.writeString(mFolder.resolve("boot.toml"), settings(ports, 5));
+        signal("HUP");
+        PlatformFleet.await("it has new settings", () -> logged("graceMs=5000"));
+        assertEquals(readiness.get("/readyz").status(), 200);
+
+        signal("TERM");
+        PlatformFleet.await(
+                "it is no longer ready", () -> readiness.get("/readyz").status() != 200);
+        assertEquals(awaitExit(), 0);
+        assertTrue(logged("gateway: Stopped."));
+    }
+}
