Log until the process ends; refuse what has no common home without asking to come back; poll less

Cause: the log manager that keeps the log open at a stop was named after the standard one had started, so lines at the stop were lost in both programs (GatewayProcessTest failed on 'Stopped.'); requests of an account whose homes exclude the route's were told to come back; unknown keys cost 3 store calls/s. Ruled out: the bounded line writer (its counters were right).

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
@@ -15,13 +15,15 @@
 public final class Main {
 
     private static final String VERSION = "0.1.0";
+    private static final String LOG_MANAGER = "org.filbertrudder.app.PersistentLogManager";
     private static final String VERSION_FLAG = "--version";
 
     private Main() {}
 
     /** Runs the command that the arguments name and exits. */
     public static void main(String[] arguments) {
-        PersistentLogManager.install();
+        // Named by text, as the platform's log manager starts before any subclass is initialised.
+        System.setProperty("java.util.logging.manager", LOG_MANAGER);
         int code = run(arguments, System.getenv());
         if (code != ExitCode.OK) {
             System.exit(code);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -33,11 +33,14 @@
     /** How often the operators' state is confirmed; a fraction of the time to adopt a change. */
     private static final long STATE_INTERVAL_MS = 900;
 
+    /** Requests that wait for newer state do not cost more calls than this, in milliseconds. */
+    private static final long MIN_STATE_INTERVAL_MS = 600;
+
     /** How often the endpoints are read; leaves time to act on a leaving one within 4 s. */
     private static final long ENDPOINT_INTERVAL_MS = 1_200;
 
     /** The pause before another try after a failure; keeps an outage from costing many calls. */
-    private static final long RETRY_MS = 300;
+    private static final long RETRY_MS = 500;
 
     /** Calls without an answer after which no further one is started. */
     private static final int MAX_OPEN_CALLS = 3;
@@ -58,6 +61,7 @@
     private Map<String, String> mRegistrations = Map.of();
     private long mEndpointsReadMs = Long.MIN_VALUE / 2;
     private long mNextStateMs;
+    private long mStateAskedMs;
     private long mNextEndpointsMs;
     private long mNextPeersMs;
     private int mOpenStateCalls;
@@ -99,6 +103,7 @@
     }
 
     private void readState(Moment askedAt) {
+        mStateAskedMs = askedAt.steadyMs();
         mOpenStateCalls++;
         mSource.readOperatorState(mState)
                 .subscribe()
@@ -265,11 +270,10 @@
         }
     }
 
-    /** Runs the action once the state has been confirmed again; asks the store soon. */
+    /** Runs the action once the state has been confirmed again; asks the store a little sooner. */
     void onNextConfirmation(Runnable action) {
         mConfirmationWaiters.add(action);
-        long nowMs = Clocks.steadyMs();
-        mNextStateMs = Math.min(mNextStateMs, nowMs + RETRY_MS);
+        mNextStateMs = Math.min(mNextStateMs, mStateAskedMs + MIN_STATE_INTERVAL_MS);
     }
 
     private void releaseWaiters() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -44,6 +44,10 @@
 
     /** Admits a request of a caller. */
     void admit(GatewayExchange exchange) {
+        if (exchange.hasNoHome()) {
+            mFinisher.refuse(exchange, Refusal.noHome());
+            return;
+        }
         awaitFreshState(exchange, () -> checkHistory(exchange, () -> reserve(exchange)));
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -150,6 +151,14 @@
         return both;
     }
 
+    /** Returns whether the homes of route and account exclude each other. */
+    boolean hasNoHome() {
+        Set<RegionId> ofAccount = mAccount.map(AccountRule::homes).orElse(Set.of());
+        return !ofAccount.isEmpty()
+                && !mRoute.homes().isEmpty()
+                && Collections.disjoint(ofAccount, mRoute.homes());
+    }
+
     Set<EndpointId> tried() {
         return mTried;
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
@@ -85,6 +85,16 @@
                 503, "unavailable", "No endpoint can serve this now. Retry.", true, SOON_MS);
     }
 
+    /** Refuses a request that no region may serve, now or later. */
+    static Refusal noHome() {
+        return new Refusal(
+                503,
+                "no_common_home",
+                "The route and the account have no home in common. Ask the operators.",
+                true,
+                0);
+    }
+
     static Refusal crashing() {
         return new Refusal(422, "crashing_request", "Endpoints crash under this request.", true, 0);
     }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -64,6 +64,7 @@
         mDomains = Map.copyOf(domains);
         mKeys.put("key-club", "club");
         mKeys.put("key-other", "other");
+        mKeys.put("key-home", "home");
     }
 
     /** Returns the store. */
@@ -229,6 +230,9 @@
     private void account(ArrayNode accounts, String name) {
         ObjectNode account = accounts.addObject().put("name", name).put("unit", "tokens");
         account.put("plainTokens", 10);
+        if (name.equals("home")) {
+            account.putArray("homeRegions").add("sag");
+        }
         account.put("ratePerS", mRatePerSecond).put("burst", mRatePerSecond);
         ArrayNode keys = account.putArray("apiKeys");
         mKeys.forEach(
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -189,6 +190,18 @@
         assertTrue(mFleet.replica("pool-sag-1").runs().isEmpty());
     }
 
+    @Test
+    public void theHomesOfRouteAndAccountBindBoth() {
+        PlatformCaller caller = mFleet.caller("mtl-1");
+        assertWholeStream(caller.stream("/chat/x", "key-home", "s"));
+        PlatformCaller.Answer refused = caller.stream("/label/x", "key-home", "s");
+
+        assertEquals(mFleet.replica("pool-sag-1").runs().size(), 1);
+        assertEquals(refused.status(), 503);
+        assertTrue(refused.retryAfter().isEmpty(), "Coming back does not help.");
+        assertEquals(runs(refused.requestId()), 0);
+    }
+
     @Test
     public void aWithdrawnKeyStopsWorkingAtAllInstances() {
         mFleet.keys().remove(KEY);
@@ -398,7 +411,8 @@
 
     @Test
     public void keysAreNamedPerAccount() {
-        Map<String, String> keys = Map.copyOf(mFleet.keys());
+        Map<String, String> keys = new HashMap<>(mFleet.keys());
+        keys.remove("key-home");
         keys.forEach(
                 (key, account) -> {
                     PlatformCaller.Answer answer =
