--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
@@ -9,18 +9,7 @@
 /** Chooses the headers of a caller's request that may reach an endpoint. */
 final class HeaderFilter {
 
-    private static final Set<String> HOP_BY_HOP =
-            Set.of(
-                    "connection",
-                    "keep-alive",
-                    "proxy-connection",
-                    "transfer-encoding",
-                    "content-length",
-                    "te",
-                    "trailer",
-                    "upgrade",
-                    "expect",
-                    "host");
+    private static final String HOST = "host";
     private static final Set<String> CREDENTIALS =
             Set.of(
                     "authorization",
@@ -47,7 +36,8 @@
                     String lower = name.toLowerCase(Locale.ROOT);
                     boolean leaks = secret != null && value.contains(secret);
                     boolean dropped =
-                            HOP_BY_HOP.contains(lower)
+                            HopByHopHeaders.contains(lower)
+                                    || HOST.equals(lower)
                                     || CREDENTIALS.contains(lower)
                                     || OWN.contains(lower);
                     if (!dropped && !leaks) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpSink.java
@@ -5,18 +5,22 @@
 import java.util.Map;
 
 /** Sends an answer to a caller over HTTP. */
-final class HttpSink implements ResponseSink {
+public class HttpSink implements ResponseSink {
 
     private final HttpServerResponse mResponse;
     private boolean mHeadSent;
 
-    HttpSink(HttpServerResponse response) {
+    /** Creates a sink that sends to the response. */
+    public HttpSink(HttpServerResponse response) {
         mResponse = response;
     }
 
     @Override
     public void head(int status, Map<String, String> headers) {
         mHeadSent = true;
+        if (mResponse.closed() || mResponse.ended()) {
+            return;
+        }
         mResponse.setStatusCode(status);
         headers.forEach(this::putHeader);
         if (!headers.containsKey("content-length")) {
@@ -39,7 +43,7 @@
 
     @Override
     public void write(Buffer data) {
-        if (!mResponse.closed() && !mResponse.ended()) {
+        if (!mResponse.closed() && !mResponse.ended() && data.length() > 0) {
             mResponse.write(data);
         }
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ResponseSink.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ResponseSink.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** Takes the answer to a request, for a caller or for the instance that forwarded it. */
-interface ResponseSink {
+public interface ResponseSink {
 
     /** Sends the status and the headers. */
     void head(int status, Map<String, String> headers);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
@@ -111,6 +111,11 @@
                 : new Refusal(504, "timed_out", "The endpoint gave no answer in time.", false, 0);
     }
 
+    /** Returns whether the request's body may not have been read, so the connection must end. */
+    boolean leavesBytesUnread() {
+        return status == 413 || status == 501;
+    }
+
     String body() {
         return Json.MAPPER
                 .createObjectNode()
