Finish streams that broke midway also when others wait; test that leaving callers end their runs

Cause (read in the code): after its goal a broken stream counted as one that has not begun, so it was given up where others waited.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -21,6 +21,12 @@
 /** Holds the state of one request from its arrival to the end of its answer. */
 final class GatewayExchange {
 
+    /** The least time that a request needs once it starts, in milliseconds. */
+    private static final long MIN_RUN_MS = 100;
+
+    /** A forwarded request starts at once or goes back, as its wait is the caller's region's. */
+    private static final long FORWARDED_WAIT_MS = 200;
+
     private static final AccountId EVERYBODY = AccountId.of("everybody");
 
     private final RequestHead mHead;
@@ -129,6 +135,24 @@
         return mRoute.kind() == RequestKind.STREAM;
     }
 
+    /**
+     * Returns when the request must start, if it has to wait.
+     *
+     * <p>A stream that has not begun by its goal is late already. Under overload it would take the
+     * place of one that can still be in time, so its caller is rather told when to come back. One
+     * that broke off midway is finished as long as its caller waits.
+     */
+    long latestStartMs() {
+        long endMs = mEndMs - MIN_RUN_MS;
+        if (mRelay != null) {
+            return endMs;
+        }
+        if (mForwarded) {
+            return Math.min(endMs, mArrivedMs + FORWARDED_WAIT_MS);
+        }
+        return isStream() ? Math.min(endMs, mArrivedMs + mRoute.goalMs()) : endMs;
+    }
+
     /** Returns the rank of the request; the account's overrides the route's. */
     int priority() {
         return mAccount.flatMap(AccountRule::priority).orElse(mRoute.priority());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
-import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
@@ -23,12 +22,6 @@
 /** Starts requests at endpoints or in other regions, and keeps those that have to wait. */
 final class RequestDispatcher {
 
-    /** The least time that a request needs once it starts, in milliseconds. */
-    private static final long MIN_RUN_MS = 100;
-
-    /** A forwarded request starts at once or goes back, as its wait is the caller's region's. */
-    private static final long FORWARDED_WAIT_MS = 200;
-
     /** A request goes before those of the next lower rank that came so much earlier. */
     private static final long RANK_MS = 400;
 
@@ -104,7 +97,7 @@
     private void enqueue(GatewayExchange exchange, ServiceQueue queue) {
         long nowMs = Clocks.steadyMs();
         long waitMs = expectedWaitMs(exchange, queue);
-        long latestStartMs = latestStartMs(exchange);
+        long latestStartMs = exchange.latestStartMs();
         if (nowMs + waitMs > latestStartMs) {
             mStarter.giveUp(exchange, Refusal.overloaded(retryAfterMs(waitMs)));
             return;
@@ -122,22 +115,6 @@
         return Math.max(1, exchange.head().tokens().orElse(1L));
     }
 
-    /**
-     * Returns when the request must start.
-     *
-     * <p>A stream that has not begun by its goal is late already. Under overload it would take the
-     * place of one that can still be in time, so its caller is rather told when to come back.
-     */
-    private static long latestStartMs(GatewayExchange exchange) {
-        long endMs = exchange.endMs() - MIN_RUN_MS;
-        if (exchange.forwarded()) {
-            return Math.min(endMs, exchange.arrivedMs() + FORWARDED_WAIT_MS);
-        }
-        return exchange.route().kind() == RequestKind.STREAM
-                ? Math.min(endMs, exchange.arrivedMs() + exchange.route().goalMs())
-                : endMs;
-    }
-
     private long retryAfterMs(long waitMs) {
         double spread = 0.75 + 0.5 * mRandom.nextDouble();
         long limitedMs = Math.max(MIN_RETRY_AFTER_MS, Math.min(waitMs, MAX_RETRY_AFTER_MS));
--- /dev/null
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
@@ -0,0 +1,165 @@
+package org.filbertrudder.gateway.traffic;
+
+import static org.testng.Assert.assertEquals;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.config.Backend;
+import org.filbertrudder.gateway.config.RequestKind;
+import org.filbertrudder.gateway.config.RouteRule;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests what a request may still do. */
+public class GatewayExchangeTest {
+
+    private static final long ARRIVED_MS = 10_000;
+
+    private static Set<RegionId> regions(String... names) {
+        return Set.of(names).stream().map(RegionId::of).collect(Collectors.toSet());
+    }
+
+    private static GatewayExchange exchange(
+            RequestKind kind,
+            boolean resumable,
+            boolean forwarded,
+            Set<RegionId> routeHomes,
+            Set<RegionId> accountHomes) {
+        RouteRule route =
+                new RouteRule(
+                        "r",
+                        "h",
+                        "/",
+                        kind,
+                        8_000,
+                        1_200,
+                        1,
+                        List.of(new Backend(ServiceId.of("s"), 1)),
+                        2,
+                        false,
+                        resumable,
+                        routeHomes);
+        AccountRule account =
+                new AccountRule(
+                        AccountId.of("club"),
+                        Optional.empty(),
+                        Optional.empty(),
+                        true,
+                        0,
+                        accountHomes);
+        RequestHead head =
+                new RequestHead(
+                        "a1",
+                        "h",
+                        Optional.empty(),
+                        OptionalLong.of(5_000),
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        Map.of());
+        return new GatewayExchange(
+                head,
+                "POST",
+                "/x",
+                Buffer.buffer(),
+                route,
+                Optional.of(account),
+                ServiceId.of("s"),
+                forwarded,
+                null,
+                ARRIVED_MS);
+    }
+
+    private static GatewayExchange exchange(
+            RequestKind kind, boolean resumable, boolean forwarded) {
+        return exchange(kind, resumable, forwarded, Set.of(), Set.of());
+    }
+
+    /** Lists kinds of request, whether they are forwarded, and how long they may wait. */
+    @DataProvider
+    public Object[][] waits() {
+        return new Object[][] {
+            {RequestKind.STREAM, false, 1_200},
+            {RequestKind.STREAM, true, 200},
+            {RequestKind.SAFE, false, 4_900},
+            {RequestKind.UNSAFE, true, 200},
+        };
+    }
+
+    @Test(dataProvider = "waits")
+    public void waitsOnlyWhileThatHelps(RequestKind kind, boolean forwarded, long waitMs) {
+        assertEquals(exchange(kind, true, forwarded).latestStartMs(), ARRIVED_MS + waitMs);
+    }
+
+    @Test
+    public void aStreamThatBrokeMidwayMayWaitUntilItsCallersTimeIsOver() {
+        GatewayExchange exchange = exchange(RequestKind.STREAM, true, false);
+        exchange.setRelay(new StreamRelay(null, 3));
+
+        assertEquals(exchange.latestStartMs(), ARRIVED_MS + 4_900);
+    }
+
+    /** Lists requests, how often they may have run, and whether they may run again. */
+    @DataProvider
+    public Object[][] repeats() {
+        return new Object[][] {
+            {RequestKind.UNSAFE, false, false, 0, true},
+            {RequestKind.UNSAFE, false, false, 1, false},
+            {RequestKind.SAFE, false, false, 1, true},
+            {RequestKind.SAFE, false, false, 2, false},
+            {RequestKind.SAFE, false, true, 1, false},
+            {RequestKind.STREAM, false, false, 1, false},
+            {RequestKind.STREAM, true, false, 1, true},
+            {RequestKind.STREAM, true, true, 1, false},
+        };
+    }
+
+    @Test(dataProvider = "repeats")
+    public void runsAgainOnlyWhereThatIsAllowed(
+            RequestKind kind, boolean resumable, boolean forwarded, int runs, boolean again) {
+        GatewayExchange exchange = exchange(kind, resumable, forwarded);
+        for (int i = 0; i < runs; i++) {
+            exchange.countSend();
+        }
+
+        assertEquals(exchange.mayRunAgain(), again);
+    }
+
+    @Test
+    public void aRunThatWasCertainlyNoneFreesTheRequest() {
+        GatewayExchange exchange = exchange(RequestKind.UNSAFE, false, false);
+        exchange.countSend();
+        exchange.takeBackRun();
+
+        assertEquals(exchange.mayRunAgain(), true);
+        assertEquals(exchange.sends(), 1);
+    }
+
+    /** Lists homes of route and account, and whether no region suits both. */
+    @DataProvider
+    public Object[][] homes() {
+        return new Object[][] {
+            {regions(), regions(), false},
+            {regions("mtl"), regions(), false},
+            {regions("mtl", "sag"), regions("sag"), false},
+            {regions("mtl"), regions("gas"), true},
+        };
+    }
+
+    @Test(dataProvider = "homes")
+    public void theHomesOfRouteAndAccountBindBoth(
+            Set<RegionId> route, Set<RegionId> account, boolean none) {
+        GatewayExchange exchange = exchange(RequestKind.SAFE, false, false, route, account);
+
+        assertEquals(exchange.hasNoHome(), none);
+    }
+}
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -369,6 +369,40 @@
         stopped.join();
     }
 
+    /** Lists instances and paths of streams that no event of has been sent. */
+    @DataProvider
+    public Object[][] unheardStreams() {
+        return new Object[][] {{"mtl-1", "/chat/"}, {"mtl-1", "/label/"}, {"sag-1", "/label/"}};
+    }
+
+    @Test(dataProvider = "unheardStreams")
+    public void aCallerThatLeavesEndsItsRun(String gateway, String path) {
+        mFleet.replicas().forEach(replica -> replica.setFault(Fault.HANG));
+        String request =
+                "POST "
+                        + path
+                        + "x HTTP/1.1\r\nHost: "
+                        + PlatformFleet.HOST
+                        + "\r\n"
+                        + "Filbertrudder-Attempt-Id: leaving\r\n"
+                        + "Content-Length: 0\r\n"
+                        + "Filbertrudder-Token-Usage: 600,80\r\n"
+                        + "Authorization: Bearer key-club\r\n\r\n";
+
+        RawCall.sendAndLeave(
+                mFleet.settings(gateway).callers(),
+                request,
+                () -> PlatformFleet.await("it runs", () -> running() == 1));
+
+        long leftNs = System.nanoTime();
+        PlatformFleet.await("the run has ended", () -> running() == 0);
+        assertTrue(System.nanoTime() - leftNs < 500_000_000L, "The run went on for too long.");
+    }
+
+    private int running() {
+        return mFleet.replicas().stream().mapToInt(ReplicaStandIn::running).sum();
+    }
+
     /** Lists heads that are ambiguous or that no framing is known for, and their status. */
     @DataProvider
     public Object[][] oddHeads() {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/RawCall.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/RawCall.java
@@ -26,4 +26,14 @@
             throw new UncheckedIOException(e);
         }
     }
+
+    /** Sends a request, runs the action and closes the connection without reading anything. */
+    static void sendAndLeave(PeerAddress to, String text, Runnable action) {
+        try (Socket socket = new Socket(to.host(), to.port())) {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            action.run();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 }
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.standins.platform;
 
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -8,6 +9,7 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.filbertrudder.model.Json;
 
@@ -171,15 +173,15 @@
 
     private void begin(HttpServerRequest request, String requestId, String body) {
         mRunning.incrementAndGet();
-        boolean[] ended = new boolean[1];
-        request.response()
-                .endHandler(
-                        ignored -> {
-                            if (!ended[0]) {
-                                ended[0] = true;
-                                mRunning.decrementAndGet();
-                            }
-                        });
+        AtomicBoolean ended = new AtomicBoolean();
+        Handler<Void> end =
+                ignored -> {
+                    if (ended.compareAndSet(false, true)) {
+                        mRunning.decrementAndGet();
+                    }
+                };
+        request.response().endHandler(end);
+        request.response().closeHandler(end);
         mRunsById.merge(requestId, 1, Integer::sum);
         mRuns.add(
                 new Run(
