--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RandomMessages.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RandomMessages.java
@@ -83,7 +83,7 @@
         } else if (type == List.class) {
             return list(generic);
         } else if (type == Map.class) {
-            return new HashMap<>(Map.of("odd", "value"));
+            return map(generic);
         } else if (type.isEnum()) {
             return type.getEnumConstants()[mRandom.nextInt(type.getEnumConstants().length)];
         } else if (type == Edit.class) {
@@ -109,6 +109,13 @@
         return newRecord(type);
     }
 
+    private Map<String, Object> map(Type generic) {
+        Type value = ((ParameterizedType) generic).getActualTypeArguments()[1];
+        Map<String, Object> entries = new HashMap<>();
+        entries.put("odd", value == Long.class ? (Object) oddNumber() : "value");
+        return entries;
+    }
+
     private List<Object> list(Type generic) {
         Class<?> element = (Class<?>) ((ParameterizedType) generic).getActualTypeArguments()[0];
         List<Object> values = new ArrayList<>();
