Fill shares of accounts that become known after their shard was taken

A shard may be taken before the first configuration is in force; its accounts then got their shares, empty, with their first requests only. Ruled out: the loan book, the clock, the live list. TokenHolderTest fails on the old code (2 of 2) and passes now; the order of events decides whether a fleet shows it, so the older pass is no proof.

--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/TokenHolder.java
@@ -11,6 +11,7 @@
 import org.filbertrudder.model.Account;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.EntityKind;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.HandedShare;
 import org.filbertrudder.model.message.PeerMessage;
@@ -30,6 +31,7 @@
     private final RegionId mRegion;
     private final TokenSettings mSettings;
     private final Set<Integer> mShards = new TreeSet<>();
+    private final Map<Integer, Long> mStartsMs = new HashMap<>();
     private final Map<AccountId, AccountShare> mShares = new HashMap<>();
     private final Set<AccountId> mActive = new TreeSet<>();
     private final LoanBook mLoans;
@@ -59,7 +61,12 @@
 
     /** Adopts new contracts. */
     public void setConfiguration(Configuration configuration, long nowMs) {
+        boolean accountsChanged =
+                configuration.lastChangeOf(EntityKind.ACCOUNT) > mConfiguration.revision();
         mConfiguration = configuration;
+        if (accountsChanged) {
+            addMissingShares(nowMs);
+        }
         Iterator<Map.Entry<AccountId, AccountShare>> each = mShares.entrySet().iterator();
         while (each.hasNext()) {
             Map.Entry<AccountId, AccountShare> entry = each.next();
@@ -105,9 +112,18 @@
 
     private void acquire(int shard, long startMs) {
         if (mShards.add(shard)) {
-            mConfiguration.all(Account.class).stream()
-                    .filter(account -> shardOf(account.id(), mSettings.shards()) == shard)
-                    .forEach(account -> mShares.put(account.id(), newShare(account, startMs)));
+            mStartsMs.put(shard, startMs);
+            addMissingShares(startMs);
+        }
+    }
+
+    /** Adds the shares of accounts that came to be known after their shard was acquired. */
+    private void addMissingShares(long nowMs) {
+        for (Account account : mConfiguration.all(Account.class)) {
+            int shard = shardOf(account.id(), mSettings.shards());
+            if (mShards.contains(shard)) {
+                mShares.computeIfAbsent(account.id(), id -> newShare(account, shard, nowMs));
+            }
         }
     }
 
@@ -119,7 +135,8 @@
                 .toList();
     }
 
-    private AccountShare newShare(Account account, long startMs) {
+    private AccountShare newShare(Account account, int shard, long nowMs) {
+        long startMs = Math.max(nowMs, mStartsMs.getOrDefault(shard, nowMs));
         return new AccountShare(account.contract(), fraction(account), mSettings, startMs);
     }
 
@@ -187,7 +204,9 @@
         if (grantsNothing() || !mShards.contains(shardOf(id, mSettings.shards()))) {
             return refuse(asker, ReserveOutcome.NOT_HOLDER);
         }
-        AccountShare share = mShares.computeIfAbsent(id, key -> newShare(account.get(), nowMs));
+        int shard = shardOf(id, mSettings.shards());
+        AccountShare share =
+                mShares.computeIfAbsent(id, key -> newShare(account.get(), shard, nowMs));
         if (share.neverFits(tokens)) {
             return refuse(asker, ReserveOutcome.TOO_LARGE);
         }
