Notice streams that fall silent and keep few idle connections

Cause: an answer that had begun was not watched, so a stream on a connection that fell silent ended with its caller's deadline; a forwarded request to an engine that never answers was not tried elsewhere either. Idle connections to an endpoint were not bounded by what it accepts from all instances.

Change: one watch for each attempt, before and after its first byte; a silent endpoint rests and loses its idle connections; forwarded attempts are watched where the caller connected. Idle connections are limited to half of what an endpoint accepts, divided by the instances of its region. The log names prompts and what was known of the engine. Fields of entries and services that nothing used are gone.

Test: PlatformFleetTest.aStreamOfASilentEngineGoesOnElsewhere[MUTE] failed on the code before (status 0), [HANG] passed there; both pass now, with all 38 others.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/EndpointEntry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/EndpointEntry.java
@@ -1,6 +1,5 @@
 package org.filbertrudder.gateway.config;
 
-import java.util.OptionalLong;
 import org.filbertrudder.model.Endpoint;
 
 /**
@@ -10,11 +9,5 @@
  * @param leaving whether it takes no new work
  * @param warmupMs how much longer it stays cold, as of the registration, in milliseconds
  * @param startedMs when its process started, in milliseconds since the epoch; 0 if it does not say
- * @param remainingMs how long it goes on running, if it is to be taken away, in milliseconds
  */
-public record EndpointEntry(
-        Endpoint endpoint,
-        boolean leaving,
-        long warmupMs,
-        long startedMs,
-        OptionalLong remainingMs) {}
+public record EndpointEntry(Endpoint endpoint, boolean leaving, long warmupMs, long startedMs) {}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
@@ -14,6 +14,8 @@
  * @param kind how requests may be repeated
  * @param timeoutMs the longest time until a request's final answer, in milliseconds
  * @param goalMs the time within which an answer is in time, in milliseconds
+ * @param pauseGoalMs the longest pause in a stream that is still in time, in milliseconds; 0 if the
+ *     operators name none
  * @param priority the rank of the requests; 0 is the most urgent
  * @param backends the services that share the requests; at least one
  * @param maxRuns the most endpoints that may begin to run one request
@@ -28,6 +30,7 @@
         RequestKind kind,
         long timeoutMs,
         long goalMs,
+        long pauseGoalMs,
         int priority,
         List<Backend> backends,
         int maxRuns,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/ServiceRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/ServiceRule.java
@@ -7,7 +7,6 @@
  * Describes a service that endpoints provide.
  *
  * @param id the service's id
- * @param healthPath the path of the health check
  * @param maxConnections the connections that an endpoint accepts from all callers together
  * @param warmupMs how long an endpoint stays cold after its start, in milliseconds
  * @param warmupPerSecond the requests a second that a cold endpoint bears; 0 means no limit
@@ -15,7 +14,6 @@
  */
 public record ServiceRule(
         ServiceId id,
-        String healthPath,
         int maxConnections,
         long warmupMs,
         double warmupPerSecond,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.Map;
+import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.control.Clocks;
 
 /** Follows one attempt and passes its answer on. */
@@ -10,6 +11,12 @@
     /** A repeatable request without an answer after so many goals is tried elsewhere. */
     private static final long STALL_GOALS = 2;
 
+    /**
+     * A repeatable answer that pauses for so many times the longest pause in time goes on
+     * elsewhere; callers give up after eight. An engine that preempts a request pauses for a few.
+     */
+    private static final long STALL_PAUSES = 6;
+
     private static final long MIN_STALL_MS = 1_000;
 
     /** Answers up to this length are passed on only when they are whole, in bytes. */
@@ -23,6 +30,8 @@
     private boolean mStreaming;
     private boolean mPiping;
     private long mStallTimer = -1;
+    private long mHeardMs;
+    private boolean mPaused;
     boolean mOver;
 
     AnswerAttempt(AttemptRunner runner, GatewayExchange exchange) {
@@ -46,19 +55,41 @@
     /** Notes an attempt without an answer for a long time. */
     abstract void silent();
 
-    void armStallTimer() {
-        if (!mExchange.route().isRepeatable()) {
-            return;
+    /** Begins to watch for an answer that does not come or does not go on. */
+    void watchForStall() {
+        mHeardMs = Clocks.steadyMs();
+        if (mExchange.route().isRepeatable()) {
+            checkLater(stallMs());
         }
-        long stallMs = Math.max(MIN_STALL_MS, STALL_GOALS * mExchange.route().goalMs());
-        mStallTimer = mTools.vertx().setTimer(stallMs, ignored -> stalled());
     }
 
-    private void stalled() {
-        boolean hopeless = mExchange.endMs() - Clocks.steadyMs() < MIN_STALL_MS;
-        if (mOver || mHead != null || hopeless || !mExchange.mayRunAgain()) {
+    private void checkLater(long delayMs) {
+        mStallTimer = mTools.vertx().setTimer(Math.max(1, delayMs), ignored -> checkStall());
+    }
+
+    private long stallMs() {
+        RouteRule route = mExchange.route();
+        long begun = STALL_PAUSES * route.pauseGoalMs();
+        long usual = mStreaming && begun > 0 ? begun : STALL_GOALS * route.goalMs();
+        return Math.max(MIN_STALL_MS, usual);
+    }
+
+    private void checkStall() {
+        long nowMs = Clocks.steadyMs();
+        if (mOver || mPiping || mExchange.endMs() - nowMs < MIN_STALL_MS) {
             return;
         }
+        long leftMs = mPaused ? stallMs() : mHeardMs + stallMs() - nowMs;
+        if (leftMs > 0) {
+            checkLater(leftMs);
+        } else if (mExchange.mayRunAgain()) {
+            stalled();
+        } else {
+            silent();
+        }
+    }
+
+    private void stalled() {
         mExchange.trace("stalled");
         over(false);
         abort();
@@ -86,6 +117,7 @@
     @Override
     public void head(AnswerHead head) {
         mHead = head;
+        mHeardMs = Clocks.steadyMs();
         if (head.notRun() || !head.isSuccess() || !mExchange.isStream()) {
             return;
         }
@@ -98,7 +130,6 @@
 
     private void startStream(AnswerHead head) {
         mStreaming = true;
-        mTools.vertx().cancelTimer(mStallTimer);
         if (mExchange.relay() == null) {
             mExchange.setRelay(new StreamRelay(mExchange.sink(), mExchange.head().lastEventId()));
             Map<String, String> headers = head.passedHeaders();
@@ -126,6 +157,7 @@
             spoiled("no-head");
             return;
         }
+        mHeardMs = Clocks.steadyMs();
         if (mStreaming) {
             noteProgress();
             if (!mExchange.relay().data(data)) {
@@ -139,11 +171,18 @@
             pipeLong();
         }
         if (mExchange.sink().full()) {
+            mPaused = true;
             pause();
-            mExchange.sink().onDrain(this::resume);
+            mExchange.sink().onDrain(this::drained);
         }
     }
 
+    private void drained() {
+        mPaused = false;
+        mHeardMs = Clocks.steadyMs();
+        resume();
+    }
+
     /** Passes a long answer on as it comes instead of holding it until it is whole. */
     private void pipeLong() {
         boolean acceptable = mHead.isSuccess() && mHead.signed() && !mHead.encoded();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AwayAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AwayAttempt.java
@@ -41,6 +41,7 @@
                             .map(prompt -> expected.get().startPrompt(prompt, nowMs));
             mTools.vertx().setTimer(REPORT_DELAY_MS, ignored -> endEstimate());
         }
+        watchForStall();
         long leftMs = mExchange.endMs() - nowMs;
         mForward = mTools.forwards().start(mMember, mExchange, snapshot, leftMs, this);
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnections.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnections.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
@@ -30,10 +31,17 @@
 
     private final NetClient mClient;
     private final HttpProtocol mProtocol;
+    private final ToIntFunction<Endpoint> mIdleLimit;
     private final Map<EndpointId, Pool> mPools = new HashMap<>();
     private long mOpened;
 
-    EndpointConnections(Vertx vertx, HttpProtocol protocol) {
+    /**
+     * Creates an empty set.
+     *
+     * @param idleLimit tells how many idle connections to an endpoint may be kept
+     */
+    EndpointConnections(Vertx vertx, HttpProtocol protocol, ToIntFunction<Endpoint> idleLimit) {
+        mIdleLimit = idleLimit;
         mClient =
                 vertx.createNetClient(
                         new NetClientOptions()
@@ -97,13 +105,22 @@
     /** Takes a connection back; one that cannot be used again is closed. */
     void release(Endpoint endpoint, EndpointConnection connection) {
         Pool pool = mPools.get(endpoint.id());
-        if (pool == null || !pool.matches(endpoint) || !connection.isReusable()) {
+        boolean usable = pool != null && pool.matches(endpoint) && connection.isReusable();
+        if (!usable || pool.mIdle.size() >= mIdleLimit.applyAsInt(endpoint)) {
             connection.close();
         } else {
             pool.mIdle.addFirst(connection);
         }
     }
 
+    /** Closes the idle connections to an endpoint, as they may have fallen silent. */
+    void dropIdle(EndpointId endpoint) {
+        Pool pool = mPools.get(endpoint);
+        if (pool != null) {
+            pool.closeExpired(Long.MAX_VALUE);
+        }
+    }
+
     /** Closes connections that are about to expire or whose endpoint is gone. */
     void tick(Set<EndpointId> known) {
         long nowMs = Clocks.steadyMs();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointDoctor.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointDoctor.java
@@ -58,8 +58,15 @@
                 });
     }
 
-    /** Checks an endpoint that has not answered for a long time. */
+    /**
+     * Checks an endpoint that has not answered for a long time, over a new connection.
+     *
+     * <p>It rests in any case: some accept connections and answer nothing.
+     */
     void silent(EndpointState endpoint) {
+        LOG.info("An endpoint has fallen silent.", Field.of("endpoint", endpoint.id()));
+        mConnections.dropIdle(endpoint.id());
+        endpoint.notReachable(Clocks.steadyMs());
         mConnections.open(
                 endpoint.endpoint(),
                 connection -> {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ExchangeFinisher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ExchangeFinisher.java
@@ -7,6 +7,7 @@
 import org.filbertrudder.gateway.control.AllowanceDesk;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.policy.routing.PromptDemand;
 
 /** Ends exchanges: sends the last words, returns unused tokens, writes the log line. */
 final class ExchangeFinisher {
@@ -74,6 +75,8 @@
                 Field.of("ms", tookMs),
                 Field.of("runs", exchange.runs()),
                 Field.of("forwarded", exchange.forwarded()),
+                Field.of(
+                        "prompt", exchange.head().prompt().map(PromptDemand::summary).orElse(null)),
                 Field.of("steps", exchange.traceText()),
                 Field.of("version", mControl.snapshot().configuration().version()),
                 Field.of("stateAgeMs", mControl.fence().ageMs(Clocks.now())));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -49,6 +49,9 @@
     /** How long a stopping instance accepts requests of callers that have not heard of it. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 3_000;
 
+    /** Half of the connections that an endpoint accepts are left for running requests. */
+    private static final int IDLE_CONNECTION_DIVISOR = 2;
+
     /** Kept from the time that a stop may take, for the last bytes and the exit. */
     private static final long STOP_MARGIN_MS = 500;
 
@@ -95,7 +98,7 @@
                         violation -> LOG.warn("A peer was rejected.", Field.of("why", violation)));
         mBoard = new RegionBoard(mTable, mControl::snapshot, mNetwork);
         mForwards = new PeerForwards(mNetwork);
-        mConnections = new EndpointConnections(vertx, mProtocol);
+        mConnections = new EndpointConnections(vertx, mProtocol, this::idleLimit);
         mFinisher = new ExchangeFinisher(mControl, mMetrics);
         AttemptTools tools =
                 new AttemptTools(
@@ -143,6 +146,18 @@
         mMetrics.gauge("endpoint_connections_opened", mConnections::opened);
     }
 
+    /** Returns this instance's part of the connections that an endpoint accepts, for idle ones. */
+    private int idleLimit(Endpoint endpoint) {
+        GatewaySnapshot snapshot = mControl.snapshot();
+        int accepted =
+                Optional.ofNullable(snapshot.configuration())
+                        .flatMap(configuration -> configuration.service(endpoint.service()))
+                        .map(ServiceRule::maxConnections)
+                        .orElse(Integer.MAX_VALUE);
+        int instances = Math.max(1, snapshot.workingIn(endpoint.region()).size());
+        return Math.max(1, accepted / (IDLE_CONNECTION_DIVISOR * instances));
+    }
+
     private boolean isStopping() {
         return mStoppingSinceMs != Long.MAX_VALUE;
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -5,6 +5,7 @@
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.PromptDemand;
 import org.filbertrudder.policy.routing.PromptRun;
 
 /** Runs a request at an endpoint of this region. */
@@ -24,15 +25,25 @@
         long nowMs = Clocks.steadyMs();
         mExchange.tried().add(mEndpoint.id());
         mExchange.trace("to=" + mEndpoint.id() + "@" + (nowMs - mExchange.arrivedMs()));
+        mExchange.head().prompt().ifPresent(prompt -> traceEngine(prompt, nowMs));
         mExchange.setAttempt(this);
         mExchange.countSend();
         mEndpoint.started(false, nowMs);
         mPrompt = mExchange.head().prompt().map(prompt -> mEndpoint.startPrompt(prompt, nowMs));
-        armStallTimer();
+        watchForStall();
         mTools.connections()
                 .acquire(mEndpoint.endpoint(), mExchange.route().isRepeatable(), this::connected);
     }
 
+    /** Adds what was known of the engine when it was chosen. */
+    private void traceEngine(PromptDemand prompt, long nowMs) {
+        mExchange.trace(
+                "uncached="
+                        + mEndpoint.missingSharedTokens(prompt, nowMs)
+                        + " backlogMs="
+                        + Math.round(mEndpoint.backlogMs()));
+    }
+
     private void connected(EndpointConnection connection) {
         if (mOver) {
             if (connection != null) {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
@@ -24,6 +24,7 @@
                 RequestKind.SAFE,
                 1_000,
                 500,
+                400,
                 0,
                 List.of(new Backend(ServiceId.of("s"), 1)),
                 2,
@@ -121,6 +122,7 @@
                         1,
                         1,
                         0,
+                        0,
                         List.of(
                                 new Backend(ServiceId.of("old"), 90),
                                 new Backend(ServiceId.of("new"), 10)),
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.filbertrudder.gateway.config.EndpointEntry;
 import org.filbertrudder.model.Endpoint;
@@ -41,7 +40,7 @@
                         "10.0.0.1",
                         80,
                         8);
-        return new EndpointEntry(endpoint, leaving, warmupMs, startedMs, OptionalLong.empty());
+        return new EndpointEntry(endpoint, leaving, warmupMs, startedMs);
     }
 
     private static Map<EndpointId, EndpointEntry> entries(EndpointEntry... entries) {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
@@ -42,6 +42,7 @@
                         kind,
                         8_000,
                         1_200,
+                        400,
                         1,
                         List.of(new Backend(ServiceId.of("s"), 1)),
                         2,
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -108,7 +108,7 @@
     }
 
     /** Returns the tokens of the prompt's shared parts that are probably not cached there. */
-    long missingSharedTokens(PromptDemand prompt, long nowMs) {
+    public long missingSharedTokens(PromptDemand prompt, long nowMs) {
         return mEngine.missingSharedTokens(prompt, nowMs);
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
@@ -31,4 +31,9 @@
         List<PromptPart> shared = sharedParts();
         return shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
     }
+
+    /** Returns the prompt in a few words for the log: its shared part and sizes in tokens. */
+    public String summary() {
+        return affinityKey() + ":" + promptTokens + "+" + outputTokens;
+    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
@@ -108,11 +108,6 @@
                 .toList();
     }
 
-    /** Returns whether the account has a contract. */
-    public boolean isLimited(AccountId account) {
-        return mContracts.containsKey(account);
-    }
-
     /** Answers a request for tokens now or, if it has to wait, by a later effect. */
     public List<TokenEffect> reserve(
             Asker asker, AccountId account, long tokens, long deadlineMs, long nowMs) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -221,6 +221,7 @@
                 .put("type", type)
                 .put("timeoutMs", 4_000)
                 .put("goalMs", 500)
+                .put("gapTargetMs", 100)
                 .put("priority", 1)
                 .put("service", service)
                 .put("attempts", 2)
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -171,6 +171,25 @@
         assertEquals(runs(answer.requestId()), 2);
     }
 
+    /** Lists how an engine falls silent. */
+    @DataProvider
+    public Object[][] silences() {
+        return new Object[][] {{Fault.MUTE}, {Fault.HANG}};
+    }
+
+    @Test(dataProvider = "silences")
+    public void aStreamOfASilentEngineGoesOnElsewhere(Fault fault) {
+        PlatformCaller.Answer first = mFleet.caller("mtl-1").stream("/digest/x", KEY, "subject");
+        mFleet.replicas().stream()
+                .filter(replica -> replica.runsOf(first.requestId()) > 0)
+                .forEach(replica -> replica.setFault(fault));
+
+        PlatformCaller.Answer answer = mFleet.caller("mtl-1").stream("/digest/x", KEY, "subject");
+
+        assertWholeStream(answer);
+        assertEquals(runs(answer.requestId()), 2);
+    }
+
     @Test
     public void aStreamThatMustNotBeResumedNeverLooksWhole() {
         mFleet.replicas().forEach(replica -> replica.setFault(Fault.BREAK));
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -68,6 +68,8 @@
         ERROR,
         /** Requests run and are never answered. */
         HANG,
+        /** Streams stop in the middle without an end, other requests are never answered. */
+        MUTE,
         /** Requests are turned away unrun. */
         FULL,
         /** Answers have no signature. */
@@ -200,17 +202,22 @@
         boolean stream = request.getHeader("Filbertrudder-Token-Usage") != null;
         switch (mFault) {
             case HANG -> {}
+            case MUTE -> {
+                if (stream) {
+                    stream(request, response, Cut.SILENCE);
+                }
+            }
             case ERROR -> mVertx.setTimer(WORK_MS, t -> response.setStatusCode(500).end("error"));
             case BREAK -> {
                 if (stream) {
-                    stream(request, response, true);
+                    stream(request, response, Cut.RESET);
                 } else {
                     mVertx.setTimer(WORK_MS, t -> request.connection().close());
                 }
             }
             default -> {
                 if (stream) {
-                    stream(request, response, false);
+                    stream(request, response, Cut.NONE);
                 } else {
                     answer(request, response);
                 }
@@ -223,7 +230,14 @@
         mVertx.setTimer(WORK_MS, timer -> response.end(body));
     }
 
-    private void stream(HttpServerRequest request, HttpServerResponse response, boolean breaks) {
+    /** Lists how a stream ends early. */
+    private enum Cut {
+        NONE,
+        RESET,
+        SILENCE
+    }
+
+    private void stream(HttpServerRequest request, HttpServerResponse response, Cut cut) {
         String last = request.getHeader("Last-Event-Id");
         int[] next = {last == null ? 1 : Integer.parseInt(last) + 1};
         int breakAt = next[0] + 2;
@@ -236,7 +250,9 @@
                     } else if (next[0] > EVENTS) {
                         mVertx.cancelTimer(timer);
                         response.end();
-                    } else if (breaks && next[0] == breakAt) {
+                    } else if (cut == Cut.SILENCE && next[0] == breakAt) {
+                        mVertx.cancelTimer(timer);
+                    } else if (cut == Cut.RESET && next[0] == breakAt) {
                         mVertx.cancelTimer(timer);
                         response.write("id: " + next[0] + "\nda")
                                 .onComplete(done -> request.connection().close());
