Refuse several keys and unknown body codings on the product's own interface

Cause: of two Authorization headers the first counted, and a body of an unknown coding was read as none, though the bytes that follow have no known framing.

Tests: BadInputTest.twoKeysAreRefusedAsAmbiguous (200 before) and anUnknownCodingEndsTheConnection (401 before, connection kept) failed on the old code; both pass. Answers now: 400 ambiguous_key, 501 unknown_coding and a close.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -12,6 +12,7 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.UUID;
 import java.util.function.BiConsumer;
@@ -123,6 +124,17 @@
             refuse(context, malformed());
             return;
         }
+        if (hasUnknownCoding(request)) {
+            // Nobody can tell where such a body ends, so no other request can follow it.
+            request.response().putHeader("connection", "close");
+            request.response().endHandler(ignored -> request.connection().close());
+            refuse(context, unknownCoding());
+            return;
+        }
+        if (request.headers().getAll("authorization").size() > 1) {
+            refuse(context, twoKeys());
+            return;
+        }
         Snapshot snapshot = mContext.snapshot();
         if (snapshot == null || snapshot.configuration().revision() == 0) {
             refuse(context, noConfiguration());
@@ -136,6 +148,22 @@
         context.next();
     }
 
+    private static boolean hasUnknownCoding(HttpServerRequest request) {
+        List<String> codings = request.headers().getAll("transfer-encoding");
+        return codings.size() > 1
+                || (codings.size() == 1 && !codings.get(0).equalsIgnoreCase("chunked"));
+    }
+
+    private static Refusal unknownCoding() {
+        return Refusal.of(
+                501, "unknown_coding", "Send the body with a length or as a chunked one.");
+    }
+
+    private static Refusal twoKeys() {
+        return Refusal.badRequest(
+                "ambiguous_key", "The request shows several keys. Send one Authorization header.");
+    }
+
     private static Refusal noConfiguration() {
         return Refusal.unavailable(
                 "No configuration is in force here yet. Come back later; on a new system an"
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BadInputTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/BadInputTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.testng.annotations.AfterClass;
@@ -221,6 +222,40 @@
         assertServes();
     }
 
+    @Test
+    public void twoKeysAreRefusedAsAmbiguous() {
+        long before = started();
+        String text =
+                "POST "
+                        + CHAT
+                        + " HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\n"
+                        + "authorization: Bearer "
+                        + mKey
+                        + "\r\nauthorization: Bearer fr.k1.other\r\ncontent-length: "
+                        + GOOD_BODY.length()
+                        + "\r\n\r\n"
+                        + GOOD_BODY;
+
+        String answer =
+                RawConnection.exchange(mFleet.process("mtl-1").port("callers"), text, false);
+
+        assertTrue(answer.startsWith("HTTP/1.1 400 "), answer);
+        assertTrue(answer.contains("Authorization"), answer);
+        assertEquals(started(), before, "requests at the engines");
+    }
+
+    @Test
+    public void anUnknownCodingEndsTheConnection() {
+        String text =
+                "POST " + CHAT + " HTTP/1.1\r\nhost: x\r\ntransfer-encoding: xchunked\r\n\r\n";
+
+        String answer =
+                RawConnection.exchange(mFleet.process("mtl-1").port("callers"), text, false);
+
+        assertTrue(answer.startsWith("HTTP/1.1 501 "), answer);
+        assertTrue(answer.toLowerCase(Locale.ROOT).contains("connection: close"), answer);
+    }
+
     @Test
     public void aHalfClosedConnectionHarmsNothing() {
         String text = "POST " + CHAT + " HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{";
