Wait for a busy engine that keeps a prompt, and judge waits by the queue's drain

Cause: shared parts were read again at whatever engine had room while the one that keeps them was busy for a moment; and after a quiet spell or a restart waits were estimated by the demand of that spell, so requests were refused as overloaded that engines could have served.

Change: a first attempt waits up to 0.4 of its goal for a busy engine that is cheaper; RequestDispatcher holds it beside the queue. WaitEstimate measures the queue only while something waits, an account also by its own queue, with a margin.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AwayAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AwayAttempt.java
@@ -54,9 +54,6 @@
     @Override
     void release(boolean answered) {
         endEstimate();
-        if (answered) {
-            mRunner.dispatcher().served(mExchange);
-        }
     }
 
     @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -27,6 +27,9 @@
     /** A forwarded request starts at once or goes back, as its wait is the caller's region's. */
     private static final long FORWARDED_WAIT_MS = 200;
 
+    /** Part of the goal that a request may wait for one engine; the rest is for reading. */
+    private static final double ENGINE_WAIT_PART = 0.4;
+
     private static final AccountId EVERYBODY = AccountId.of("everybody");
 
     private final RequestHead mHead;
@@ -153,6 +156,16 @@
         return isStream() ? Math.min(endMs, mArrivedMs + mRoute.goalMs()) : endMs;
     }
 
+    /**
+     * Returns whether the request may still wait for the engine that keeps its prompt.
+     *
+     * <p>Only the first attempt does, and only as long as its goal stays within reach elsewhere.
+     */
+    boolean mayWaitForEngine(long nowMs) {
+        double waitMs = ENGINE_WAIT_PART * mRoute.goalMs();
+        return !mForwarded && mSends == 0 && nowMs < mArrivedMs + waitMs;
+    }
+
     /** Returns the rank of the request; the account's overrides the route's. */
     int priority() {
         return mAccount.flatMap(AccountRule::priority).orElse(mRoute.priority());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -119,7 +119,6 @@
         mPrompt.ifPresent(PromptRun::end);
         if (answered) {
             mEndpoint.succeeded();
-            mRunner.dispatcher().served(mExchange);
         } else {
             mEndpoint.ended();
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,7 +12,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.policy.queueing.FairQueue;
-import org.filbertrudder.policy.queueing.ServedRate;
+import org.filbertrudder.policy.queueing.WaitEstimate;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.PromptDemand;
 import org.filbertrudder.policy.routing.RegionGraph;
@@ -33,6 +34,9 @@
     /** The kinds of request without room after which a pass over the queue ends. */
     private static final int MAX_SKIPPED = 16;
 
+    /** The requests that wait for one engine after which a pass over the queue ends. */
+    private static final int MAX_HOLDING_OUT = 32;
+
     private final Router mRouter;
     private final RegionGraph mRegions;
     private final Starter mStarter;
@@ -63,7 +67,10 @@
 
     private void route(GatewayExchange exchange, ServiceQueue queue) {
         Route route = choose(exchange, expectedWaitMs(exchange, queue));
-        if (route instanceof Route.Wait) {
+        if (route instanceof Route.WaitForEngine) {
+            exchange.setQueued(true);
+            queue.mHeld.add(exchange);
+        } else if (route instanceof Route.Wait) {
             enqueue(exchange, queue);
         } else {
             start(exchange, route);
@@ -80,6 +87,7 @@
                         Optional.empty(),
                         false,
                         exchange.forwarded(),
+                        exchange.mayWaitForEngine(Clocks.steadyMs()),
                         exchange.head().prompt());
         return mRouter.choose(request, mRegions, localWaitMs, Clocks.steadyMs());
     }
@@ -103,6 +111,7 @@
             return;
         }
         exchange.setQueued(true);
+        queue.mWaits.noteWaiting(exchange.queueAccount(), nowMs);
         queue.mWaiting.add(
                 exchange.queueAccount(),
                 exchange,
@@ -122,10 +131,7 @@
     }
 
     private static long expectedWaitMs(GatewayExchange exchange, ServiceQueue queue) {
-        if (queue.mWaiting.size() == 0) {
-            return 0;
-        }
-        return queue.mServed.waitMs(queue.mWaiting.tokensAhead(exchange.queueAccount()));
+        return queue.mWaits.waitMs(exchange.queueAccount(), queue.mWaiting, Clocks.steadyMs());
     }
 
     /** Starts waiting requests of a service as long as there is room. */
@@ -136,21 +142,37 @@
         }
         queue.mPumping = true;
         try {
+            retryHeld(queue);
             startWaiting(queue);
         } finally {
             queue.mPumping = false;
         }
     }
 
+    /** Tries the requests again that hold out for a busy engine; they are ahead of the queue. */
+    private void retryHeld(ServiceQueue queue) {
+        List<GatewayExchange> held = List.copyOf(queue.mHeld);
+        queue.mHeld.clear();
+        for (GatewayExchange exchange : held) {
+            exchange.setQueued(false);
+            if (!exchange.ended()) {
+                route(exchange, queue);
+            }
+        }
+    }
+
     private void startWaiting(ServiceQueue queue) {
         queue.mSkipped.clear();
+        queue.mHoldingOut = 0;
         while (true) {
             Optional<GatewayExchange> next = queue.mWaiting.poll(this::judge);
             if (next.isEmpty()) {
+                queue.noteWaiting();
                 return;
             }
             GatewayExchange exchange = next.get();
             exchange.setQueued(false);
+            queue.mWaits.noteStart(exchange.queueAccount(), cost(exchange), Clocks.steadyMs());
             if (!exchange.ended()) {
                 start(exchange, queue.mNextRoute);
             }
@@ -162,13 +184,17 @@
             return FairQueue.Turn.START;
         }
         ServiceQueue queue = queue(exchange.service());
-        if (queue.mSkipped.size() >= MAX_SKIPPED) {
+        if (queue.mSkipped.size() >= MAX_SKIPPED || queue.mHoldingOut >= MAX_HOLDING_OUT) {
             return FairQueue.Turn.STOP;
         }
         if (queue.mSkipped.stream().anyMatch(skipped -> skipped.isAtMost(exchange))) {
             return FairQueue.Turn.SKIP;
         }
         queue.mNextRoute = choose(exchange, expectedWaitMs(exchange, queue));
+        if (queue.mNextRoute instanceof Route.WaitForEngine) {
+            queue.mHoldingOut++;
+            return FairQueue.Turn.SKIP;
+        }
         // Requests differ in where they may run, so one that waits holds up no other.
         if (queue.mNextRoute instanceof Route.Wait) {
             queue.mSkipped.add(Skipped.of(exchange));
@@ -177,16 +203,14 @@
         return FairQueue.Turn.START;
     }
 
-    /** Notes served tokens, from which the time that waiting requests need is estimated. */
-    void served(GatewayExchange exchange) {
-        queue(exchange.service()).mServed.note(cost(exchange), Clocks.steadyMs());
-    }
-
     /** Removes a request that has ended while it waited. */
     void remove(GatewayExchange exchange) {
         if (exchange.queued()) {
             exchange.setQueued(false);
-            queue(exchange.service()).mWaiting.remove(exchange);
+            ServiceQueue queue = queue(exchange.service());
+            if (!queue.mHeld.remove(exchange)) {
+                queue.mWaiting.remove(exchange);
+            }
         }
     }
 
@@ -195,7 +219,7 @@
         long nowMs = Clocks.steadyMs();
         for (Map.Entry<ServiceId, ServiceQueue> entry : Map.copyOf(mQueues).entrySet()) {
             ServiceQueue queue = entry.getValue();
-            if (queue.mWaiting.size() == 0) {
+            if (queue.size() == 0) {
                 continue;
             }
             List<GatewayExchange> expired = queue.mWaiting.removeExpired(nowMs);
@@ -209,7 +233,7 @@
 
     /** Returns the number of waiting requests. */
     int waiting() {
-        return mQueues.values().stream().mapToInt(queue -> queue.mWaiting.size()).sum();
+        return mQueues.values().stream().mapToInt(ServiceQueue::size).sum();
     }
 
     /** Starts attempts and gives requests up. */
@@ -258,9 +282,22 @@
     private static final class ServiceQueue {
 
         private final FairQueue<GatewayExchange> mWaiting = new FairQueue<>();
-        private final ServedRate mServed = new ServedRate();
+        private final WaitEstimate mWaits = new WaitEstimate();
         private final List<Skipped> mSkipped = new ArrayList<>();
+
+        /** Holds the requests that prefer a busy engine although others have room. */
+        private final Set<GatewayExchange> mHeld = new LinkedHashSet<>();
+
+        private int mHoldingOut;
         private Route mNextRoute;
         private boolean mPumping;
+
+        void noteWaiting() {
+            mWaits.noteQueue(mWaiting, Clocks.steadyMs());
+        }
+
+        int size() {
+            return mWaiting.size() + mHeld.size();
+        }
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/queueing/FairQueue.java
@@ -142,6 +142,12 @@
         return (long) ahead;
     }
 
+    /** Returns the tokens of the account's waiting requests. */
+    public long waitingTokens(AccountId account) {
+        AccountQueue<T> own = mQueues.get(account);
+        return own == null ? 0 : own.tokens();
+    }
+
     /** Returns the number of waiting requests. */
     public int size() {
         return mSize;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -102,6 +102,11 @@
         return hasRoom(nowMs) && mEngine.hasRoom(prompt);
     }
 
+    /** Returns whether only prompts that wait to be read keep another one from the engine. */
+    boolean isReading(PromptDemand prompt, long nowMs) {
+        return hasRoom(nowMs) && mEngine.isReading(prompt);
+    }
+
     /** Returns how long the prompt would wait for its first token there, in milliseconds. */
     double startDelayMs(PromptDemand prompt, long nowMs) {
         return mEngine.backlogMs() + mEngine.prefillMs(prompt, nowMs);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -68,9 +68,17 @@
     }
 
     boolean hasRoom(PromptDemand prompt) {
+        return fits(prompt) && backlogMs() < MAX_BACKLOG_MS;
+    }
+
+    /** Returns whether the prompt fits in the memory but has to wait until others are read. */
+    boolean isReading(PromptDemand prompt) {
+        return fits(prompt) && backlogMs() >= MAX_BACKLOG_MS;
+    }
+
+    private boolean fits(PromptDemand prompt) {
         long used = memoryTokens();
-        boolean fits = used == 0 || used + prompt.memoryTokens() <= mMemoryLimitTokens;
-        return fits && backlogMs() < MAX_BACKLOG_MS;
+        return used == 0 || used + prompt.memoryTokens() <= mMemoryLimitTokens;
     }
 
     double ownPrefillMs() {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -48,6 +48,25 @@
                 .min(cheapest.thenComparing(byAffinity));
     }
 
+    /**
+     * Returns whether an engine that is busy reading is better than the best one with room.
+     *
+     * <p>Under a burst the engine that keeps a long shared part is often busy for a moment. Reading
+     * the part elsewhere takes longer than that moment, and the reading time from others.
+     */
+    boolean isWorthWaiting(
+            PromptDemand prompt,
+            List<EndpointState> usable,
+            EndpointState withRoom,
+            RegionGraph regions,
+            long nowMs) {
+        Optional<EndpointState> home = home(prompt, usable);
+        double costMs = cost(withRoom, prompt, home, regions, nowMs) - COST_CLASS_MS;
+        return usable.stream()
+                .filter(state -> state.isReading(prompt, nowMs))
+                .anyMatch(state -> cost(state, prompt, home, regions, nowMs) < costMs);
+    }
+
     /** Returns the engine that is assumed to keep the prompt's shared parts. */
     private static Optional<EndpointState> home(PromptDemand prompt, List<EndpointState> usable) {
         if (prompt.affinityKey().isEmpty()) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
@@ -30,6 +30,12 @@
     /** Waits until an endpoint of this region has room. */
     record Wait() implements Route {}
 
+    /**
+     * Waits for one engine that keeps the prompt's shared parts and is busy reading, although
+     * others have room.
+     */
+    record WaitForEngine() implements Route {}
+
     /**
      * Refuses the request.
      *
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
@@ -17,6 +17,7 @@
  * @param only the only endpoint of this region where the request may run; empty for any
  * @param alone whether the request may run only on an idle endpoint
  * @param forwarded whether another region has forwarded the request
+ * @param patient whether the request may wait for the engine that keeps its prompt's shared parts
  * @param prompt what the request needs of a model engine, if that is known
  */
 public record RouteRequest(
@@ -27,6 +28,7 @@
         Optional<EndpointId> only,
         boolean alone,
         boolean forwarded,
+        boolean patient,
         Optional<PromptDemand> prompt) {
 
     /** Describes a request whose prompt is not known in detail. */
@@ -38,6 +40,6 @@
             Optional<EndpointId> only,
             boolean alone,
             boolean forwarded) {
-        this(service, allowed, affinityKey, tried, only, alone, forwarded, Optional.empty());
+        this(service, allowed, affinityKey, tried, only, alone, forwarded, false, Optional.empty());
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -106,6 +106,10 @@
                         .toList();
         Optional<EndpointState> chosen = mPlacement.choose(prompt, usable, regions, nowMs);
         if (chosen.isPresent()) {
+            if (request.patient()
+                    && mPlacement.isWorthWaiting(prompt, usable, chosen.get(), regions, nowMs)) {
+                return new Route.WaitForEngine();
+            }
             RegionId region = chosen.get().endpoint().region();
             return region.equals(mHere)
                     ? new Route.Local(chosen.get())
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/PromptPlacementTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/PromptPlacementTest.java
@@ -6,9 +6,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -17,6 +22,7 @@
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests where prompts are read, with the load patterns that the placement answers. */
@@ -24,6 +30,7 @@
 
     private static final ServiceId SERVICE = ServiceId.of("pool");
     private static final long MEMORY_TOKENS = 400_000;
+    private static final long NOW_MS = 100_000;
     private static final RegionGraph REGIONS = new ThreeRegions();
 
     private static RegionId region(int number) {
@@ -60,6 +67,16 @@
 
     private static Route choose(
             EndpointTable table, int here, PromptDemand prompt, Predicate<RegionId> allowed) {
+        return choose(table, here, prompt, allowed, false, NOW_MS);
+    }
+
+    private static Route choose(
+            EndpointTable table,
+            int here,
+            PromptDemand prompt,
+            Predicate<RegionId> allowed,
+            boolean patient,
+            long nowMs) {
         RouteRequest request =
                 new RouteRequest(
                         SERVICE,
@@ -69,9 +86,10 @@
                         Optional.empty(),
                         false,
                         false,
+                        patient,
                         Optional.of(prompt));
         Router router = new Router(region(here), table, region -> true);
-        return router.choose(request, REGIONS, 0, 100_000);
+        return router.choose(request, REGIONS, 0, nowMs);
     }
 
     private static EndpointState expected(Route route) {
@@ -150,6 +168,58 @@
         }
     }
 
+    @Test
+    public void aPatientPromptWaitsForABusyEngineThatKeepsItsSharedPart() {
+        EndpointTable table = table(3);
+        PromptDemand prompt = prompt("s", 5_000, 600);
+        EndpointState home = expected(choose(table, 0, prompt, region -> true));
+        home.startPrompt(prompt, NOW_MS).end();
+        home.reportedByOthers(10, 450, 50_000, NOW_MS);
+
+        Route impatient = choose(table, 0, prompt, region -> true, false, NOW_MS);
+        Route patient = choose(table, 0, prompt, region -> true, true, NOW_MS);
+        home.reportedByOthers(10, 2_000, 50_000, NOW_MS);
+        Route hopeless = choose(table, 0, prompt, region -> true, true, NOW_MS);
+
+        assertNotEquals(expected(impatient).id(), home.id());
+        assertEquals(patient, new Route.WaitForEngine());
+        assertNotEquals(expected(hopeless).id(), home.id());
+    }
+
+    @Test
+    public void aPromptWithoutSharedPartsWaitsForNoEngine() {
+        EndpointTable table = table(2);
+        table.of(SERVICE).get(0).reportedByOthers(10, 450, 50_000, NOW_MS);
+
+        Route route = choose(table, 0, prompt("s", 0, 600), region -> true, true, NOW_MS);
+
+        assertEquals(expected(route).id(), table.of(SERVICE).get(1).id());
+    }
+
+    /** Lists seeds of bursts. */
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1}, {2}, {3}};
+    }
+
+    /**
+     * The load: bursts of long prompts about few subjects that keep the engines near their limit.
+     */
+    @Test(dataProvider = "seeds")
+    public void underBurstsPatienceSavesReadingAndServesNobodyLater(int seed) {
+        Burst impatient = new Burst(seed, 0);
+        Burst patient = new Burst(seed, 480);
+        impatient.play();
+        patient.play();
+
+        assertTrue(
+                patient.mRereadTokens < 0.7 * impatient.mRereadTokens,
+                patient.mRereadTokens + " of " + impatient.mRereadTokens);
+        assertTrue(
+                patient.startedWithin(1_200) >= impatient.startedWithin(1_200),
+                patient.startedWithin(1_200) + " and " + impatient.startedWithin(1_200));
+    }
+
     @Test
     public void refusesAtOnceWhereNoEngineIsAllowed() {
         Route route = choose(table(1, 0, 0), 0, prompt("s", 10, 10), region -> false);
@@ -157,6 +227,90 @@
         assertTrue(route instanceof Route.Refuse);
     }
 
+    /** Plays bursts of prompts on engines that read one prompt after the other. */
+    private static final class Burst {
+
+        private static final int ENGINES = 6;
+        private static final int SUBJECTS = 60;
+        private static final double BURST_PER_MS = 0.11;
+        private static final double CALM_PER_MS = 0.02;
+        private static final long LENGTH_MS = 20_000;
+        private static final double READ_TOKENS_PER_MS = 55;
+        private static final long GENERATION_MS = 1_500;
+
+        private final EndpointTable mTable = table(ENGINES);
+        private final Random mRandom;
+        private final long mPatienceMs;
+        private final Map<PromptDemand, Long> mWaiting = new LinkedHashMap<>();
+        private final PriorityQueue<Step> mSteps =
+                new PriorityQueue<>(Comparator.comparingLong(Step::atMs));
+        private final Map<EndpointState, Long> mBusyUntilMs = new HashMap<>();
+        private final Set<String> mKnown = new HashSet<>();
+        private final List<Long> mFirstTokensMs = new ArrayList<>();
+        private long mRereadTokens;
+
+        Burst(int seed, long patienceMs) {
+            mRandom = new Random(seed);
+            mPatienceMs = patienceMs;
+        }
+
+        void play() {
+            for (long nowMs = NOW_MS; nowMs < NOW_MS + LENGTH_MS; nowMs++) {
+                boolean burst = nowMs / 1_000 % 2 == 0;
+                if (mRandom.nextDouble() < (burst ? BURST_PER_MS : CALM_PER_MS)) {
+                    String subject = "s" + mRandom.nextInt(SUBJECTS);
+                    long own = 600 + mRandom.nextInt(2_400);
+                    mWaiting.put(prompt(subject, 4_000 + subject.hashCode() % 7, own), nowMs);
+                }
+                while (!mSteps.isEmpty() && mSteps.peek().atMs() <= nowMs) {
+                    mSteps.poll().action().run();
+                }
+                startWaiting(nowMs);
+            }
+        }
+
+        private void startWaiting(long nowMs) {
+            for (Map.Entry<PromptDemand, Long> each : List.copyOf(mWaiting.entrySet())) {
+                boolean patient = nowMs - each.getValue() < mPatienceMs;
+                PromptDemand prompt = each.getKey();
+                Route route = choose(mTable, 0, prompt, region -> true, patient, nowMs);
+                if (route instanceof Route.Local local) {
+                    mWaiting.remove(prompt);
+                    start(local.endpoint(), prompt, each.getValue(), nowMs);
+                }
+            }
+        }
+
+        private void start(EndpointState engine, PromptDemand prompt, long arrivedMs, long nowMs) {
+            long missing = engine.missingSharedTokens(prompt, nowMs);
+            if (!mKnown.add(prompt.affinityKey())) {
+                mRereadTokens += missing;
+            }
+            long own = prompt.promptTokens() - prompt.parts().get(0).tokens();
+            PromptRun run = engine.startPrompt(prompt, nowMs);
+            engine.started(false, nowMs);
+            long readMs =
+                    Math.max(nowMs, mBusyUntilMs.getOrDefault(engine, nowMs))
+                            + Math.round((own + missing) / READ_TOKENS_PER_MS);
+            mBusyUntilMs.put(engine, readMs);
+            mFirstTokensMs.add(readMs - arrivedMs);
+            mSteps.add(new Step(readMs, run::noteRead));
+            mSteps.add(
+                    new Step(
+                            readMs + GENERATION_MS,
+                            () -> {
+                                run.end();
+                                engine.succeeded();
+                            }));
+        }
+
+        long startedWithin(long goalMs) {
+            return mFirstTokensMs.stream().filter(ms -> ms <= goalMs).count();
+        }
+
+        private record Step(long atMs, Runnable action) {}
+    }
+
     /** Describes three regions at equal distances. */
     private static final class ThreeRegions implements RegionGraph {
 
