Explain requests, check configurations, and test what no test noticed

Operators: explain tells from logs on standard input what became of a request; check-platform-configuration names the mistakes of a document before it is written. Early refusals are logged with the request's id. The settings file is read once at a start.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -2,9 +2,11 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
@@ -13,6 +15,10 @@
 import org.filbertrudder.entry.log.LogSetup;
 import org.filbertrudder.gateway.Gateway;
 import org.filbertrudder.gateway.GatewaySettings;
+import org.filbertrudder.gateway.config.ConfigurationCheck;
+import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.model.InvalidValueException;
+import org.filbertrudder.platform.ConfigurationFile;
 import org.filbertrudder.platform.PlatformProtocol;
 import org.filbertrudder.platform.PlatformStateSource;
 import org.filbertrudder.platform.SettingsFile;
@@ -41,7 +47,9 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(gateway), "shutdown"));
             SettingsReload reload =
                     new SettingsReload(
-                            Path.of(environment.get(SettingsFile.PATH_VARIABLE)), gateway::reload);
+                            Path.of(environment.get(SettingsFile.PATH_VARIABLE)),
+                            settings.get(),
+                            gateway::reload);
             reload.start();
             gateway.stopped().join();
             return ExitCode.OK;
@@ -73,6 +81,32 @@
         return ExitCode.OK;
     }
 
+    static int checkConfiguration(Namespace arguments, Map<String, String> environment) {
+        String file = arguments.getString("file");
+        try {
+            GatewayConfiguration configuration = ConfigurationFile.read(Path.of(file));
+            List<String> problems = ConfigurationCheck.problems(configuration);
+            problems.forEach(System.err::println);
+            if (!problems.isEmpty()) {
+                return ExitCode.USAGE;
+            }
+            System.out.println(
+                    "Version "
+                            + configuration.version()
+                            + " is valid: "
+                            + configuration.routeCount()
+                            + " routes, "
+                            + configuration.accounts().size()
+                            + " client accounts.");
+            return ExitCode.OK;
+        } catch (IOException e) {
+            System.err.println(file + " cannot be read: " + e.getMessage());
+        } catch (InvalidValueException e) {
+            System.err.println(file + ": " + e.getMessage());
+        }
+        return ExitCode.USAGE;
+    }
+
     private static Optional<GatewaySettings> settings(Map<String, String> environment) {
         String path = environment.get(SettingsFile.PATH_VARIABLE);
         if (path == null) {
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
@@ -67,6 +67,12 @@
         commands.addParser("check-platform-settings")
                 .help("check the platform's settings file")
                 .setDefault("run", (Command) GatewayCommand::check);
+        Subparser configuration =
+                commands.addParser("check-platform-configuration")
+                        .help("check the operators' configuration before it is written");
+        configuration.addArgument("file").help("the document as it is to stand in the store");
+        configuration.setDefault("run", (Command) GatewayCommand::checkConfiguration);
+        ExplainCommand.addTo(commands);
         Subparser check =
                 commands.addParser("check-settings").help("check the settings of an instance");
         EntryOptions.addTo(check);
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/SettingsReload.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/SettingsReload.java
@@ -24,8 +24,9 @@
             new ScheduledThreadPoolExecutor(1, SettingsReload::newThread);
     private GatewaySettings mKnown;
 
-    SettingsReload(Path path, Consumer<GatewaySettings> onChange) {
+    SettingsReload(Path path, GatewaySettings known, Consumer<GatewaySettings> onChange) {
         mPath = path;
+        mKnown = known;
         mOnChange = onChange;
     }
 
@@ -37,7 +38,6 @@
 
     /** Starts to follow the file; without this, the signal would end the process. */
     void start() {
-        mKnown = SettingsFile.read(mPath).settings().orElse(null);
         Signal.handle(new Signal("HUP"), signal -> mThread.execute(this::check));
         mThread.scheduleWithFixedDelay(
                 this::check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
--- a/filbertrudder-app/src/test/java/org/filbertrudder/app/MainTest.java
+++ b/filbertrudder-app/src/test/java/org/filbertrudder/app/MainTest.java
@@ -1,11 +1,17 @@
 package org.filbertrudder.app;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
@@ -14,6 +20,33 @@
 /** Tests the command line and the checks of the settings. */
 public class MainTest {
 
+    private static final String CONFIGURATION =
+            """
+            {"version":7,
+             "routes":[{"name":"r-1","host":"h","pathPrefix":"/book/","type":"unsafe",
+               "timeoutMs":2500,"goalMs":500,"service":"desk","attempts":1,"homeRegions":["sag"]}],
+             "services":[{"name":"desk"}],
+             "tenants":[{"name":"club","apiKeys":["k"],"homeRegions":["sag", "mtl"]}]}
+            """;
+
+    /** Lines of two instances, of which one has a launcher's text before its logs. */
+    private static final String LOGS =
+            """
+            Starting the machine.
+            1.0 mtl-1 {"time":"2026-12-04T08:00:00.900Z","message":"endpoints: An endpoint accepts \
+            no connection.","endpoint":"i-1"}
+            1.0 mtl-1 {"time":"2026-12-04T08:00:00.950Z","message":"endpoints: An endpoint accepts \
+            no connection.","endpoint":"i-9"}
+            1.1 mtl-1 {"time":"2026-12-04T08:00:01Z","message":"request: Ended.","id":"a1",\
+            "outcome":"answer_lost","status":"502","runs":"1","steps":"to=i-1@5 lost"}
+            1.1 mtl-1 {"time":"2026-12-04T08:00:01Z","message":"request: Ended.","id":"a2",\
+            "outcome":"answered","status":"200","runs":"1","steps":"to=i-2@5"}
+            1.2 mtl-2 {"time":"2026-12-04T08:00:01.100Z","message":"request: Ended.","id":"a1",\
+            "outcome":"answer_lost","status":"502","runs":"1","steps":"via=mtl-1@0"}
+            2.0 mtl-1 {"time":"not a time","message":"odd"}
+            {broken
+            """;
+
     private static Map<String, String> goodEnvironment() {
         Map<String, String> environment = new HashMap<>();
         environment.put("FILBERTRUDDER_ID", "mtl-1");
@@ -110,6 +143,85 @@
         assertTrue(!run(environment, "check-settings").text().contains("hushhush"));
     }
 
+    /** Lists changes to a valid configuration and a word of the message that each leads to. */
+    @DataProvider
+    public Object[][] wrongConfigurations() {
+        return new Object[][] {
+            {"\"/book/\"", "\"book\"", "slash"},
+            {"\"desk\",\"attempts\"", "\"nowhere\",\"attempts\"", "unknown service"},
+            {"\"attempts\":1", "\"attempts\":3", "run once"},
+            {"\"goalMs\":500", "\"goalMs\":9500", "goal"},
+            {"\"homeRegions\":[\"sag\"]", "\"homeRegions\":[\"gas\"]", "home in common"},
+            {"{\"version\"", "\"version\"", "JSON"},
+        };
+    }
+
+    @Test(dataProvider = "wrongConfigurations")
+    public void namesTheMistakesOfAConfiguration(String text, String replacement, String word)
+            throws IOException {
+        assertTrue(CONFIGURATION.contains(text));
+
+        Outcome outcome = checkConfiguration(CONFIGURATION.replace(text, replacement));
+
+        assertEquals(outcome.code(), ExitCode.USAGE);
+        assertTrue(outcome.text().contains(word), outcome.text());
+    }
+
+    @Test
+    public void acceptsAValidConfiguration() throws IOException {
+        Outcome outcome = checkConfiguration(CONFIGURATION);
+
+        assertEquals(outcome.code(), ExitCode.OK, outcome.text());
+        assertTrue(outcome.text().contains("Version 7"), outcome.text());
+    }
+
+    private static Outcome checkConfiguration(String document) throws IOException {
+        Path file = Files.createTempFile("configuration", ".json");
+        try {
+            Files.writeString(file, document);
+            return run(Map.of(), "check-platform-configuration", file.toString());
+        } finally {
+            Files.delete(file);
+        }
+    }
+
+    @Test
+    public void aMissingConfigurationIsAUsageError() {
+        assertEquals(
+                run(Map.of(), "check-platform-configuration", "/no/such/file").code(),
+                ExitCode.USAGE);
+    }
+
+    @Test
+    public void explainsARequestFromTheLogsOfAllInstances() {
+        Outcome outcome = explain("a1");
+
+        assertEquals(outcome.code(), ExitCode.OK, outcome.text());
+        assertTrue(outcome.text().contains("outcome: answer_lost"), outcome.text());
+        assertTrue(outcome.text().contains("mtl-2"), outcome.text());
+        assertTrue(outcome.text().contains("An endpoint accepts no connection"), outcome.text());
+        assertFalse(outcome.text().contains("i-9"), outcome.text());
+        assertFalse(outcome.text().contains("\"a2\""), outcome.text());
+    }
+
+    @Test
+    public void aRequestThatNoLineNamesCannotBeExplained() {
+        Outcome outcome = explain("a9");
+
+        assertEquals(outcome.code(), ExitCode.FAILED);
+        assertTrue(outcome.text().contains("a9"), outcome.text());
+    }
+
+    private static Outcome explain(String id) {
+        InputStream in = System.in;
+        try {
+            System.setIn(new ByteArrayInputStream(LOGS.getBytes(StandardCharsets.UTF_8)));
+            return run(Map.of(), "explain", id);
+        } finally {
+            System.setIn(in);
+        }
+    }
+
     @Test
     public void anUnknownCommandIsAUsageError() {
         assertEquals(run(Map.of(), "dance").code(), ExitCode.USAGE);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
@@ -16,6 +16,7 @@
 public final class GatewayConfiguration {
 
     private final long mVersion;
+    private final List<RouteRule> mAllRoutes;
     private final Map<String, Map<String, RouteRule>> mRoutes = new HashMap<>();
     private final Map<ServiceId, ServiceRule> mServices = new HashMap<>();
     private final Map<AccountId, AccountRule> mAccounts = new HashMap<>();
@@ -41,6 +42,7 @@
             Map<String, AccountId> keys,
             CallerLimits limits) {
         mVersion = version;
+        mAllRoutes = List.copyOf(routes);
         routes.forEach(
                 route ->
                         mRoutes.computeIfAbsent(route.host(), host -> new HashMap<>())
@@ -137,6 +139,11 @@
         return !mAccounts.isEmpty();
     }
 
+    /** Returns all routes as the operators wrote them. */
+    public List<RouteRule> routes() {
+        return mAllRoutes;
+    }
+
     /** Returns the number of routes. */
     public int routeCount() {
         return mRoutes.values().stream().mapToInt(Map::size).sum();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -139,6 +139,7 @@
     private void refuse(HttpServerRequest request, CallerSink sink, Refusal refusal) {
         LOG.info(
                 "Refused.",
+                Field.of("id", mProtocol.requestId(request.headers()).orElse(null)),
                 Field.of("outcome", refusal.code()),
                 Field.of("status", refusal.status()),
                 Field.of("uri", request.uri()));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/HttpProtocol.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/HttpProtocol.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.vertx.core.MultiMap;
 import java.util.List;
+import java.util.Optional;
 import org.filbertrudder.policy.membership.PeerAddress;
 
 /** Translates between this project's terms and the header names of a deployment. */
@@ -16,6 +17,9 @@
      */
     RequestHead readRequest(MultiMap headers);
 
+    /** Returns the id that a caller has given its request; empty if there is none. */
+    Optional<String> requestId(MultiMap headers);
+
     /** Adds what an endpoint must know about an attempt. */
     void writeAttempt(HttpHeaders headers, AttemptHead attempt);
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -156,11 +157,49 @@
         assertFalse(outcome.reusable());
     }
 
+    /** Lists seeds. */
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1}, {2}, {3}};
+    }
+
+    @Test(dataProvider = "seeds")
+    public void changedBytesAreNeverTakenForAnotherAnswer(int seed) {
+        Random random = new Random(seed);
+        for (int run = 0; run < 100; run++) {
+            String bytes = changedHead(random);
+            Outcome outcome =
+                    exchange(socket -> socket.write(bytes).onComplete(done -> socket.close()));
+
+            assertTrue(!outcome.whole() || "right".startsWith(outcome.body()), bytes);
+        }
+    }
+
+    /** Returns the proper answer with odd bytes in its head. */
+    private static String changedHead(Random random) {
+        int headLength = PROPER.indexOf("\r\n\r\n");
+        StringBuilder text = new StringBuilder(PROPER);
+        for (int i = 0; i < 1 + random.nextInt(3); i++) {
+            int at = random.nextInt(headLength);
+            if (random.nextBoolean()) {
+                text.setCharAt(at, (char) (32 + random.nextInt(95)));
+            } else {
+                text.insert(at, (char) random.nextInt(128));
+            }
+        }
+        return text.toString();
+    }
+
     private record Outcome(boolean whole, String body, boolean reusable) {}
 
     /** Reads the id of an answer from a header of that name. */
     private static final class PlainProtocol implements HttpProtocol {
 
+        @Override
+        public Optional<String> requestId(MultiMap headers) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public RequestHead readRequest(MultiMap headers) {
             throw new UnsupportedOperationException();
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -268,6 +268,18 @@
                 "keys work again", () -> caller.plain("GET", "/stock/x", KEY).status() == 200);
     }
 
+    @Test
+    public void withoutTheStoreAnUnknownKeyMayBeANewOne() {
+        PlatformCaller caller = mFleet.caller("mtl-1");
+        assertEquals(caller.plain("GET", "/stock/x", "key-new").status(), 401);
+        mFleet.store().setMode(Mode.SILENT);
+
+        PlatformCaller.Answer refused = caller.plain("GET", "/stock/x", "key-new");
+
+        assertEquals(refused.status(), 503, refused.body());
+        assertEquals(caller.plain("GET", "/nowhere/x", KEY).status(), 503);
+    }
+
     @Test
     public void aLeavingReplicaGetsNoNewWork() {
         mFleet.replica("pool-mtl-1").register("draining", 0);
@@ -388,6 +400,18 @@
         stopped.join();
     }
 
+    @Test
+    public void aStoppingInstanceServesCallersThatHaveNotHeardOfIt() {
+        PlatformCaller caller = mFleet.caller("sag-1");
+        PlatformCaller readiness = mFleet.readiness("sag-1");
+
+        CompletableFuture<Void> stopped = mFleet.stopGateway("sag-1");
+        PlatformFleet.await("it is not ready", () -> readiness.get("/readyz").status() != 200);
+
+        assertEquals(caller.plain("GET", "/stock/x", KEY).status(), 200);
+        stopped.join();
+    }
+
     /** Lists instances and paths of streams that no event of has been sent. */
     @DataProvider
     public Object[][] unheardStreams() {
