Answer requests that look up their route when an instance stops

Ruled out: the time limit of the stop (it ended 4 s early); idle connections (the request had been read).

Test: PlatformFleetTest.aStoppingInstanceAnswersRequestsWhoseRouteItLooksUp failed on the code before (connection closed without an answer) and passes now.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -51,6 +51,7 @@
     private final Begin mBegin;
     private final Map<HttpConnection, Long> mIdleSinceMs = new HashMap<>();
     private HttpServer mServer;
+    private int mLookups;
 
     CallerServer(
             Vertx vertx,
@@ -205,9 +206,11 @@
             return;
         }
         Moment asked = Clocks.now();
+        mLookups++;
         mAdmission.onConfirmation(
                 LOOKUP_WAIT_MS,
                 () -> {
+                    mLookups--;
                     if (serve(request, head, body, sink, arrivedMs)) {
                         return;
                     }
@@ -219,6 +222,11 @@
                 });
     }
 
+    /** Returns the number of requests that wait for newer state to find their route and account. */
+    int lookups() {
+        return mLookups;
+    }
+
     private Refusal unknown(HttpServerRequest request, RequestHead head) {
         boolean routed =
                 mControl.snapshot().configuration().route(head.host(), request.path()).isPresent();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -365,7 +365,8 @@
         vertx.setPeriodic(
                 TICK_MS,
                 timer -> {
-                    boolean idle = isRefusing() && mActive.isEmpty();
+                    boolean served = mActive.isEmpty() && mCallers.lookups() == 0;
+                    boolean idle = isRefusing() && served;
                     boolean late = Clocks.steadyMs() >= lastMs;
                     if (idle || late) {
                         vertx.cancelTimer(timer);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -412,6 +412,22 @@
         stopped.join();
     }
 
+    @Test
+    public void aStoppingInstanceAnswersRequestsWhoseRouteItLooksUp() {
+        // Without the store each answer takes a while, so one is due when the instance would end.
+        mFleet.store().setMode(Mode.SILENT);
+        PlatformCaller caller = mFleet.caller("sag-1");
+        CompletableFuture<Void> stopped = mFleet.stopGateway("sag-1");
+
+        PlatformCaller.Answer answer = caller.plain("GET", "/nowhere/x", KEY);
+        while (answer.status() == 503 && !answer.body().contains("stopping")) {
+            answer = caller.plain("GET", "/nowhere/x", KEY);
+        }
+
+        assertEquals(answer.status(), 503, answer.body());
+        stopped.join();
+    }
+
     /** Lists instances and paths of streams that no event of has been sent. */
     @DataProvider
     public Object[][] unheardStreams() {
