Keep to what endpoints say of themselves, and bound bytes that are no answer

Cause: an answer that says that its endpoint leaves, and a pause asked for with a refusal, were not read; interim answers, answers of other requests, bodies of failures and dripping streams were read without end; bytes behind a complete answer stayed in the decoder of a connection that was used again.

Ruled out: believing the address instead of the id (a restarted endpoint is another one), forgetting an announcement when an entry lapses.

Streams count as alive by whole events, plain answers by 256 bytes.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -63,6 +63,7 @@
         return before == null
                 || !before.entry().endpoint().equals(entry.endpoint())
                 || before.entry().leaving() != entry.leaving()
+                || before.entry().startedMs() != entry.startedMs()
                 || after.coldUntilMs() > before.coldUntilMs();
     }
 
@@ -106,7 +107,8 @@
                     new EndpointView(
                             known.entry().endpoint(),
                             !known.entry().leaving() && !evacuated,
-                            known.coldUntilMs()));
+                            known.coldUntilMs(),
+                            known.entry().startedMs()));
         }
         return views;
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
@@ -20,7 +20,13 @@
     private static final long MIN_STALL_MS = 1_000;
 
     /** Answers up to this length are passed on only when they are whole, in bytes. */
-    private static final int MAX_HELD_BYTES = 1024 * 1024;
+    private static final int MAX_HELD_BYTES = 256 * 1024;
+
+    /**
+     * A plain answer that grows by less than this within the stall time has stalled, in bytes. A
+     * stream has stalled without another whole event.
+     */
+    private static final int MIN_PROGRESS_BYTES = 256;
 
     final AttemptRunner mRunner;
     final AttemptTools mTools;
@@ -32,6 +38,7 @@
     private long mStallTimer = -1;
     private long mHeardMs;
     private boolean mPaused;
+    private int mUnnotedBytes;
     boolean mOver;
 
     AnswerAttempt(AttemptRunner runner, GatewayExchange exchange) {
@@ -157,18 +164,8 @@
             spoiled("no-head");
             return;
         }
-        mHeardMs = Clocks.steadyMs();
-        if (mStreaming) {
-            noteProgress();
-            if (!mExchange.relay().data(data)) {
-                spoiled("odd-events");
-                return;
-            }
-        } else if (mPiping) {
-            mExchange.sink().write(data);
-        } else {
-            mBody.appendBuffer(data);
-            pipeLong();
+        if (!(mStreaming ? passEvents(data) : passBytes(data))) {
+            return;
         }
         if (mExchange.sink().full()) {
             mPaused = true;
@@ -177,6 +174,41 @@
         }
     }
 
+    /** Passes events on; returns whether the attempt goes on. */
+    private boolean passEvents(Buffer data) {
+        StreamRelay relay = mExchange.relay();
+        long eventsBefore = relay.events();
+        noteProgress();
+        if (!relay.data(data)) {
+            spoiled("odd-events");
+            return false;
+        }
+        if (relay.events() > eventsBefore) {
+            mHeardMs = Clocks.steadyMs();
+        }
+        return true;
+    }
+
+    /** Passes the bytes of a plain answer on or holds them; returns whether the attempt goes on. */
+    private boolean passBytes(Buffer data) {
+        mUnnotedBytes += data.length();
+        if (mUnnotedBytes >= MIN_PROGRESS_BYTES) {
+            mUnnotedBytes = 0;
+            mHeardMs = Clocks.steadyMs();
+        }
+        if (mPiping) {
+            mExchange.sink().write(data);
+            return true;
+        }
+        mBody.appendBuffer(data);
+        pipeLong();
+        if (!mPiping && mBody.length() > MAX_HELD_BYTES) {
+            spoiled("too-long");
+            return false;
+        }
+        return true;
+    }
+
     private void drained() {
         mPaused = false;
         mHeardMs = Clocks.steadyMs();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -6,12 +6,12 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -31,10 +31,17 @@
  */
 final class EndpointConnection {
 
-    private static final int MAX_LINE_BYTES = 8 * 1024;
-    private static final int MAX_HEADER_BYTES = 64 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
     private static final int MIN_FINAL_STATUS = 200;
+    private static final int STATUS_SWITCHING = 101;
+
+    /** The interim answers before the final one after which the connection is given up. */
+    private static final int MAX_INTERIM_ANSWERS = 8;
+
+    /** The answers of earlier requests that are skipped before the connection is given up. */
+    private static final int MAX_SKIPPED_ANSWERS = 2;
+
+    /** The bytes of skipped answers after which the connection is given up. */
+    private static final long MAX_SKIPPED_BYTES = 256 * 1024;
 
     /** Kept from the time that an endpoint grants to an idle connection, in milliseconds. */
     private static final long IDLE_MARGIN_MS = 500;
@@ -43,11 +50,16 @@
     private static final long UNSTATED_IDLE_MS = 300;
 
     private final NetSocketInternal mSocket;
+    private final AnswerDecoder mDecoder;
     private final HttpProtocol mProtocol;
     private final Runnable mOnIdleClosed;
     private AttemptListener mListener;
     private String mRequestId;
     private boolean mInAnswer;
+    private boolean mUsedBefore;
+    private int mInterimAnswers;
+    private int mSkippedAnswers;
+    private long mSkippedBytes;
     private boolean mSkipping;
     private boolean mReusable = true;
     private boolean mUnframed;
@@ -61,12 +73,10 @@
         mProtocol = protocol;
         mOnIdleClosed = onIdleClosed;
         mIdleSinceMs = Clocks.steadyMs();
+        mDecoder = new AnswerDecoder(this::close);
         ChannelPipeline pipeline = mSocket.channelHandlerContext().pipeline();
-        pipeline.addBefore(
-                "handler",
-                "codec",
-                new HttpClientCodec(
-                        MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false, false));
+        pipeline.addBefore("handler", "encoder", new HttpRequestEncoder());
+        pipeline.addBefore("handler", "decoder", mDecoder);
         mSocket.messageHandler(this::receive);
         mSocket.exceptionHandler(failure -> broken());
         mSocket.closeHandler(ignored -> broken());
@@ -85,6 +95,8 @@
         mRequestId = requestId;
         mOnFree = onFree;
         mInAnswer = false;
+        mInterimAnswers = 0;
+        mDecoder.expectHeadOnly(HttpMethod.HEAD.name().equals(method));
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
@@ -115,6 +127,10 @@
     }
 
     private void receive(HttpObject part) {
+        mDecoder.notePart();
+        if (mClosed) {
+            return;
+        }
         if (part.decoderResult().isFailure() || mListener == null) {
             // Bytes that are no answer, or that nobody has asked for.
             close();
@@ -129,13 +145,18 @@
     }
 
     private void receiveHead(HttpResponse response) {
-        if (response.status().code() < MIN_FINAL_STATUS) {
+        int status = response.status().code();
+        if (status < MIN_FINAL_STATUS) {
+            mInterimAnswers++;
+            if (status == STATUS_SWITCHING || mInterimAnswers > MAX_INTERIM_ANSWERS) {
+                close();
+            }
             return;
         }
         AnswerHead head = mProtocol.readAnswer(response);
         boolean foreign =
                 head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
-        boolean nameless = head.requestId().isEmpty() && head.isSuccess();
+        boolean nameless = head.requestId().isEmpty() && (head.isSuccess() || mUsedBefore);
         mInAnswer = true;
         mSkipping = foreign || nameless;
         mUnframed =
@@ -144,6 +165,10 @@
         if (mSkipping) {
             // The answer belongs to an earlier request; the right one may still follow.
             mReusable = false;
+            mSkippedAnswers++;
+            if (mSkippedAnswers > MAX_SKIPPED_ANSWERS) {
+                close();
+            }
             return;
         }
         mReusable &= HttpUtil.isKeepAlive(response) && !mUnframed;
@@ -156,7 +181,13 @@
 
     private void receiveContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (!mSkipping && content.content().isReadable()) {
+        if (mSkipping) {
+            mSkippedBytes += content.content().readableBytes();
+            if (mSkippedBytes > MAX_SKIPPED_BYTES) {
+                close();
+                return;
+            }
+        } else if (content.content().isReadable()) {
             mListener.data(Buffer.buffer(ByteBufUtil.getBytes(content.content())));
         }
         if (!last) {
@@ -175,6 +206,9 @@
     private void finish() {
         AttemptListener listener = mListener;
         mListener = null;
+        mUsedBefore = true;
+        // Bytes after a complete answer belong to no request.
+        mReusable &= !mDecoder.hasExtraBytes();
         mIdleSinceMs = Clocks.steadyMs();
         Runnable onFree = mOnFree;
         mOnFree = () -> {};
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointDoctor.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointDoctor.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.filbertrudder.entry.log.Field;
 import org.filbertrudder.entry.log.PartLog;
@@ -14,6 +15,7 @@
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.retry.RequestDigest;
 import org.filbertrudder.policy.routing.EndpointState;
+import org.filbertrudder.policy.routing.EndpointTable;
 
 /**
  * Finds out whether an endpoint whose connection broke has crashed.
@@ -30,12 +32,14 @@
 
     private final EndpointConnections mConnections;
     private final GatewayControl mControl;
+    private final EndpointTable mTable;
     private final Map<EndpointId, List<RequestDigest>> mBroken = new HashMap<>();
     private final Set<EndpointId> mDown = new HashSet<>();
 
-    EndpointDoctor(EndpointConnections connections, GatewayControl control) {
+    EndpointDoctor(EndpointConnections connections, GatewayControl control, EndpointTable table) {
         mConnections = connections;
         mControl = control;
+        mTable = table;
     }
 
     /** Notes a connection that broke while it carried a request. */
@@ -106,7 +110,23 @@
         }
     }
 
-    /** Notes an answer. */
+    /** Notes what an answer says of the endpoint itself: that it leaves or wants a pause. */
+    void noteAnswer(EndpointState endpoint, AnswerHead head) {
+        noteAlive(endpoint);
+        long nowMs = Clocks.steadyMs();
+        if (head.leaving() && mTable.announceLeaving(endpoint, nowMs)) {
+            LOG.info("An endpoint says that it leaves.", Field.of("endpoint", endpoint.id()));
+        }
+        OptionalLong pauseMs = head.pauseMs();
+        if (pauseMs.isPresent() && endpoint.pause(pauseMs.getAsLong(), nowMs)) {
+            LOG.info(
+                    "An endpoint wants a pause.",
+                    Field.of("endpoint", endpoint.id()),
+                    Field.of("pauseMs", pauseMs.getAsLong()));
+        }
+    }
+
+    /** Notes that the endpoint answers. */
     void noteAlive(EndpointState endpoint) {
         if (mDown.remove(endpoint.id())) {
             LOG.info("An endpoint answers again.", Field.of("endpoint", endpoint.id()));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardHeaders.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardHeaders.java
@@ -35,6 +35,8 @@
                 headers.containsKey(NOT_RUN),
                 !own,
                 false,
+                false,
+                OptionalLong.empty(),
                 OptionalInt.empty(),
                 OptionalLong.empty(),
                 headers);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -6,9 +6,11 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -108,7 +110,7 @@
                         mConnections,
                         mForwards,
                         mBoard,
-                        new EndpointDoctor(mConnections, mControl),
+                        new EndpointDoctor(mConnections, mControl, mTable),
                         new RetryBudgets(mControl::bounds),
                         mFinisher);
         AttemptRunner runner = new AttemptRunner(tools, mRandom);
@@ -294,14 +296,16 @@
         long nowMs = Clocks.steadyMs();
         List<Endpoint> endpoints = new ArrayList<>();
         Set<EndpointId> unusable = new HashSet<>();
+        Map<EndpointId, Long> startedMs = new HashMap<>();
         for (EndpointView view : snapshot.endpoints()) {
             endpoints.add(view.endpoint());
+            startedMs.put(view.endpoint().id(), view.startedMs());
             if (!view.usable()) {
                 unusable.add(view.endpoint().id());
             }
         }
         mTable.setEndpoints(endpoints, nowMs);
-        mTable.setLeaving(unusable);
+        mTable.setLeaving(unusable, startedMs, nowMs);
         List<Member> here = snapshot.workingIn(mSettings.region());
         for (EndpointView view : snapshot.endpoints()) {
             mTable.state(view.endpoint().id())
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -93,7 +93,7 @@
 
     @Override
     public void head(AnswerHead head) {
-        mTools.doctor().noteAlive(mEndpoint);
+        mTools.doctor().noteAnswer(mEndpoint, head);
         head.requests()
                 .ifPresent(
                         requests -> {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Refusal.java
@@ -85,6 +85,16 @@
                 503, "unavailable", "No endpoint can serve this now. Retry.", true, SOON_MS);
     }
 
+    /** Refuses a request while all endpoints that could serve it have asked for a pause. */
+    static Refusal pausing(long retryAfterMs) {
+        return new Refusal(
+                503,
+                "endpoints_pausing",
+                "All endpoints want a pause. Retry after it.",
+                true,
+                retryAfterMs);
+    }
+
     /** Refuses a request that no region may serve, now or later. */
     static Refusal noHome() {
         return new Refusal(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -31,6 +31,9 @@
 
     private static final long MAX_RETRY_AFTER_MS = 4_000;
 
+    /** The part of an endpoint's pause over which the callers' return is spread. */
+    private static final double PAUSE_SPREAD = 0.25;
+
     /** The kinds of request without room after which a pass over the queue ends. */
     private static final int MAX_SKIPPED = 16;
 
@@ -97,11 +100,18 @@
             mStarter.startLocal(exchange, local.endpoint());
         } else if (route instanceof Route.Away away) {
             mStarter.startAway(exchange, away.region(), away.expected());
+        } else if (route instanceof Route.Refuse refuse && refuse.backInMs() > 0) {
+            mStarter.giveUp(exchange, Refusal.pausing(pauseMs(refuse.backInMs())));
         } else {
             mStarter.giveUp(exchange, Refusal.unavailable());
         }
     }
 
+    /** Spreads the return of callers after the end of a pause, not before it. */
+    private long pauseMs(long backInMs) {
+        return (long) (backInMs * (1 + PAUSE_SPREAD * mRandom.nextDouble()));
+    }
+
     private void enqueue(GatewayExchange exchange, ServiceQueue queue) {
         long nowMs = Clocks.steadyMs();
         long waitMs = expectedWaitMs(exchange, queue);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StreamRelay.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StreamRelay.java
@@ -12,7 +12,7 @@
  */
 final class StreamRelay {
 
-    private static final int MAX_EVENT_BYTES = 1024 * 1024;
+    private static final int MAX_EVENT_BYTES = 64 * 1024;
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
     private static final int BLANK_LINE_BYTES = 3;
     private static final long NO_ID = -1;
@@ -34,7 +34,7 @@
         return mLastId;
     }
 
-    /** Returns the number of events passed on. */
+    /** Returns the number of events passed on; blocks of comments are none. */
     long events() {
         return mEvents;
     }
@@ -90,7 +90,21 @@
             mResumed = false;
         }
         out.appendBytes(bytes, start, end - start);
-        mEvents++;
+        if (!isComment(bytes, start, end)) {
+            mEvents++;
+        }
+        return true;
+    }
+
+    /** Returns whether a block has no line but comments, which keep a connection open only. */
+    private static boolean isComment(byte[] bytes, int start, int end) {
+        boolean lineStart = true;
+        for (int i = start; i < end; i++) {
+            if (lineStart && bytes[i] != ':' && bytes[i] != '\r' && bytes[i] != '\n') {
+                return false;
+            }
+            lineStart = bytes[i] == '\n';
+        }
         return true;
     }
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -117,6 +117,12 @@
             {PROPER.substring(0, PROPER.length() - 1), false, false},
             {"these are no bytes of the protocol\r\n\r\n", false, false},
             {stray, false, false},
+            {PROPER + "odd", true, false},
+            {PROPER + "\r\n", true, false},
+            {PROPER + stray, true, false},
+            {"HTTP/1.1 100 Continue\r\n\r\n".repeat(20) + PROPER, false, false},
+            {stray.repeat(5) + PROPER, false, false},
+            {"HTTP/1.1 101 Switching Protocols\r\n\r\n" + PROPER, false, false},
             {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", false, false},
             {"", false, false},
         };
@@ -219,6 +225,8 @@
                     false,
                     true,
                     false,
+                    false,
+                    OptionalLong.empty(),
                     OptionalInt.empty(),
                     OptionalLong.of(5_000),
                     passed);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -17,6 +17,9 @@
     private static final long REPORT_LIFETIME_MS = 5_000;
     private static final int SLOTS_PER_MARGIN = 4;
 
+    /** The longest pause that an endpoint may ask for, in milliseconds. */
+    private static final long MAX_PAUSE_MS = 60_000;
+
     private final long mIdHash;
     private final PrefixHints mPrefixes = new PrefixHints();
     private final EngineLoad mEngine = new EngineLoad(mPrefixes);
@@ -28,6 +31,8 @@
     private long mUnavailableUntilMs;
     private long mSlowStartFromMs = Long.MIN_VALUE / 2;
     private boolean mLeaving;
+    private long mStartedMs;
+    private long mPausedUntilMs = Long.MIN_VALUE / 2;
     private boolean mReservedAlone;
     private int mReportedByOthers;
     private long mReportedMs = Long.MIN_VALUE / 2;
@@ -69,6 +74,33 @@
         mLeaving = leaving;
     }
 
+    /** Sets when the endpoint's process started, in milliseconds since the epoch; 0 if unknown. */
+    public void setStartedMs(long startedMs) {
+        mStartedMs = startedMs;
+    }
+
+    long startedMs() {
+        return mStartedMs;
+    }
+
+    /**
+     * Notes that the endpoint wants no requests from this instance for a while.
+     *
+     * <p>This is no failure: the endpoint stays healthy and keeps its prompt cache.
+     *
+     * @return whether it did not pause already
+     */
+    public boolean pause(long pauseMs, long nowMs) {
+        boolean news = nowMs >= mPausedUntilMs;
+        mPausedUntilMs = Math.max(mPausedUntilMs, nowMs + Math.min(pauseMs, MAX_PAUSE_MS));
+        return news;
+    }
+
+    /** Returns how long the endpoint still wants no requests, in milliseconds; 0 if it does. */
+    long pauseLeftMs(long nowMs) {
+        return Math.max(0, mPausedUntilMs - nowMs);
+    }
+
     /** Returns the endpoint's description. */
     public Endpoint endpoint() {
         return mEndpoint;
@@ -86,7 +118,7 @@
 
     /** Returns whether the endpoint is thought to be able to serve. */
     public boolean usable(long nowMs) {
-        return !mLeaving && nowMs >= mUnavailableUntilMs;
+        return !mLeaving && nowMs >= mUnavailableUntilMs && nowMs >= mPausedUntilMs;
     }
 
     /** Returns whether the endpoint can start another request now. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -20,6 +20,7 @@
 
     private final Map<EndpointId, EndpointState> mStates = new HashMap<>();
     private Map<Group, List<EndpointState>> mGroups = Map.of();
+    private final LeavingAnnouncements mAnnounced = new LeavingAnnouncements();
     private Set<EndpointId> mLeaving = Set.of();
 
     /** Replaces the set of endpoints; those that stay keep what is known of them. */
@@ -47,6 +48,37 @@
         mStates.values().forEach(state -> state.setLeaving(leaving.contains(state.id())));
     }
 
+    /**
+     * Marks these endpoints as leaving, and those that have announced it themselves.
+     *
+     * @param startedMs when each endpoint's process started, in milliseconds since the epoch
+     */
+    public void setLeaving(Set<EndpointId> leaving, Map<EndpointId, Long> startedMs, long nowMs) {
+        Set<EndpointId> all = new HashSet<>(leaving);
+        for (EndpointState state : mStates.values()) {
+            state.setStartedMs(startedMs.getOrDefault(state.id(), 0L));
+            if (mAnnounced.contains(state.id(), state.startedMs(), nowMs)) {
+                all.add(state.id());
+            }
+        }
+        setLeaving(all);
+    }
+
+    /**
+     * Notes that an endpoint has announced in an answer that it leaves.
+     *
+     * @return whether this is news
+     */
+    public boolean announceLeaving(EndpointState state, long nowMs) {
+        boolean news = !mAnnounced.contains(state.id(), state.startedMs(), nowMs);
+        mAnnounced.add(state.id(), state.startedMs(), nowMs);
+        state.setLeaving(true);
+        Set<EndpointId> leaving = new HashSet<>(mLeaving);
+        leaving.add(state.id());
+        mLeaving = Set.copyOf(leaving);
+        return news;
+    }
+
     /** Returns the endpoints of a service in a region in the order of their ids, usable or not. */
     public List<EndpointState> of(ServiceId service, RegionId region) {
         List<EndpointState> group = mGroups.get(new Group(service, region));
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
@@ -40,8 +40,16 @@
      * Refuses the request.
      *
      * @param reason why no region can serve it
+     * @param backInMs after which time an endpoint takes requests again, in milliseconds; 0 if that
+     *     is not known
      */
-    record Refuse(Reason reason) implements Route {}
+    record Refuse(Reason reason, long backInMs) implements Route {
+
+        /** Refuses a request without knowing when an endpoint takes it. */
+        public Refuse(Reason reason) {
+            this(reason, 0);
+        }
+    }
 
     /** Lists why no region can serve a request. */
     enum Reason {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -75,7 +75,7 @@
         }
         boolean mayWait = !local.isEmpty() || (localAllowed && backSoon(request, nowMs));
         if (request.forwarded()) {
-            return mayWait ? new Route.Wait() : refuseLocal(request, localAllowed);
+            return mayWait ? new Route.Wait() : refuseLocal(request, localAllowed, nowMs);
         }
         Optional<RegionId> away = nearestAway(request, configuration);
         if (local.isEmpty() && away.isPresent()) {
@@ -84,7 +84,7 @@
         if (!mayWait) {
             return reachableAway(request, configuration).isPresent()
                     ? new Route.Wait()
-                    : refuse(request, configuration);
+                    : refuse(request, configuration, nowMs);
         }
         if (away.isPresent() && worthLeaving(away.get(), request, configuration, localWaitMs)) {
             return new Route.Away(away.get());
@@ -120,7 +120,7 @@
                         .filter(state -> mayReach(state.endpoint().region(), request))
                         .filter(state -> !request.tried().contains(state.id()))
                         .anyMatch(state -> state.usable(nowMs + SHORT_REST_MS));
-        return usable.isEmpty() && !backSoon ? refuse(request, regions) : new Route.Wait();
+        return usable.isEmpty() && !backSoon ? refuse(request, regions, nowMs) : new Route.Wait();
     }
 
     private boolean mayReach(RegionId region, RouteRequest request) {
@@ -233,18 +233,34 @@
         return configuration.delayMs(mHere, region);
     }
 
-    private Route refuseLocal(RouteRequest request, boolean localAllowed) {
-        boolean exists = localAllowed && !mTable.of(request.service(), mHere).isEmpty();
-        return new Route.Refuse(
-                exists ? Route.Reason.NONE_AVAILABLE : Route.Reason.NO_ENDPOINT_ALLOWED);
+    private Route refuseLocal(RouteRequest request, boolean localAllowed, long nowMs) {
+        List<EndpointState> local =
+                localAllowed ? mTable.of(request.service(), mHere) : List.<EndpointState>of();
+        return refuse(local, nowMs);
     }
 
-    private Route refuse(RouteRequest request, RegionGraph configuration) {
-        boolean exists =
+    private Route refuse(RouteRequest request, RegionGraph configuration, long nowMs) {
+        return refuse(
                 configuration.regionIds().stream()
                         .filter(request.allowed())
-                        .anyMatch(region -> !mTable.of(request.service(), region).isEmpty());
+                        .flatMap(region -> mTable.of(request.service(), region).stream())
+                        .toList(),
+                nowMs);
+    }
+
+    /** Refuses a request, with the end of the shortest pause that an endpoint asked for. */
+    private static Route refuse(List<EndpointState> endpoints, long nowMs) {
+        long backInMs =
+                endpoints.stream()
+                        .filter(state -> !state.leaving())
+                        .mapToLong(state -> state.pauseLeftMs(nowMs))
+                        .filter(pauseMs -> pauseMs > 0)
+                        .min()
+                        .orElse(0);
         return new Route.Refuse(
-                exists ? Route.Reason.NONE_AVAILABLE : Route.Reason.NO_ENDPOINT_ALLOWED);
+                endpoints.isEmpty()
+                        ? Route.Reason.NO_ENDPOINT_ALLOWED
+                        : Route.Reason.NONE_AVAILABLE,
+                backInMs);
     }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -103,6 +103,45 @@
         assertEquals(route, new Route.Refuse(Route.Reason.NONE_AVAILABLE));
     }
 
+    @Test
+    public void whileAllEndpointsPauseTellsTheShortestPause() {
+        Configuration configuration = configuration(1, 3);
+        EndpointTable table = table(configuration);
+        Router router = new Router(region(0), table, region -> true);
+        List<EndpointState> states = table.of(SERVICE, region(0));
+        states.get(0).pause(9_000, NOW_MS);
+        states.get(1).pause(4_000, NOW_MS);
+        assertEquals(
+                ((Route.Local) router.choose(request(r -> true, false), configuration, 0, NOW_MS))
+                        .endpoint(),
+                states.get(2));
+        states.get(2).pause(7_000, NOW_MS);
+
+        Route route = router.choose(request(r -> true, false), configuration, 0, NOW_MS + 1_000);
+
+        assertEquals(route, new Route.Refuse(Route.Reason.NONE_AVAILABLE, 3_000));
+        assertTrue(states.get(1).usable(NOW_MS + 4_000));
+        assertFalse(states.get(0).usable(NOW_MS + 8_999));
+    }
+
+    @Test
+    public void anAnnouncementCountsForOneStartOfAnEndpoint() {
+        EndpointTable table = table(configuration(1, 2));
+        EndpointState state = table.of(SERVICE, region(0)).get(0);
+        table.setLeaving(Set.of(), Map.of(state.id(), 5L), NOW_MS);
+        assertTrue(table.announceLeaving(state, NOW_MS));
+        assertFalse(table.announceLeaving(state, NOW_MS));
+
+        table.setEndpoints(List.of(), NOW_MS);
+        table.setEndpoints(configuration(1, 2).all(Endpoint.class), NOW_MS);
+        table.setLeaving(Set.of(), Map.of(state.id(), 5L), NOW_MS);
+        EndpointState back = table.state(state.id()).orElseThrow();
+        assertTrue(back.leaving(), "The entry has only lapsed.");
+
+        table.setLeaving(Set.of(), Map.of(state.id(), 6L), NOW_MS);
+        assertFalse(back.leaving(), "It has started again.");
+    }
+
     @Test
     public void leavesTheRegionOnlyWhenTheWaitIsWorthIt() {
         Configuration configuration = configuration(2, 1);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -24,6 +24,7 @@
 import org.filbertrudder.platform.PlatformProtocol;
 import org.filbertrudder.platform.PlatformStateSource;
 import org.filbertrudder.policy.membership.PeerAddress;
+import org.filbertrudder.standins.platform.EndlessReplicaStandIn;
 import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.filbertrudder.standins.platform.ReplicaStandIn;
 
@@ -43,6 +44,7 @@
     private static final long GRACE_MS = 8_000;
     private static final long READY_TIMEOUT_MS = 20_000;
     private static final int PORTS = 6;
+    private static final int ENDLESS_SLOTS = 16;
 
     private final Vertx mVertx = Vertx.vertx();
     private final KvStoreStandIn mStore = new KvStoreStandIn(mVertx, "127.0.0.1");
@@ -105,6 +107,13 @@
         return replica;
     }
 
+    /** Starts a replica that answers with bytes without end. */
+    public EndlessReplicaStandIn startEndlessReplica(
+            String id, String service, String region, EndlessReplicaStandIn.Shape shape) {
+        return new EndlessReplicaStandIn(mVertx, shape)
+                .start(mStore, id, service, region + "-a", ENDLESS_SLOTS);
+    }
+
     /** Starts an instance in a region and waits until it is ready. */
     public void startGateway(String id, String region) {
         List<Integer> ports = freePorts();
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -24,6 +24,10 @@
     private static final long EVENT_GAP_MS = 10;
     private static final long WORK_MS = 20;
     private static final int STATUS_MISDIRECTED = 421;
+    private static final long DRIP_GAP_MS = 100;
+
+    /** The pause that a replica asks for, in seconds. */
+    public static final int PAUSE_S = 3;
 
     private final Vertx mVertx;
     private final KvStoreStandIn mStore;
@@ -33,6 +37,7 @@
     private final String mHost;
     private final int mSlots;
     private final AtomicInteger mRunning = new AtomicInteger();
+    private final AtomicInteger mTurnedAway = new AtomicInteger();
     private final Queue<Run> mRuns = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> mRunsById = new ConcurrentHashMap<>();
     private volatile Fault mFault = Fault.NONE;
@@ -73,7 +78,13 @@
         /** Requests are turned away unrun. */
         FULL,
         /** Answers have no signature. */
-        UNSIGNED
+        UNSIGNED,
+        /** Requests run, and each answer says that the replica leaves. */
+        LEAVING,
+        /** Requests are turned away unrun with a pause to be kept. */
+        PAUSING,
+        /** Streams send single bytes of an event that never ends; other answers likewise. */
+        DRIP
     }
 
     /**
@@ -105,10 +116,16 @@
 
     /** Registers a state and how long the replica stays cold, in milliseconds. */
     public void register(String state, long warmupMs) {
+        register(state, warmupMs, 1);
+    }
+
+    /** Registers a state, with the time of the replica's start in milliseconds. */
+    public void register(String state, long warmupMs, long startedMs) {
         mStore.put(
                 "servers/" + mId,
                 Json.MAPPER
                         .createObjectNode()
+                        .put("born", startedMs)
                         .put("service", mService)
                         .put("addr", mHost + ":" + mPort)
                         .put("zone", mZone)
@@ -141,6 +158,11 @@
         return mRunsById.getOrDefault(requestId, 0);
     }
 
+    /** Returns how many requests were turned away with a pause. */
+    public int turnedAway() {
+        return mTurnedAway.get();
+    }
+
     /** Returns the number of requests that run now. */
     public int running() {
         return mRunning.get();
@@ -165,7 +187,14 @@
             response.setStatusCode(STATUS_MISDIRECTED).end();
             return;
         }
-        if (mFault == Fault.FULL || mRunning.get() >= mSlots) {
+        if (mFault == Fault.PAUSING) {
+            mTurnedAway.incrementAndGet();
+            response.putHeader("Retry-After", Integer.toString(PAUSE_S));
+        }
+        if (mFault == Fault.LEAVING) {
+            response.putHeader("Server-Leaving", "1");
+        }
+        if (mFault == Fault.FULL || mFault == Fault.PAUSING || mRunning.get() >= mSlots) {
             response.setStatusCode(503).putHeader("Filbertrudder-Not-Executed", "1").end();
             return;
         }
@@ -202,6 +231,7 @@
         boolean stream = request.getHeader("Filbertrudder-Token-Usage") != null;
         switch (mFault) {
             case HANG -> {}
+            case DRIP -> drip(response);
             case MUTE -> {
                 if (stream) {
                     stream(request, response, Cut.SILENCE);
@@ -230,6 +260,20 @@
         mVertx.setTimer(WORK_MS, timer -> response.end(body));
     }
 
+    private void drip(HttpServerResponse response) {
+        response.putHeader("content-type", "text/event-stream").setChunked(true);
+        response.write("id: 1\ndata: ");
+        mVertx.setPeriodic(
+                DRIP_GAP_MS,
+                timer -> {
+                    if (response.closed()) {
+                        mVertx.cancelTimer(timer);
+                    } else {
+                        response.write("x");
+                    }
+                });
+    }
+
     /** Lists how a stream ends early. */
     private enum Cut {
         NONE,
