--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/GatewaySettings.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/GatewaySettings.java
@@ -22,6 +22,7 @@
  * @param store the address of the platform's key-value store
  * @param seeds addresses of other instances; some may be stale
  * @param bounds the limits that the deployment demands
+ * @param strength the processor share of the instance, in hundredths of a core
  */
 public record GatewaySettings(
         InstanceId id,
@@ -35,7 +36,8 @@
         int metricsPort,
         PeerAddress store,
         List<PeerAddress> seeds,
-        BoundSettings bounds) {
+        BoundSettings bounds,
+        int strength) {
 
     /** Copies the collections. */
     public GatewaySettings {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -8,9 +8,11 @@
 import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.filbertrudder.gateway.config.EndpointEntry;
+import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.Rendezvous;
 
 /** Tracks the registered endpoints: which are leaving, gone, evacuated or cold. */
 final class EndpointRegistry {
@@ -23,6 +25,8 @@
 
     private final ToLongFunction<ServiceId> mWarmupMs;
     private final Map<EndpointId, Known> mKnown = new HashMap<>();
+    private Set<EndpointId> mFound = Set.of();
+    private long mDigest;
     private Set<FailureDomainId> mEvacuated = Set.of();
     private boolean mComplete;
     private boolean mOutage;
@@ -38,12 +42,51 @@
         mOutage = true;
     }
 
+    /** Returns whether endpoints that are missing after an outage may still register again. */
+    boolean isAfterOutage(long nowMs) {
+        return mOutage || nowMs < mKeepMissingUntilMs;
+    }
+
+    /** Notes that the last reading is still right; returns whether that changes anything. */
+    boolean confirm(long nowMs) {
+        return nowMs >= mKeepMissingUntilMs && mKnown.keySet().retainAll(mFound);
+    }
+
+    /** Returns a digest of what the last reading says of the endpoints. */
+    long digest() {
+        return mDigest;
+    }
+
+    private static long digest(Map<EndpointId, EndpointEntry> found) {
+        long digest = 0;
+        for (EndpointEntry entry : found.values()) {
+            Endpoint endpoint = entry.endpoint();
+            // The rest of a warm-up shrinks with each reading, so only its presence counts.
+            String text =
+                    String.join(
+                            "/",
+                            endpoint.id().value(),
+                            endpoint.service().value(),
+                            endpoint.failureDomain().value(),
+                            endpoint.host(),
+                            Integer.toString(endpoint.port()),
+                            Integer.toString(endpoint.slots()),
+                            Boolean.toString(entry.leaving()),
+                            Boolean.toString(entry.warmupMs() > 0),
+                            Long.toString(entry.startedMs()));
+            digest += Rendezvous.weight("endpoint", text);
+        }
+        return digest;
+    }
+
     /** Adopts a complete reading; returns whether anything of interest has changed. */
     boolean update(Map<EndpointId, EndpointEntry> found, long nowMs) {
         if (mOutage) {
             mOutage = false;
             mKeepMissingUntilMs = nowMs + RETURN_MS;
         }
+        mFound = Set.copyOf(found.keySet());
+        mDigest = digest(found);
         boolean changed = false;
         for (EndpointEntry entry : found.values()) {
             changed |= update(entry, nowMs);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -27,6 +27,7 @@
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerCounters;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.freshness.FreshnessFence;
@@ -35,6 +36,7 @@
 import org.filbertrudder.policy.membership.MembershipSettings;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.policy.membership.PeerSend;
+import org.filbertrudder.policy.membership.RelayRole;
 import org.filbertrudder.policy.tokens.InstanceShares;
 import org.filbertrudder.policy.tokens.TokenSettings;
 
@@ -42,7 +44,7 @@
 public final class GatewayControl {
 
     private static final PartLog LOG = PartLog.of("control");
-    private static final long TICK_MS = 50;
+    private static final long TICK_MS = 100;
 
     /** Taken off the time in which a withdrawn key must stop working, for delays on the way. */
     private static final long FENCE_MARGIN_MS = 500;
@@ -53,11 +55,17 @@
     private static final long REGISTER_INTERVAL_MS = 2_000;
     private static final long INSTANCES_INTERVAL_MS = 5_000;
 
+    /** How often the instances are read while all that are registered have been met, in ms. */
+    private static final long QUIET_INSTANCES_INTERVAL_MS = 30_000;
+
     /** The pause after a failed call, in milliseconds; calls are priced, also refused ones. */
     private static final long RETRY_MS = 500;
 
     private static final int MAX_ASKED_PEERS = 2;
 
+    /** One relay suffices, as whoever does not hear of it asks the store. */
+    private static final int RELAYS_PER_FAILURE_DOMAIN = 1;
+
     /** A request that shares its endpoint with a culprit may meet two crashes by chance. */
     private static final int MAX_CRASHES = 3;
 
@@ -81,6 +89,7 @@
     private final List<Runnable> mListeners = new CopyOnWriteArrayList<>();
     private final CompletableFuture<Void> mReady = new CompletableFuture<>();
     private Membership mMembership;
+    private RelayRole mRelayRole;
     private PeerNetwork mNetwork;
     private InstanceShares mShares;
     private AllowanceDesk mAllowances;
@@ -129,6 +138,7 @@
     public CompletableFuture<Void> start() {
         Member self = self();
         mMembership = new Membership(self, MEMBERSHIP, mRandom);
+        mRelayRole = new RelayRole(mMembership, RELAYS_PER_FAILURE_DOMAIN);
         mShares = new InstanceShares(self.id(), TOKENS);
         mAllowances = new AllowanceDesk(mContext, mMembership, mShares, this::sendTo);
         mNetwork =
@@ -161,7 +171,8 @@
                 mSettings.peers().port(),
                 mSettings.forwardPort(),
                 mSettings.callers().port(),
-                MemberState.LIVE);
+                MemberState.LIVE,
+                mSettings.strength());
     }
 
     private void tick() {
@@ -233,10 +244,18 @@
         if (alone && found.size() > 1) {
             send(mMembership.join(mFollower.revision()));
         }
+        boolean allMet = !alone && found.stream().allMatch(each -> isMet(each));
+        if (allMet && !mRelayRole.held()) {
+            mNextInstancesMs = Clocks.steadyMs() + QUIET_INSTANCES_INTERVAL_MS;
+        }
         updateShares(Clocks.steadyMs());
         publish();
     }
 
+    private boolean isMet(Member registered) {
+        return mMembership.member(registered.id()).isPresent();
+    }
+
     /**
      * Divides the contracts among the members.
      *
@@ -253,9 +272,7 @@
     private List<Member> knownMembers() {
         List<Member> known = new ArrayList<>(mMembership.members());
         if (mRegistered != null) {
-            mRegistered.stream()
-                    .filter(member -> mMembership.member(member.id()).isEmpty())
-                    .forEach(known::add);
+            mRegistered.stream().filter(member -> !isMet(member)).forEach(known::add);
         }
         return known;
     }
@@ -357,6 +374,11 @@
         return mAllowances;
     }
 
+    /** Returns the counters of the control messages between instances. */
+    public PeerCounters peerCounters() {
+        return mNetwork.counters();
+    }
+
     /** Returns the memory of requests that crashed endpoints. */
     public CrashMemory crashes() {
         return mCrashes;
@@ -424,6 +446,16 @@
             publish();
         }
 
+        @Override
+        public boolean isRelay() {
+            return mRelayRole == null || mRelayRole.held() || mRelayRole.other().isEmpty();
+        }
+
+        @Override
+        public void askRelay(PeerMessage.StateRequest request) {
+            mRelayRole.other().ifPresent(relay -> mNetwork.send(PeerAddress.of(relay), request));
+        }
+
         @Override
         public void askPeers(PeerMessage.StateRequest request) {
             List<Member> others =
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -22,9 +22,10 @@
 /**
  * Keeps the operators' state and the registered endpoints up to date.
  *
- * <p>Both are read from the store at short intervals by linearizable calls; each answer also
- * confirms that nothing newer existed when the question was sent. While the store does not answer,
- * other instances are asked what they know and since when.
+ * <p>One relay in each failure domain reads both from the store at short intervals by linearizable
+ * calls; each answer also confirms that nothing newer existed when the question was sent. The
+ * others ask their relay what it knows and since when. Whoever has no recent confirmation asks the
+ * store itself, and any other instance while the store does not answer.
  */
 final class StateFollower {
 
@@ -45,8 +46,23 @@
     /** Calls without an answer after which no further one is started. */
     private static final int MAX_OPEN_CALLS = 3;
 
-    /** The age of the state from which other instances are asked, in milliseconds. */
-    private static final long ASK_PEERS_AFTER_MS = 2_200;
+    /** The age after which the reply to a question is ignored, in milliseconds. */
+    private static final long MAX_QUESTION_AGE_MS = 2_000;
+
+    /** The age of the state from which any other instances are asked, in milliseconds. */
+    private static final long ASK_PEERS_AFTER_MS = 2_500;
+
+    /**
+     * The age of what a relay has told after which the store is asked: the interval of the relay,
+     * that of this instance, and the way to the store and back.
+     */
+    private static final long RELAY_SILENCE_MS = 2_400;
+
+    /** How often an instance asks the store that is no relay, in milliseconds. */
+    private static final long FALLBACK_INTERVAL_MS = 1_800;
+
+    /** A relay without a newer reading of the endpoints than this tells none, in milliseconds. */
+    private static final long MAX_TOLD_AGE_MS = 2 * ENDPOINT_INTERVAL_MS;
 
     private final Context mContext;
     private final StateSource mSource;
@@ -64,6 +80,8 @@
     private long mStateAskedMs;
     private long mNextEndpointsMs;
     private long mNextPeersMs;
+    private long mNextQuestionMs;
+    private boolean mUrgent;
     private int mOpenStateCalls;
     private int mOpenEndpointCalls;
     private long mNextQuestion = 1;
@@ -87,18 +105,29 @@
     /** Starts the calls that are due. */
     void tick(Moment now) {
         long nowMs = now.steadyMs();
+        boolean relay = mListener.isRelay() || !isReady();
+        boolean outdated = mFence.ageMs(now) > RELAY_SILENCE_MS;
+        if (nowMs >= mNextQuestionMs && !relay) {
+            mNextQuestionMs = nowMs + STATE_INTERVAL_MS;
+            mListener.askRelay(question(now));
+        }
         if (nowMs >= mNextStateMs && mOpenStateCalls < MAX_OPEN_CALLS) {
-            mNextStateMs = nowMs + STATE_INTERVAL_MS;
-            readState(now);
+            if (relay || outdated || mUrgent) {
+                mUrgent = false;
+                mNextStateMs = nowMs + (relay ? STATE_INTERVAL_MS : FALLBACK_INTERVAL_MS);
+                readState(now);
+            }
         }
+        boolean endpointsOutdated = nowMs - mEndpointsReadMs > RELAY_SILENCE_MS;
         if (nowMs >= mNextEndpointsMs && mOpenEndpointCalls < MAX_OPEN_CALLS) {
-            mNextEndpointsMs = nowMs + ENDPOINT_INTERVAL_MS;
-            readEndpoints();
+            if (relay || endpointsOutdated) {
+                mNextEndpointsMs = nowMs + (relay ? ENDPOINT_INTERVAL_MS : FALLBACK_INTERVAL_MS);
+                readEndpoints();
+            }
         }
-        boolean outdated = mFence.ageMs(now) > ASK_PEERS_AFTER_MS;
-        if (outdated && nowMs >= mNextPeersMs) {
+        if (mFence.ageMs(now) > ASK_PEERS_AFTER_MS && nowMs >= mNextPeersMs) {
             mNextPeersMs = nowMs + RETRY_MS;
-            askPeers(now);
+            mListener.askPeers(question(now));
         }
     }
 
@@ -127,13 +156,18 @@
 
     private void stateFailed(Throwable failure) {
         mOpenStateCalls--;
-        mNextStateMs = Math.min(mNextStateMs, Clocks.steadyMs() + RETRY_MS);
+        mNextStateMs = Math.min(mNextStateMs, Clocks.steadyMs() + retryMs());
         if (!mStoreLost) {
             mStoreLost = true;
             LOG.warn("The store does not answer.", Field.of("error", failure.getMessage()));
         }
     }
 
+    /** Returns the pause after a failed call; calls are priced, also refused ones. */
+    private long retryMs() {
+        return mListener.isRelay() ? RETRY_MS : FALLBACK_INTERVAL_MS;
+    }
+
     /** Adopts a state that was complete when the question for it was asked. */
     private void adopt(OperatorState state, Moment askedAt, String from) {
         if (state.revision() > mState.revision() && !adoptConfiguration(state, askedAt, from)) {
@@ -183,27 +217,30 @@
 
     private void readEndpoints() {
         mOpenEndpointCalls++;
+        long askedMs = Clocks.steadyMs();
         mSource.readEndpoints()
                 .subscribe()
                 .with(
-                        found -> execute(() -> endpointsRead(found)),
+                        found -> execute(() -> endpointsRead(found, askedMs)),
                         failure -> execute(this::endpointsFailed));
     }
 
-    private void endpointsRead(Map<String, String> found) {
+    private void endpointsRead(Map<String, String> found, long askedMs) {
         mOpenEndpointCalls--;
-        adoptEndpoints(found);
+        if (askedMs > mEndpointsReadMs) {
+            adoptEndpoints(found, askedMs);
+        }
     }
 
-    private void adoptEndpoints(Map<String, String> found) {
+    private void adoptEndpoints(Map<String, String> found, long readMs) {
         mRegistrations = Map.copyOf(found);
-        mEndpointsReadMs = Clocks.steadyMs();
+        mEndpointsReadMs = readMs;
         Map<EndpointId, EndpointEntry> entries = new HashMap<>();
         found.forEach(
                 (id, text) ->
                         mSource.decodeEndpoint(id, text)
                                 .ifPresent(entry -> entries.put(entry.endpoint().id(), entry)));
-        if (mRegistry.update(entries, mEndpointsReadMs)) {
+        if (mRegistry.update(entries, Clocks.steadyMs())) {
             LOG.info(
                     "The endpoints have changed.",
                     Field.of("registered", found.size()),
@@ -215,14 +252,17 @@
     private void endpointsFailed() {
         mOpenEndpointCalls--;
         mRegistry.noteOutage();
-        mNextEndpointsMs = Math.min(mNextEndpointsMs, Clocks.steadyMs() + RETRY_MS);
+        mNextEndpointsMs = Math.min(mNextEndpointsMs, Clocks.steadyMs() + retryMs());
     }
 
-    private void askPeers(Moment now) {
+    /** Returns a question to another instance, whose reply counts as of now. */
+    private PeerMessage.StateRequest question(Moment now) {
         long id = mNextQuestion++;
-        mPeerQuestions.values().removeIf(asked -> now.steadyMs() - asked.steadyMs() > 2_000);
+        mPeerQuestions
+                .values()
+                .removeIf(asked -> now.steadyMs() - asked.steadyMs() > MAX_QUESTION_AGE_MS);
         mPeerQuestions.put(id, now);
-        mListener.askPeers(new PeerMessage.StateRequest(id, mState.revision()));
+        return new PeerMessage.StateRequest(id, mState.revision(), mRegistry.digest());
     }
 
     /** Answers another instance, if the state here is confirmed recently enough. */
@@ -235,7 +275,9 @@
         Map<String, Long> evacuations = new HashMap<>();
         mState.evacuations()
                 .forEach((domain, revision) -> evacuations.put(domain.value(), revision));
-        boolean endpointsNew = now.steadyMs() - mEndpointsReadMs < 2 * ENDPOINT_INTERVAL_MS;
+        long endpointsAgeMs = now.steadyMs() - mEndpointsReadMs;
+        boolean tells =
+                endpointsAgeMs < MAX_TOLD_AGE_MS && request.endpointsDigest() != mRegistry.digest();
         return Optional.of(
                 new PeerMessage.StateReply(
                         request.id(),
@@ -243,7 +285,10 @@
                         mState.revision(),
                         newer ? mState.configuration() : "",
                         evacuations,
-                        endpointsNew ? mRegistrations : Map.of()));
+                        tells ? mRegistrations : Map.of(),
+                        mRegistry.digest(),
+                        endpointsAgeMs,
+                        mRegistry.isAfterOutage(now.steadyMs())));
     }
 
     /** Adopts what another instance knows. */
@@ -263,16 +308,35 @@
                 new OperatorState(reply.revision(), reply.configuration(), evacuations),
                 asOf,
                 "peer");
-        boolean own = Clocks.steadyMs() - mEndpointsReadMs < 2 * ENDPOINT_INTERVAL_MS;
-        if (!own && !reply.endpoints().isEmpty()) {
-            adoptEndpoints(reply.endpoints());
+        if (reply.endpointsAgeMs() >= 0 && reply.endpointsAgeMs() < MAX_TOLD_AGE_MS) {
+            adoptEndpoints(reply, asked.steadyMs() - reply.endpointsAgeMs());
+        }
+    }
+
+    /**
+     * Adopts the endpoints that another instance read at a time, unless they are known as newer.
+     */
+    private void adoptEndpoints(PeerMessage.StateReply reply, long readMs) {
+        if (readMs <= mEndpointsReadMs) {
+            return;
+        }
+        if (reply.afterOutage()) {
             mRegistry.noteOutage();
         }
+        if (!reply.endpoints().isEmpty()) {
+            adoptEndpoints(reply.endpoints(), readMs);
+        } else if (reply.endpointsDigest() == mRegistry.digest()) {
+            mEndpointsReadMs = readMs;
+            if (mRegistry.confirm(Clocks.steadyMs())) {
+                mListener.endpointsChanged();
+            }
+        }
     }
 
     /** Runs the action once the state has been confirmed again; asks the store a little sooner. */
     void onNextConfirmation(Runnable action) {
         mConfirmationWaiters.add(action);
+        mUrgent = true;
         mNextStateMs = Math.min(mNextStateMs, mStateAskedMs + MIN_STATE_INTERVAL_MS);
     }
 
@@ -310,6 +374,12 @@
         /** Handles a change of the endpoints or evacuations. */
         void endpointsChanged();
 
+        /** Returns whether this instance asks the store for others of its failure domain. */
+        boolean isRelay();
+
+        /** Sends the question to the relay of this failure domain. */
+        void askRelay(PeerMessage.StateRequest request);
+
         /** Sends the question to some other instances. */
         void askPeers(PeerMessage.StateRequest request);
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptRunner.java
@@ -57,8 +57,19 @@
             mDispatcher.submit(exchange);
             return;
         }
-        Member member = members.get(mRandom.nextInt(members.size()));
-        new AwayAttempt(this, exchange, region, member).start(expected);
+        new AwayAttempt(this, exchange, region, byStrength(members)).start(expected);
+    }
+
+    /** Draws a member with a chance that is proportional to its strength. */
+    private Member byStrength(List<Member> members) {
+        int left = mRandom.nextInt(members.stream().mapToInt(Member::strength).sum());
+        for (Member member : members) {
+            left -= member.strength();
+            if (left < 0) {
+                return member;
+            }
+        }
+        return members.get(members.size() - 1);
     }
 
     /** Checks, at the last moment, that the request may still be sent; gives it up otherwise. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/DirectoryQuestion.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/DirectoryQuestion.java
@@ -7,5 +7,13 @@
  *
  * @param host the host that the caller wants to reach
  * @param region the caller's region, if it tells
+ * @param failureDomain the caller's failure domain, if it tells
  */
-public record DirectoryQuestion(String host, Optional<String> region) {}
+public record DirectoryQuestion(
+        String host, Optional<String> region, Optional<String> failureDomain) {
+
+    /** Returns what callers have in common that are led to the same instances. */
+    String place() {
+        return region.orElse("") + "/" + failureDomain.orElse("") + "/" + host;
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayMetrics.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayMetrics.java
@@ -7,6 +7,7 @@
 import com.codahale.metrics.Snapshot;
 import java.util.Locale;
 import java.util.Map;
+import org.filbertrudder.peer.PeerCounters;
 
 /** Counts what the gateway does and writes it as text. */
 public final class GatewayMetrics {
@@ -28,6 +29,14 @@
         mRegistry.gauge(name, () -> gauge);
     }
 
+    /** Adds what is sent to and received from other instances on ports of one kind. */
+    void peerTraffic(String kind, PeerCounters counters) {
+        gauge("peer_" + kind + "_messages_sent", counters::messagesSent);
+        gauge("peer_" + kind + "_messages_received", counters::messagesReceived);
+        gauge("peer_" + kind + "_bytes_sent", counters::bytesSent);
+        gauge("peer_" + kind + "_bytes_received", counters::bytesReceived);
+    }
+
     /** Writes one line for each value: its name, a space and the value. */
     public String toText() {
         StringBuilder text = new StringBuilder();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -45,7 +45,7 @@
 public final class GatewayTraffic extends AbstractVerticle {
 
     private static final PartLog LOG = PartLog.of("traffic");
-    private static final long TICK_MS = 50;
+    private static final long TICK_MS = 100;
     private static final long SLOW_TICK_MS = 1_000;
 
     /** How long a stopping instance accepts requests of callers that have not heard of it. */
@@ -146,6 +146,8 @@
         mMetrics.gauge("requests_running", mActive::size);
         mMetrics.gauge("requests_waiting", mDispatcher::waiting);
         mMetrics.gauge("endpoint_connections_opened", mConnections::opened);
+        mMetrics.peerTraffic("control", mControl.peerCounters());
+        mMetrics.peerTraffic("forwards", mNetwork.counters());
     }
 
     /** Returns this instance's part of the connections that an endpoint accepts, for idle ones. */
@@ -173,7 +175,7 @@
         if (mForwards.handle(connection, message) || connection.peer() == null) {
             return;
         }
-        if (!mBoard.handle(connection.peer().id(), message)) {
+        if (!mBoard.handle(connection.peer(), message)) {
             mReceiver.handle(connection, message);
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.gateway.control.Clocks;
@@ -16,28 +17,37 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.Rendezvous;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
+import org.filbertrudder.policy.routing.LoadSums;
 import org.filbertrudder.policy.routing.RegionReach;
 
 /**
  * Exchanges the load of endpoints inside the region and the wait of services between regions.
  *
- * <p>Each instance tells the others of its region what it has running. One of them, the first by
- * id, tells the other regions how long new requests would wait here.
+ * <p>Each instance tells the relay of its region what it has running; the relay tells the sum to
+ * all. The relays of two regions tell each other how long new requests would wait, and pass it on,
+ * so that one copy of a report crosses the link.
  */
 final class RegionBoard implements RegionReach {
 
-    /** How often instances of a region tell each other their load, in milliseconds. */
+    /** How often changes of the load are told, in milliseconds. */
     private static final long LOAD_INTERVAL_MS = 250;
 
+    /** How often the load is told although it has not changed, in milliseconds. */
+    private static final long UNCHANGED_INTERVAL_MS = 1_000;
+
+    /** The silence of a relay after which the next one is asked, in milliseconds. */
+    private static final long RELAY_SILENCE_MS = 2_200;
+
+    /** How many instances take turns as relays while the first ones are silent. */
+    private static final int RELAY_CANDIDATES = 3;
+
     /** How often a region tells the others its wait, in milliseconds; bytes there are priced. */
     private static final long REGION_INTERVAL_MS = 500;
 
-    /** The age after which a report is worth nothing, in milliseconds. */
-    private static final long REPORT_LIFETIME_MS = 3_000;
-
     /** The wait that is assumed in a region that has not reported, in milliseconds. */
     private static final double UNKNOWN_DELAY_MS = 300;
 
@@ -47,11 +57,18 @@
     private final EndpointTable mTable;
     private final Supplier<GatewaySnapshot> mSnapshot;
     private final PeerNetwork mNetwork;
-    private final Map<InstanceId, Reported> mLoads = new HashMap<>();
+    private final LoadSums mSums = new LoadSums();
+    private Map<EndpointId, PeerMessage.EndpointLoad> mTold = Map.of();
+    private List<PeerMessage.EndpointLoad> mToldSum = List.of();
+    private List<Member> mMembers = List.of();
+    private List<Member> mRelays = List.of();
+    private int mRelay;
+    private long mToldMs;
+    private long mToldSumMs;
+    private long mHeardMs;
     private final Map<RegionId, RegionState> mRegions = new HashMap<>();
     private long mNextLoadMs;
     private long mNextRegionMs;
-    private boolean mToldLoad;
 
     RegionBoard(EndpointTable table, Supplier<GatewaySnapshot> snapshot, PeerNetwork network) {
         mTable = table;
@@ -86,40 +103,107 @@
     /** Sends the reports that are due. */
     void tick(long nowMs) {
         GatewaySnapshot snapshot = mSnapshot.get();
-        List<Member> here = snapshot.workingIn(snapshot.self().region());
         if (nowMs >= mNextLoadMs) {
             mNextLoadMs = nowMs + LOAD_INTERVAL_MS;
-            tellLoad(snapshot, here);
+            chooseRelay(snapshot, nowMs);
+            tellLoad(snapshot, nowMs);
+            tellSum(snapshot, nowMs);
         }
         if (nowMs >= mNextRegionMs) {
             mNextRegionMs = nowMs + REGION_INTERVAL_MS;
-            boolean first = !here.isEmpty() && here.get(0).id().equals(snapshot.self().id());
-            if (first && snapshot.configuration() != null) {
+            if (isFirstRelay(snapshot) && snapshot.configuration() != null) {
                 tellRegions(snapshot, nowMs);
             }
         }
     }
 
-    private void tellLoad(GatewaySnapshot snapshot, List<Member> here) {
-        List<PeerMessage.EndpointLoad> loads = new ArrayList<>();
+    private void chooseRelay(GatewaySnapshot snapshot, long nowMs) {
+        if (mMembers != snapshot.members()) {
+            mMembers = snapshot.members();
+            List<Member> relays = relays(snapshot, snapshot.self().region());
+            if (!relays.equals(mRelays)) {
+                mRelays = relays;
+                mRelay = 0;
+                mHeardMs = nowMs;
+            }
+        }
+        boolean silent = nowMs - mHeardMs > RELAY_SILENCE_MS;
+        if (silent && !mRelays.isEmpty()) {
+            mRelay = (mRelay + 1) % mRelays.size();
+            mHeardMs = nowMs;
+        }
+    }
+
+    /** Returns the instances that may be the relay of a region, the first choice first. */
+    private static List<Member> relays(GatewaySnapshot snapshot, RegionId region) {
+        return Rendezvous.rankByStrength(
+                        region.value(),
+                        snapshot.workingIn(region),
+                        member -> member.id().value(),
+                        Member::strength)
+                .stream()
+                .limit(RELAY_CANDIDATES)
+                .toList();
+    }
+
+    private boolean isFirstRelay(GatewaySnapshot snapshot) {
+        return !mRelays.isEmpty() && mRelays.get(0).id().equals(snapshot.self().id());
+    }
+
+    private void tellLoad(GatewaySnapshot snapshot, long nowMs) {
+        Map<EndpointId, PeerMessage.EndpointLoad> loads = new HashMap<>();
         for (EndpointState state : mTable.in(snapshot.self().region())) {
             if (state.inFlight() > 0) {
-                loads.add(
+                loads.put(
+                        state.id(),
                         new PeerMessage.EndpointLoad(
                                 state.id(),
                                 state.inFlight(),
-                                state.ownPrefillMs(),
+                                Math.rint(state.ownPrefillMs()),
                                 state.ownMemoryTokens()));
             }
         }
-        if (loads.isEmpty() && !mToldLoad) {
+        boolean due = !loads.equals(mTold) || nowMs - mToldMs >= UNCHANGED_INTERVAL_MS;
+        if (!due || mRelays.isEmpty()) {
+            return;
+        }
+        mTold = loads;
+        mToldMs = nowMs;
+        Member relay = mRelays.get(mRelay);
+        List<PeerMessage.EndpointLoad> report = List.copyOf(loads.values());
+        if (relay.id().equals(snapshot.self().id())) {
+            mSums.report(relay.id(), report, nowMs);
+            mHeardMs = nowMs;
+        } else {
+            mNetwork.send(forwardAddress(relay), new PeerMessage.LoadReport(report));
+        }
+    }
+
+    /** Tells the sum to all that report to this instance. */
+    private void tellSum(GatewaySnapshot snapshot, long nowMs) {
+        Set<InstanceId> reporters = mSums.reporters(nowMs);
+        if (reporters.isEmpty()) {
             return;
         }
-        mToldLoad = !loads.isEmpty();
-        PeerMessage.LoadReport report = new PeerMessage.LoadReport(loads);
-        here.stream()
+        Map<EndpointId, PeerMessage.EndpointLoad> sums = mSums.sum(nowMs);
+        if (mRelays.get(mRelay).id().equals(snapshot.self().id())) {
+            applySum(sums);
+        }
+        List<PeerMessage.EndpointLoad> loads = List.copyOf(sums.values());
+        boolean due = !loads.equals(mToldSum) || nowMs - mToldSumMs >= UNCHANGED_INTERVAL_MS;
+        if (due) {
+            mToldSum = loads;
+            mToldSumMs = nowMs;
+            toReporters(snapshot, new PeerMessage.LoadSum(loads));
+        }
+    }
+
+    private void toReporters(GatewaySnapshot snapshot, PeerMessage message) {
+        Set<InstanceId> reporters = mSums.reporters(Clocks.steadyMs());
+        snapshot.members().stream()
+                .filter(member -> reporters.contains(member.id()))
                 .filter(member -> !member.id().equals(snapshot.self().id()))
-                .forEach(member -> mNetwork.send(forwardAddress(member), report));
+                .forEach(member -> mNetwork.send(forwardAddress(member), message));
     }
 
     private void tellRegions(GatewaySnapshot snapshot, long nowMs) {
@@ -140,8 +224,10 @@
                 new PeerMessage.RegionReport(
                         snapshot.self().region(), named, regionLoads(snapshot, nowMs));
         snapshot.members().stream()
-                .filter(Member::takesWork)
-                .filter(member -> !member.region().equals(snapshot.self().region()))
+                .map(Member::region)
+                .distinct()
+                .filter(region -> !region.equals(snapshot.self().region()))
+                .flatMap(region -> relays(snapshot, region).stream().limit(1))
                 .forEach(member -> mNetwork.send(forwardAddress(member), report));
     }
 
@@ -165,10 +251,16 @@
     }
 
     /** Handles a report; returns whether the message was one. */
-    boolean handle(InstanceId from, PeerMessage message) {
+    boolean handle(Member from, PeerMessage message) {
         if (message instanceof PeerMessage.LoadReport report) {
-            mLoads.put(from, new Reported(report, Clocks.steadyMs()));
-            applyLoads();
+            mSums.report(from.id(), report.loads(), Clocks.steadyMs());
+            return true;
+        }
+        if (message instanceof PeerMessage.LoadSum sum) {
+            mHeardMs = Clocks.steadyMs();
+            Map<EndpointId, PeerMessage.EndpointLoad> loads = new HashMap<>();
+            sum.loads().forEach(load -> loads.put(load.endpoint(), load));
+            applySum(loads);
             return true;
         }
         if (message instanceof PeerMessage.RegionReport report) {
@@ -178,21 +270,19 @@
             state.mReportedMs = Clocks.steadyMs();
             mRegions.put(report.region(), state);
             applyRegion(report);
+            // Only what comes from its own region is passed on, so that no report goes in a circle.
+            if (from.region().equals(report.region())) {
+                toReporters(mSnapshot.get(), report);
+            }
             return true;
         }
         return false;
     }
 
-    private void applyLoads() {
-        long nowMs = Clocks.steadyMs();
-        mLoads.values().removeIf(each -> nowMs - each.atMs() > REPORT_LIFETIME_MS);
-        Map<EndpointId, PeerMessage.EndpointLoad> sums = new HashMap<>();
-        for (Reported reported : mLoads.values()) {
-            for (PeerMessage.EndpointLoad load : reported.report().loads()) {
-                sums.merge(load.endpoint(), load, RegionBoard::sum);
-            }
-        }
-        apply(mSnapshot.get().self().region(), sums);
+    private void applySum(Map<EndpointId, PeerMessage.EndpointLoad> sums) {
+        Map<EndpointId, PeerMessage.EndpointLoad> others = new HashMap<>();
+        sums.forEach((id, sum) -> others.put(id, LoadSums.without(sum, mTold.get(id))));
+        apply(mSnapshot.get().self().region(), others);
     }
 
     private void applyRegion(PeerMessage.RegionReport report) {
@@ -216,17 +306,6 @@
         }
     }
 
-    private static PeerMessage.EndpointLoad sum(
-            PeerMessage.EndpointLoad one, PeerMessage.EndpointLoad other) {
-        return new PeerMessage.EndpointLoad(
-                one.endpoint(),
-                one.requests() + other.requests(),
-                one.prefillMs() + other.prefillMs(),
-                one.memoryTokens() + other.memoryTokens());
-    }
-
-    private record Reported(PeerMessage.LoadReport report, long atMs) {}
-
     /** Holds what another region has told, and what has been sent there since. */
     private static final class RegionState {
 
@@ -235,7 +314,7 @@
         private long mReportedMs = Long.MIN_VALUE / 2;
 
         boolean isOld() {
-            return Clocks.steadyMs() - mReportedMs > REPORT_LIFETIME_MS;
+            return Clocks.steadyMs() - mReportedMs > LoadSums.REPORT_LIFETIME_MS;
         }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SideServers.java
@@ -15,6 +15,7 @@
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
+import org.filbertrudder.policy.membership.CallerSpread;
 import org.filbertrudder.policy.membership.PeerAddress;
 
 /** Serves readiness checks, the callers' directory, metrics and the state dump. */
@@ -27,9 +28,6 @@
     /** How long callers may use an answer of the directory; bounds how long a stop goes unheard. */
     private static final long DIRECTORY_VALID_MS = 2_000;
 
-    /** The most addresses that callers use of one answer. */
-    private static final int MAX_ADDRESSES = 64;
-
     private final GatewaySettings mSettings;
     private final GatewayControl mControl;
     private final HttpProtocol mProtocol;
@@ -96,8 +94,8 @@
         DirectoryQuestion question = mProtocol.readDirectoryQuestion(request.params());
         RegionId region = question.region().map(RegionId::of).orElse(mSettings.region());
         List<PeerAddress> addresses =
-                instances(snapshot, region, question.host()).stream()
-                        .limit(MAX_ADDRESSES)
+                CallerSpread.choose(question.place(), instances(snapshot, region, question.host()))
+                        .stream()
                         .map(member -> new PeerAddress(member.host(), member.callerPort()))
                         .toList();
         if (addresses.isEmpty()) {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -28,6 +28,8 @@
 
     private final List<CompletableFuture<OperatorState>> mAnswers = new ArrayList<>();
     private final List<Long> mAdopted = new ArrayList<>();
+    private final List<PeerMessage.StateRequest> mQuestions = new ArrayList<>();
+    private boolean mRelay = true;
     private Vertx mVertx;
     private Context mContext;
     private StateFollower mFollower;
@@ -101,6 +103,16 @@
         @Override
         public void endpointsChanged() {}
 
+        @Override
+        public boolean isRelay() {
+            return mRelay;
+        }
+
+        @Override
+        public void askRelay(PeerMessage.StateRequest request) {
+            mQuestions.add(request);
+        }
+
         @Override
         public void askPeers(PeerMessage.StateRequest request) {}
     }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -254,7 +254,7 @@
 
         @Override
         public DirectoryQuestion readDirectoryQuestion(MultiMap query) {
-            return new DirectoryQuestion("", Optional.empty());
+            return new DirectoryQuestion("", Optional.empty(), Optional.empty());
         }
 
         @Override
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/Member.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/Member.java
@@ -16,6 +16,7 @@
  * @param forwardPort the TCP port for requests that other instances forward
  * @param callerPort the TCP port for callers
  * @param state the state at this incarnation
+ * @param strength the processor share of the instance, in hundredths of a core
  */
 public record Member(
         InstanceId id,
@@ -26,7 +27,40 @@
         int peerPort,
         int forwardPort,
         int callerPort,
-        MemberState state) {
+        MemberState state,
+        int strength) {
+
+    /** The strength of an instance that does not tell its own. */
+    public static final int STANDARD_STRENGTH = 100;
+
+    /** Treats a strength that makes no sense as the standard one. */
+    public Member {
+        strength = strength <= 0 ? STANDARD_STRENGTH : strength;
+    }
+
+    /** Describes an instance of standard strength. */
+    public Member(
+            InstanceId id,
+            long incarnation,
+            RegionId region,
+            FailureDomainId failureDomain,
+            String host,
+            int peerPort,
+            int forwardPort,
+            int callerPort,
+            MemberState state) {
+        this(
+                id,
+                incarnation,
+                region,
+                failureDomain,
+                host,
+                peerPort,
+                forwardPort,
+                callerPort,
+                state,
+                STANDARD_STRENGTH);
+    }
 
     /** Returns this member in another state at the same incarnation. */
     public Member in(MemberState newState) {
@@ -44,7 +78,8 @@
                 peerPort,
                 forwardPort,
                 callerPort,
-                newState);
+                newState,
+                strength);
     }
 
     /** Returns whether this description is newer than the other one of the same instance. */
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -1,5 +1,7 @@
 package org.filbertrudder.model.message;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -40,6 +42,7 @@
     @JsonSubTypes.Type(value = PeerMessage.StateRequest.class, name = "tr"),
     @JsonSubTypes.Type(value = PeerMessage.StateReply.class, name = "ts"),
     @JsonSubTypes.Type(value = PeerMessage.LoadReport.class, name = "lo"),
+    @JsonSubTypes.Type(value = PeerMessage.LoadSum.class, name = "ls"),
     @JsonSubTypes.Type(value = PeerMessage.RegionReport.class, name = "rg")
 })
 public sealed interface PeerMessage {
@@ -265,12 +268,13 @@
     record ForwardAlive() implements PeerMessage {}
 
     /**
-     * Asks for the operators' state as the receiver knows it, while the store is out of reach.
+     * Asks another instance for the operators' state and the endpoints that it knows.
      *
-     * @param id correlates the reply
+     * @param id names the request in the reply
      * @param revision the store revision of the configuration that the sender has
+     * @param endpointsDigest the digest of the endpoints that the sender has
      */
-    record StateRequest(long id, long revision) implements PeerMessage {}
+    record StateRequest(long id, long revision, long endpointsDigest) implements PeerMessage {}
 
     /**
      * Tells the operators' state and its age.
@@ -280,7 +284,10 @@
      * @param revision the store revision of the configuration
      * @param configuration the configuration as written; empty if the sender has this revision
      * @param evacuations the store revision of each evacuation, by failure domain
-     * @param endpoints what the endpoints have registered, by id
+     * @param endpoints what the endpoints have registered, by id; empty if the asker has the same
+     * @param endpointsDigest the digest of the endpoints that the sender has
+     * @param endpointsAgeMs how long before the reply they were read, in milliseconds
+     * @param afterOutage whether endpoints that are missing may still register again
      */
     record StateReply(
             long id,
@@ -288,24 +295,36 @@
             long revision,
             String configuration,
             Map<String, Long> evacuations,
-            Map<String, String> endpoints)
+            Map<String, String> endpoints,
+            long endpointsDigest,
+            long endpointsAgeMs,
+            boolean afterOutage)
             implements PeerMessage {}
 
     /**
-     * Tells the instances of a region what the sender has running at its endpoints.
+     * Tells the relay of a region what the sender has running at its endpoints.
      *
      * @param loads the load at each endpoint in use
      */
     record LoadReport(List<EndpointLoad> loads) implements PeerMessage {}
 
     /**
-     * Describes the requests of one instance at an endpoint.
+     * Tells the instances of a region what all of them have running at its endpoints.
+     *
+     * @param loads the load at each endpoint in use
+     */
+    record LoadSum(List<EndpointLoad> loads) implements PeerMessage {}
+
+    /**
+     * Describes the requests of one or several instances at an endpoint.
      *
      * @param endpoint the endpoint
      * @param requests the number of requests
      * @param prefillMs the time to read the prompts that have no first token yet, in milliseconds
      * @param memoryTokens the engine memory that the requests occupy at their end, in tokens
      */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"endpoint", "requests", "prefillMs", "memoryTokens"})
     record EndpointLoad(EndpointId endpoint, int requests, double prefillMs, long memoryTokens) {}
 
     /**
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
@@ -2,13 +2,17 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ToIntFunction;
 
 /** Ranks candidates for a key by highest random weight, so that few keys move with the set. */
 public final class Rendezvous {
 
+    private static final double MAX_WEIGHT = Long.MAX_VALUE;
     private static final long PRIME = 0x100000001b3L;
     private static final long OFFSET = 0xcbf29ce484222325L;
 
@@ -26,6 +30,26 @@
         return candidates.stream().min(byWeight(key, identity));
     }
 
+    /**
+     * Returns the candidates for the key, best first, where each is the best one for a part of all
+     * keys that is proportional to its strength.
+     */
+    public static <T> List<T> rankByStrength(
+            String key,
+            Collection<T> candidates,
+            Function<T, String> identity,
+            ToIntFunction<T> strength) {
+        long keyHash = hash(key);
+        Map<T, Double> scores = new HashMap<>();
+        for (T candidate : candidates) {
+            double uniform =
+                    (weight(keyHash, hash(identity.apply(candidate))) + 1.0) / (MAX_WEIGHT + 2.0);
+            scores.put(candidate, -Math.log(uniform) / strength.applyAsInt(candidate));
+        }
+        Comparator<T> leastScore = Comparator.comparingDouble(scores::get);
+        return candidates.stream().sorted(leastScore.thenComparing(identity)).toList();
+    }
+
     private static <T> Comparator<T> byWeight(String key, Function<T, String> identity) {
         Comparator<T> heaviestFirst =
                 Comparator.comparingLong(candidate -> -weight(key, identity.apply(candidate)));
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -29,12 +29,29 @@
 public final class Membership {
 
     private static final int MAX_ACCUSE_BACKOFF = 16;
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+    /** More changes than this within the window count as a storm. */
+    private static final int STORM_CHANGES = 8;
+
+    private static final long STORM_WINDOW_MS = 1_000;
+
+    /** In a storm, news that comes sooner after other news is passed on together, in ms. */
+    private static final long FLOOD_INTERVAL_MS = 200;
+
+    /** The heartbeats after which a table that keeps changing is asked for all the same. */
+    private static final int MAX_SETTLING_HEARTBEATS = 8;
 
     private final MembershipSettings mSettings;
     private final RandomGenerator mRandom;
     private final Map<InstanceId, Member> mMembers = new TreeMap<>();
     private final Map<InstanceId, Contact> mContacts = new HashMap<>();
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
+    private final Map<InstanceId, Member> mNews = new TreeMap<>();
+    private long mFloodedMs = NEVER_MS;
+    private long mChangesSinceMs = NEVER_MS;
+    private int mChanges;
+    private long mDiffersSinceMs = NEVER_MS;
     private Member mSelf;
     private int mDigest;
     private int mSharedDigest;
@@ -147,6 +164,9 @@
     /** Sends the messages that are due. */
     public List<PeerSend> tick(long revision, long nowMs) {
         List<PeerSend> sends = new ArrayList<>();
+        if (nowMs - mFloodedMs >= FLOOD_INTERVAL_MS) {
+            sends.addAll(floodNews(null, nowMs));
+        }
         if (nowMs >= mNextHeartbeatMs) {
             mNextHeartbeatMs = nowMs + mSettings.heartbeatMs();
             sends.addAll(heartbeats(revision, nowMs));
@@ -240,8 +260,10 @@
         List<PeerSend> sends = new ArrayList<>();
         for (PeerAddress seed : mSeeds) {
             sends.add(new PeerSend(seed, new PeerMessage.Heartbeat(mSelf, revision, digest())));
-            sends.add(new PeerSend(seed, new PeerMessage.MembersRequest()));
         }
+        // One table suffices; if it is lost, the next heartbeat shows that the tables differ.
+        pick(List.copyOf(mSeeds))
+                .ifPresent(seed -> sends.add(new PeerSend(seed, new PeerMessage.MembersRequest())));
         return sends;
     }
 
@@ -345,6 +367,7 @@
             return false;
         }
         put(member);
+        countChange(nowMs);
         Contact contact = contact(member.id(), nowMs);
         contact.mStateSinceMs = nowMs;
         contact.mHasLeft = hasLeft(member, contact);
@@ -362,17 +385,60 @@
         };
     }
 
-    /** Asks for the whole table if the other side's differs and has had time to settle. */
+    /**
+     * Asks for the whole table if the other side's differs and has had time to settle.
+     *
+     * <p>While news comes in, tables differ for a moment without anything being lost.
+     */
     private List<PeerSend> compare(Member sender, int theirDigest, long nowMs) {
-        if (theirDigest == digest() || nowMs < mNextSyncMs) {
+        if (theirDigest == digest()) {
+            mDiffersSinceMs = NEVER_MS;
+            return List.of();
+        }
+        if (mDiffersSinceMs == NEVER_MS) {
+            mDiffersSinceMs = nowMs;
+        }
+        boolean settling =
+                isStorm(nowMs)
+                        && nowMs - mDiffersSinceMs
+                                < MAX_SETTLING_HEARTBEATS * mSettings.heartbeatMs();
+        if (settling || nowMs < mNextSyncMs) {
             return List.of();
         }
+        mDiffersSinceMs = NEVER_MS;
         mNextSyncMs = nowMs + mSettings.heartbeatMs() + mRandom.nextLong(mSettings.heartbeatMs());
         return List.of(new PeerSend(PeerAddress.of(sender), new PeerMessage.MembersRequest()));
     }
 
+    /** Passes news on: at once, but in a storm together with what comes soon after. */
     private List<PeerSend> flood(List<Member> news, InstanceId from, long nowMs) {
-        PeerMessage message = new PeerMessage.MemberUpdates(news);
+        news.forEach(member -> mNews.put(member.id(), member));
+        if (isStorm(nowMs) && nowMs - mFloodedMs < FLOOD_INTERVAL_MS) {
+            return List.of();
+        }
+        return floodNews(from, nowMs);
+    }
+
+    /** Returns whether many members have changed lately, as when all of them start. */
+    private boolean isStorm(long nowMs) {
+        return nowMs - mChangesSinceMs < STORM_WINDOW_MS && mChanges > STORM_CHANGES;
+    }
+
+    private void countChange(long nowMs) {
+        if (nowMs - mChangesSinceMs >= STORM_WINDOW_MS) {
+            mChangesSinceMs = nowMs;
+            mChanges = 0;
+        }
+        mChanges++;
+    }
+
+    private List<PeerSend> floodNews(InstanceId from, long nowMs) {
+        if (mNews.isEmpty()) {
+            return List.of();
+        }
+        mFloodedMs = nowMs;
+        PeerMessage message = new PeerMessage.MemberUpdates(List.copyOf(mNews.values()));
+        mNews.clear();
         return floodTargets(from, nowMs).stream().map(to -> new PeerSend(to, message)).toList();
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/RelayRole.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/RelayRole.java
@@ -1,41 +1,65 @@
 package org.filbertrudder.policy.membership;
 
 import java.util.List;
+import java.util.Optional;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.policy.Rendezvous;
 
-/** Tells whether this instance is one of the few in its failure domain that watch the store. */
+/** Tells which few instances of this one's failure domain ask the store for all the others. */
 public final class RelayRole {
 
     private static final int RELAYS_PER_FAILURE_DOMAIN = 2;
 
     private final Membership mMembership;
+    private final int mRelaysPerDomain;
     private long mVersion = -1;
-    private boolean mRelay;
+    private List<Member> mRelays = List.of();
 
     /** Creates the role of the instance that the membership belongs to. */
     public RelayRole(Membership membership) {
+        this(membership, RELAYS_PER_FAILURE_DOMAIN);
+    }
+
+    /** Creates the role with a number of relays in each failure domain. */
+    public RelayRole(Membership membership, int relaysPerDomain) {
         mMembership = membership;
+        mRelaysPerDomain = relaysPerDomain;
     }
 
-    /** Returns whether this instance is a relay; works it out anew only when members change. */
+    /** Returns whether this instance is a relay. */
     public boolean held() {
+        return relays().stream().anyMatch(member -> member.id().equals(mMembership.self().id()));
+    }
+
+    /** Returns the first relay other than this instance; empty if there is none. */
+    public Optional<Member> other() {
+        return relays().stream()
+                .filter(member -> !member.id().equals(mMembership.self().id()))
+                .findFirst();
+    }
+
+    /** Returns the relays; works them out anew only when members change. */
+    private List<Member> relays() {
         if (mVersion != mMembership.version()) {
             mVersion = mMembership.version();
-            mRelay = ranksAmongRelays();
+            mRelays = chooseRelays();
         }
-        return mRelay;
+        return mRelays;
     }
 
-    private boolean ranksAmongRelays() {
+    private List<Member> chooseRelays() {
         Member self = mMembership.self();
         List<Member> candidates =
                 mMembership.workingIn(self.region()).stream()
                         .filter(member -> member.failureDomain().equals(self.failureDomain()))
                         .toList();
-        return Rendezvous.rank(self.failureDomain().value(), candidates, m -> m.id().value())
+        return Rendezvous.rankByStrength(
+                        self.failureDomain().value(),
+                        candidates,
+                        member -> member.id().value(),
+                        Member::strength)
                 .stream()
-                .limit(RELAYS_PER_FAILURE_DOMAIN)
-                .anyMatch(member -> member.id().equals(self.id()));
+                .limit(mRelaysPerDomain)
+                .toList();
     }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -22,6 +22,8 @@
         EXPERIMENTS.put("capacity-tokens", new TokenCapacity());
         EXPERIMENTS.put("capacity-messages", new MessageCapacity());
         EXPERIMENTS.put("capacity-control", new ControlCapacity());
+        EXPERIMENTS.put("capacity-start", new StartCapacity());
+        EXPERIMENTS.put("capacity-fleet", new FleetCapacity());
         EXPERIMENTS.put("capacity-gateway", new GatewayCapacity());
         EXPERIMENTS.put("capacity-streams", new StreamCapacity());
         EXPERIMENTS.put("capacity-outage", new OutageCapacity());
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/MembershipCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/MembershipCapacity.java
@@ -29,6 +29,8 @@
     private static final long WARM_UP_MS = 15_000;
     private static final long WINDOW_MS = 20_000;
     private static final long TICK_MS = 100;
+    private static final int SEEDS = 3;
+    private static final long START_WINDOW_MS = 10_000;
 
     @Override
     public Table run(long seed) {
@@ -49,11 +51,17 @@
         return table;
     }
 
+    /** Measures what it costs when members of one size start at once. */
+    static void measureStart(Table table, int size, long seed, MembershipSettings settings) {
+        new Run(size, seed, settings).measureStart(table);
+    }
+
     /** Runs members of one size under a virtual clock; messages arrive after a fixed delay. */
     private static final class Run {
 
         private final int mSize;
         private final List<Membership> mMembers = new ArrayList<>();
+        private final List<Member> mAll = new ArrayList<>();
         private final Map<PeerAddress, Integer> mByAddress = new HashMap<>();
         private final PriorityQueue<Delivery> mInFlight = new PriorityQueue<>();
         private final long[] mBytes;
@@ -63,21 +71,48 @@
         private long mMessages;
 
         Run(int size, long seed) {
+            this(size, seed, MembershipSettings.DEFAULT);
+            for (int i = 0; i < size; i++) {
+                mMembers.get(i)
+                        .handle(
+                                new PeerMessage.MemberUpdates(mAll),
+                                mAll.get((i + 1) % size).id(),
+                                0);
+            }
+        }
+
+        /** Creates members that know only themselves. */
+        Run(int size, long seed, MembershipSettings settings) {
             mSize = size;
             mBytes = new long[size];
-            List<Member> all = new ArrayList<>();
             for (int i = 0; i < size; i++) {
-                all.add(member(i));
-                mByAddress.put(PeerAddress.of(all.get(i)), i);
+                mAll.add(member(i));
+                mByAddress.put(PeerAddress.of(mAll.get(i)), i);
+                mMembers.add(new Membership(mAll.get(i), settings, new Random(seed + i)));
             }
-            for (int i = 0; i < size; i++) {
-                Membership membership =
-                        new Membership(
-                                all.get(i), MembershipSettings.DEFAULT, new Random(seed + i));
-                membership.handle(
-                        new PeerMessage.MemberUpdates(all), all.get((i + 1) % size).id(), 0);
-                mMembers.add(membership);
+        }
+
+        /** Starts all members within a moment and measures until all know all. */
+        void measureStart(Table table) {
+            List<PeerAddress> seeds = mAll.stream().limit(SEEDS).map(PeerAddress::of).toList();
+            for (int i = 0; i < mSize; i++) {
+                mMembers.get(i).addSeeds(seeds);
+                send(i, mMembers.get(i).join(0));
+            }
+            long startNs = System.nanoTime();
+            long knownMs = 0;
+            while (mNowMs < START_WINDOW_MS) {
+                advance(TICK_MS);
+                boolean all = mMembers.stream().allMatch(m -> m.members().size() == mSize);
+                knownMs = all && knownMs == 0 ? mNowMs : knownMs;
             }
+            table.add(
+                    mSize,
+                    (double) mMessages / mSize,
+                    Arrays.stream(mBytes).sum() / 1e3 / mSize,
+                    Arrays.stream(mBytes).max().orElse(0) / 1e3,
+                    knownMs,
+                    (System.nanoTime() - startNs) / 1e6 / mSize);
         }
 
         private static Member member(int number) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -21,6 +21,7 @@
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
 import org.filbertrudder.platform.PlatformProtocol;
 import org.filbertrudder.platform.PlatformStateSource;
 import org.filbertrudder.policy.membership.PeerAddress;
@@ -131,7 +132,8 @@
                         ports.get(5),
                         address(mStorePort),
                         seeds,
-                        new BoundSettings(KEY_WITHDRAWAL_MS, GRACE_MS, 0.2, 50));
+                        new BoundSettings(KEY_WITHDRAWAL_MS, GRACE_MS, 0.2, 50),
+                        Member.STANDARD_STRENGTH);
         mSettings.put(id, settings);
         mGateways.put(
                 id,
@@ -179,6 +181,13 @@
         return new PlatformCaller(mSettings.get(gateway).readiness());
     }
 
+    /** Returns the metrics of an instance. */
+    public String metrics(String gateway) {
+        return new PlatformCaller(address(mSettings.get(gateway).metricsPort()))
+                .get("/metrics")
+                .body();
+    }
+
     /** Stops an instance as a signal would; completes when it has stopped. */
     public java.util.concurrent.CompletableFuture<Void> stopGateway(String id) {
         Gateway gateway = mGateways.remove(id);
