--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -29,7 +29,10 @@
     private final List<CompletableFuture<OperatorState>> mAnswers = new ArrayList<>();
     private final List<Long> mAdopted = new ArrayList<>();
     private final List<PeerMessage.StateRequest> mQuestions = new ArrayList<>();
-    private boolean mRelay = true;
+    private Optional<Map<String, String>> mEndpoints;
+    private FreshnessFence mFence;
+    private int mEndpointReads;
+    private boolean mRelay;
     private Vertx mVertx;
     private Context mContext;
     private StateFollower mFollower;
@@ -38,11 +41,13 @@
     public void createFollower() {
         mAnswers.clear();
         mAdopted.clear();
+        mQuestions.clear();
+        mEndpoints = Optional.empty();
+        mRelay = true;
+        mFence = new FreshnessFence(5_000, 250);
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
-        mFollower =
-                new StateFollower(
-                        mContext, new Source(), new FreshnessFence(5_000, 250), new Listener());
+        mFollower = new StateFollower(mContext, new Source(), mFence, new Listener());
         onContext(() -> mFollower.tick(new Moment(1_000, 1_000)));
         onContext(() -> mFollower.tick(new Moment(2_000, 2_000)));
     }
@@ -92,6 +97,75 @@
         assertEquals(mAdopted, List.of(30L));
     }
 
+    /** Makes the follower ready as an instance that is no relay; returns the time. */
+    private Moment readyWithoutRole() {
+        mEndpoints = Optional.of(Map.of());
+        Moment now = Clocks.now();
+        onContext(() -> mFollower.tick(now));
+        onContext(() -> {});
+        answer(mAnswers.size() - 1, 3, "30");
+        mRelay = false;
+        mEndpointReads = 0;
+        return now;
+    }
+
+    private static Moment later(Moment moment, long ms) {
+        return new Moment(moment.steadyMs() + ms, moment.wallMs() + ms);
+    }
+
+    @Test
+    public void anInstanceThatIsNoRelayAsksItsRelayAndNotTheStore() {
+        Moment ready = readyWithoutRole();
+        int calls = mAnswers.size();
+
+        onContext(() -> mFollower.tick(later(ready, 950)));
+        onContext(() -> mFollower.tick(later(ready, 1_900)));
+
+        assertEquals(mQuestions.size(), 2);
+        assertEquals(mAnswers.size(), calls);
+        assertEquals(mEndpointReads, 0);
+    }
+
+    @Test
+    public void anInstanceWhoseRelayIsSilentAsksTheStore() {
+        Moment ready = readyWithoutRole();
+        int calls = mAnswers.size();
+
+        onContext(() -> mFollower.tick(later(ready, 2_500)));
+        onContext(() -> mFollower.tick(later(ready, 2_600)));
+
+        assertEquals(mAnswers.size(), calls + 1);
+        assertEquals(mEndpointReads, 1);
+    }
+
+    @Test
+    public void aRelaysWordCountsFromTheQuestionOnLessItsAge() {
+        Moment ready = readyWithoutRole();
+        onContext(() -> mFollower.tick(later(ready, 950)));
+        PeerMessage.StateRequest question = mQuestions.get(0);
+
+        onContext(() -> mFollower.handle(reply(question.id(), 400, 7, "70")));
+
+        assertEquals(mAdopted, List.of(30L, 70L));
+        assertEquals(mFence.ageMs(later(ready, 950)), 400);
+    }
+
+    @Test
+    public void aReplyThatNobodyAskedForProvesNothing() {
+        Moment ready = readyWithoutRole();
+
+        onContext(() -> mFollower.handle(reply(12_345, 0, 7, "70")));
+
+        assertEquals(mAdopted, List.of(30L));
+        assertEquals(mFence.ageMs(later(ready, 100)), 100);
+    }
+
+    private static PeerMessage.StateReply reply(
+            long id, long ageMs, long revision, String configuration) {
+        return new PeerMessage.StateReply(
+                id, ageMs, revision, configuration, Map.of(), Map.of(), 0, 0, false);
+    }
+
     /** Notes what is adopted. */
     private final class Listener implements StateFollower.Listener {
 
@@ -144,7 +218,10 @@
 
         @Override
         public Uni<Map<String, String>> readEndpoints() {
-            return Uni.createFrom().nothing();
+            mEndpointReads++;
+            return mEndpoints
+                    .map(found -> Uni.createFrom().item(found))
+                    .orElseGet(() -> Uni.createFrom().nothing());
         }
 
         @Override
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/membership/MembershipTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/membership/MembershipTest.java
@@ -28,7 +28,7 @@
                 RegionId.of("mtl"),
                 FailureDomainId.of("mtl-a"),
                 "127.0.0.1",
-                1_000 + id.charAt(0),
+                1_000 + Math.floorMod(id.hashCode(), 50_000),
                 1,
                 1,
                 MemberState.LIVE);
@@ -127,6 +127,47 @@
         assertTrue(second.isEmpty());
     }
 
+    @Test
+    public void passesNewsOnTogetherWhenManyMembersStartAtOnce() {
+        Membership membership = membership("a", "b", "c");
+        int messages = 0;
+        for (int i = 0; i < 90; i++) {
+            Member newcomer = member("m" + i);
+            messages +=
+                    membership
+                            .handle(
+                                    new PeerMessage.MemberUpdates(List.of(newcomer)),
+                                    newcomer.id(),
+                                    1_000 + i)
+                            .size();
+        }
+        List<PeerSend> rest = membership.tick(1, 1_300);
+
+        assertTrue(messages < 60, "messages: " + messages);
+        assertTrue(
+                rest.stream()
+                        .map(PeerSend::message)
+                        .filter(PeerMessage.MemberUpdates.class::isInstance)
+                        .map(PeerMessage.MemberUpdates.class::cast)
+                        .anyMatch(news -> news.members().size() > 50),
+                "What has been held back follows.");
+    }
+
+    @Test
+    public void oneRelayOfADomainIsChosenByStrengthAndByAllAlike() {
+        Membership strong = membership("a", "b", "c");
+        Membership other = membership("b", "a", "c");
+
+        RelayRole role = new RelayRole(strong, 1);
+        RelayRole otherRole = new RelayRole(other, 1);
+
+        int held = (role.held() ? 1 : 0) + (otherRole.held() ? 1 : 0);
+        assertTrue(held <= 1);
+        assertEquals(
+                role.held() ? "a" : role.other().orElseThrow().id().value(),
+                otherRole.held() ? "b" : otherRole.other().orElseThrow().id().value());
+    }
+
     @Test
     public void triesDeadMembersAgainAtABoundedPace() {
         Membership membership = membership("a", "b");
