Prefer endpoints that do not fail many requests

The share of failed requests of the last seconds now counts before the load; a service where one in seven fails by nature is not affected.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -94,6 +94,9 @@
     @Override
     public void head(AnswerHead head) {
         mTools.doctor().noteAnswer(mEndpoint, head);
+        if (head.isSuccess() || (head.isServerError() && !head.notRun())) {
+            mEndpoint.noteOutcome(head.isServerError(), Clocks.steadyMs());
+        }
         head.requests()
                 .ifPresent(
                         requests -> {
@@ -140,6 +143,7 @@
 
     @Override
     void lost(Failure failure) {
+        mEndpoint.noteOutcome(true, Clocks.steadyMs());
         if (failure == Failure.NOT_SENT) {
             mTools.doctor().unreachable(mEndpoint);
         } else {
@@ -149,6 +153,7 @@
 
     @Override
     void silent() {
+        mEndpoint.noteOutcome(true, Clocks.steadyMs());
         mTools.doctor().silent(mEndpoint);
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -24,6 +24,7 @@
     private final PrefixHints mPrefixes = new PrefixHints();
     private final EngineLoad mEngine = new EngineLoad(mPrefixes);
     private final WarmupGate mWarmup = new WarmupGate();
+    private final FailureShare mOutcomes = new FailureShare();
     private Endpoint mEndpoint;
     private int mInFlight;
     private long mStarts;
@@ -101,6 +102,16 @@
         return Math.max(0, mPausedUntilMs - nowMs);
     }
 
+    /** Notes whether a request that ran there failed. */
+    public void noteOutcome(boolean failed, long nowMs) {
+        mOutcomes.note(failed, nowMs);
+    }
+
+    /** Returns whether the endpoint has failed many requests lately. */
+    boolean isDoubtful(long nowMs) {
+        return mOutcomes.isDoubtful(nowMs);
+    }
+
     /** Returns the endpoint's description. */
     public Endpoint endpoint() {
         return mEndpoint;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -22,6 +22,9 @@
      */
     private static final double REREAD_MS_PER_TOKEN = 0.12;
 
+    /** What a run at an engine that fails many costs: finding out and starting elsewhere, in ms. */
+    private static final double DOUBT_MS = 600;
+
     /** Costs that differ by less count as equal, in milliseconds. */
     private static final double COST_CLASS_MS = 50;
 
@@ -86,6 +89,7 @@
         long rereadTokens = isHome ? 0 : state.missingSharedTokens(prompt, nowMs);
         return state.startDelayMs(prompt, nowMs)
                 + rereadTokens * REREAD_MS_PER_TOKEN
+                + (state.isDoubtful(nowMs) ? DOUBT_MS : 0)
                 + awayMs(state, regions);
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -194,10 +194,13 @@
     }
 
     private static Comparator<EndpointState> leastLoaded(long nowMs) {
+        Comparator<EndpointState> byDoubt = Comparator.comparing(state -> state.isDoubtful(nowMs));
         Comparator<EndpointState> byShare =
                 Comparator.comparingDouble(
                         state -> (double) state.load(nowMs) / state.endpoint().slots());
-        return byShare.thenComparingLong(EndpointState::starts).thenComparing(EndpointState::id);
+        return byDoubt.thenComparing(byShare)
+                .thenComparingLong(EndpointState::starts)
+                .thenComparing(EndpointState::id);
     }
 
     private Optional<RegionId> nearestAway(RouteRequest request, RegionGraph configuration) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/RouterTest.java
@@ -103,6 +103,35 @@
         assertEquals(route, new Route.Refuse(Route.Reason.NONE_AVAILABLE));
     }
 
+    /** Lists the share of requests that one endpoint fails, and its most requests of a hundred. */
+    @DataProvider
+    public Object[][] failingShares() {
+        return new Object[][] {{0.4, 20}, {1.0, 12}, {0.1, 40}};
+    }
+
+    @Test(dataProvider = "failingShares")
+    public void anEndpointThatFailsManyRequestsGetsFewer(double share, int most) {
+        Configuration configuration = configuration(1, 3);
+        EndpointTable table = table(configuration);
+        Router router = new Router(region(0), table, region -> true);
+        Random random = new Random(1);
+        EndpointId failing = table.of(SERVICE, region(0)).get(0).id();
+        int atFailing = 0;
+        for (int i = 0; i < 600; i++) {
+            long nowMs = NOW_MS + 50L * i;
+            Route route = router.choose(request(r -> true, false), configuration, 0, nowMs);
+            EndpointState chosen = ((Route.Local) route).endpoint();
+            chosen.started(false, nowMs);
+            boolean fails = chosen.id().equals(failing) && random.nextDouble() < share;
+            chosen.noteOutcome(fails, nowMs);
+            chosen.succeeded();
+            atFailing += chosen.id().equals(failing) ? 1 : 0;
+        }
+
+        assertTrue(atFailing <= 6 * most, "requests at the failing endpoint: " + atFailing);
+        assertTrue(atFailing >= 12, "It is tried again now and then: " + atFailing);
+    }
+
     @Test
     public void whileAllEndpointsPauseTellsTheShortestPause() {
         Configuration configuration = configuration(1, 3);
