--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewaySnapshot.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewaySnapshot.java
@@ -1,6 +1,8 @@
 package org.filbertrudder.gateway.control;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
@@ -13,17 +15,37 @@
  * @param endpoints the registered endpoints
  * @param self this instance
  * @param members all known instances with this one
+ * @param working the instances that may be given work, by region
+ * @param runningCount the number of instances that may be running
  */
 public record GatewaySnapshot(
         GatewayConfiguration configuration,
         List<EndpointView> endpoints,
         Member self,
-        List<Member> members) {
+        List<Member> members,
+        Map<RegionId, List<Member>> working,
+        int runningCount) {
 
-    /** Copies the lists. */
-    public GatewaySnapshot {
-        endpoints = List.copyOf(endpoints);
-        members = List.copyOf(members);
+    /** Creates a snapshot; what requests ask of the members is worked out once. */
+    public GatewaySnapshot(
+            GatewayConfiguration configuration,
+            List<EndpointView> endpoints,
+            Member self,
+            List<Member> members) {
+        this(
+                configuration,
+                List.copyOf(endpoints),
+                self,
+                List.copyOf(members),
+                members.stream()
+                        .filter(Member::takesWork)
+                        .collect(
+                                Collectors.groupingBy(
+                                        Member::region, Collectors.toUnmodifiableList())),
+                (int)
+                        members.stream()
+                                .filter(member -> member.state() != MemberState.DEAD)
+                                .count());
     }
 
     /** Returns whether the instance is stopping. */
@@ -33,13 +55,6 @@
 
     /** Returns the instances of a region that may be given work. */
     public List<Member> workingIn(RegionId region) {
-        return members.stream()
-                .filter(member -> member.takesWork() && member.region().equals(region))
-                .toList();
-    }
-
-    /** Returns the number of instances that may be running. */
-    public int runningCount() {
-        return (int) members.stream().filter(member -> member.state() != MemberState.DEAD).count();
+        return working.getOrDefault(region, List.of());
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -326,9 +326,9 @@
         }
         service.engine().ifPresent(engine -> state.setEngineMemory(engine.memoryTokens()));
         if (service.warmupPerSecond() > 0) {
-            state.setCold(
-                    view.coldUntilMs(),
-                    ownsWhileCold(view.endpoint(), here) ? (int) service.warmupPerSecond() : 0);
+            boolean cold = view.coldUntilMs() > Clocks.steadyMs();
+            boolean owns = cold && ownsWhileCold(view.endpoint(), here);
+            state.setCold(view.coldUntilMs(), owns ? (int) service.warmupPerSecond() : 0);
         }
     }
 
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Identifiers.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Identifiers.java
@@ -1,16 +1,14 @@
 package org.filbertrudder.model;
 
-import java.util.regex.Pattern;
-
 /** Checks the form of identifiers. */
 final class Identifiers {
 
-    private static final Pattern FORM = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:-]{0,62}");
+    private static final int MAX_LENGTH = 63;
 
     private Identifiers() {}
 
     static void check(String kind, String value) {
-        if (value == null || !FORM.matcher(value).matches()) {
+        if (value == null || !isValid(value)) {
             throw new InvalidValueException(
                     "The "
                             + kind
@@ -20,4 +18,24 @@
                             + " starting with a letter or digit.");
         }
     }
+
+    /** Checks without a regular expression, as each message between instances holds several ids. */
+    private static boolean isValid(String value) {
+        if (value.isEmpty() || value.length() > MAX_LENGTH || !isLetterOrDigit(value.charAt(0))) {
+            return false;
+        }
+        for (int i = 1; i < value.length(); i++) {
+            char each = value.charAt(i);
+            if (!isLetterOrDigit(each) && "._:-".indexOf(each) < 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean isLetterOrDigit(char each) {
+        return (each >= 'a' && each <= 'z')
+                || (each >= 'A' && each <= 'Z')
+                || (each >= '0' && each <= '9');
+    }
 }
