--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerAttempt.java
@@ -270,6 +270,13 @@
             spoiled("unsigned");
             return;
         }
+        if (!mPiping && mExchange.sink().headSent()) {
+            // A stream that has begun was to go on here; a plain answer cannot follow its events.
+            mExchange.trace("status-" + mHead.status());
+            over(false);
+            continueOrBreak();
+            return;
+        }
         if (mHead.isServerError() && mayReplaceError()) {
             mExchange.trace("status-" + mHead.status());
             if (mHead.signed()) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/EndpointWordsTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/EndpointWordsTest.java
@@ -204,6 +204,20 @@
         PlatformFleet.await("the connections are closed", () -> endless.open() == 0);
     }
 
+    @Test
+    public void aStreamWhoseSecondEngineFailsIsCutOffAtOnce() {
+        PlatformCaller.Answer first = mFleet.caller("mtl-1").stream("/digest/x", KEY, "subject");
+        boolean homeIsOne = mFleet.replica("pool-1").runsOf(first.requestId()) > 0;
+        mFleet.replica(homeIsOne ? "pool-1" : "pool-2").setFault(Fault.BREAK);
+        mFleet.replica(homeIsOne ? "pool-2" : "pool-1").setFault(Fault.ERROR);
+
+        long startNs = System.nanoTime();
+        PlatformCaller.Answer answer = mFleet.caller("mtl-1").stream("/digest/x", KEY, "subject");
+
+        assertEquals(answer.status(), 0, "A stream that broke off must not look whole.");
+        assertTrue(secondsSince(startNs) < 2, "It was cut late: " + secondsSince(startNs));
+    }
+
     @Test
     public void aStreamThatDripsBytesOfOneEventGoesOnElsewhere() {
         PlatformCaller.Answer first = mFleet.caller("mtl-1").stream("/digest/x", KEY, "subject");
