--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTraffic.java
@@ -48,6 +48,9 @@
     private static final long TICK_MS = 100;
     private static final long SLOW_TICK_MS = 1_000;
 
+    /** How long places that become free are gathered before the queue is looked through. */
+    private static final long PUMP_DELAY_MS = 10;
+
     /** How long a stopping instance accepts requests of callers that have not heard of it. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 3_000;
 
@@ -116,7 +119,13 @@
         AttemptRunner runner = new AttemptRunner(tools, mRandom);
         DeploymentRegions regions = new DeploymentRegions(mSettings.domains().values());
         Router router = new Router(mSettings.region(), mTable, mBoard);
-        mDispatcher = new RequestDispatcher(router, regions, mRandom, runner);
+        mDispatcher =
+                new RequestDispatcher(
+                        router,
+                        regions,
+                        mRandom,
+                        runner,
+                        action -> vertx.setTimer(PUMP_DELAY_MS, ignored -> action.run()));
         runner.setDispatcher(mDispatcher);
         mAdmission = new Admission(vertx, context, mControl, mFinisher, mDispatcher::submit);
         mReceiver = new PeerReceiver(this::acceptForwarded, this::callerLeft);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -125,7 +125,7 @@
         } else {
             mEndpoint.ended();
         }
-        mRunner.dispatcher().pump(mExchange.service());
+        mRunner.dispatcher().pumpSoon(mExchange.service());
     }
 
     @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.RegionId;
@@ -44,9 +45,21 @@
     private final RegionGraph mRegions;
     private final Starter mStarter;
     private final RandomGenerator mRandom;
+    private final Consumer<Runnable> mLater;
     private final Map<ServiceId, ServiceQueue> mQueues = new HashMap<>();
 
-    RequestDispatcher(Router router, RegionGraph regions, RandomGenerator random, Starter starter) {
+    /**
+     * Creates a dispatcher.
+     *
+     * @param later runs an action once after a moment, in which others may ask for the same
+     */
+    RequestDispatcher(
+            Router router,
+            RegionGraph regions,
+            RandomGenerator random,
+            Starter starter,
+            Consumer<Runnable> later) {
+        mLater = later;
         mRandom = random;
         mRouter = router;
         mRegions = regions;
@@ -58,7 +71,7 @@
         ServiceQueue queue = queue(exchange.service());
         if (queue.mWaiting.size() > 0) {
             enqueue(exchange, queue);
-            pump(exchange.service());
+            pumpSoon(exchange.service());
         } else {
             route(exchange, queue);
         }
@@ -144,8 +157,27 @@
         return queue.mWaits.waitMs(exchange.queueAccount(), queue.mWaiting, Clocks.steadyMs());
     }
 
+    /**
+     * Starts waiting requests of a service after a moment, if there are any.
+     *
+     * <p>A pass over a long queue costs far more than one request. Under overload requests end and
+     * come many times in that moment, and one pass serves them all.
+     */
+    void pumpSoon(ServiceId service) {
+        ServiceQueue queue = mQueues.get(service);
+        if (queue == null || queue.size() == 0 || queue.mPumpAsked) {
+            return;
+        }
+        queue.mPumpAsked = true;
+        mLater.accept(
+                () -> {
+                    queue.mPumpAsked = false;
+                    pump(service);
+                });
+    }
+
     /** Starts waiting requests of a service as long as there is room. */
-    void pump(ServiceId service) {
+    private void pump(ServiceId service) {
         ServiceQueue queue = mQueues.get(service);
         if (queue == null || queue.mPumping) {
             return;
@@ -301,6 +333,7 @@
         private int mHoldingOut;
         private Route mNextRoute;
         private boolean mPumping;
+        private boolean mPumpAsked;
 
         void noteWaiting() {
             mWaits.noteQueue(mWaiting, Clocks.steadyMs());
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
@@ -21,13 +21,22 @@
     /** Returns the candidates for the key, best first. */
     public static <T> List<T> rank(
             String key, Collection<T> candidates, Function<T, String> identity) {
-        return candidates.stream().sorted(byWeight(key, identity)).toList();
+        long keyHash = hash(key);
+        return candidates.stream()
+                .map(candidate -> Weighted.of(candidate, identity.apply(candidate), keyHash))
+                .sorted()
+                .map(Weighted::candidate)
+                .toList();
     }
 
     /** Returns the best candidate for the key. */
     public static <T> Optional<T> first(
             String key, Collection<T> candidates, Function<T, String> identity) {
-        return candidates.stream().min(byWeight(key, identity));
+        long keyHash = hash(key);
+        return candidates.stream()
+                .map(candidate -> Weighted.of(candidate, identity.apply(candidate), keyHash))
+                .min(Comparator.naturalOrder())
+                .map(Weighted::candidate);
     }
 
     /**
@@ -50,12 +59,6 @@
         return candidates.stream().sorted(leastScore.thenComparing(identity)).toList();
     }
 
-    private static <T> Comparator<T> byWeight(String key, Function<T, String> identity) {
-        Comparator<T> heaviestFirst =
-                Comparator.comparingLong(candidate -> -weight(key, identity.apply(candidate)));
-        return heaviestFirst.thenComparing(identity);
-    }
-
     /** Returns a well-mixed non-negative hash of the two strings. */
     public static long weight(String key, String candidate) {
         return weight(hash(key), hash(candidate));
@@ -80,4 +83,19 @@
         }
         return hash;
     }
+
+    /** Holds a candidate with its weight; the heaviest comes first. */
+    private record Weighted<T>(T candidate, String identity, long weight)
+            implements Comparable<Weighted<T>> {
+
+        static <T> Weighted<T> of(T candidate, String identity, long keyHash) {
+            return new Weighted<>(candidate, identity, Rendezvous.weight(keyHash, hash(identity)));
+        }
+
+        @Override
+        public int compareTo(Weighted<T> other) {
+            int heaviestFirst = Long.compare(other.weight, weight);
+            return heaviestFirst != 0 ? heaviestFirst : identity.compareTo(other.identity);
+        }
+    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -39,16 +39,25 @@
             PromptDemand prompt, List<EndpointState> usable, RegionGraph regions, long nowMs) {
         Optional<EndpointState> home = home(prompt, usable);
         long keyHash = Rendezvous.hash(prompt.affinityKey());
-        Comparator<EndpointState> cheapest =
-                Comparator.comparingDouble(
-                        state ->
-                                Math.floor(
-                                        cost(state, prompt, home, regions, nowMs) / COST_CLASS_MS));
-        Comparator<EndpointState> byAffinity =
-                Comparator.comparingLong(state -> -state.affinity(keyHash));
-        return usable.stream()
-                .filter(state -> state.hasRoom(prompt, nowMs))
-                .min(cheapest.thenComparing(byAffinity));
+        EndpointState best = null;
+        double bestClass = Double.MAX_VALUE;
+        for (EndpointState state : usable) {
+            if (!state.hasRoom(prompt, nowMs)) {
+                continue;
+            }
+            double costClass =
+                    Math.floor(cost(state, prompt, home, regions, nowMs) / COST_CLASS_MS);
+            boolean better =
+                    best == null
+                            || costClass < bestClass
+                            || (costClass == bestClass
+                                    && state.affinity(keyHash) > best.affinity(keyHash));
+            if (better) {
+                best = state;
+                bestClass = costClass;
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
     /**
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
@@ -38,6 +38,7 @@
     private final Map<AccountId, AccountShare> mShares = new HashMap<>();
     private final Map<AccountId, Contract> mContracts = new HashMap<>();
     private final LoanBook mLoans;
+    private final Map<AccountId, Map<RegionId, List<InstanceId>>> mHolders = new HashMap<>();
     private Map<RegionId, List<InstanceId>> mMembers = Map.of();
 
     /** Creates the shares of an instance that knows no contract and no member. */
@@ -51,6 +52,7 @@
     public void setContracts(Map<AccountId, Contract> contracts, long nowMs) {
         mContracts.clear();
         mContracts.putAll(contracts);
+        mHolders.keySet().retainAll(contracts.keySet());
         update(nowMs);
     }
 
@@ -64,6 +66,7 @@
                                 grouped.computeIfAbsent(member.region(), key -> new ArrayList<>())
                                         .add(member.id()));
         mMembers = grouped;
+        mHolders.clear();
         update(nowMs);
     }
 
@@ -93,19 +96,31 @@
     /** Returns the holders of an account's shares in all regions. */
     public List<InstanceId> holders(AccountId account) {
         List<InstanceId> holders = new ArrayList<>();
-        mMembers.keySet().forEach(region -> holders.addAll(holdersIn(region, account)));
+        holdersByRegion(account).values().forEach(holders::addAll);
         return holders;
     }
 
     /** Returns the holders of an account's shares in a region, in a fixed order. */
     public List<InstanceId> holdersIn(RegionId region, AccountId account) {
-        return Rendezvous.rank(
-                        account.value(),
-                        mMembers.getOrDefault(region, List.of()),
-                        InstanceId::value)
-                .stream()
-                .limit(HOLDERS_PER_REGION)
-                .toList();
+        return holdersByRegion(account).getOrDefault(region, List.of());
+    }
+
+    /** Returns the holders, which change only with the members; each request asks for them. */
+    private Map<RegionId, List<InstanceId>> holdersByRegion(AccountId account) {
+        return mHolders.computeIfAbsent(account, this::chooseHolders);
+    }
+
+    private Map<RegionId, List<InstanceId>> chooseHolders(AccountId account) {
+        Map<RegionId, List<InstanceId>> holders = new TreeMap<>();
+        mMembers.forEach(
+                (region, members) ->
+                        holders.put(
+                                region,
+                                Rendezvous.rank(account.value(), members, InstanceId::value)
+                                        .stream()
+                                        .limit(HOLDERS_PER_REGION)
+                                        .toList()));
+        return holders;
     }
 
     /** Answers a request for tokens now or, if it has to wait, by a later effect. */
