End an outage of the store for good once a reading is confirmed

Cause, by reading the change again: an instance that follows a relay kept the mark of an outage until endpoints changed next, and would then have kept one that is gone for 2.5 s, too long where 3 s are allowed. An instance that leaves as the last of its region no longer looks for a relay among none.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -30,7 +30,7 @@
     private Set<FailureDomainId> mEvacuated = Set.of();
     private boolean mComplete;
     private boolean mOutage;
-    private long mKeepMissingUntilMs = Long.MIN_VALUE;
+    private long mKeepMissingUntilMs = Long.MIN_VALUE / 2;
 
     /** Creates a registry; the function tells how long a service's endpoints stay cold, in ms. */
     EndpointRegistry(ToLongFunction<ServiceId> warmupMs) {
@@ -42,6 +42,20 @@
         mOutage = true;
     }
 
+    /** Notes that another instance, whose reading is adopted, waits for missing endpoints. */
+    void noteOthersOutage(long nowMs) {
+        if (nowMs > mKeepMissingUntilMs + RETURN_MS) {
+            mKeepMissingUntilMs = nowMs + RETURN_MS;
+        }
+    }
+
+    private void endOutage(long nowMs) {
+        if (mOutage) {
+            mOutage = false;
+            mKeepMissingUntilMs = nowMs + RETURN_MS;
+        }
+    }
+
     /** Returns whether endpoints that are missing after an outage may still register again. */
     boolean isAfterOutage(long nowMs) {
         return mOutage || nowMs < mKeepMissingUntilMs;
@@ -49,6 +63,7 @@
 
     /** Notes that the last reading is still right; returns whether that changes anything. */
     boolean confirm(long nowMs) {
+        endOutage(nowMs);
         return nowMs >= mKeepMissingUntilMs && mKnown.keySet().retainAll(mFound);
     }
 
@@ -81,10 +96,7 @@
 
     /** Adopts a complete reading; returns whether anything of interest has changed. */
     boolean update(Map<EndpointId, EndpointEntry> found, long nowMs) {
-        if (mOutage) {
-            mOutage = false;
-            mKeepMissingUntilMs = nowMs + RETURN_MS;
-        }
+        endOutage(nowMs);
         mFound = Set.copyOf(found.keySet());
         mDigest = digest(found);
         boolean changed = false;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -321,7 +321,7 @@
             return;
         }
         if (reply.afterOutage()) {
-            mRegistry.noteOutage();
+            mRegistry.noteOthersOutage(Clocks.steadyMs());
         }
         if (!reply.endpoints().isEmpty()) {
             adoptEndpoints(reply.endpoints(), readMs);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
@@ -182,7 +182,7 @@
     /** Tells the sum to all that report to this instance. */
     private void tellSum(GatewaySnapshot snapshot, long nowMs) {
         Set<InstanceId> reporters = mSums.reporters(nowMs);
-        if (reporters.isEmpty()) {
+        if (reporters.isEmpty() || mRelays.isEmpty()) {
             return;
         }
         Map<EndpointId, PeerMessage.EndpointLoad> sums = mSums.sum(nowMs);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
@@ -81,6 +81,44 @@
         assertEquals(!mRegistry.views().isEmpty(), kept);
     }
 
+    @Test
+    public void aConfirmedReadingForgetsMissingEndpointsOnceTheyHaveHadTheirTime() {
+        mRegistry.update(entries(entry("e", false, 0, 1)), 0);
+        mRegistry.noteOutage();
+        mRegistry.update(entries(), 10_000);
+
+        assertFalse(mRegistry.confirm(12_000));
+        assertTrue(mRegistry.confirm(12_600));
+        assertTrue(mRegistry.views().isEmpty());
+    }
+
+    @Test
+    public void anOutageThatIsOverDoesNotDelayTheNextRemoval() {
+        mRegistry.update(entries(entry("e", false, 0, 1)), 0);
+        mRegistry.noteOutage();
+        mRegistry.confirm(10_000);
+        mRegistry.noteOthersOutage(10_500);
+        mRegistry.noteOthersOutage(12_000);
+
+        mRegistry.update(entries(), 20_000);
+
+        assertTrue(mRegistry.views().isEmpty());
+    }
+
+    @Test
+    public void theDigestFollowsWhatMattersAndNotTheRestOfAWarmup() {
+        mRegistry.update(entries(entry("e", false, 2_000, 1)), 0);
+        long cold = mRegistry.digest();
+        mRegistry.update(entries(entry("e", false, 1_000, 1)), 1_000);
+        assertEquals(mRegistry.digest(), cold);
+
+        mRegistry.update(entries(entry("e", false, 0, 1)), 2_000);
+        long warm = mRegistry.digest();
+        mRegistry.update(entries(entry("e", true, 0, 1)), 3_000);
+
+        assertTrue(warm != cold && mRegistry.digest() != warm);
+    }
+
     @Test
     public void aLeavingEndpointIsNotUsable() {
         mRegistry.update(entries(entry("e", true, 0, 1)), 0);
