Say once how members rank by strength, what a prompt costs and which readings count

From reading the change again; decisions and bounds stay as they are. - Three places ranked members by strength in the same way: StrengthRank. The three orders of Rendezvous share one scoring, which hashes each candidate once. - The home of a prompt is worked out once for a choice and for the wait it may prefer. - EndpointRegistry.update and confirm share the end of an outage; LoadSums forgets old reports in one place; RegionBoard asks for its reporters once a sum. - AnswerDecoder itself notices that a part was decoded. The guard against passes within passes over a queue, a check of the relay role before it exists, and a copy of the leaving set that is always worked out anew were dead. - The header of a request's id stood five times in the product's own interface.

EndpointWordsTest, PlatformFleetTest and the tests of the classes touched pass.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Attempts.java
@@ -118,7 +118,7 @@
     private Map<String, String> attemptHeaders(Exchange exchange) {
         Map<String, String> headers = new LinkedHashMap<>();
         Exchange.Incoming incoming = exchange.incoming();
-        headers.put("x-request-id", incoming.requestId());
+        headers.put(Exchange.REQUEST_ID_HEADER, incoming.requestId());
         headers.put("x-client-account", incoming.account().value());
         long leftMs = incoming.deadlineMs() - mContext.nowMs();
         headers.put("x-deadline-ms", Long.toString(Math.max(1, leftMs)));
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -296,7 +296,7 @@
     private void serve(RoutingContext context, Exchange.Incoming incoming, String idempotencyKey) {
         Exchange exchange =
                 new Exchange(incoming, new HttpSink(context.response()), mContext.nowMs());
-        context.response().putHeader("x-request-id", incoming.requestId());
+        context.response().putHeader(Exchange.REQUEST_ID_HEADER, incoming.requestId());
         context.response().closeHandler(ignored -> mCancel.accept(exchange));
         context.response().exceptionHandler(ignored -> mCancel.accept(exchange));
         mServe.accept(exchange, idempotencyKey);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
@@ -19,9 +19,6 @@
     private static final PartLog LOG = PartLog.of("endpoints");
     private static final long CONNECT_TIMEOUT_MS = 1_000;
 
-    /** Names the header that repeats the request's id in an answer, if the endpoint does so. */
-    private static final String REQUEST_ID = "x-request-id";
-
     private final UpstreamListener mListener;
     private final String mRequestId;
     private HttpClientRequest mRequest;
@@ -79,7 +76,7 @@
             request().reset();
             return;
         }
-        String answered = response.getHeader(REQUEST_ID);
+        String answered = response.getHeader(Exchange.REQUEST_ID_HEADER);
         if (answered != null && !answered.equals(mRequestId)) {
             // A late copy of an earlier answer; what follows on this connection is anybody's.
             LOG.warn(
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -23,6 +23,9 @@
     /** Names the header by which an instance tells another whether a refused request has run. */
     static final String NOT_RUN_HEADER = "x-not-run";
 
+    /** Names the header of a request's id, to endpoints and in answers. */
+    static final String REQUEST_ID_HEADER = "x-request-id";
+
     private final Incoming mIncoming;
     private final long mStartedMs;
     private final ResponseSink mSink;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Finisher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Finisher.java
@@ -54,7 +54,7 @@
         Map<String, String> headers = refusal.headers();
         Buffer body = Buffer.buffer(json);
         headers.put("content-length", Integer.toString(body.length()));
-        headers.put("x-request-id", requestId);
+        headers.put(Exchange.REQUEST_ID_HEADER, requestId);
         headers.put(Exchange.NOT_RUN_HEADER, Boolean.toString(refusal.notRun()));
         sink.head(refusal.status(), headers);
         sink.write(body);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HeaderFilter.java
@@ -20,7 +20,7 @@
                     "x-auth-token");
     private static final Set<String> OWN =
             Set.of(
-                    "x-request-id",
+                    Exchange.REQUEST_ID_HEADER,
                     "x-client-account",
                     "x-deadline-ms",
                     "x-priority",
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -49,13 +49,6 @@
         }
     }
 
-    private void endOutage(long nowMs) {
-        if (mOutage) {
-            mOutage = false;
-            mKeepMissingUntilMs = nowMs + RETURN_MS;
-        }
-    }
-
     /** Returns whether endpoints that are missing after an outage may still register again. */
     boolean isAfterOutage(long nowMs) {
         return mOutage || nowMs < mKeepMissingUntilMs;
@@ -63,7 +56,10 @@
 
     /** Notes that the last reading is still right; returns whether that changes anything. */
     boolean confirm(long nowMs) {
-        endOutage(nowMs);
+        if (mOutage) {
+            mOutage = false;
+            mKeepMissingUntilMs = nowMs + RETURN_MS;
+        }
         return nowMs >= mKeepMissingUntilMs && mKnown.keySet().retainAll(mFound);
     }
 
@@ -96,18 +92,14 @@
 
     /** Adopts a complete reading; returns whether anything of interest has changed. */
     boolean update(Map<EndpointId, EndpointEntry> found, long nowMs) {
-        endOutage(nowMs);
         mFound = Set.copyOf(found.keySet());
         mDigest = digest(found);
         boolean changed = false;
         for (EndpointEntry entry : found.values()) {
             changed |= update(entry, nowMs);
         }
-        if (nowMs >= mKeepMissingUntilMs) {
-            changed |= mKnown.keySet().retainAll(found.keySet());
-        }
         mComplete = true;
-        return changed;
+        return changed | confirm(nowMs);
     }
 
     private boolean update(EndpointEntry entry, long nowMs) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -244,7 +244,7 @@
         if (alone && found.size() > 1) {
             send(mMembership.join(mFollower.revision()));
         }
-        boolean allMet = !alone && found.stream().allMatch(each -> isMet(each));
+        boolean allMet = !alone && found.stream().allMatch(this::isMet);
         if (allMet && !mRelayRole.held()) {
             mNextInstancesMs = Clocks.steadyMs() + QUIET_INSTANCES_INTERVAL_MS;
         }
@@ -448,7 +448,7 @@
 
         @Override
         public boolean isRelay() {
-            return mRelayRole == null || mRelayRole.held() || mRelayRole.other().isEmpty();
+            return mRelayRole.held() || mRelayRole.other().isEmpty();
         }
 
         @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -111,19 +111,17 @@
             mNextQuestionMs = nowMs + STATE_INTERVAL_MS;
             mListener.askRelay(question(now));
         }
-        if (nowMs >= mNextStateMs && mOpenStateCalls < MAX_OPEN_CALLS) {
-            if (relay || outdated || mUrgent) {
-                mUrgent = false;
-                mNextStateMs = nowMs + (relay ? STATE_INTERVAL_MS : FALLBACK_INTERVAL_MS);
-                readState(now);
-            }
+        boolean stateDue = nowMs >= mNextStateMs && mOpenStateCalls < MAX_OPEN_CALLS;
+        if (stateDue && (relay || outdated || mUrgent)) {
+            mUrgent = false;
+            mNextStateMs = nowMs + (relay ? STATE_INTERVAL_MS : FALLBACK_INTERVAL_MS);
+            readState(now);
         }
         boolean endpointsOutdated = nowMs - mEndpointsReadMs > RELAY_SILENCE_MS;
-        if (nowMs >= mNextEndpointsMs && mOpenEndpointCalls < MAX_OPEN_CALLS) {
-            if (relay || endpointsOutdated) {
-                mNextEndpointsMs = nowMs + (relay ? ENDPOINT_INTERVAL_MS : FALLBACK_INTERVAL_MS);
-                readEndpoints();
-            }
+        boolean endpointsDue = nowMs >= mNextEndpointsMs && mOpenEndpointCalls < MAX_OPEN_CALLS;
+        if (endpointsDue && (relay || endpointsOutdated)) {
+            mNextEndpointsMs = nowMs + (relay ? ENDPOINT_INTERVAL_MS : FALLBACK_INTERVAL_MS);
+            readEndpoints();
         }
         if (mFence.ageMs(now) > ASK_PEERS_AFTER_MS && nowMs >= mNextPeersMs) {
             mNextPeersMs = nowMs + RETRY_MS;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerDecoder.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AnswerDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /**
  * Decodes the answers of an endpoint and bounds what it takes in between two parts of an answer.
@@ -40,11 +41,6 @@
         return actualReadableBytes() > 0;
     }
 
-    /** Notes that a part of an answer was decoded. */
-    void notePart() {
-        mUndecodedBytes = 0;
-    }
-
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (message instanceof ByteBuf bytes) {
@@ -56,6 +52,15 @@
         }
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> parts)
+            throws Exception {
+        super.decode(context, bytes, parts);
+        if (!parts.isEmpty()) {
+            mUndecodedBytes = 0;
+        }
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return mHeadOnly || super.isContentAlwaysEmpty(message);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -127,7 +127,6 @@
     }
 
     private void receive(HttpObject part) {
-        mDecoder.notePart();
         if (mClosed) {
             return;
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RegionBoard.java
@@ -17,8 +17,8 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerNetwork;
-import org.filbertrudder.policy.Rendezvous;
 import org.filbertrudder.policy.membership.PeerAddress;
+import org.filbertrudder.policy.membership.StrengthRank;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.LoadSums;
@@ -58,6 +58,7 @@
     private final Supplier<GatewaySnapshot> mSnapshot;
     private final PeerNetwork mNetwork;
     private final LoadSums mSums = new LoadSums();
+    private final Map<RegionId, RegionState> mRegions = new HashMap<>();
     private Map<EndpointId, PeerMessage.EndpointLoad> mTold = Map.of();
     private List<PeerMessage.EndpointLoad> mToldSum = List.of();
     private List<Member> mMembers = List.of();
@@ -66,7 +67,6 @@
     private long mToldMs;
     private long mToldSumMs;
     private long mHeardMs;
-    private final Map<RegionId, RegionState> mRegions = new HashMap<>();
     private long mNextLoadMs;
     private long mNextRegionMs;
 
@@ -136,18 +136,15 @@
 
     /** Returns the instances that may be the relay of a region, the first choice first. */
     private static List<Member> relays(GatewaySnapshot snapshot, RegionId region) {
-        return Rendezvous.rankByStrength(
-                        region.value(),
-                        snapshot.workingIn(region),
-                        member -> member.id().value(),
-                        Member::strength)
-                .stream()
-                .limit(RELAY_CANDIDATES)
-                .toList();
+        return StrengthRank.first(region.value(), snapshot.workingIn(region), RELAY_CANDIDATES);
     }
 
     private boolean isFirstRelay(GatewaySnapshot snapshot) {
-        return !mRelays.isEmpty() && mRelays.get(0).id().equals(snapshot.self().id());
+        return !mRelays.isEmpty() && isSelf(mRelays.get(0), snapshot);
+    }
+
+    private static boolean isSelf(Member member, GatewaySnapshot snapshot) {
+        return member.id().equals(snapshot.self().id());
     }
 
     private void tellLoad(GatewaySnapshot snapshot, long nowMs) {
@@ -171,7 +168,7 @@
         mToldMs = nowMs;
         Member relay = mRelays.get(mRelay);
         List<PeerMessage.EndpointLoad> report = List.copyOf(loads.values());
-        if (relay.id().equals(snapshot.self().id())) {
+        if (isSelf(relay, snapshot)) {
             mSums.report(relay.id(), report, nowMs);
             mHeardMs = nowMs;
         } else {
@@ -186,7 +183,7 @@
             return;
         }
         Map<EndpointId, PeerMessage.EndpointLoad> sums = mSums.sum(nowMs);
-        if (mRelays.get(mRelay).id().equals(snapshot.self().id())) {
+        if (isSelf(mRelays.get(mRelay), snapshot)) {
             applySum(sums);
         }
         List<PeerMessage.EndpointLoad> loads = List.copyOf(sums.values());
@@ -194,15 +191,14 @@
         if (due) {
             mToldSum = loads;
             mToldSumMs = nowMs;
-            toReporters(snapshot, new PeerMessage.LoadSum(loads));
+            tell(reporters, new PeerMessage.LoadSum(loads), snapshot);
         }
     }
 
-    private void toReporters(GatewaySnapshot snapshot, PeerMessage message) {
-        Set<InstanceId> reporters = mSums.reporters(Clocks.steadyMs());
+    private void tell(Set<InstanceId> reporters, PeerMessage message, GatewaySnapshot snapshot) {
         snapshot.members().stream()
                 .filter(member -> reporters.contains(member.id()))
-                .filter(member -> !member.id().equals(snapshot.self().id()))
+                .filter(member -> !isSelf(member, snapshot))
                 .forEach(member -> mNetwork.send(forwardAddress(member), message));
     }
 
@@ -258,9 +254,7 @@
         }
         if (message instanceof PeerMessage.LoadSum sum) {
             mHeardMs = Clocks.steadyMs();
-            Map<EndpointId, PeerMessage.EndpointLoad> loads = new HashMap<>();
-            sum.loads().forEach(load -> loads.put(load.endpoint(), load));
-            applySum(loads);
+            applySum(byEndpoint(sum.loads()));
             return true;
         }
         if (message instanceof PeerMessage.RegionReport report) {
@@ -272,7 +266,7 @@
             applyRegion(report);
             // Only what comes from its own region is passed on, so that no report goes in a circle.
             if (from.region().equals(report.region())) {
-                toReporters(mSnapshot.get(), report);
+                tell(mSums.reporters(Clocks.steadyMs()), report, mSnapshot.get());
             }
             return true;
         }
@@ -286,13 +280,18 @@
     }
 
     private void applyRegion(PeerMessage.RegionReport report) {
-        Map<EndpointId, PeerMessage.EndpointLoad> loads = new HashMap<>();
-        report.loads().forEach(load -> loads.put(load.endpoint(), load));
         if (!report.region().equals(mSnapshot.get().self().region())) {
-            apply(report.region(), loads);
+            apply(report.region(), byEndpoint(report.loads()));
         }
     }
 
+    private static Map<EndpointId, PeerMessage.EndpointLoad> byEndpoint(
+            List<PeerMessage.EndpointLoad> loads) {
+        Map<EndpointId, PeerMessage.EndpointLoad> found = new HashMap<>();
+        loads.forEach(load -> found.put(load.endpoint(), load));
+        return found;
+    }
+
     private void apply(RegionId region, Map<EndpointId, PeerMessage.EndpointLoad> loads) {
         long nowMs = Clocks.steadyMs();
         for (EndpointState state : mTable.in(region)) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -179,16 +179,8 @@
     /** Starts waiting requests of a service as long as there is room. */
     private void pump(ServiceId service) {
         ServiceQueue queue = mQueues.get(service);
-        if (queue == null || queue.mPumping) {
-            return;
-        }
-        queue.mPumping = true;
-        try {
-            retryHeld(queue);
-            startWaiting(queue);
-        } finally {
-            queue.mPumping = false;
-        }
+        retryHeld(queue);
+        startWaiting(queue);
     }
 
     /** Tries the requests again that hold out for a busy engine; they are ahead of the queue. */
@@ -332,7 +324,6 @@
 
         private int mHoldingOut;
         private Route mNextRoute;
-        private boolean mPumping;
         private boolean mPumpAsked;
 
         void noteWaiting() {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/Rendezvous.java
@@ -2,12 +2,12 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 import java.util.function.ToIntFunction;
+import java.util.stream.Stream;
 
 /** Ranks candidates for a key by highest random weight, so that few keys move with the set. */
 public final class Rendezvous {
@@ -21,22 +21,18 @@
     /** Returns the candidates for the key, best first. */
     public static <T> List<T> rank(
             String key, Collection<T> candidates, Function<T, String> identity) {
-        long keyHash = hash(key);
-        return candidates.stream()
-                .map(candidate -> Weighted.of(candidate, identity.apply(candidate), keyHash))
+        return scored(key, candidates, identity, (candidate, weight) -> -weight)
                 .sorted()
-                .map(Weighted::candidate)
+                .map(Scored::candidate)
                 .toList();
     }
 
     /** Returns the best candidate for the key. */
     public static <T> Optional<T> first(
             String key, Collection<T> candidates, Function<T, String> identity) {
-        long keyHash = hash(key);
-        return candidates.stream()
-                .map(candidate -> Weighted.of(candidate, identity.apply(candidate), keyHash))
+        return scored(key, candidates, identity, (candidate, weight) -> -weight)
                 .min(Comparator.naturalOrder())
-                .map(Weighted::candidate);
+                .map(Scored::candidate);
     }
 
     /**
@@ -48,15 +44,33 @@
             Collection<T> candidates,
             Function<T, String> identity,
             ToIntFunction<T> strength) {
+        return scored(
+                        key,
+                        candidates,
+                        identity,
+                        (candidate, weight) -> {
+                            double uniform = (weight + 1.0) / (MAX_WEIGHT + 2.0);
+                            return -Math.log(uniform) / strength.applyAsInt(candidate);
+                        })
+                .sorted()
+                .map(Scored::candidate)
+                .toList();
+    }
+
+    /** Works the score of each candidate out once; the best has the least. */
+    private static <T, S extends Comparable<S>> Stream<Scored<T, S>> scored(
+            String key,
+            Collection<T> candidates,
+            Function<T, String> identity,
+            BiFunction<T, Long, S> score) {
         long keyHash = hash(key);
-        Map<T, Double> scores = new HashMap<>();
-        for (T candidate : candidates) {
-            double uniform =
-                    (weight(keyHash, hash(identity.apply(candidate))) + 1.0) / (MAX_WEIGHT + 2.0);
-            scores.put(candidate, -Math.log(uniform) / strength.applyAsInt(candidate));
-        }
-        Comparator<T> leastScore = Comparator.comparingDouble(scores::get);
-        return candidates.stream().sorted(leastScore.thenComparing(identity)).toList();
+        return candidates.stream()
+                .map(
+                        candidate -> {
+                            String id = identity.apply(candidate);
+                            long weight = weight(keyHash, hash(id));
+                            return new Scored<>(candidate, id, score.apply(candidate, weight));
+                        });
     }
 
     /** Returns a well-mixed non-negative hash of the two strings. */
@@ -84,18 +98,14 @@
         return hash;
     }
 
-    /** Holds a candidate with its weight; the heaviest comes first. */
-    private record Weighted<T>(T candidate, String identity, long weight)
-            implements Comparable<Weighted<T>> {
-
-        static <T> Weighted<T> of(T candidate, String identity, long keyHash) {
-            return new Weighted<>(candidate, identity, Rendezvous.weight(keyHash, hash(identity)));
-        }
+    /** Holds a candidate with its score; the least comes first. */
+    private record Scored<T, S extends Comparable<S>>(T candidate, String identity, S score)
+            implements Comparable<Scored<T, S>> {
 
         @Override
-        public int compareTo(Weighted<T> other) {
-            int heaviestFirst = Long.compare(other.weight, weight);
-            return heaviestFirst != 0 ? heaviestFirst : identity.compareTo(other.identity);
+        public int compareTo(Scored<T, S> other) {
+            int byScore = score.compareTo(other.score);
+            return byScore != 0 ? byScore : identity.compareTo(other.identity);
         }
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/CallerSpread.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/CallerSpread.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.filbertrudder.model.message.Member;
-import org.filbertrudder.policy.Rendezvous;
 
 /**
  * Chooses the instances that callers of one place and host are led to.
@@ -15,7 +14,7 @@
 public final class CallerSpread {
 
     /** The most instances that callers use of one list. */
-    public static final int MAX_NAMED = 64;
+    private static final int MAX_NAMED = 64;
 
     /** The least instances in a list, so that the loss of some leaves others to try. */
     private static final int MIN_NAMED = 6;
@@ -27,10 +26,6 @@
         int strongest = working.stream().mapToInt(Member::strength).max().orElse(1);
         int total = working.stream().mapToInt(Member::strength).sum();
         int named = Math.min(MAX_NAMED, Math.max(MIN_NAMED, total / strongest));
-        return Rendezvous.rankByStrength(
-                        key, working, member -> member.id().value(), Member::strength)
-                .stream()
-                .limit(named)
-                .toList();
+        return StrengthRank.first(key, working, named);
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/RelayRole.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/RelayRole.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.filbertrudder.model.message.Member;
-import org.filbertrudder.policy.Rendezvous;
 
 /** Tells which few instances of this one's failure domain ask the store for all the others. */
 public final class RelayRole {
@@ -53,13 +52,6 @@
                 mMembership.workingIn(self.region()).stream()
                         .filter(member -> member.failureDomain().equals(self.failureDomain()))
                         .toList();
-        return Rendezvous.rankByStrength(
-                        self.failureDomain().value(),
-                        candidates,
-                        member -> member.id().value(),
-                        Member::strength)
-                .stream()
-                .limit(mRelaysPerDomain)
-                .toList();
+        return StrengthRank.first(self.failureDomain().value(), candidates, mRelaysPerDomain);
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -73,9 +73,6 @@
         boolean news = !mAnnounced.contains(state.id(), state.startedMs(), nowMs);
         mAnnounced.add(state.id(), state.startedMs(), nowMs);
         state.setLeaving(true);
-        Set<EndpointId> leaving = new HashSet<>(mLeaving);
-        leaving.add(state.id());
-        mLeaving = Set.copyOf(leaving);
         return news;
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/LoadSums.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/LoadSums.java
@@ -26,19 +26,22 @@
         mReports.put(from, new Report(List.copyOf(loads), nowMs));
     }
 
-    /** Forgets old reports and returns the instances that have reported lately. */
+    /** Returns the instances that have reported lately. */
     public Set<InstanceId> reporters(long nowMs) {
-        mReports.values().removeIf(report -> nowMs - report.atMs() > REPORT_LIFETIME_MS);
+        forgetOld(nowMs);
         return Set.copyOf(mReports.keySet());
     }
 
+    private void forgetOld(long nowMs) {
+        mReports.values().removeIf(report -> nowMs - report.atMs() > REPORT_LIFETIME_MS);
+    }
+
     /** Returns the sum of all recent reports, by endpoint. */
     public Map<EndpointId, EndpointLoad> sum(long nowMs) {
+        forgetOld(nowMs);
         Map<EndpointId, EndpointLoad> sums = new HashMap<>();
         for (Report report : mReports.values()) {
-            if (nowMs - report.atMs() <= REPORT_LIFETIME_MS) {
-                report.loads().forEach(load -> sums.merge(load.endpoint(), load, LoadSums::plus));
-            }
+            report.loads().forEach(load -> sums.merge(load.endpoint(), load, LoadSums::plus));
         }
         return sums;
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToDoubleFunction;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.policy.Rendezvous;
 
@@ -34,30 +35,30 @@
         mHere = here;
     }
 
-    /** Returns the best engine with room; empty if none has any. */
-    Optional<EndpointState> choose(
+    /** Returns what a prompt costs at each of the engines that may run it, in milliseconds. */
+    ToDoubleFunction<EndpointState> costsMs(
             PromptDemand prompt, List<EndpointState> usable, RegionGraph regions, long nowMs) {
         Optional<EndpointState> home = home(prompt, usable);
+        return state -> costMs(state, prompt, home, regions, nowMs);
+    }
+
+    /** Returns the best engine with room; empty if none has any. */
+    Optional<EndpointState> choose(
+            PromptDemand prompt,
+            List<EndpointState> usable,
+            ToDoubleFunction<EndpointState> costsMs,
+            long nowMs) {
         long keyHash = Rendezvous.hash(prompt.affinityKey());
-        EndpointState best = null;
-        double bestClass = Double.MAX_VALUE;
-        for (EndpointState state : usable) {
-            if (!state.hasRoom(prompt, nowMs)) {
-                continue;
-            }
-            double costClass =
-                    Math.floor(cost(state, prompt, home, regions, nowMs) / COST_CLASS_MS);
-            boolean better =
-                    best == null
-                            || costClass < bestClass
-                            || (costClass == bestClass
-                                    && state.affinity(keyHash) > best.affinity(keyHash));
-            if (better) {
-                best = state;
-                bestClass = costClass;
-            }
-        }
-        return Optional.ofNullable(best);
+        return usable.stream()
+                .filter(state -> state.hasRoom(prompt, nowMs))
+                .map(
+                        state ->
+                                new Candidate(
+                                        state,
+                                        Math.floor(costsMs.applyAsDouble(state) / COST_CLASS_MS),
+                                        state.affinity(keyHash)))
+                .min(Candidate.BEST_FIRST)
+                .map(Candidate::state);
     }
 
     /**
@@ -70,13 +71,12 @@
             PromptDemand prompt,
             List<EndpointState> usable,
             EndpointState withRoom,
-            RegionGraph regions,
+            ToDoubleFunction<EndpointState> costsMs,
             long nowMs) {
-        Optional<EndpointState> home = home(prompt, usable);
-        double costMs = cost(withRoom, prompt, home, regions, nowMs) - COST_CLASS_MS;
+        double limitMs = costsMs.applyAsDouble(withRoom) - COST_CLASS_MS;
         return usable.stream()
                 .filter(state -> state.isReading(prompt, nowMs))
-                .anyMatch(state -> cost(state, prompt, home, regions, nowMs) < costMs);
+                .anyMatch(state -> costsMs.applyAsDouble(state) < limitMs);
     }
 
     /** Returns the engine that is assumed to keep the prompt's shared parts. */
@@ -88,7 +88,7 @@
         return usable.stream().max(Comparator.comparingLong(state -> state.affinity(keyHash)));
     }
 
-    private double cost(
+    private double costMs(
             EndpointState state,
             PromptDemand prompt,
             Optional<EndpointState> home,
@@ -106,4 +106,12 @@
         RegionId there = state.endpoint().region();
         return there.equals(mHere) ? 0 : regions.awayCostMs() + 2 * regions.delayMs(mHere, there);
     }
+
+    /** Holds what decides among the engines with room; each is worked out once. */
+    private record Candidate(EndpointState state, double costClass, long affinity) {
+
+        static final Comparator<Candidate> BEST_FIRST =
+                Comparator.comparingDouble(Candidate::costClass)
+                        .thenComparing(Comparator.comparingLong(Candidate::affinity).reversed());
+    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.filbertrudder.model.Configuration;
 import org.filbertrudder.model.RegionId;
@@ -104,10 +105,12 @@
                         .filter(state -> isAllowed(state, request))
                         .filter(state -> mayReach(state.endpoint().region(), request))
                         .toList();
-        Optional<EndpointState> chosen = mPlacement.choose(prompt, usable, regions, nowMs);
+        ToDoubleFunction<EndpointState> costsMs =
+                mPlacement.costsMs(prompt, usable, regions, nowMs);
+        Optional<EndpointState> chosen = mPlacement.choose(prompt, usable, costsMs, nowMs);
         if (chosen.isPresent()) {
             if (request.patient()
-                    && mPlacement.isWorthWaiting(prompt, usable, chosen.get(), regions, nowMs)) {
+                    && mPlacement.isWorthWaiting(prompt, usable, chosen.get(), costsMs, nowMs)) {
                 return new Route.WaitForEngine();
             }
             RegionId region = chosen.get().endpoint().region();
