Observability: log and count the limits that endpoints state

Callers and endpoints see no difference: no decision reads the limit yet.

Cause of the gap: the header Server-Limit, new on the platform's pages, was known nowhere, and nothing tells of a header of an endpoint that is not known.

Now a line is logged when a limit is stated, changed or lifted, with the request whose response said so, and for the first malformed value and the first header of each unknown name; requests to endpoints with a limit are counted. Responses are ordered by the intervals in which they were written, so that a late one does not end a limit that was stated after it; only a signed response ends one.

Tests: PlatformProtocolTest (7 valid, 9 malformed values, several in one head), EndpointLimitsTest.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptDependencies.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptDependencies.java
@@ -12,6 +12,7 @@
  * @param connections pools the connections to endpoints
  * @param forwardClient forwards requests to instances in other regions
  * @param loadReporting holds the load that other instances and regions report
+ * @param limits records the request limits that endpoints state
  * @param failureDetector detects endpoints that have crashed, stalled or are unreachable
  * @param retryBudgets limits retries
  * @param finisher ends exchanges and logs their outcome
@@ -23,6 +24,7 @@
         EndpointConnectionPools connections,
         GatewayForwardClient forwardClient,
         LoadReporting loadReporting,
+        EndpointLimitTracker limits,
         EndpointFailureDetector failureDetector,
         RetryBudgets retryBudgets,
         GatewayExchangeFinisher finisher) {}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardHeaders.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardHeaders.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Marks refusals in responses between instances, to distinguish them from responses of endpoints.
@@ -39,8 +40,10 @@
                 false,
                 false,
                 OptionalLong.empty(),
+                LimitStatement.NONE,
                 OptionalInt.empty(),
                 OptionalLong.empty(),
-                headers);
+                headers,
+                Set.of());
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -37,6 +37,7 @@
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.RendezvousHashing;
+import org.filbertrudder.policy.limits.EndpointLimits;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
@@ -77,6 +78,7 @@
     private final HttpProtocol mProtocol;
     private final GatewayMetrics mMetrics;
     private final EndpointTable mEndpointTable = new EndpointTable();
+    private final EndpointLimits mLimits = new EndpointLimits();
     private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
     private final RandomGenerator mRandom = new SplittableRandom();
     private CallerServer mCallerServer;
@@ -126,6 +128,7 @@
                         mConnections,
                         mForwardClient,
                         mLoadReporting,
+                        new EndpointLimitTracker(mLimits, mMetrics),
                         new EndpointFailureDetector(mConnections, mControl, mEndpointTable),
                         new RetryBudgets(mControl::bounds),
                         mFinisher);
@@ -303,7 +306,9 @@
         mForwardServer.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
-            mConnections.tick(registeredEndpoints());
+            Set<EndpointId> registered = registeredEndpoints();
+            mConnections.tick(registered);
+            mLimits.retain(registered, nowMs);
             mCallerServer.closeIdle(isRefusing());
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -13,6 +13,7 @@
 
     private final EndpointState mEndpoint;
     private EndpointConnection mConnection;
+    private long mSentMs;
     private boolean mFirstDataReceived;
     private Optional<PromptLoad> mPromptLoad = Optional.empty();
 
@@ -93,6 +94,8 @@
                                 remainingMs,
                                 mExchange.priority(),
                                 lastEventId));
+        mSentMs = Clocks.steadyMs();
+        mDependencies.limits().noteSend(mEndpoint.id());
         connection.send(
                 mExchange.head().requestId(),
                 mExchange.method(),
@@ -106,6 +109,9 @@
     @Override
     public void head(ResponseHead head) {
         mDependencies.failureDetector().noteResponse(mEndpoint, head);
+        mDependencies
+                .limits()
+                .noteResponse(mEndpoint.id(), head, mExchange.head().requestId(), mSentMs);
         if (head.isSuccess() || (head.isServerError() && !head.notRun())) {
             mEndpoint.recordOutcome(head.isServerError(), Clocks.steadyMs());
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ResponseHead.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ResponseHead.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Holds the contents of the head of an endpoint's response.
@@ -17,10 +18,12 @@
  * @param leaving whether the endpoint announces its shutdown
  * @param retryAfterMs for how long the endpoint asks to receive no requests, in milliseconds, if it
  *     states this
+ * @param limit what the endpoint states about the requests per second that it accepts
  * @param activeRequests the number of requests that the endpoint runs or queues, if it states this
  * @param keepAliveMs how long the endpoint keeps an idle connection open, in milliseconds, if it
  *     states this
  * @param passedHeaders the headers to pass on to the caller, by lower-case name
+ * @param unknownHeaders the lower-case names of headers that the protocol does not know
  */
 public record ResponseHead(
         int status,
@@ -30,9 +33,11 @@
         boolean bodyEncoded,
         boolean leaving,
         OptionalLong retryAfterMs,
+        LimitStatement limit,
         OptionalInt activeRequests,
         OptionalLong keepAliveMs,
-        Map<String, String> passedHeaders) {
+        Map<String, String> passedHeaders,
+        Set<String> unknownHeaders) {
 
     private static final int STATUS_UNAVAILABLE = 503;
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -18,6 +18,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -234,9 +235,11 @@
                     false,
                     false,
                     OptionalLong.empty(),
+                    LimitStatement.NONE,
                     OptionalInt.empty(),
                     OptionalLong.of(5_000),
-                    passedHeaders);
+                    passedHeaders,
+                    Set.of());
         }
 
         @Override
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Request limits that endpoints state, kept by all instances together. */
+package org.filbertrudder.policy.limits;
