--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -39,9 +39,11 @@
     private final int mSlots;
     private final AtomicInteger mRunning = new AtomicInteger();
     private final AtomicInteger mRejectedWithRetryAfter = new AtomicInteger();
+    private final ArrivalLog mArrivals = new ArrivalLog();
     private final Queue<ExecutedRequest> mExecutedRequests = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> mExecutionsByRequestId = new ConcurrentHashMap<>();
     private volatile Fault mFault = Fault.NONE;
+    private volatile String mLimit;
     private volatile int mPort;
     private HttpServer mServer;
     private long mRegistrationSequence;
@@ -153,6 +155,16 @@
         mFault = fault;
     }
 
+    /** Sets the value of the Server-Limit header of all responses; null for no such header. */
+    public void setLimit(String limit) {
+        mLimit = limit;
+    }
+
+    /** Returns the arrivals of all requests, whether executed or not. */
+    public ArrivalLog arrivals() {
+        return mArrivals;
+    }
+
     /** Returns all requests whose execution has started. */
     public Queue<ExecutedRequest> executedRequests() {
         return mExecutedRequests;
@@ -178,6 +190,7 @@
             request.response().putHeader("Filbertrudder-Instance-Id", mId).end();
             return;
         }
+        mArrivals.add(request.getHeader("Filbertrudder-Attempt-Id"));
         request.body().onSuccess(body -> serve(request, body.toString()));
     }
 
@@ -188,6 +201,10 @@
         if (requestId != null) {
             response.putHeader("Filbertrudder-Attempt-Id", requestId);
         }
+        String limit = mLimit;
+        if (limit != null) {
+            response.putHeader("Server-Limit", limit);
+        }
         if (!mId.equals(request.getHeader("Filbertrudder-Expect-Instance"))) {
             response.setStatusCode(STATUS_MISDIRECTED).end();
             return;
