Send to an endpoint with a stated limit only by permits of one scheduler a region

Callers saw no failure; the engine in need did.

Cause: the limit of an endpoint was not part of any decision (the header was not known), and there was no way to keep a bound of the whole fleet for an endpoint: each instance decides on its own view of the endpoint. Keeping the limit at each instance alone would break it again by the number of instances.

Class of fault: a bound for all instances together that each instance keeps by itself, or not at all.

Fix: one instance of the region, chosen by rendezvous hashing over its members, schedules the requests to the endpoint. Slots are at least the reciprocal of the limit apart; an instance sends only with a permit for a slot, which it requests when it has demand and which ends half a second after the slot. So no burst is possible, whoever sends, and lost, late or repeated messages cost permits only. A new scheduler begins after the last slots of the former one; groups that take each other for dead schedule the part of the limit that matches their size. All ways to an endpoint pass the one check (EndpointState.canAcceptRequest). Limits are told to the other instances with the load reports. Ruled out: a fair part for each instance (32 instances at 1 a second: one request each is eight times the limit), and a lease in the store (priced, and gone when the store is).

What does not fit goes to other endpoints. If all that could serve a request are limited, it waits only as long as a permit can come in time, and is refused at once otherwise, with the time of the next permit. A limit of 0 still lets one request in 5 s through, and a permit is used at least every 5 s although others are preferred, so that the end of a limit is noticed; the load then grows slowly.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
@@ -129,6 +129,16 @@
                 retryAfterMs);
     }
 
+    /** Refuses a request while the limits of all endpoints that could serve it are used up. */
+    static GatewayRefusal endpointsLimited(long retryAfterMs) {
+        return new GatewayRefusal(
+                503,
+                "endpoints_limited",
+                "All endpoints limit their requests. Retry after the given time.",
+                true,
+                retryAfterMs);
+    }
+
     /** Refuses a request that no region is allowed to serve under the current configuration. */
     static GatewayRefusal noCommonRegion() {
         return new GatewayRefusal(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -37,7 +37,6 @@
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.RendezvousHashing;
-import org.filbertrudder.policy.limits.EndpointLimits;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
@@ -78,7 +77,6 @@
     private final HttpProtocol mProtocol;
     private final GatewayMetrics mMetrics;
     private final EndpointTable mEndpointTable = new EndpointTable();
-    private final EndpointLimits mLimits = new EndpointLimits();
     private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
     private final RandomGenerator mRandom = new SplittableRandom();
     private CallerServer mCallerServer;
@@ -86,6 +84,7 @@
     private GatewayForwardClient mForwardClient;
     private GatewayForwardServer mForwardServer;
     private LoadReporting mLoadReporting;
+    private SendPermitService mSendPermits;
     private EndpointConnectionPools mConnections;
     private RequestDispatcher mDispatcher;
     private GatewayExchangeFinisher mFinisher;
@@ -116,7 +115,7 @@
                         this::receive,
                         violation ->
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
-        mLoadReporting = new LoadReporting(mEndpointTable, mControl::snapshot, mNetwork);
+        EndpointLimitTracker limits = createLoadAndLimitExchange();
         mForwardClient = new GatewayForwardClient(mNetwork);
         mConnections = new EndpointConnectionPools(vertx, mProtocol, this::maxIdleConnections);
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
@@ -128,7 +127,7 @@
                         mConnections,
                         mForwardClient,
                         mLoadReporting,
-                        new EndpointLimitTracker(mLimits, mMetrics),
+                        limits,
                         new EndpointFailureDetector(mConnections, mControl, mEndpointTable),
                         new RetryBudgets(mControl::bounds),
                         mFinisher);
@@ -167,6 +166,21 @@
                 .onComplete(started);
     }
 
+    /** Creates what exchanges loads, limits and permits with the other instances. */
+    private EndpointLimitTracker createLoadAndLimitExchange() {
+        EndpointLimitTracker limits = new EndpointLimitTracker(mEndpointTable, mMetrics);
+        mLoadReporting = new LoadReporting(mEndpointTable, limits, mControl::snapshot, mNetwork);
+        mSendPermits =
+                new SendPermitService(
+                        mEndpointTable,
+                        limits,
+                        mControl::snapshot,
+                        mNetwork,
+                        mMetrics,
+                        service -> mDispatcher.schedulePump(service));
+        return limits;
+    }
+
     private void addGauges() {
         mMetrics.gauge("requests_running", mActive::size);
         mMetrics.gauge("requests_waiting", mDispatcher::waiting);
@@ -204,7 +218,8 @@
         if (mForwardClient.handle(connection, message) || connection.peerMember() == null) {
             return;
         }
-        if (!mLoadReporting.handle(connection.peerMember(), message)) {
+        Member from = connection.peerMember();
+        if (!mLoadReporting.handle(from, message) && !mSendPermits.handle(from, message)) {
             mForwardServer.handle(connection, message);
         }
     }
@@ -302,13 +317,14 @@
         long nowMs = Clocks.steadyMs();
         mDispatcher.tick();
         mLoadReporting.tick(nowMs);
+        mSendPermits.tick(nowMs);
         mForwardClient.tick(nowMs);
         mForwardServer.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
             Set<EndpointId> registered = registeredEndpoints();
             mConnections.tick(registered);
-            mLimits.retain(registered, nowMs);
+            mEndpointTable.expireLimits(nowMs);
             mCallerServer.closeIdle(isRefusing());
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
@@ -68,10 +68,13 @@
     private final EndpointTable mTable;
     private final Supplier<GatewaySnapshot> mSnapshot;
     private final PeerNetwork mNetwork;
+    private final EndpointLimitTracker mLimits;
     private final EndpointLoadSums mSums = new EndpointLoadSums();
     private final Map<RegionId, RegionState> mRegions = new HashMap<>();
     private Map<EndpointId, PeerMessage.EndpointLoad> mLastReport = Map.of();
     private List<PeerMessage.EndpointLoad> mLastSum = List.of();
+    private Map<EndpointId, Double> mLastReportedLimits = Map.of();
+    private Map<EndpointId, Double> mLastDistributedLimits = Map.of();
     private List<Member> mMembers = List.of();
     private List<Member> mRelayCandidates = List.of();
     private int mRelayIndex;
@@ -81,8 +84,13 @@
     private long mNextLoadMs;
     private long mNextRegionMs;
 
-    LoadReporting(EndpointTable table, Supplier<GatewaySnapshot> snapshot, PeerNetwork network) {
+    LoadReporting(
+            EndpointTable table,
+            EndpointLimitTracker limits,
+            Supplier<GatewaySnapshot> snapshot,
+            PeerNetwork network) {
         mTable = table;
+        mLimits = limits;
         mSnapshot = snapshot;
         mNetwork = network;
     }
@@ -174,11 +182,17 @@
                                 state.ownMemoryTokens()));
             }
         }
-        boolean due = !loads.equals(mLastReport) || nowMs - mLastReportMs >= MAX_REPORT_INTERVAL_MS;
+        List<PeerMessage.EndpointLimitReport> limits = mLimits.reports(snapshot.self().region());
+        Map<EndpointId, Double> limitsByEndpoint = byEndpointLimit(limits);
+        boolean due =
+                !loads.equals(mLastReport)
+                        || !limitsByEndpoint.equals(mLastReportedLimits)
+                        || nowMs - mLastReportMs >= MAX_REPORT_INTERVAL_MS;
         if (!due || mRelayCandidates.isEmpty()) {
             return;
         }
         mLastReport = loads;
+        mLastReportedLimits = limitsByEndpoint;
         mLastReportMs = nowMs;
         Member relay = mRelayCandidates.get(mRelayIndex);
         List<PeerMessage.EndpointLoad> report = List.copyOf(loads.values());
@@ -186,10 +200,18 @@
             mSums.storeReport(relay.id(), report, nowMs);
             mLastRelayMessageMs = nowMs;
         } else {
-            mNetwork.send(forwardAddress(relay), new PeerMessage.InstanceLoadReport(report));
+            mNetwork.send(
+                    forwardAddress(relay), new PeerMessage.InstanceLoadReport(report, limits));
         }
     }
 
+    private static Map<EndpointId, Double> byEndpointLimit(
+            List<PeerMessage.EndpointLimitReport> limits) {
+        Map<EndpointId, Double> limitsByEndpoint = new HashMap<>();
+        limits.forEach(limit -> limitsByEndpoint.put(limit.endpoint(), limit.perSecond()));
+        return limitsByEndpoint;
+    }
+
     /** Sends the sum of the loads to all instances that report to this one. */
     private void distributeSum(GatewaySnapshot snapshot, long nowMs) {
         Set<InstanceId> reporters = mSums.reporters(nowMs);
@@ -201,11 +223,17 @@
             applySum(sums);
         }
         List<PeerMessage.EndpointLoad> loads = List.copyOf(sums.values());
-        boolean due = !loads.equals(mLastSum) || nowMs - mLastSumMs >= MAX_REPORT_INTERVAL_MS;
+        List<PeerMessage.EndpointLimitReport> limits = mLimits.reports(snapshot.self().region());
+        Map<EndpointId, Double> limitsByEndpoint = byEndpointLimit(limits);
+        boolean due =
+                !loads.equals(mLastSum)
+                        || !limitsByEndpoint.equals(mLastDistributedLimits)
+                        || nowMs - mLastSumMs >= MAX_REPORT_INTERVAL_MS;
         if (due) {
             mLastSum = loads;
+            mLastDistributedLimits = limitsByEndpoint;
             mLastSumMs = nowMs;
-            sendTo(reporters, new PeerMessage.RegionLoadSum(loads), snapshot);
+            sendTo(reporters, new PeerMessage.RegionLoadSum(loads, limits), snapshot);
         }
     }
 
@@ -232,7 +260,10 @@
         delays.forEach((service, delay) -> delaysByName.put(service.value(), delay));
         PeerMessage.RegionReport report =
                 new PeerMessage.RegionReport(
-                        snapshot.self().region(), delaysByName, regionLoads(snapshot, nowMs));
+                        snapshot.self().region(),
+                        delaysByName,
+                        regionLoads(snapshot, nowMs),
+                        mLimits.reports(snapshot.self().region()));
         snapshot.members().stream()
                 .map(Member::region)
                 .distinct()
@@ -264,11 +295,13 @@
     boolean handle(Member from, PeerMessage message) {
         if (message instanceof PeerMessage.InstanceLoadReport report) {
             mSums.storeReport(from.id(), report.loads(), Clocks.steadyMs());
+            mLimits.applyReports(from.id(), report.limits());
             return true;
         }
         if (message instanceof PeerMessage.RegionLoadSum sum) {
             mLastRelayMessageMs = Clocks.steadyMs();
             applySum(byEndpoint(sum.loads()));
+            mLimits.applyReports(from.id(), sum.limits());
             return true;
         }
         if (message instanceof PeerMessage.RegionReport report) {
@@ -278,6 +311,7 @@
             state.mReportedMs = Clocks.steadyMs();
             mRegions.put(report.region(), state);
             applyRegionReport(report);
+            mLimits.applyReports(from.id(), report.limits());
             // Only reports received directly from their region are distributed, to prevent loops.
             if (from.region().equals(report.region())) {
                 sendTo(mSums.reporters(Clocks.steadyMs()), report, mSnapshot.get());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -85,7 +85,7 @@
     }
 
     private void route(GatewayExchange exchange, ServiceQueue queue) {
-        Route route = choose(exchange, expectedWaitMs(exchange, queue));
+        Route route = choose(exchange, queue);
         if (route instanceof Route.WaitForEngine) {
             exchange.setQueued(true);
             queue.mAwaitingEngine.add(exchange);
@@ -96,19 +96,28 @@
         }
     }
 
-    private Route choose(GatewayExchange exchange, long localWaitMs) {
-        RouteRequest request =
-                new RouteRequest(
-                        exchange.service(),
-                        exchange::mayRunIn,
-                        "",
-                        exchange.triedEndpoints(),
-                        Optional.empty(),
-                        false,
-                        exchange.forwarded(),
-                        exchange.mayWaitForEngine(Clocks.steadyMs()),
-                        exchange.head().promptDemand());
-        return mRouter.choose(request, mRegions, localWaitMs, Clocks.steadyMs());
+    private Route choose(GatewayExchange exchange, ServiceQueue queue) {
+        long localWaitMs = Math.max(expectedWaitMs(exchange, queue), limitWaitMs(exchange, queue));
+        return mRouter.choose(routeRequest(exchange), mRegions, localWaitMs, Clocks.steadyMs());
+    }
+
+    private static RouteRequest routeRequest(GatewayExchange exchange) {
+        return new RouteRequest(
+                exchange.service(),
+                exchange::mayRunIn,
+                "",
+                exchange.triedEndpoints(),
+                Optional.empty(),
+                false,
+                exchange.forwarded(),
+                exchange.mayWaitForEngine(Clocks.steadyMs()),
+                exchange.head().promptDemand());
+    }
+
+    /** Returns how long the request waits because of the limits that endpoints state. */
+    private long limitWaitMs(GatewayExchange exchange, ServiceQueue queue) {
+        return mRouter.limitWaitMs(
+                routeRequest(exchange), mRegions, queue.mWaiting.size(), Clocks.steadyMs());
     }
 
     private void start(GatewayExchange exchange, Route route) {
@@ -117,9 +126,12 @@
         } else if (route instanceof Route.Forward forward) {
             mStarter.startRemote(exchange, forward.region(), forward.expectedEndpoint());
         } else if (route instanceof Route.Refuse refuse && refuse.retryAfterMs() > 0) {
+            long retryAfterMs = extendPauseMs(refuse.retryAfterMs());
             mStarter.giveUp(
                     exchange,
-                    GatewayRefusal.endpointsPausing(extendPauseMs(refuse.retryAfterMs())));
+                    refuse.reason() == Route.Reason.ALL_LIMITED
+                            ? GatewayRefusal.endpointsLimited(retryAfterMs)
+                            : GatewayRefusal.endpointsPausing(retryAfterMs));
         } else {
             mStarter.giveUp(exchange, GatewayRefusal.unavailable());
         }
@@ -134,6 +146,11 @@
         long nowMs = Clocks.steadyMs();
         long waitMs = expectedWaitMs(exchange, queue);
         long latestStartMs = exchange.latestStartMs();
+        long limitWaitMs = limitWaitMs(exchange, queue);
+        if (nowMs + limitWaitMs > latestStartMs) {
+            mStarter.giveUp(exchange, GatewayRefusal.endpointsLimited(extendPauseMs(limitWaitMs)));
+            return;
+        }
         if (nowMs + waitMs > latestStartMs) {
             mStarter.giveUp(exchange, GatewayRefusal.overloaded(retryAfterMs(waitMs)));
             return;
@@ -232,7 +249,7 @@
         if (queue.mSkipped.stream().anyMatch(skipped -> skipped.needsNoMoreThan(exchange))) {
             return FairQueue.PollDecision.SKIP;
         }
-        queue.mNextRoute = choose(exchange, expectedWaitMs(exchange, queue));
+        queue.mNextRoute = choose(exchange, queue);
         if (queue.mNextRoute instanceof Route.WaitForEngine) {
             queue.mEngineWaits++;
             return FairQueue.PollDecision.SKIP;
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -43,7 +43,9 @@
     @JsonSubTypes.Type(value = PeerMessage.OperatorStateReply.class, name = "ts"),
     @JsonSubTypes.Type(value = PeerMessage.InstanceLoadReport.class, name = "lo"),
     @JsonSubTypes.Type(value = PeerMessage.RegionLoadSum.class, name = "ls"),
-    @JsonSubTypes.Type(value = PeerMessage.RegionReport.class, name = "rg")
+    @JsonSubTypes.Type(value = PeerMessage.RegionReport.class, name = "rg"),
+    @JsonSubTypes.Type(value = PeerMessage.SendPermitRequest.class, name = "pq"),
+    @JsonSubTypes.Type(value = PeerMessage.SendPermitReply.class, name = "pr")
 })
 public sealed interface PeerMessage {
 
@@ -311,15 +313,67 @@
      * Reports the sender's own load on the region's endpoints to the relay of the region.
      *
      * @param loads the load at each endpoint in use
+     * @param limits the request limits of the region's endpoints that the sender knows
      */
-    record InstanceLoadReport(List<EndpointLoad> loads) implements PeerMessage {}
+    record InstanceLoadReport(List<EndpointLoad> loads, List<EndpointLimitReport> limits)
+            implements PeerMessage {
+
+        /** Replaces a missing list of an older sender by an empty one. */
+        public InstanceLoadReport {
+            limits = limits == null ? List.of() : limits;
+        }
+    }
 
     /**
      * Distributes the total load of all instances of a region on the region's endpoints.
      *
      * @param loads the load at each endpoint in use
+     * @param limits the request limits of the region's endpoints that the sender knows
+     */
+    record RegionLoadSum(List<EndpointLoad> loads, List<EndpointLimitReport> limits)
+            implements PeerMessage {
+
+        /** Replaces a missing list of an older sender by an empty one. */
+        public RegionLoadSum {
+            limits = limits == null ? List.of() : limits;
+        }
+    }
+
+    /**
+     * Describes the latest response of an endpoint with regard to its request limit.
+     *
+     * @param endpoint the endpoint
+     * @param perSecond the limit in requests per second; null if the endpoint no longer has one
+     * @param sentAgeMs the time since the request was sent, in milliseconds
+     * @param receivedAgeMs the time since the response arrived, in milliseconds
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"endpoint", "perSecond", "sentAgeMs", "receivedAgeMs"})
+    record EndpointLimitReport(
+            EndpointId endpoint, Double perSecond, long sentAgeMs, long receivedAgeMs) {}
+
+    /**
+     * Requests permits to send requests to an endpoint with a limit from the instance that
+     * schedules them.
+     *
+     * @param id correlates the reply
+     * @param limit the limit as the sender knows it
+     * @param wanted the number of requests that the sender wants to send
      */
-    record RegionLoadSum(List<EndpointLoad> loads) implements PeerMessage {}
+    record SendPermitRequest(long id, EndpointLimitReport limit, int wanted)
+            implements PeerMessage {}
+
+    /**
+     * Grants permits, or tells when to request them again.
+     *
+     * @param id the id of the request
+     * @param limit the limit as the sender knows it
+     * @param count the number of requests permitted; 0 if none
+     * @param waitMs the time until the permits are valid or a new request may succeed, in
+     *     milliseconds
+     */
+    record SendPermitReply(long id, EndpointLimitReport limit, int count, long waitMs)
+            implements PeerMessage {}
 
     /**
      * Describes the load of one or several instances on an endpoint.
@@ -340,7 +394,18 @@
      * @param startDelaysMs the expected delay before a request starts, by service, in milliseconds;
      *     services that cannot start requests are omitted
      * @param loads the load of all instances of the region on its endpoints in use
+     * @param limits the request limits of the region's endpoints that the sender knows
      */
-    record RegionReport(RegionId region, Map<String, Long> startDelaysMs, List<EndpointLoad> loads)
-            implements PeerMessage {}
+    record RegionReport(
+            RegionId region,
+            Map<String, Long> startDelaysMs,
+            List<EndpointLoad> loads,
+            List<EndpointLimitReport> limits)
+            implements PeerMessage {
+
+        /** Replaces a missing list of an older sender by an empty one. */
+        public RegionReport {
+            limits = limits == null ? List.of() : limits;
+        }
+    }
 }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
@@ -57,6 +57,35 @@
         assertEquals(encode(kind, decode(kind, encoding)), encoding);
     }
 
+    /** Lists messages as they were encoded before they had a list of limits. */
+    @DataProvider
+    public Object[][] messagesWithoutLimits() {
+        return new Object[][] {
+            {"lo", "0000002082a174a26c6fa56c6f6164739194a469642d3114cb400c000000000000cd0fa0"},
+            {"ls", "0000002082a174a26c73a56c6f6164739194a469642d3114cb400c000000000000cd0fa0"},
+            {
+                "rg",
+                "0000004584a174a27267a6726567696f6ea469642d31ad737461727444656c6179734d7381a6"
+                        + "746578742d32cd07d0a56c6f6164739194a469642d3114cb400c000000000000cd0fa0"
+            },
+        };
+    }
+
+    @Test(dataProvider = "messagesWithoutLimits")
+    public void aMissingListOfLimitsIsReadAsEmpty(String kind, String encoding) {
+        Object message = decode(kind, encoding);
+        List<PeerMessage.EndpointLimitReport> limits;
+        if (message instanceof PeerMessage.InstanceLoadReport report) {
+            limits = report.limits();
+        } else if (message instanceof PeerMessage.RegionLoadSum sum) {
+            limits = sum.limits();
+        } else {
+            limits = ((PeerMessage.RegionReport) message).limits();
+        }
+
+        assertEquals(limits, List.of());
+    }
+
     @Test
     public void everyPeerMessageTypeIsRecorded() throws IOException {
         List<String> kinds = new ArrayList<>();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/EndpointLimits.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/EndpointLimits.java
@@ -22,6 +22,9 @@
     /** How long the end of a limit is remembered, so that instances can tell each other. */
     private static final long LIFTED_LIFETIME_MS = 10_000;
 
+    /** How long the limit of an endpoint without a registration is remembered. */
+    private static final long UNREGISTERED_LIFETIME_MS = 600_000;
+
     private final Map<EndpointId, LimitObservation> mObservations = new HashMap<>();
 
     /** Lists how an observation can change what is known. */
@@ -94,14 +97,21 @@
                         .count();
     }
 
-    /** Forgets endpoints that are not registered and limits that ended some time ago. */
-    public void retain(Collection<EndpointId> registered, long nowMs) {
-        mObservations.keySet().retainAll(registered);
+    /**
+     * Forgets limits that ended some time ago, and those of endpoints that have not been registered
+     * for a long time; a registration may expire while the endpoint runs.
+     */
+    public void expire(Collection<EndpointId> registered, long nowMs) {
         mObservations
-                .values()
+                .entrySet()
                 .removeIf(
-                        observation ->
-                                observation.perSecond().isEmpty()
-                                        && nowMs - observation.receivedMs() > LIFTED_LIFETIME_MS);
+                        entry -> {
+                            long ageMs = nowMs - entry.getValue().receivedMs();
+                            boolean lifted = entry.getValue().perSecond().isEmpty();
+                            return lifted
+                                    ? ageMs > LIFTED_LIFETIME_MS
+                                    : ageMs > UNREGISTERED_LIFETIME_MS
+                                            && !registered.contains(entry.getKey());
+                        });
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -1,8 +1,11 @@
 package org.filbertrudder.policy.routing;
 
+import java.util.Optional;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.policy.RendezvousHashing;
+import org.filbertrudder.policy.limits.LimitObservation;
+import org.filbertrudder.policy.limits.SendPermits;
 
 /**
  * Tracks the load, health and cached prompts of one endpoint, as seen by one traffic thread.
@@ -25,6 +28,12 @@
     private static final long REPORT_LIFETIME_MS = 5_000;
     private static final int SLOTS_PER_OVERCOMMITTED_REQUEST = 4;
 
+    /**
+     * The age of the last response after which a permit for an endpoint with a limit is used even
+     * if other endpoints are preferred, so that the end of the limit is noticed.
+     */
+    private static final long LIMIT_CHECK_INTERVAL_MS = 5_000;
+
     /** The longest pause that an endpoint may request, in milliseconds. */
     private static final long MAX_PAUSE_MS = 60_000;
 
@@ -42,6 +51,8 @@
     private boolean mLeaving;
     private long mProcessStartedMs;
     private long mPausedUntilMs = Long.MIN_VALUE / 2;
+    private SendPermits mPermits;
+    private long mLimitStatedMs;
     private boolean mReservedExclusively;
     private int mRequestsOfOthers;
     private long mLoadReportedMs = Long.MIN_VALUE / 2;
@@ -110,6 +121,58 @@
         return Math.max(0, mPausedUntilMs - nowMs);
     }
 
+    /**
+     * Sets what is known about the request limit of the endpoint.
+     *
+     * <p>After a limit has ended, the load grows slowly, as after a failure.
+     */
+    void setLimit(LimitObservation observation, long nowMs) {
+        mLimitStatedMs = observation.receivedMs();
+        if (observation.perSecond().isEmpty()) {
+            mSlowStartFromMs = mPermits == null ? mSlowStartFromMs : nowMs;
+            mPermits = null;
+        } else if (mPermits == null) {
+            mPermits = new SendPermits(observation.perSecond().getAsDouble());
+        } else {
+            mPermits.setLimit(observation.perSecond().getAsDouble());
+        }
+    }
+
+    /** Returns whether the endpoint has a request limit. */
+    public boolean isLimited() {
+        return mPermits != null;
+    }
+
+    /** Returns the permits to send requests to the endpoint; empty if it has no limit. */
+    public Optional<SendPermits> permits() {
+        return Optional.ofNullable(mPermits);
+    }
+
+    /** Records that a request could be sent to the endpoint if its limit permits it. */
+    void noteDemand(long nowMs) {
+        if (mPermits != null) {
+            mPermits.noteDemand(nowMs);
+        }
+    }
+
+    /** Returns whether a request should be sent to find out whether the limit still applies. */
+    boolean isLimitCheckDue(long nowMs) {
+        return mPermits != null
+                && mPermits.isAvailable(nowMs)
+                && nowMs - mLimitStatedMs >= LIMIT_CHECK_INTERVAL_MS;
+    }
+
+    /**
+     * Returns the time until the endpoint's requested pause has ended and its limit permits a
+     * request, in milliseconds.
+     *
+     * @param ahead the number of requests that wait for the same endpoint
+     */
+    long remainingWaitMs(int ahead, long nowMs) {
+        long permitWaitMs = mPermits == null ? 0 : mPermits.expectedWaitMs(ahead, nowMs);
+        return Math.max(remainingPauseMs(nowMs), permitWaitMs);
+    }
+
     /** Records whether a request that ran on the endpoint failed. */
     public void recordOutcome(boolean failed, long nowMs) {
         mFailureRate.recordOutcome(failed, nowMs);
@@ -135,19 +198,28 @@
         return mLeaving;
     }
 
-    /** Returns whether the endpoint is neither leaving, nor in backoff, nor paused. */
+    /**
+     * Returns whether the endpoint is neither leaving, nor in backoff, nor paused, and its limit
+     * may permit a request.
+     */
     public boolean isUsable(long nowMs) {
+        return isHealthy(nowMs) && (mPermits == null || mPermits.isExpectedBy(nowMs));
+    }
+
+    /** Returns whether the endpoint is neither leaving, nor in backoff, nor paused. */
+    boolean isHealthy(long nowMs) {
         return !mLeaving && nowMs >= mBackoffUntilMs && nowMs >= mPausedUntilMs;
     }
 
     /**
      * Returns whether the endpoint is usable, not reserved for an exclusive request, and below its
-     * limits of concurrent requests and of the warm-up rate.
+     * limits of concurrent requests, of the warm-up rate and of the rate that it states.
      */
     public boolean canAcceptRequest(long nowMs) {
         return isUsable(nowMs)
                 && !mReservedExclusively
                 && mWarmupLimiter.allowsRequest(nowMs)
+                && (mPermits == null || mPermits.isAvailable(nowMs))
                 && load(nowMs) < slotLimit(nowMs) + maxOvercommittedRequests(nowMs);
     }
 
@@ -281,10 +353,11 @@
         mReservedExclusively = exclusive;
     }
 
-    /** Records that a request has been sent, and counts it against the warm-up rate limit. */
+    /** Records that a request has been sent, and counts it against the limits of the rate. */
     public void requestStarted(boolean exclusive, long nowMs) {
         requestStarted(exclusive);
         mWarmupLimiter.recordStart(nowMs);
+        permits().ifPresent(SendPermits::use);
     }
 
     /** Records the end of a request that received a response; resets the failure count. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -14,6 +14,8 @@
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.limits.EndpointLimits;
+import org.filbertrudder.policy.limits.LimitObservation;
 
 /**
  * Holds the endpoints of all services and regions with their load and health, as seen by one
@@ -24,6 +26,7 @@
     private final Map<EndpointId, EndpointState> mStates = new HashMap<>();
     private Map<ServiceInRegion, List<EndpointState>> mStatesByGroup = Map.of();
     private final LeavingAnnouncements mLeavingAnnouncements = new LeavingAnnouncements();
+    private final EndpointLimits mLimits = new EndpointLimits();
     private Set<EndpointId> mLeaving = Set.of();
 
     /** Replaces the set of endpoints; endpoints that remain in the set keep their state. */
@@ -36,6 +39,7 @@
                             endpoint.id(), id -> new EndpointState(endpoint, nowMs));
             state.setEndpoint(endpoint, nowMs);
             state.setLeaving(mLeaving.contains(endpoint.id()));
+            mLimits.find(endpoint.id()).ifPresent(each -> state.setLimit(each, nowMs));
             ids.add(endpoint.id());
             ServiceInRegion group = new ServiceInRegion(endpoint.service(), endpoint.region());
             groups.computeIfAbsent(group, key -> new ArrayList<>()).add(state);
@@ -80,6 +84,31 @@
         return newlyAnnounced;
     }
 
+    /**
+     * Records what a response states about the request limit of an endpoint.
+     *
+     * @return the change of the limit in force, if any
+     */
+    public Optional<EndpointLimits.Change> recordLimit(
+            EndpointId endpoint, LimitObservation observation, long nowMs) {
+        Optional<EndpointLimits.Change> change = mLimits.record(endpoint, observation);
+        EndpointState state = mStates.get(endpoint);
+        if (state != null) {
+            mLimits.find(endpoint).ifPresent(each -> state.setLimit(each, nowMs));
+        }
+        return change;
+    }
+
+    /** Forgets limits that no longer matter. */
+    public void expireLimits(long nowMs) {
+        mLimits.expire(mStates.keySet(), nowMs);
+    }
+
+    /** Returns the request limits that endpoints have stated. */
+    public EndpointLimits limits() {
+        return mLimits;
+    }
+
     /** Returns the endpoints of a service in a region, sorted by id, usable or not. */
     public List<EndpointState> findByService(ServiceId service, RegionId region) {
         List<EndpointState> group = mStatesByGroup.get(new ServiceInRegion(service, region));
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Route.java
@@ -57,6 +57,8 @@
         /** No region that is allowed to serve the request has an endpoint of the service. */
         NO_ENDPOINT_ALLOWED,
         /** No endpoint of the allowed regions is usable and reachable. */
-        NONE_AVAILABLE
+        NONE_AVAILABLE,
+        /** The request limits of the usable endpoints permit no further request for some time. */
+        ALL_LIMITED
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -64,6 +64,7 @@
 
     /** Decides where a request runs, given how long it would wait in this region. */
     public Route choose(RouteRequest request, RegionGraph regions, long localWaitMs, long nowMs) {
+        noteDemand(request, nowMs);
         if (request.prompt().isPresent() && !request.exclusive()) {
             return placePrompt(request.prompt().get(), request, regions, nowMs);
         }
@@ -100,6 +101,49 @@
         return new Route.Wait();
     }
 
+    /** Tells the endpoints with a limit that a request could use a permit. */
+    private void noteDemand(RouteRequest request, long nowMs) {
+        if (request.allowed().test(mLocalRegion)) {
+            mEndpoints.findByService(request.service(), mLocalRegion).stream()
+                    .filter(state -> !request.excludedEndpoints().contains(state.id()))
+                    .forEach(state -> state.noteDemand(nowMs));
+        }
+    }
+
+    /**
+     * Returns how long a request waits because all endpoints that could run it have a limit, in
+     * milliseconds; 0 if there is another one.
+     *
+     * @param ahead the number of requests that wait already
+     */
+    public long limitWaitMs(RouteRequest request, RegionGraph regions, int ahead, long nowMs) {
+        List<EndpointState> candidates =
+                regions.regionIds().stream()
+                        .filter(region -> mayRunIn(region, request))
+                        .filter(region -> !request.forwarded() || region.equals(mLocalRegion))
+                        .flatMap(
+                                region ->
+                                        mEndpoints
+                                                .findByService(request.service(), region)
+                                                .stream())
+                        .filter(state -> state.isHealthy(nowMs))
+                        .filter(state -> !request.excludedEndpoints().contains(state.id()))
+                        .toList();
+        List<EndpointState> local = candidates.stream().filter(this::isLocal).toList();
+        if (local.isEmpty() || !candidates.stream().allMatch(EndpointState::isLimited)) {
+            return 0;
+        }
+        int aheadForEach = ahead / local.size();
+        return local.stream()
+                .mapToLong(state -> state.remainingWaitMs(aheadForEach, nowMs))
+                .min()
+                .orElse(0);
+    }
+
+    private boolean isLocal(EndpointState state) {
+        return state.endpoint().region().equals(mLocalRegion);
+    }
+
     /**
      * Places a prompt on the engine with the lowest cost in all regions, or makes it wait if no
      * usable engine can accept it.
@@ -117,9 +161,18 @@
                         .toList();
         ToDoubleFunction<EndpointState> costsMs =
                 mPlacement.costsMs(prompt, usable, regions, nowMs);
-        Optional<EndpointState> chosen = mPlacement.choose(prompt, usable, costsMs, nowMs);
+        Optional<EndpointState> limitCheck =
+                usable.stream()
+                        .filter(state -> state.isLimitCheckDue(nowMs))
+                        .filter(state -> state.canAcceptRequest(prompt, nowMs))
+                        .findFirst();
+        Optional<EndpointState> chosen =
+                limitCheck.isPresent()
+                        ? limitCheck
+                        : mPlacement.choose(prompt, usable, costsMs, nowMs);
         if (chosen.isPresent()) {
-            if (request.mayWaitForBusyEngine()
+            if (limitCheck.isEmpty()
+                    && request.mayWaitForBusyEngine()
                     && mPlacement.isBusyEngineCheaper(
                             prompt, usable, chosen.get(), costsMs, nowMs)) {
                 return new Route.WaitForEngine();
@@ -129,6 +182,10 @@
                     ? new Route.Local(chosen.get())
                     : new Route.Forward(region, chosen);
         }
+        if (!usable.isEmpty() && usable.stream().allMatch(this::isLimitedElsewhere)) {
+            // Only the instances of the other region can obtain permits for these endpoints.
+            return new Route.Forward(usable.get(0).endpoint().region());
+        }
         boolean usableSoon =
                 candidates.stream()
                         .filter(state -> mayRunIn(state.endpoint().region(), request))
@@ -137,6 +194,10 @@
         return usable.isEmpty() && !usableSoon ? refuse(request, regions, nowMs) : new Route.Wait();
     }
 
+    private boolean isLimitedElsewhere(EndpointState state) {
+        return state.isLimited() && !isLocal(state);
+    }
+
     private boolean mayRunIn(RegionId region, RouteRequest request) {
         return request.allowed().test(region)
                 && (region.equals(mLocalRegion) || mRegionAvailability.isReachable(region));
@@ -175,6 +236,11 @@
                         .filter(state -> state.canAcceptRequest(nowMs))
                         .filter(state -> matchesPinnedEndpoint(state, request))
                         .toList();
+        Optional<EndpointState> limitCheck =
+                available.stream().filter(state -> state.isLimitCheckDue(nowMs)).findFirst();
+        if (limitCheck.isPresent()) {
+            return limitCheck;
+        }
         Optional<EndpointState> preferred = pickByAffinity(available, usable, request, nowMs);
         return preferred.isPresent()
                 ? preferred
@@ -287,19 +353,23 @@
                 nowMs);
     }
 
-    /** Refuses a request; reports the shortest remaining pause of the endpoints, if any. */
+    /** Refuses a request; reports the shortest remaining wait for an endpoint, if any. */
     private static Route refuse(List<EndpointState> endpoints, long nowMs) {
-        long shortestPauseMs =
+        Optional<EndpointState> soonest =
                 endpoints.stream()
                         .filter(state -> !state.isLeaving())
-                        .mapToLong(state -> state.remainingPauseMs(nowMs))
-                        .filter(pauseMs -> pauseMs > 0)
-                        .min()
-                        .orElse(0);
+                        .filter(state -> state.remainingWaitMs(0, nowMs) > 0)
+                        .min(Comparator.comparingLong(state -> state.remainingWaitMs(0, nowMs)));
+        if (soonest.isPresent()) {
+            return new Route.Refuse(
+                    soonest.get().isLimited()
+                            ? Route.Reason.ALL_LIMITED
+                            : Route.Reason.NONE_AVAILABLE,
+                    soonest.get().remainingWaitMs(0, nowMs));
+        }
         return new Route.Refuse(
                 endpoints.isEmpty()
                         ? Route.Reason.NO_ENDPOINT_ALLOWED
-                        : Route.Reason.NONE_AVAILABLE,
-                shortestPauseMs);
+                        : Route.Reason.NONE_AVAILABLE);
     }
 }
