Soak of processes with stated limits, checked as the platform's rule counts

The checker counts the arrivals of the instances that were told half a second before, over all windows of 4 s, and excuses those that were restarted or frozen.

--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
@@ -0,0 +1,166 @@
+package org.filbertrudder.scenarios.platform;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.filbertrudder.policy.membership.PeerAddress;
+import org.filbertrudder.scenarios.Fleet;
+
+/** Runs a gateway instance as a process of its own, on a loopback address of its own. */
+public final class GatewayProcess implements AutoCloseable {
+
+    private static final List<String> JAVA_OPTIONS =
+            List.of("-Xmx96m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final int CALLER_PORT = 8501;
+    private static final int READINESS_PORT = 8503;
+    private static final int DIRECTORY_PORT = 8506;
+    private static final int PEER_PORT = 8509;
+    private static final int FIRST_INNER_PORT = 8520;
+    private static final int LAST_INNER_PORT = 8530;
+    private static final int GRACE_SECONDS = 4;
+    private static final long EXIT_TIMEOUT_MS = 20_000;
+
+    private final String mId;
+    private final String mHost;
+    private final Path mSettingsFile;
+    private final Path mLogFile;
+    private Process mProcess;
+
+    /**
+     * Prepares an instance without starting it.
+     *
+     * @param id the id of the instance
+     * @param host its loopback address
+     * @param region its region, with one failure domain
+     * @param seedHosts the loopback addresses of other instances
+     * @param storePort the port of the store on 127.0.0.1
+     * @param directory where its settings and logs are written
+     */
+    public GatewayProcess(
+            String id,
+            String host,
+            String region,
+            List<String> seedHosts,
+            int storePort,
+            Path directory) {
+        mId = id;
+        mHost = host;
+        mSettingsFile = directory.resolve(id + ".toml");
+        mLogFile = directory.resolve(id + ".log");
+        try {
+            Files.writeString(mSettingsFile, settings(region, seedHosts, storePort));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private String settings(String region, List<String> seedHosts, int storePort) {
+        List<String> seeds =
+                seedHosts.stream().map(host -> "\"" + host + ":" + PEER_PORT + "\"").toList();
+        return """
+        nodeName = "%s"
+        zone = "%s-a"
+        portRange = [%d,%d]
+        seeds = %s
+        [zones]
+        %s-a = "%s"
+        [listen]
+        front = "%s"
+        ready = "%s"
+        control = "%s"
+        directory = "%s"
+        [bounds]
+        graceS = %d
+        revokeMs = 5000
+        retryRatio = 0.2
+        retryExtra = 52
+        [infra]
+        addr = "127.0.0.1:%d"
+        """
+                .formatted(
+                        mId,
+                        region,
+                        FIRST_INNER_PORT,
+                        LAST_INNER_PORT,
+                        seeds,
+                        region,
+                        region,
+                        address(CALLER_PORT),
+                        address(READINESS_PORT),
+                        address(PEER_PORT),
+                        address(DIRECTORY_PORT),
+                        GRACE_SECONDS,
+                        storePort);
+    }
+
+    private PeerAddress address(int port) {
+        return new PeerAddress(mHost, port);
+    }
+
+    /** Returns the id of the instance. */
+    public String id() {
+        return mId;
+    }
+
+    /** Starts the process. */
+    public void start() {
+        ProcessBuilder builder =
+                new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString());
+        builder.command().addAll(JAVA_OPTIONS);
+        builder.command()
+                .addAll(List.of("-jar", Fleet.jar("app", Fleet.PRODUCT_JAR).toString(), "gateway"));
+        builder.environment().put("FILBERTRUDDER_NODE_FILE", mSettingsFile.toString());
+        builder.redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(mLogFile.toFile()));
+        try {
+            mProcess = builder.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns whether the instance reports that it is ready. */
+    public boolean isReady() {
+        return new PlatformClient(address(READINESS_PORT)).get("/readyz").status() == 200;
+    }
+
+    /** Returns a client for the caller port of the instance. */
+    public PlatformClient callerClient() {
+        return new PlatformClient(address(CALLER_PORT));
+    }
+
+    /** Sends a signal to the process, for example {@code TERM}. */
+    public void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(mProcess.pid())).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Waits until the process has ended. */
+    public void awaitExit() {
+        try {
+            if (!mProcess.waitFor(EXIT_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                throw new IllegalStateException("The process of " + mId + " does not end.");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (mProcess != null) {
+            mProcess.destroyForcibly();
+            awaitExit();
+        }
+    }
+}
--- /dev/null
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -0,0 +1,372 @@
+package org.filbertrudder.scenarios.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.filbertrudder.standins.platform.ArrivalLog;
+import org.filbertrudder.standins.platform.KvStoreStandIn;
+import org.filbertrudder.standins.platform.ReplicaStandIn;
+
+/**
+ * Runs gateway processes of one region under load, while replicas state, change and lift limits and
+ * a seeded series of signals, restarts and outages disturbs the processes, the replicas and the
+ * store. Checks what the replicas see against the platform's rule LIMIT.
+ */
+public final class LimitSoak {
+
+    private static final String REGION = "mtl";
+    private static final String API_KEY = "key-club";
+    private static final int REPLICAS_PER_SERVICE = 3;
+    private static final int SLOTS = 64;
+    private static final int MAX_SEEDS = 3;
+    private static final long MAX_TOTAL_REQUESTS_PER_SECOND = 120;
+    private static final long MAX_REQUEST_INTERVAL_MS = 1_000;
+    private static final long MIN_REQUEST_INTERVAL_MS = 40;
+
+    /** How long a disturbed instance is excused after the end of the disturbance. */
+    private static final long CONTACT_MS = 6_000;
+
+    /** The time in which a replica whose limit has ended gets requests beyond it again. */
+    private static final long RETURN_MS = 12_000;
+
+    private static final List<String> LIMITS =
+            List.of("0", "0.5", "1", "1.2", "2", "5", "12", "-1", "NaN", "soon", "3,1");
+
+    private final Options mOptions;
+    private final Random mRandom;
+    private final PlatformFleet mFleet = new PlatformFleet(REGION);
+    private final Map<String, GatewayProcess> mProcesses = new TreeMap<>();
+    private final Map<String, LimitChecker> mCheckers = new TreeMap<>();
+    private final Map<String, List<Disturbance>> mDisturbances = new ConcurrentHashMap<>();
+    private final Map<Integer, Integer> mStatuses = new ConcurrentHashMap<>();
+    private final List<String> mViolations = new CopyOnWriteArrayList<>();
+    private final List<String> mEvents = Collections.synchronizedList(new ArrayList<>());
+    private final AtomicLong mNextRequest = new AtomicLong();
+    private final Map<String, Long> mLiftedMs = new ConcurrentHashMap<>();
+    private long mStartedMs;
+    private volatile boolean mStopped;
+
+    /**
+     * Describes a run.
+     *
+     * @param seed determines the faults and their times
+     * @param instances the number of gateway processes
+     * @param seconds the duration of the load
+     * @param directory where the settings and logs of the processes are written
+     */
+    public record Options(long seed, int instances, int seconds, Path directory) {}
+
+    /**
+     * Holds the result of a run.
+     *
+     * @param violations descriptions of what broke a rule
+     * @param statuses the number of responses by status; 0 stands for a broken connection
+     * @param events the disturbances with their times, in seconds since the start
+     */
+    public record Report(
+            List<String> violations, Map<Integer, Integer> statuses, List<String> events) {}
+
+    /** A time in which an instance was stopped, restarted or frozen. */
+    private record Disturbance(long fromMs, AtomicLong endMs) {}
+
+    private LimitSoak(Options options) {
+        mOptions = options;
+        mRandom = new Random(options.seed());
+    }
+
+    /** Runs the processes, the load and the faults, and reports what broke a rule. */
+    public static Report run(Options options) {
+        LimitSoak soak = new LimitSoak(options);
+        try {
+            return soak.run();
+        } finally {
+            soak.close();
+        }
+    }
+
+    private Report run() {
+        startFleet();
+        mStartedMs = ArrivalLog.nowMs();
+        ExecutorService callers = Executors.newCachedThreadPool();
+        mProcesses.values().forEach(process -> startCallers(process, callers));
+        ScheduledExecutorService faults = Executors.newScheduledThreadPool(8);
+        scheduleFaults(faults);
+        sleepUntil(mStartedMs + TimeUnit.SECONDS.toMillis(mOptions.seconds()));
+        mStopped = true;
+        faults.shutdownNow();
+        callers.shutdown();
+        mCheckers.forEach((name, checker) -> mViolations.addAll(checker.violations(name)));
+        checkReturns();
+        checkExecutions();
+        return new Report(List.copyOf(mViolations), new TreeMap<>(mStatuses), List.copyOf(mEvents));
+    }
+
+    private void startFleet() {
+        mFleet.writeConfiguration(true);
+        for (int i = 1; i <= REPLICAS_PER_SERVICE; i++) {
+            startReplica("pool-" + i, PlatformFleet.MODEL_SERVICE);
+            startReplica("desk-" + i, PlatformFleet.BOOKING_SERVICE);
+        }
+        List<String> hosts = new ArrayList<>();
+        for (int i = 0; i < mOptions.instances(); i++) {
+            hosts.add("127.1." + (mOptions.seed() % 250) + "." + (i + 1));
+        }
+        List<String> seeds = hosts.subList(0, Math.min(MAX_SEEDS, hosts.size()));
+        for (int i = 0; i < hosts.size(); i++) {
+            GatewayProcess process =
+                    new GatewayProcess(
+                            "edge-" + i,
+                            hosts.get(i),
+                            REGION,
+                            seeds,
+                            mFleet.storePort(),
+                            mOptions.directory());
+            mDisturbances.put(process.id(), new CopyOnWriteArrayList<>());
+            mProcesses.put(process.id(), process);
+            process.start();
+        }
+        mProcesses
+                .values()
+                .forEach(
+                        process ->
+                                PlatformFleet.await(process.id() + " is ready", process::isReady));
+    }
+
+    private void startReplica(String id, String service) {
+        ReplicaStandIn replica = mFleet.startReplica(id, service, REGION, SLOTS);
+        mCheckers.put(id, new LimitChecker(replica, this::isExcused));
+    }
+
+    private boolean isExcused(String instance, long atMs) {
+        return mDisturbances.getOrDefault(instance, List.of()).stream()
+                .anyMatch(each -> atMs >= each.fromMs() && atMs <= each.endMs().get() + CONTACT_MS);
+    }
+
+    /** Starts callers of streams and of other requests, which keep their connections. */
+    private void startCallers(GatewayProcess process, ExecutorService callers) {
+        long intervalMs =
+                Math.min(
+                        MAX_REQUEST_INTERVAL_MS,
+                        Math.max(
+                                MIN_REQUEST_INTERVAL_MS,
+                                2_000L * mOptions.instances() / MAX_TOTAL_REQUESTS_PER_SECOND));
+        for (String path : List.of("/digest/x", "/stock/x", "/book/x")) {
+            callers.execute(() -> call(process, path, intervalMs));
+        }
+    }
+
+    private void call(GatewayProcess process, String path, long intervalMs) {
+        PlatformClient client = process.callerClient();
+        long nextMs = ArrivalLog.nowMs();
+        while (!mStopped) {
+            String id = process.id() + "/" + mNextRequest.incrementAndGet();
+            PlatformClient.Response response =
+                    path.startsWith("/digest")
+                            ? client.sendStream(id, path, API_KEY, "part" + id.hashCode() % 20)
+                            : client.sendPlain(
+                                    id, path.startsWith("/book") ? "POST" : "GET", path, API_KEY);
+            mStatuses.merge(response.status(), 1, Integer::sum);
+            if (response.status() == 503 && response.retryAfter().isEmpty()) {
+                mViolations.add("A refusal has no time to come back: " + response.body());
+            }
+            nextMs = Math.max(nextMs + intervalMs, ArrivalLog.nowMs());
+            sleepUntil(nextMs);
+        }
+    }
+
+    private void scheduleFaults(ScheduledExecutorService faults) {
+        for (long atMs = 500; atMs < seconds() * 1_000L; atMs += 300 + mRandom.nextInt(1_500)) {
+            String replica = pick(new ArrayList<>(mCheckers.keySet()));
+            String limit = mRandom.nextInt(5) == 0 ? null : pick(LIMITS);
+            schedule(faults, atMs, () -> setLimit(replica, limit));
+        }
+        for (long atMs = 3_000; atMs < seconds() * 1_000L; atMs += 500 + mRandom.nextInt(5_000)) {
+            Runnable fault = drawFault();
+            schedule(faults, atMs, fault);
+        }
+    }
+
+    private int seconds() {
+        return mOptions.seconds();
+    }
+
+    private <T> T pick(List<T> list) {
+        return list.get(mRandom.nextInt(list.size()));
+    }
+
+    private void schedule(ScheduledExecutorService faults, long atMs, Runnable action) {
+        faults.schedule(action, atMs, TimeUnit.MILLISECONDS);
+    }
+
+    private Runnable drawFault() {
+        GatewayProcess process = pick(new ArrayList<>(mProcesses.values()));
+        String replica = pick(new ArrayList<>(mCheckers.keySet()));
+        long durationMs = 500 + mRandom.nextInt(5_000);
+        KvStoreStandIn.Mode mode =
+                mRandom.nextBoolean()
+                        ? KvStoreStandIn.Mode.REJECTING
+                        : KvStoreStandIn.Mode.UNRESPONSIVE;
+        return switch (mRandom.nextInt(6)) {
+            case 0 -> () -> restart(process, "TERM");
+            case 1 -> () -> restart(process, "KILL");
+            case 2 -> () -> freeze(process, durationMs);
+            case 3 -> () -> signal(process, "HUP");
+            case 4 -> () -> interruptStore(mode, durationMs);
+            default -> () -> restartReplica(replica, durationMs);
+        };
+    }
+
+    private void note(String event) {
+        double seconds = (ArrivalLog.nowMs() - mStartedMs) / 1_000.0;
+        mEvents.add(String.format(java.util.Locale.ROOT, "%.1f %s", seconds, event));
+    }
+
+    private void setLimit(String replica, String limit) {
+        note(replica + " states " + limit);
+        mCheckers.get(replica).setLimit(limit);
+        if (limit == null) {
+            mLiftedMs.put(replica, ArrivalLog.nowMs());
+        } else {
+            mLiftedMs.remove(replica);
+        }
+    }
+
+    private void restart(GatewayProcess process, String signal) {
+        synchronized (process) {
+            Disturbance disturbance = beginDisturbance(process);
+            signal(process, signal);
+            process.awaitExit();
+            if (!mStopped) {
+                process.start();
+                PlatformFleet.await(process.id() + " is ready again", process::isReady);
+            }
+            disturbance.endMs().set(ArrivalLog.nowMs());
+        }
+    }
+
+    private void freeze(GatewayProcess process, long durationMs) {
+        synchronized (process) {
+            Disturbance disturbance = beginDisturbance(process);
+            signal(process, "STOP");
+            sleepUntil(ArrivalLog.nowMs() + durationMs);
+            signal(process, "CONT");
+            disturbance.endMs().set(ArrivalLog.nowMs());
+        }
+    }
+
+    private Disturbance beginDisturbance(GatewayProcess process) {
+        Disturbance disturbance =
+                new Disturbance(ArrivalLog.nowMs(), new AtomicLong(Long.MAX_VALUE - CONTACT_MS));
+        mDisturbances.get(process.id()).add(disturbance);
+        return disturbance;
+    }
+
+    private void signal(GatewayProcess process, String name) {
+        note(process.id() + " gets " + name);
+        process.signal(name);
+    }
+
+    private void interruptStore(KvStoreStandIn.Mode mode, long durationMs) {
+        note("the store is " + mode);
+        mFleet.store().setMode(mode);
+        sleepUntil(ArrivalLog.nowMs() + durationMs);
+        mFleet.store().setMode(KvStoreStandIn.Mode.SERVING);
+    }
+
+    /** Restarts a replica under the same id; the new process states no limit. */
+    private void restartReplica(String id, long durationMs) {
+        synchronized (mCheckers.get(id)) {
+            note(id + " restarts");
+            ReplicaStandIn replica = mCheckers.get(id).replica();
+            replica.crash();
+            setLimit(id, null);
+            sleepUntil(ArrivalLog.nowMs() + durationMs);
+            replica.start().register("ready", 0, System.currentTimeMillis());
+        }
+    }
+
+    /** Checks that replicas whose limit ended get requests again. */
+    private void checkReturns() {
+        long nowMs = ArrivalLog.nowMs();
+        mLiftedMs.forEach(
+                (replica, liftedMs) -> {
+                    boolean longAgo = nowMs - liftedMs > RETURN_MS;
+                    int arrivals = mCheckers.get(replica).replica().arrivals().countSince(liftedMs);
+                    if (longAgo && arrivals == 0) {
+                        mViolations.add(replica + " gets no requests after the end of its limit");
+                    }
+                });
+    }
+
+    /** Checks that no booking was executed twice. */
+    private void checkExecutions() {
+        Map<String, Integer> bookings = new HashMap<>();
+        for (ReplicaStandIn replica : mFleet.replicas()) {
+            replica.executedRequests().stream()
+                    .filter(execution -> execution.uri().startsWith("/book/"))
+                    .forEach(each -> bookings.merge(each.requestId(), 1, Integer::sum));
+        }
+        bookings.forEach(
+                (id, executions) -> {
+                    if (executions > 1) {
+                        mViolations.add("The booking " + id + " was executed more than once");
+                    }
+                });
+    }
+
+    private static void sleepUntil(long timeMs) {
+        try {
+            Thread.sleep(Math.max(0, timeMs - ArrivalLog.nowMs()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void close() {
+        mStopped = true;
+        mProcesses.values().forEach(GatewayProcess::close);
+        mFleet.close();
+    }
+
+    /** Runs seeds one after another: {@code FIRST_SEED SEEDS INSTANCES SECONDS DIRECTORY}. */
+    public static void main(String[] arguments) throws IOException {
+        if (arguments.length != 5) {
+            System.err.println("Arguments: FIRST_SEED SEEDS INSTANCES SECONDS DIRECTORY");
+            System.exit(2);
+        }
+        long firstSeed = Long.parseLong(arguments[0]);
+        int failed = 0;
+        for (long seed = firstSeed; seed < firstSeed + Long.parseLong(arguments[1]); seed++) {
+            Path directory = Path.of(arguments[4]).resolve("seed-" + seed);
+            Files.createDirectories(directory);
+            Report report =
+                    run(
+                            new Options(
+                                    seed,
+                                    Integer.parseInt(arguments[2]),
+                                    Integer.parseInt(arguments[3]),
+                                    directory));
+            Files.write(directory.resolve("events.txt"), report.events());
+            Files.write(directory.resolve("violations.txt"), report.violations());
+            System.out.println(
+                    "seed " + seed + " " + report.statuses() + " " + report.violations());
+            failed += report.violations().isEmpty() ? 0 : 1;
+        }
+        System.out.println(failed + " of " + arguments[1] + " seeds failed");
+        System.exit(failed == 0 ? 0 : 1);
+    }
+}
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformClient.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformClient.java
@@ -58,7 +58,11 @@
 
     /** Sends a request that is not streamed; with a null key, it has no Authorization header. */
     public Response sendPlain(String method, String path, String apiKey) {
-        String id = newRequestId();
+        return sendPlain(newRequestId(), method, path, apiKey);
+    }
+
+    /** Sends a request with the given id that is not streamed. */
+    public Response sendPlain(String id, String method, String path, String apiKey) {
         return send(
                 newRequest(id, path, apiKey)
                         .method(method, HttpRequest.BodyPublishers.ofString("body of " + id)),
@@ -67,7 +71,11 @@
 
     /** Sends a request that is answered with a stream of events. */
     public Response sendStream(String path, String apiKey, String promptPrefix) {
-        String id = newRequestId();
+        return sendStream(newRequestId(), path, apiKey, promptPrefix);
+    }
+
+    /** Sends a request with the given id that is answered with a stream of events. */
+    public Response sendStream(String id, String path, String apiKey, String promptPrefix) {
         return send(
                 newRequest(id, path, apiKey)
                         .header("Filbertrudder-Token-Usage", "600,80")
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -76,6 +76,11 @@
         return mStore;
     }
 
+    /** Returns the port of the store on the loopback address. */
+    public int storePort() {
+        return mStorePort;
+    }
+
     /** Returns a replica by its id. */
     public ReplicaStandIn replica(String id) {
         return mReplicas.get(id);
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -40,6 +40,7 @@
     private final AtomicInteger mRunning = new AtomicInteger();
     private final AtomicInteger mRejectedWithRetryAfter = new AtomicInteger();
     private final ArrivalLog mArrivals = new ArrivalLog();
+    private final ArrivalLog mLimitStatements = new ArrivalLog();
     private final Queue<ExecutedRequest> mExecutedRequests = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> mExecutionsByRequestId = new ConcurrentHashMap<>();
     private volatile Fault mFault = Fault.NONE;
@@ -160,6 +161,11 @@
         mLimit = limit;
     }
 
+    /** Returns the requests whose responses stated a limit, with the time of the response head. */
+    public ArrivalLog limitStatements() {
+        return mLimitStatements;
+    }
+
     /** Returns the arrivals of all requests, whether executed or not. */
     public ArrivalLog arrivals() {
         return mArrivals;
@@ -204,6 +210,7 @@
         String limit = mLimit;
         if (limit != null) {
             response.putHeader("Server-Limit", limit);
+            response.headersEndHandler(ignored -> mLimitStatements.add(requestId));
         }
         if (!mId.equals(request.getHeader("Filbertrudder-Expect-Instance"))) {
             response.setStatusCode(STATUS_MISDIRECTED).end();
