Weight fetches: a new sender of orders waits for a full interval in any case

Operators would see two weight fetches in one interval when the sender of orders changes: the rate of the weight store is a bound for all senders together.

Now the start of the interval is kept and compared with the rate in force.

--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/orders/WeightFetchLimiter.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/orders/WeightFetchLimiter.java
@@ -11,7 +11,7 @@
     private static final double MS_PER_MINUTE = 60_000;
 
     private double mFetchesPerMs;
-    private long mNextFetchMs;
+    private long mIntervalStartMs = Long.MIN_VALUE / 2;
 
     /** Sets the rate of this sender, in weight fetches per minute. */
     public void setRate(double fetchesPerMinute) {
@@ -20,19 +20,15 @@
 
     /** Allows the next fetch after a full interval. */
     public void reset(long nowMs) {
-        mNextFetchMs = nowMs + intervalMs();
+        mIntervalStartMs = nowMs;
     }
 
     /** Permits one fetch if the interval has passed; returns whether it was permitted. */
     public boolean tryAcquire(long nowMs) {
-        if (nowMs < mNextFetchMs) {
+        if (nowMs - mIntervalStartMs < 1 / mFetchesPerMs) {
             return false;
         }
-        mNextFetchMs = nowMs + intervalMs();
+        mIntervalStartMs = nowMs;
         return true;
     }
-
-    private long intervalMs() {
-        return (long) Math.ceil(1 / mFetchesPerMs);
-    }
 }
