Cold endpoints: an instance that takes over waits for the requests of the former one

What endpoints would see: while an endpoint is cold, its region may send it a number of requests a second (1.5 times the rate and 3 more are allowed). When the owner of that right changed within a second, the new one began at once, so both together sent up to twice the rate; today's deployments with rates up to 2.5 stay within the allowance, rates from 7 a second on do not.

Now an instance that takes over waits for the length of the window, and a suspected owner remains the owner until it is declared dead, by the same selection as for stated limits.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -36,7 +36,7 @@
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
-import org.filbertrudder.policy.RendezvousHashing;
+import org.filbertrudder.policy.limits.SchedulerSelection;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
@@ -361,7 +361,6 @@
         }
         mEndpointTable.setEndpoints(endpoints, nowMs);
         mEndpointTable.setLeaving(unusable, startedMs, nowMs);
-        List<Member> regionMembers = snapshot.membersAcceptingWorkIn(mSettings.region());
         for (EndpointAvailability availability : snapshot.endpoints()) {
             mEndpointTable
                     .findById(availability.endpoint().id())
@@ -371,7 +370,7 @@
                                             state,
                                             availability,
                                             snapshot.configuration(),
-                                            regionMembers));
+                                            snapshot.members()));
         }
     }
 
@@ -379,7 +378,7 @@
             EndpointState state,
             EndpointAvailability availability,
             GatewayConfiguration configuration,
-            List<Member> regionMembers) {
+            List<Member> members) {
         ServiceRule service = configuration.service(availability.endpoint().service()).orElse(null);
         if (service == null) {
             return;
@@ -387,10 +386,11 @@
         service.engine().ifPresent(engine -> state.setEngineMemory(engine.memoryTokens()));
         if (service.warmupRequestsPerSecond() > 0) {
             boolean cold = availability.coldUntilMs() > Clocks.steadyMs();
-            boolean warmupOwner = cold && isWarmupOwner(availability.endpoint(), regionMembers);
+            boolean warmupOwner = cold && isWarmupOwner(availability.endpoint(), members);
             state.setCold(
                     availability.coldUntilMs(),
-                    warmupOwner ? (int) service.warmupRequestsPerSecond() : 0);
+                    warmupOwner ? (int) service.warmupRequestsPerSecond() : 0,
+                    Clocks.steadyMs());
         }
     }
 
@@ -398,9 +398,8 @@
      * Returns whether this instance is the only one of its region that sends requests to the
      * endpoint while it is cold.
      */
-    private boolean isWarmupOwner(Endpoint endpoint, List<Member> regionMembers) {
-        return RendezvousHashing.first(
-                        endpoint.id().value(), regionMembers, member -> member.id().value())
+    private boolean isWarmupOwner(Endpoint endpoint, List<Member> members) {
+        return SchedulerSelection.scheduler(endpoint.id(), mSettings.region(), members)
                 .map(member -> member.id().equals(mSettings.id()))
                 .orElse(true);
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -296,8 +296,8 @@
      * @param untilMs when the endpoint is warm
      * @param perSecond the maximum requests per second from this instance until then; 0 for none
      */
-    public void setCold(long untilMs, int perSecond) {
-        mWarmupLimiter.setCold(untilMs, perSecond);
+    public void setCold(long untilMs, int perSecond, long nowMs) {
+        mWarmupLimiter.setCold(untilMs, perSecond, nowMs);
     }
 
     /** Returns whether the endpoint is still warming up. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/WarmupRateLimiter.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/WarmupRateLimiter.java
@@ -6,8 +6,9 @@
 /**
  * Limits the requests per second to an endpoint that is warming up, over a sliding window.
  *
- * <p>Normally only one instance of the region sends requests to a cold endpoint. While the
- * instances disagree on which one, two may send, so each instance enforces the limit by itself.
+ * <p>Normally only one instance of the region sends requests to a cold endpoint. An instance that
+ * takes over waits until the requests of the former one have left the window, so that both together
+ * stay within the limit. While the instances disagree on which one may send, two may.
  */
 final class WarmupRateLimiter {
 
@@ -19,8 +20,12 @@
     private final Deque<Long> mRecentStartsMs = new ArrayDeque<>();
     private long mColdUntilMs = Long.MIN_VALUE;
     private int mMaxPerSecond;
+    private long mFirstStartMs = Long.MIN_VALUE;
 
-    void setCold(long untilMs, int perSecond) {
+    void setCold(long untilMs, int perSecond, long nowMs) {
+        if (mMaxPerSecond == 0 && perSecond > 0) {
+            mFirstStartMs = nowMs + WINDOW_MS + NETWORK_JITTER_MS;
+        }
         mColdUntilMs = Math.max(mColdUntilMs, untilMs);
         mMaxPerSecond = perSecond;
     }
@@ -31,7 +36,8 @@
 
     boolean allowsRequest(long nowMs) {
         dropExpiredStarts(nowMs);
-        return !isCold(nowMs) || mRecentStartsMs.size() < mMaxPerSecond;
+        boolean permitted = nowMs >= mFirstStartMs && mRecentStartsMs.size() < mMaxPerSecond;
+        return !isCold(nowMs) || permitted;
     }
 
     void recordStart(long nowMs) {
