Name the endpoints that a limit kept a request from; request permits less often

On call: a request that went elsewhere or was refused because of a limit now has limited=ENDPOINT,... among its steps, so that explain shows the lines of that endpoint beside it. An instance asks for permits at most four times a second for an endpoint, and once a second while no slot is free: a scheduler for 38 instances (1,800 in 48 regions) would otherwise be asked up to 20 times a second by each.

LimitBoundTest, LimitedRoutingTest and SendPermitsTest pass.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -9,7 +9,9 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.policy.queueing.FairQueue;
@@ -44,6 +46,9 @@
     /** A pass over the queue ends after this many requests that wait for a preferred engine. */
     private static final int MAX_ENGINE_WAITS_PER_PASS = 32;
 
+    /** The maximum number of endpoints without a permit that the trace of a request names. */
+    private static final int MAX_TRACED_ENDPOINTS = 4;
+
     private final Router mRouter;
     private final RegionGraph mRegions;
     private final Starter mStarter;
@@ -123,23 +128,37 @@
     }
 
     private void start(GatewayExchange exchange, Route route) {
+        traceWithoutPermit(exchange);
         if (route instanceof Route.Local local) {
             mStarter.startLocal(exchange, local.endpoint());
         } else if (route instanceof Route.Forward forward) {
             mStarter.startRemote(exchange, forward.region(), forward.expectedEndpoint());
         } else if (route instanceof Route.Refuse refuse && refuse.retryAfterMs() > 0) {
-            if (refuse.reason() == Route.Reason.ALL_LIMITED) {
-                refuseAsLimited(exchange, refuse.retryAfterMs());
-            } else {
-                mStarter.giveUp(
-                        exchange,
-                        GatewayRefusal.endpointsPausing(extendPauseMs(refuse.retryAfterMs())));
-            }
+            long retryAfterMs = extendPauseMs(refuse.retryAfterMs());
+            mStarter.giveUp(
+                    exchange,
+                    refuse.reason() == Route.Reason.ALL_LIMITED
+                            ? GatewayRefusal.endpointsLimited(retryAfterMs)
+                            : GatewayRefusal.endpointsPausing(retryAfterMs));
         } else {
             mStarter.giveUp(exchange, GatewayRefusal.unavailable(exchange.retryAfterMs()));
         }
     }
 
+    /** Adds to the trace which endpoints the request was kept from by their limit. */
+    private void traceWithoutPermit(GatewayExchange exchange) {
+        List<EndpointId> endpoints =
+                mRouter.findWithoutPermit(routeRequest(exchange), Clocks.steadyMs());
+        if (!endpoints.isEmpty()) {
+            exchange.trace(
+                    "limited="
+                            + endpoints.stream()
+                                    .limit(MAX_TRACED_ENDPOINTS)
+                                    .map(EndpointId::value)
+                                    .collect(Collectors.joining(",")));
+        }
+    }
+
     /** Randomly extends a pause, so that callers retry neither before its end nor all at once. */
     private long extendPauseMs(long remainingMs) {
         return (long) (remainingMs * (1 + PAUSE_SPREAD_FRACTION * mRandom.nextDouble()));
@@ -177,6 +196,7 @@
     }
 
     private void refuseAsLimited(GatewayExchange exchange, long waitMs) {
+        traceWithoutPermit(exchange);
         mStarter.giveUp(exchange, GatewayRefusal.endpointsLimited(extendPauseMs(waitMs)));
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendPermits.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendPermits.java
@@ -21,7 +21,10 @@
     /** How long before the next free slot permits are requested again, in milliseconds. */
     private static final long REQUEST_AHEAD_MS = 500;
 
-    private static final long MIN_REQUEST_INTERVAL_MS = 50;
+    private static final long MIN_REQUEST_INTERVAL_MS = 250;
+
+    /** The shortest interval between requests while no slot is free, in milliseconds. */
+    private static final long MIN_DEFERRED_INTERVAL_MS = 1_000;
 
     private int mCount;
     private long mValidFromMs = Long.MIN_VALUE / 2;
@@ -120,7 +123,7 @@
         mPendingId = 0;
         if (count <= 0) {
             mExpectedMs = nowMs + waitMs;
-            mNextRequestMs = nowMs + Math.max(MIN_REQUEST_INTERVAL_MS, waitMs - REQUEST_AHEAD_MS);
+            mNextRequestMs = nowMs + Math.max(MIN_DEFERRED_INTERVAL_MS, waitMs - REQUEST_AHEAD_MS);
             return;
         }
         updateInterval(count, nowMs + waitMs);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -7,6 +7,7 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.policy.RendezvousHashing;
 
@@ -143,6 +144,20 @@
                 .orElse(0);
     }
 
+    /** Returns the endpoints with a limit that could run the request if they had a permit. */
+    public List<EndpointId> findWithoutPermit(RouteRequest request, long nowMs) {
+        if (!mEndpoints.limits().hasLimits()) {
+            return List.of();
+        }
+        return mEndpoints.findByService(request.service()).stream()
+                .filter(state -> mayRunIn(state.endpoint().region(), request))
+                .filter(state -> state.isLimited() && state.isHealthy(nowMs))
+                .filter(state -> !state.canAcceptRequest(nowMs))
+                .filter(state -> !request.excludedEndpoints().contains(state.id()))
+                .map(EndpointState::id)
+                .toList();
+    }
+
     private boolean isLocal(EndpointState state) {
         return state.endpoint().region().equals(mLocalRegion);
     }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/LimitedRoutingTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/LimitedRoutingTest.java
@@ -114,6 +114,9 @@
             assertEquals(((Route.Local) route).endpoint(), endpoint(LOCAL, 1));
         }
         assertTrue(endpoint(LOCAL, 0).permits().orElseThrow().shouldRequest(NOW_MS));
+        assertEquals(
+                mRouter.findWithoutPermit(request(prompt, Set.of(LOCAL, REMOTE)), NOW_MS),
+                List.of(endpoint(LOCAL, 0).id()));
     }
 
     @Test(dataProvider = "prompts")
