--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
@@ -91,10 +92,14 @@
     /** Runs the processes, the load and the faults, and reports what broke a rule. */
     public static Report run(Options options) {
         LimitSoak soak = new LimitSoak(options);
+        // Ends the processes also if this one is interrupted.
+        Thread endProcesses = new Thread(soak::endProcesses);
+        Runtime.getRuntime().addShutdownHook(endProcesses);
         try {
             return soak.run();
         } finally {
             soak.close();
+            Runtime.getRuntime().removeShutdownHook(endProcesses);
         }
     }
 
@@ -232,7 +237,7 @@
 
     private void note(String event) {
         double seconds = (ArrivalLog.nowMs() - mStartedMs) / 1_000.0;
-        mEvents.add(String.format(java.util.Locale.ROOT, "%.1f %s", seconds, event));
+        mEvents.add(String.format(Locale.ROOT, "%.1f %s", seconds, event));
     }
 
     private void setLimit(String replica, String limit) {
@@ -338,10 +343,14 @@
 
     private void close() {
         mStopped = true;
-        mProcesses.values().forEach(GatewayProcess::close);
+        endProcesses();
         mFleet.close();
     }
 
+    private void endProcesses() {
+        mProcesses.values().forEach(GatewayProcess::close);
+    }
+
     /** Runs seeds one after another: {@code FIRST_SEED SEEDS INSTANCES SECONDS DIRECTORY}. */
     public static void main(String[] arguments) throws IOException {
         if (arguments.length != 5) {
