--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitBoundTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitBoundTest.java
@@ -71,6 +71,17 @@
         }
     }
 
+    @Test
+    public void eachInstanceAsksAtMostOnceASecondWhileNoSlotIsFree() {
+        int size = 38;
+        LimitedFleetSimulation fleet = new LimitedFleetSimulation(1, size, 1);
+        fleet.run(DURATION_MS);
+        int requestsAndReplies = fleet.messages();
+
+        double allowed = 2.0 * size * (DURATION_MS / 1_000.0 + 1);
+        assertTrue(requestsAndReplies <= allowed, requestsAndReplies + " of " + allowed);
+    }
+
     private static List<Long> simulate(Fault fault, long seed, int size, double perSecond) {
         LimitedFleetSimulation fleet = new LimitedFleetSimulation(seed, size, perSecond);
         Random random = new Random(seed + 1_000);
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitedFleetSimulation.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitedFleetSimulation.java
@@ -40,6 +40,7 @@
     private final List<Long> mArrivalsMs = new ArrayList<>();
     private double mLossRate;
     private boolean mCut;
+    private int mMessages;
     private long mNowMs;
     private long mSequence;
     private long mNextId = 1;
@@ -101,6 +102,11 @@
         }
     }
 
+    /** Returns the number of messages that instances have sent to each other. */
+    int messages() {
+        return mMessages;
+    }
+
     /** Returns the times at which requests arrived, in order. */
     List<Long> arrivalsMs() {
         List<Long> sorted = new ArrayList<>(mArrivalsMs);
@@ -117,6 +123,7 @@
     }
 
     private void send(Instance from, Instance to, Runnable action) {
+        mMessages++;
         boolean cut = mCut && from.mGroup != to.mGroup;
         if (!cut && mRandom.nextDouble() >= mLossRate) {
             long life = to.mLife;
