--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
@@ -67,6 +67,9 @@
 
     /** Requests the permits that waiting requests need. */
     void tick(long nowMs) {
+        if (!mTable.limits().hasLimits() && mSlots.size() == 0) {
+            return;
+        }
         GatewaySnapshot snapshot = mSnapshot.get();
         RegionId region = snapshot.self().region();
         for (EndpointState state : mTable.findByRegion(region)) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -104,7 +104,7 @@
 
     /** Tells the endpoints with a limit that a request could use a permit. */
     private void noteDemand(RouteRequest request, long nowMs) {
-        if (request.allowed().test(mLocalRegion)) {
+        if (mEndpoints.limits().hasLimits() && request.allowed().test(mLocalRegion)) {
             mEndpoints.findByService(request.service(), mLocalRegion).stream()
                     .filter(state -> !request.excludedEndpoints().contains(state.id()))
                     .forEach(state -> state.noteDemand(nowMs));
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitBoundTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitBoundTest.java
@@ -25,6 +25,7 @@
     /** Lists the faults of a schedule. */
     private enum Fault {
         NONE,
+        BURSTS,
         LOST_MESSAGES,
         DEATHS,
         RESTARTS,
@@ -85,6 +86,9 @@
     private static List<Long> simulate(Fault fault, long seed, int size, double perSecond) {
         LimitedFleetSimulation fleet = new LimitedFleetSimulation(seed, size, perSecond);
         Random random = new Random(seed + 1_000);
+        if (fault == Fault.BURSTS || fault == Fault.ALL) {
+            fleet.setBursts();
+        }
         if (fault == Fault.LOST_MESSAGES || fault == Fault.ALL) {
             fleet.setLossRate(0.2);
         }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitedFleetSimulation.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitedFleetSimulation.java
@@ -30,6 +30,11 @@
 
     private static final long MAX_DETECTION_MS = 5_500;
 
+    /** The period of callers that come and go together, and the part of it without them. */
+    private static final long BURST_PERIOD_MS = 20_000;
+
+    private static final long BURST_PAUSE_MS = 15_000;
+
     /** The longest time until all instances know a member that has come back. */
     private static final long MAX_RETURN_MS = 1_000;
 
@@ -40,6 +45,7 @@
     private final List<Long> mArrivalsMs = new ArrayList<>();
     private double mLossRate;
     private boolean mCut;
+    private boolean mBursts;
     private int mMessages;
     private long mNowMs;
     private long mSequence;
@@ -59,6 +65,11 @@
         mLossRate = lossRate;
     }
 
+    /** Lets all instances obtain permits all the time but have requests only now and then. */
+    void setBursts() {
+        mBursts = true;
+    }
+
     /** Ends a random instance at the given time; it comes back later if told so. */
     void killAt(long timeMs, boolean restart) {
         schedule(
@@ -276,7 +287,8 @@
         }
 
         private void sendWhatIsPermitted() {
-            while (mPermits.isAvailable(mNowMs)) {
+            boolean idle = mBursts && mNowMs % BURST_PERIOD_MS < BURST_PAUSE_MS;
+            while (!idle && mPermits.isAvailable(mNowMs)) {
                 mPermits.use();
                 mArrivalsMs.add(mNowMs + between(1, MAX_SEND_DELAY_MS));
             }
