Forward the id of the last event that a caller has received of a stream

Cause: Last-Event-Id is not among the headers that are passed on, and the forward only carried the position of a stream that this instance had begun. The other region therefore began at the first event, and the events the caller already had were taken for an invalid answer.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -51,9 +51,13 @@
                 new ForwardAttempt(stream, member.id(), exchange.head().requestId(), listener);
         mAttempts.put(stream, attempt);
         Map<String, String> headers = new HashMap<>(exchange.head().passedHeaders());
-        if (exchange.relay() != null) {
-            headers.put(
-                    GatewayForwardServer.RESUME_AFTER, Long.toString(exchange.relay().lastId()));
+        // A caller may resume a stream as well, before this instance has relayed any event of it.
+        if (exchange.relay() != null || exchange.head().lastEventId() > 0) {
+            long lastEventId =
+                    exchange.relay() == null
+                            ? exchange.head().lastEventId()
+                            : exchange.relay().lastId();
+            headers.put(GatewayForwardServer.RESUME_AFTER, Long.toString(lastEventId));
         }
         PeerMessage.ForwardStart message =
                 new PeerMessage.ForwardStart(
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformClient.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformClient.java
@@ -85,6 +85,17 @@
                 id);
     }
 
+    /** Requests the rest of a stream after the event that the caller received last. */
+    public Response resumeStream(String path, String apiKey, long lastEventId) {
+        String id = newRequestId();
+        return send(
+                newRequest(id, path, apiKey)
+                        .header("Filbertrudder-Token-Usage", "600,80")
+                        .header("Last-Event-Id", Long.toString(lastEventId))
+                        .POST(HttpRequest.BodyPublishers.ofString("prompt of " + id)),
+                id);
+    }
+
     private HttpRequest.Builder newRequest(String id, String path, String apiKey) {
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(resolve(path))
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -105,6 +105,21 @@
         }
     }
 
+    /** Lists instances in the home region of an account and in another one. */
+    @DataProvider
+    public Object[][] instances() {
+        return new Object[][] {{"sag-1"}, {"mtl-1"}};
+    }
+
+    @Test(dataProvider = "instances")
+    public void streamResumedByItsCallerIsLostWhenAnotherRegionServesIt(String gateway) {
+        PlatformClient.Response response =
+                mFleet.callerClient(gateway).resumeStream("/digest/x", "key-home", 6);
+
+        assertEquals(response.status(), 200, response.body());
+        assertEquals(response.body(), "id: 7\ndata: piece 7\n\nid: 8\ndata: piece 8\n\n");
+    }
+
     /** Lists paths and API keys, and the expected status. */
     @DataProvider
     public Object[][] pathsKeysAndStatuses() {
