A request that is late for another reason is not refused as limited

Cause: the wait for a permit, 0 where no limit matters, was compared with the latest start alone. Now only a wait for a permit leads to that refusal, and its time to come back is at least a quarter of a second.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -188,7 +188,7 @@
     /** Refuses a request that cannot start in time because of the limits of the endpoints. */
     private boolean refuseIfLimited(GatewayExchange exchange, int ahead, long nowMs) {
         long waitMs = limitWaitMs(exchange, ahead);
-        if (nowMs + waitMs <= exchange.latestStartMs()) {
+        if (waitMs == 0 || nowMs + waitMs <= exchange.latestStartMs()) {
             return false;
         }
         refuseAsLimited(exchange, waitMs);
@@ -197,7 +197,8 @@
 
     private void refuseAsLimited(GatewayExchange exchange, long waitMs) {
         traceWithoutPermit(exchange);
-        mStarter.giveUp(exchange, GatewayRefusal.endpointsLimited(extendPauseMs(waitMs)));
+        long retryAfterMs = extendPauseMs(Math.max(MIN_RETRY_AFTER_MS, waitMs));
+        mStarter.giveUp(exchange, GatewayRefusal.endpointsLimited(retryAfterMs));
     }
 
     private static long cost(GatewayExchange exchange) {
@@ -335,7 +336,8 @@
 
     /** Returns whether no permit is expected in time, even if no other request were waiting. */
     private boolean isLimitedBeyondItsStart(GatewayExchange exchange, long nowMs) {
-        return nowMs + limitWaitMs(exchange, 0) > exchange.latestStartMs();
+        long waitMs = limitWaitMs(exchange, 0);
+        return waitMs > 0 && nowMs + waitMs > exchange.latestStartMs();
     }
 
     /** Returns the number of waiting requests. */
