--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -34,6 +34,7 @@
     private static final int REPLICAS_PER_SERVICE = 3;
     private static final int SLOTS = 64;
     private static final int MAX_SEEDS = 3;
+    private static final int STARTS_AT_A_TIME = 6;
     private static final long MAX_TOTAL_REQUESTS_PER_SECOND = 120;
     private static final long MAX_REQUEST_INTERVAL_MS = 1_000;
     private static final long MIN_REQUEST_INTERVAL_MS = 40;
@@ -143,7 +144,13 @@
             mDisturbances.put(process.id(), new CopyOnWriteArrayList<>());
             mProcesses.put(process.id(), process);
             process.start();
+            if ((i + 1) % STARTS_AT_A_TIME == 0 || i == hosts.size() - 1) {
+                awaitAllReady();
+            }
         }
+    }
+
+    private void awaitAllReady() {
         mProcesses
                 .values()
                 .forEach(
