Tell each instance when its turn for a permit comes

Cause: the scheduler told everyone the next free slot, though only one can have it, so each instance kept its callers waiting for it. Now instances for which no slot is free form a line and learn when their turn comes; who does not ask again within 10 s, or is late by 0.6 s, loses the place. Slots are spaced as before.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
@@ -9,6 +9,7 @@
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.Member;
@@ -33,7 +34,7 @@
     private static final long NOT_SCHEDULER_RETRY_MS = 500;
 
     /** The longest wait that a reply may state, in milliseconds. */
-    private static final long MAX_WAIT_MS = 60_000;
+    private static final long MAX_WAIT_MS = 3_600_000;
 
     private final EndpointTable mTable;
     private final EndpointLimitTracker mLimits;
@@ -94,7 +95,7 @@
         PeerMessage.SendPermitRequest request =
                 new PeerMessage.SendPermitRequest(id, mLimits.report(state.id()), wanted);
         if (scheduler.get().id().equals(snapshot.self().id())) {
-            handleReply(reply(request, snapshot, nowMs));
+            handleReply(reply(request, snapshot.self().id(), snapshot, nowMs));
         } else {
             mNetwork.send(forwardAddress(scheduler.get()), request);
         }
@@ -114,7 +115,7 @@
     boolean handle(Member from, PeerMessage message) {
         if (message instanceof PeerMessage.SendPermitRequest request) {
             mLimits.applyReports(from.id(), List.of(request.limit()));
-            PeerMessage reply = reply(request, mSnapshot.get(), Clocks.steadyMs());
+            PeerMessage reply = reply(request, from.id(), mSnapshot.get(), Clocks.steadyMs());
             mNetwork.send(forwardAddress(from), reply);
             return true;
         }
@@ -128,7 +129,10 @@
 
     /** Decides on a request for permits, also of this instance itself. */
     private PeerMessage.SendPermitReply reply(
-            PeerMessage.SendPermitRequest request, GatewaySnapshot snapshot, long nowMs) {
+            PeerMessage.SendPermitRequest request,
+            InstanceId requester,
+            GatewaySnapshot snapshot,
+            long nowMs) {
         EndpointId endpoint = request.limit().endpoint();
         // An instance that does not know yet that the limit has ended still gets permits, as it
         // finds out by its next request.
@@ -141,7 +145,7 @@
         if (perSecond != null && isScheduler(endpoint, snapshot)) {
             double part = SchedulerSelection.part(snapshot.self().region(), snapshot.members());
             SendSlots.Reservation reservation =
-                    mSlots.reserve(endpoint, part * perSecond, request.wanted(), nowMs);
+                    mSlots.reserve(endpoint, requester, part * perSecond, request.wanted(), nowMs);
             count = reservation.count();
             waitMs = reservation.waitMs();
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendPermits.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendPermits.java
@@ -26,6 +26,9 @@
     /** The shortest interval between requests while no slot is free, in milliseconds. */
     private static final long MIN_DEFERRED_INTERVAL_MS = 1_000;
 
+    /** The longest interval between requests while no slot is free, in milliseconds. */
+    static final long MAX_DEFERRED_INTERVAL_MS = 5_000;
+
     private int mCount;
     private long mValidFromMs = Long.MIN_VALUE / 2;
     private long mValidUntilMs = Long.MIN_VALUE / 2;
@@ -123,7 +126,8 @@
         mPendingId = 0;
         if (count <= 0) {
             mExpectedMs = nowMs + waitMs;
-            mNextRequestMs = nowMs + Math.max(MIN_DEFERRED_INTERVAL_MS, waitMs - REQUEST_AHEAD_MS);
+            long intervalMs = Math.max(MIN_DEFERRED_INTERVAL_MS, waitMs - REQUEST_AHEAD_MS);
+            mNextRequestMs = nowMs + Math.min(MAX_DEFERRED_INTERVAL_MS, intervalMs);
             return;
         }
         updateInterval(count, nowMs + waitMs);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendSlots.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendSlots.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Predicate;
 import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.InstanceId;
 
 /**
  * Schedules the requests of all instances to endpoints with a limit, at the instance that is
@@ -12,6 +13,9 @@
  * <p>Slots for requests are at least the reciprocal of the limit apart, whichever instance they are
  * reserved for, so that no burst is possible. The first slot of an endpoint is delayed until the
  * slots that a previous scheduler has reserved have passed.
+ *
+ * <p>Instances for which no slot is free yet form a line, so that each learns when its turn comes.
+ * One that does not ask again loses its place.
  */
 public final class SendSlots {
 
@@ -30,6 +34,12 @@
     /** The time that the slots of one reservation may span, in milliseconds. */
     static final long MAX_SPAN_MS = 250;
 
+    /** The time without a request after which an instance loses its place, in milliseconds. */
+    static final long LINE_LIFETIME_MS = 2 * SendPermits.MAX_DEFERRED_INTERVAL_MS;
+
+    /** How long after its turn an instance keeps its place, in milliseconds. */
+    private static final long LINE_GRACE_MS = 600;
+
     /** How long the schedule of an endpoint without requests is kept, in milliseconds. */
     private static final long IDLE_LIFETIME_MS = 60_000;
 
@@ -46,25 +56,29 @@
     /**
      * Reserves slots of an endpoint.
      *
+     * @param requester the instance that the slots are for
      * @param perSecond the requests per second that this instance may schedule now
      * @param wanted the number of requests to send
      */
-    public Reservation reserve(EndpointId endpoint, double perSecond, int wanted, long nowMs) {
+    public Reservation reserve(
+            EndpointId endpoint, InstanceId requester, double perSecond, int wanted, long nowMs) {
         double intervalMs = 1_000 / Math.max(MIN_PER_SECOND, perSecond);
         Schedule schedule =
                 mSchedules.computeIfAbsent(
                         endpoint, id -> new Schedule(nowMs + FIRST_SLOT_DELAY_MS));
         schedule.mLastUsedMs = nowMs;
         double slotMs = Math.max(nowMs, schedule.mLastMs + schedule.mLastCount * intervalMs);
-        long waitMs = (long) Math.ceil(slotMs - nowMs);
-        if (waitMs > MAX_AHEAD_MS) {
-            return new Reservation(0, waitMs);
+        double turnMs = slotMs + schedule.countAhead(requester, nowMs) * intervalMs;
+        if (turnMs - nowMs > MAX_AHEAD_MS) {
+            schedule.mLine.put(requester, new Place(turnMs, nowMs));
+            return new Reservation(0, (long) Math.ceil(turnMs - nowMs));
         }
+        schedule.mLine.remove(requester);
         int maxCount = Math.max(1, (int) (MAX_SPAN_MS / intervalMs));
         int count = Math.max(1, Math.min(wanted, maxCount));
         schedule.mLastMs = slotMs;
         schedule.mLastCount = count;
-        return new Reservation(count, waitMs);
+        return new Reservation(count, (long) Math.ceil(slotMs - nowMs));
     }
 
     /**
@@ -85,9 +99,18 @@
         return mSchedules.size();
     }
 
-    /** Holds the last reserved slots of an endpoint. */
+    /**
+     * The place of an instance in the line.
+     *
+     * @param turnMs when its turn is expected
+     * @param askedMs when it asked last
+     */
+    private record Place(double turnMs, long askedMs) {}
+
+    /** Holds the last reserved slots of an endpoint and the instances that wait for the next. */
     private static final class Schedule {
 
+        private final Map<InstanceId, Place> mLine = new HashMap<>();
         private double mLastMs;
         private int mLastCount;
         private long mLastUsedMs;
@@ -95,5 +118,19 @@
         Schedule(double firstSlotMs) {
             mLastMs = firstSlotMs;
         }
+
+        /** Returns the number of instances whose turn comes before that of the requester. */
+        int countAhead(InstanceId requester, long nowMs) {
+            mLine.values()
+                    .removeIf(
+                            place ->
+                                    nowMs > place.turnMs() + LINE_GRACE_MS
+                                            || nowMs - place.askedMs() > LINE_LIFETIME_MS);
+            Place own = mLine.get(requester);
+            return (int)
+                    mLine.values().stream()
+                            .filter(place -> own == null || place.turnMs() < own.turnMs())
+                            .count();
+        }
     }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitedFleetSimulation.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/LimitedFleetSimulation.java
@@ -224,7 +224,7 @@
             for (int i = 0; i < mStates.size(); i++) {
                 members.add(
                         new Member(
-                                InstanceId.of("edge-" + i),
+                                mInstances.get(i).id(),
                                 1,
                                 REGION,
                                 FailureDomainId.of("d"),
@@ -237,6 +237,10 @@
             return members;
         }
 
+        private InstanceId id() {
+            return InstanceId.of("edge-" + mIndex);
+        }
+
         private Optional<Instance> scheduler() {
             return SchedulerSelection.scheduler(ENDPOINT, REGION, members())
                     .map(
@@ -274,7 +278,7 @@
             }
             double part = SchedulerSelection.part(REGION, members());
             SendSlots.Reservation reservation =
-                    mSlots.reserve(ENDPOINT, part * mPerSecond, wanted, mNowMs);
+                    mSlots.reserve(ENDPOINT, requester.id(), part * mPerSecond, wanted, mNowMs);
             Runnable reply =
                     () ->
                             requester.mPermits.handleReply(
