Estimate the interval between permits by what this instance gets beside others

Callers waited up to a quarter of a second for a permit that had just been used.

Cause: the interval between permits, by which the wait is estimated, was reset to the reciprocal of the limit with every answer that confirmed the limit, and the time of the next permit was only known after the next request for one. Now the interval follows what the instance gets as long as it keeps asking, and a used permit moves the expected time on.

--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendPermits.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SendPermits.java
@@ -21,6 +21,7 @@
     /** How long before the next free slot permits are requested again, in milliseconds. */
     private static final long REQUEST_AHEAD_MS = 500;
 
+    /** The shortest interval between requests while slots are free, in milliseconds. */
     private static final long MIN_REQUEST_INTERVAL_MS = 250;
 
     /** The shortest interval between requests while no slot is free, in milliseconds. */
@@ -35,9 +36,10 @@
     private long mLastDemandMs = Long.MIN_VALUE / 2;
     private int mDemand;
     private long mPendingId;
-    private long mRequestedMs;
+    private long mRequestedMs = Long.MIN_VALUE / 2;
     private long mNextRequestMs = Long.MIN_VALUE / 2;
     private long mExpectedMs = Long.MIN_VALUE / 2;
+    private boolean mPausedRequests;
     private double mIntervalByLimitMs;
     private double mIntervalMs;
 
@@ -48,8 +50,11 @@
 
     /** Sets the limit of the endpoint, in requests per second. */
     public void setLimit(double perSecond) {
-        mIntervalByLimitMs = 1_000 / Math.max(SendSlots.MIN_PER_SECOND, perSecond);
-        mIntervalMs = mIntervalByLimitMs;
+        double intervalMs = 1_000 / Math.max(SendSlots.MIN_PER_SECOND, perSecond);
+        if (intervalMs != mIntervalByLimitMs) {
+            mIntervalByLimitMs = intervalMs;
+            mIntervalMs = intervalMs;
+        }
     }
 
     /** Returns whether a request may be sent now. */
@@ -60,6 +65,9 @@
     /** Uses a permit for a request that is sent now. */
     public void use() {
         mCount = Math.max(0, mCount - 1);
+        if (mCount == 0) {
+            mExpectedMs = mValidFromMs + (long) mIntervalMs;
+        }
     }
 
     /** Returns whether a permit is available or may be at the given time. */
@@ -104,6 +112,7 @@
      */
     public int request(long id, long nowMs) {
         int wanted = Math.max(1, mDemand);
+        mPausedRequests |= nowMs - mRequestedMs > MAX_DEFERRED_INTERVAL_MS + DEMAND_LIFETIME_MS;
         mDemand = 0;
         mCount = 0;
         mPendingId = id;
@@ -144,9 +153,9 @@
      * it keeps requesting them.
      */
     private void updateInterval(int count, long validFromMs) {
-        boolean continuous = mRequestedMs - mValidUntilMs < DEMAND_LIFETIME_MS;
         double sinceLastMs = (double) (validFromMs - mValidFromMs) / count;
-        mIntervalMs = continuous ? (mIntervalMs + sinceLastMs) / 2 : mIntervalByLimitMs;
+        mIntervalMs = mPausedRequests ? mIntervalByLimitMs : (mIntervalMs + sinceLastMs) / 2;
+        mPausedRequests = false;
     }
 
     /** Records that no instance can be asked for permits now. */
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/SendPermitsTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/limits/SendPermitsTest.java
@@ -76,4 +76,33 @@
         assertEquals(mPermits.expectedWaitMs(0, 10), 3_000);
         assertEquals(mPermits.expectedWaitMs(2, 10), 5_000);
     }
+
+    @Test
+    public void expectsPermitsAsSeldomAsItGetsThemBesideOtherInstances() {
+        long id = 1;
+        for (long grantedMs = 10_000; grantedMs <= 80_000; grantedMs += 10_000) {
+            mPermits.request(id, grantedMs);
+            mPermits.handleReply(id++, 1, 0, grantedMs);
+            mPermits.setLimit(1);
+            mPermits.use();
+            for (long waitMs = 8_000; waitMs > 0 && grantedMs < 80_000; waitMs -= 2_000) {
+                long nowMs = grantedMs + 10_000 - waitMs;
+                mPermits.request(id, nowMs);
+                mPermits.handleReply(id++, 0, waitMs, nowMs);
+            }
+        }
+        long expectedMs = mPermits.expectedWaitMs(0, 80_000);
+        assertTrue(expectedMs > 9_000 && expectedMs <= 10_000, expectedMs + " ms");
+    }
+
+    @Test
+    public void expectsPermitsByTheLimitAfterItHasPausedRequests() {
+        mPermits.request(1, 0);
+        mPermits.handleReply(1, 1, 0, 0);
+        mPermits.request(2, 30_000);
+        mPermits.handleReply(2, 1, 0, 30_000);
+        mPermits.use();
+
+        assertEquals(mPermits.expectedWaitMs(0, 30_000), 1_000);
+    }
 }
