--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -129,7 +129,7 @@
         }
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < mOptions.instances(); i++) {
-            hosts.add("127.1." + (mOptions.seed() % 250) + "." + (i + 1));
+            hosts.add(addressPrefix() + (i + 1));
         }
         List<String> seeds = hosts.subList(0, Math.min(MAX_SEEDS, hosts.size()));
         for (int i = 0; i < hosts.size(); i++) {
@@ -150,6 +150,12 @@
         }
     }
 
+    /** Returns loopback addresses of this process only, so that runs at a time do not collide. */
+    private static String addressPrefix() {
+        long pid = ProcessHandle.current().pid();
+        return "127." + (1 + pid / 256 % 254) + "." + pid % 256 + ".";
+    }
+
     private void awaitAllReady() {
         mProcesses
                 .values()
