--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RandomMessageGenerator.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RandomMessageGenerator.java
@@ -63,7 +63,7 @@
         } else if (type == int.class) {
             return (int) boundaryNumber();
         } else if (type == double.class) {
-            return mRandom.nextBoolean() ? -1e300 : mRandom.nextDouble();
+            return randomDouble();
         } else if (type == boolean.class) {
             return mRandom.nextBoolean();
         } else if (mRandom.nextInt(NULL_ONE_IN) == 0) {
@@ -72,13 +72,19 @@
         return randomObject(type, genericType);
     }
 
+    private double randomDouble() {
+        return mRandom.nextBoolean() ? -1e300 : mRandom.nextDouble();
+    }
+
     private long boundaryNumber() {
         long[] candidates = {0, 1, -1, 7, Long.MIN_VALUE, Integer.MAX_VALUE, mRandom.nextInt(100)};
         return candidates[mRandom.nextInt(candidates.length)];
     }
 
     private Object randomObject(Class<?> type, Type genericType) {
-        if (type == String.class) {
+        if (type == Double.class) {
+            return randomDouble();
+        } else if (type == String.class) {
             return "odd" + mRandom.nextInt(9);
         } else if (type == byte[].class) {
             return new byte[mRandom.nextInt(40)];
