Write the forward address, the position of a stream and the check for limits once

No behaviour changes; found when the whole change was read again.

- The address for forwards of a member was built in four places, one of them new; now PeerAddress.ofForwards.
- Without any limit, each request and, at each tick, each waiting one built the data of a routing request only for the router to find that there are no limits.
The dispatcher asks first.
- The handling of a reply with permits is no longer nested three deep, and the slow start after a limit is a plain condition.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -48,7 +48,7 @@
         mCalls.put(streamId, call);
         PeerMessage.ForwardStart startMessage = startMessage(streamId, exchange, attemptHeaders);
         mPeerNetwork.withConnection(
-                new PeerAddress(member.host(), member.forwardPort()),
+                PeerAddress.ofForwards(member),
                 connection -> {
                     if (connection == null) {
                         call.fail(UpstreamListener.Failure.NOT_SENT);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -259,6 +259,11 @@
         mRelay = relay;
     }
 
+    /** Returns the id of the last event that the caller has received; 0 if there is none. */
+    long lastEventId() {
+        return mRelay == null ? mHead.lastEventId() : mRelay.lastId();
+    }
+
     /** Returns how many attempts were made at endpoints and other instances. */
     int sends() {
         return mSends;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -52,12 +52,8 @@
         mAttempts.put(stream, attempt);
         Map<String, String> headers = new HashMap<>(exchange.head().passedHeaders());
         // A caller may resume a stream as well, before this instance has relayed any event of it.
-        if (exchange.relay() != null || exchange.head().lastEventId() > 0) {
-            long lastEventId =
-                    exchange.relay() == null
-                            ? exchange.head().lastEventId()
-                            : exchange.relay().lastId();
-            headers.put(GatewayForwardServer.RESUME_AFTER, Long.toString(lastEventId));
+        if (exchange.relay() != null || exchange.lastEventId() > 0) {
+            headers.put(GatewayForwardServer.RESUME_AFTER, Long.toString(exchange.lastEventId()));
         }
         PeerMessage.ForwardStart message =
                 new PeerMessage.ForwardStart(
@@ -73,8 +69,7 @@
                         exchange.body().getBytes(),
                         remainingMs);
         mNetwork.withConnection(
-                new PeerAddress(member.host(), member.forwardPort()),
-                connection -> attempt.open(connection, message));
+                PeerAddress.ofForwards(member), connection -> attempt.open(connection, message));
         return attempt;
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
@@ -201,7 +201,8 @@
             mLastRelayMessageMs = nowMs;
         } else {
             mNetwork.send(
-                    forwardAddress(relay), new PeerMessage.InstanceLoadReport(report, limits));
+                    PeerAddress.ofForwards(relay),
+                    new PeerMessage.InstanceLoadReport(report, limits));
         }
     }
 
@@ -241,7 +242,7 @@
         snapshot.members().stream()
                 .filter(member -> reporters.contains(member.id()))
                 .filter(member -> !isSelf(member, snapshot))
-                .forEach(member -> mNetwork.send(forwardAddress(member), message));
+                .forEach(member -> mNetwork.send(PeerAddress.ofForwards(member), message));
     }
 
     private void reportToRegions(GatewaySnapshot snapshot, long nowMs) {
@@ -269,7 +270,7 @@
                 .distinct()
                 .filter(region -> !region.equals(snapshot.self().region()))
                 .flatMap(region -> relayCandidates(snapshot, region).stream().limit(1))
-                .forEach(member -> mNetwork.send(forwardAddress(member), report));
+                .forEach(member -> mNetwork.send(PeerAddress.ofForwards(member), report));
     }
 
     private List<PeerMessage.EndpointLoad> regionLoads(GatewaySnapshot snapshot, long nowMs) {
@@ -287,10 +288,6 @@
         return loads;
     }
 
-    private static PeerAddress forwardAddress(Member member) {
-        return new PeerAddress(member.host(), member.forwardPort());
-    }
-
     /** Handles a load report; returns false for other messages. */
     boolean handle(Member from, PeerMessage message) {
         if (message instanceof PeerMessage.InstanceLoadReport report) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -80,10 +80,6 @@
         }
         HttpHeaders headers = EndpointConnection.newHeaders();
         mExchange.head().passedHeaders().forEach(headers::set);
-        long lastEventId =
-                mExchange.relay() == null
-                        ? mExchange.head().lastEventId()
-                        : mExchange.relay().lastId();
         mDependencies
                 .protocol()
                 .writeAttemptHeaders(
@@ -93,7 +89,7 @@
                                 mExchange.account().map(AccountRule::id),
                                 remainingMs,
                                 mExchange.priority(),
-                                lastEventId));
+                                mExchange.lastEventId()));
         mSentMs = Clocks.steadyMs();
         mDependencies.limits().noteSend(mEndpoint.id());
         connection.send(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -124,7 +124,9 @@
 
     /** Returns how long the request waits because of the limits that endpoints state. */
     private long limitWaitMs(GatewayExchange exchange, int ahead) {
-        return mRouter.limitWaitMs(routeRequest(exchange), mRegions, ahead, Clocks.steadyMs());
+        return mRouter.hasLimits()
+                ? mRouter.limitWaitMs(routeRequest(exchange), mRegions, ahead, Clocks.steadyMs())
+                : 0;
     }
 
     private void start(GatewayExchange exchange, Route route) {
@@ -147,6 +149,9 @@
 
     /** Adds to the trace which endpoints the request was kept from by their limit. */
     private void traceWithoutPermit(GatewayExchange exchange) {
+        if (!mRouter.hasLimits()) {
+            return;
+        }
         List<EndpointId> endpoints =
                 mRouter.findWithoutPermit(routeRequest(exchange), Clocks.steadyMs());
         if (!endpoints.isEmpty()) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
@@ -97,14 +97,10 @@
         if (scheduler.get().id().equals(snapshot.self().id())) {
             handleReply(reply(request, snapshot.self().id(), snapshot, nowMs));
         } else {
-            mNetwork.send(forwardAddress(scheduler.get()), request);
+            mNetwork.send(PeerAddress.ofForwards(scheduler.get()), request);
         }
     }
 
-    private static PeerAddress forwardAddress(Member member) {
-        return new PeerAddress(member.host(), member.forwardPort());
-    }
-
     private static boolean isScheduler(EndpointId endpoint, GatewaySnapshot snapshot) {
         return SchedulerSelection.scheduler(endpoint, snapshot.self().region(), snapshot.members())
                 .map(member -> member.id().equals(snapshot.self().id()))
@@ -116,7 +112,7 @@
         if (message instanceof PeerMessage.SendPermitRequest request) {
             mLimits.applyReports(from.id(), List.of(request.limit()));
             PeerMessage reply = reply(request, from.id(), mSnapshot.get(), Clocks.steadyMs());
-            mNetwork.send(forwardAddress(from), reply);
+            mNetwork.send(PeerAddress.ofForwards(from), reply);
             return true;
         }
         if (message instanceof PeerMessage.SendPermitReply reply) {
@@ -163,18 +159,15 @@
                     LogField.of("waitMs", reply.waitMs()));
             return;
         }
-        mTable.findById(reply.limit().endpoint())
+        mTable.findById(reply.limit().endpoint()).ifPresent(state -> apply(reply, state, nowMs));
+    }
+
+    private void apply(PeerMessage.SendPermitReply reply, EndpointState state, long nowMs) {
+        state.permits()
                 .ifPresent(
-                        state -> {
-                            state.permits()
-                                    .ifPresent(
-                                            permits ->
-                                                    permits.handleReply(
-                                                            reply.id(),
-                                                            reply.count(),
-                                                            reply.waitMs(),
-                                                            nowMs));
-                            mOnPermit.accept(state.endpoint().service());
-                        });
+                        permits ->
+                                permits.handleReply(
+                                        reply.id(), reply.count(), reply.waitMs(), nowMs));
+        mOnPermit.accept(state.endpoint().service());
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/PeerAddress.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/PeerAddress.java
@@ -16,6 +16,11 @@
         return new PeerAddress(member.host(), member.peerPort());
     }
 
+    /** Returns the address of a member for requests that other instances forward. */
+    public static PeerAddress ofForwards(Member member) {
+        return new PeerAddress(member.host(), member.forwardPort());
+    }
+
     /**
      * Parses an address of the form host:port.
      *
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -129,7 +129,9 @@
     void setLimit(LimitObservation observation, long nowMs) {
         mLimitStatedMs = observation.receivedMs();
         if (observation.perSecond().isEmpty()) {
-            mSlowStartFromMs = mPermits == null ? mSlowStartFromMs : nowMs;
+            if (mPermits != null) {
+                mSlowStartFromMs = nowMs;
+            }
             mPermits = null;
         } else if (mPermits == null) {
             mPermits = new SendPermits(observation.perSecond().getAsDouble());
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -102,9 +102,14 @@
         return new Route.Wait();
     }
 
+    /** Returns whether any endpoint has a request limit. */
+    public boolean hasLimits() {
+        return mEndpoints.limits().hasLimits();
+    }
+
     /** Tells the endpoints with a limit that a request could use a permit. */
     private void noteDemand(RouteRequest request, long nowMs) {
-        if (mEndpoints.limits().hasLimits() && request.allowed().test(mLocalRegion)) {
+        if (hasLimits() && request.allowed().test(mLocalRegion)) {
             mEndpoints.findByService(request.service(), mLocalRegion).stream()
                     .filter(state -> !request.excludedEndpoints().contains(state.id()))
                     .forEach(state -> state.noteDemand(nowMs));
@@ -118,9 +123,6 @@
      * @param ahead the number of requests that wait already
      */
     public long limitWaitMs(RouteRequest request, RegionGraph regions, int ahead, long nowMs) {
-        if (!mEndpoints.limits().hasLimits()) {
-            return 0;
-        }
         List<EndpointState> candidates =
                 regions.regionIds().stream()
                         .filter(region -> mayRunIn(region, request))
@@ -146,9 +148,6 @@
 
     /** Returns the endpoints with a limit that could run the request if they had a permit. */
     public List<EndpointId> findWithoutPermit(RouteRequest request, long nowMs) {
-        if (!mEndpoints.limits().hasLimits()) {
-            return List.of();
-        }
         return mEndpoints.findByService(request.service()).stream()
                 .filter(state -> mayRunIn(state.endpoint().region(), request))
                 .filter(state -> state.isLimited() && state.isHealthy(nowMs))
