Log which requests were in a crash of an endpoint and how far each had come

One line for each interruption names the start of the endpoint, whether a refused probe told a crash from a reset, the requests with the parts of their prompts and whether an answer had begun, and the age of the state. No decision changes.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
@@ -2,8 +2,11 @@
 
 import io.vertx.core.Context;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.retry.RequestDigest;
@@ -15,13 +18,22 @@
  */
 public final class CrashReportRegistry {
 
+    private static final ComponentLogger LOG = ComponentLogger.of("crashes");
     private static final int MAX_RECORDED_REQUESTS = 10_000;
     private static final long RETENTION_MS = 3_600_000;
+    private static final long RATE_CHECK_INTERVAL_MS = 5_000;
+
+    /** More reports than this within an interval are logged. */
+    private static final long MAX_REPORTS_PER_INTERVAL = 1_000;
 
     private final Context mContext;
     private final LongSupplier mClockMs;
     private final BiConsumer<PeerMessage, InstanceId> mFlood;
     private final SuspectRequests mSuspectRequests;
+    private final AtomicLong mReceived = new AtomicLong();
+    private final AtomicLong mForwarded = new AtomicLong();
+    private long mLoggedReceived;
+    private long mNextRateCheckMs;
     private volatile int mSize;
 
     /**
@@ -88,13 +100,44 @@
 
     /** Records the report of another instance and forwards it unless it was recorded before. */
     public void handle(PeerMessage.CrashReport report, InstanceId from) {
-        boolean isNew = mSuspectRequests.recordCrash(report, mClockMs.getAsLong());
+        long nowMs = mClockMs.getAsLong();
+        mReceived.incrementAndGet();
+        logHighRate(nowMs);
+        boolean isNew = mSuspectRequests.recordCrash(report, nowMs);
         mSize = mSuspectRequests.size();
         if (isNew) {
+            mForwarded.incrementAndGet();
             mFlood.accept(report, from);
         }
     }
 
+    /** Logs how many reports arrived in the last interval if they are many. */
+    private void logHighRate(long nowMs) {
+        if (nowMs < mNextRateCheckMs) {
+            return;
+        }
+        mNextRateCheckMs = nowMs + RATE_CHECK_INTERVAL_MS;
+        long received = mReceived.get();
+        if (received - mLoggedReceived > MAX_REPORTS_PER_INTERVAL) {
+            LOG.warn(
+                    "Many crash reports arrive.",
+                    LogField.of("received", received - mLoggedReceived),
+                    LogField.of("forwardedInAll", mForwarded.get()),
+                    LogField.of("requests", mSize));
+        }
+        mLoggedReceived = received;
+    }
+
+    /** Returns how many reports of other instances have arrived; may be called from any thread. */
+    public long received() {
+        return mReceived.get();
+    }
+
+    /** Returns how many of these were forwarded to others; may be called from any thread. */
+    public long forwarded() {
+        return mForwarded.get();
+    }
+
     /** Returns the number of recorded requests; may be called from any thread. */
     public int size() {
         return mSize;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.gateway.traffic;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.gateway.control.EndpointAvailability;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.message.PeerMessage;
@@ -35,44 +37,81 @@
      */
     private static final int STATUS_MISDIRECTED = 421;
 
+    /** The maximum number of interrupted requests that one log line names. */
+    private static final int MAX_LOGGED_REQUESTS = 8;
+
     private final EndpointConnectionPools mConnections;
     private final GatewayControl mControl;
     private final EndpointTable mTable;
-    private final Map<EndpointId, List<RequestDigest>> mInterruptedRequests = new HashMap<>();
+    private final GatewayMetrics mMetrics;
+    private final Map<EndpointId, List<InterruptedRequest>> mInterruptedRequests = new HashMap<>();
     private final Set<EndpointId> mUnreachable = new HashSet<>();
 
     EndpointFailureDetector(
-            EndpointConnectionPools connections, GatewayControl control, EndpointTable table) {
+            EndpointConnectionPools connections,
+            GatewayControl control,
+            EndpointTable table,
+            GatewayMetrics metrics) {
         mConnections = connections;
         mControl = control;
         mTable = table;
+        mMetrics = metrics;
     }
 
     /**
      * Probes an endpoint after a connection was lost that carried a request; one probe covers all
      * requests interrupted until it completes.
      */
-    void probeAfterConnectionLoss(EndpointState endpoint, GatewayExchange exchange) {
+    void probeAfterConnectionLoss(EndpointState endpoint, InterruptedRequest request) {
         boolean probing = mInterruptedRequests.containsKey(endpoint.id());
-        mInterruptedRequests
-                .computeIfAbsent(endpoint.id(), id -> new ArrayList<>())
-                .add(exchange.digest());
+        mInterruptedRequests.computeIfAbsent(endpoint.id(), id -> new ArrayList<>()).add(request);
         if (probing) {
             return;
         }
         mConnections.open(
                 endpoint.endpoint(),
                 connection -> {
-                    List<RequestDigest> interrupted = mInterruptedRequests.remove(endpoint.id());
+                    List<InterruptedRequest> interrupted =
+                            mInterruptedRequests.remove(endpoint.id());
+                    logInterruption(endpoint.id(), interrupted, connection == null);
                     if (connection != null) {
                         mConnections.release(endpoint.endpoint(), connection);
                         return;
                     }
                     markUnreachable(endpoint);
-                    interrupted.forEach(digest -> reportCrash(endpoint.id(), digest));
+                    interrupted.forEach(each -> reportCrash(endpoint.id(), each.digest()));
                 });
     }
 
+    /** Logs which requests of this instance an endpoint interrupted at the same time. */
+    private void logInterruption(
+            EndpointId endpoint, List<InterruptedRequest> interrupted, boolean probeRefused) {
+        mMetrics.counter(probeRefused ? "endpoint_crashes_seen" : "endpoint_resets_seen").inc();
+        LOG.info(
+                "An endpoint interrupted requests.",
+                LogField.of("endpoint", endpoint),
+                LogField.of("startedMs", startedMs(endpoint)),
+                LogField.of("cause", probeRefused ? "crash" : "reset"),
+                LogField.of("interrupted", interrupted.size()),
+                LogField.of(
+                        "requests",
+                        interrupted.stream()
+                                .sorted(Comparator.comparing(InterruptedRequest::answerBegun))
+                                .limit(MAX_LOGGED_REQUESTS)
+                                .map(InterruptedRequest::summary)
+                                .toList()),
+                LogField.of("stateAgeMs", mControl.stateFreshness().ageMs(Clocks.now())));
+    }
+
+    /** Returns the registered start of an endpoint's process; 0 if it is not registered. */
+    private long startedMs(EndpointId endpoint) {
+        return mControl.snapshot().endpoints().stream()
+                .filter(availability -> availability.endpoint().id().equals(endpoint))
+                .mapToLong(EndpointAvailability::startedMs)
+                .findFirst()
+                .orElse(0);
+    }
+
     /**
      * Probes an endpoint that has not responded in time, over a new connection.
      *
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -128,7 +128,7 @@
                         mForwardClient,
                         mLoadReporting,
                         limits,
-                        new EndpointFailureDetector(mConnections, mControl, mEndpointTable),
+                        createFailureDetector(),
                         new RetryBudgets(mControl::bounds),
                         mFinisher);
         GatewayAttemptRunner runner = new GatewayAttemptRunner(dependencies, mRandom);
@@ -166,6 +166,10 @@
                 .onComplete(started);
     }
 
+    private EndpointFailureDetector createFailureDetector() {
+        return new EndpointFailureDetector(mConnections, mControl, mEndpointTable, mMetrics);
+    }
+
     /** Creates what exchanges loads, limits and permits with the other instances. */
     private EndpointLimitTracker createLoadAndLimitExchange() {
         EndpointLimitTracker limits = new EndpointLimitTracker(mEndpointTable, mMetrics);
@@ -185,6 +189,8 @@
         mMetrics.gauge("requests_running", mActive::size);
         mMetrics.gauge("requests_waiting", mDispatcher::waiting);
         mMetrics.gauge("endpoint_connections_opened", mConnections::opened);
+        mMetrics.gauge("crash_reports_received", mControl.crashReports()::received);
+        mMetrics.gauge("crash_reports_forwarded", mControl.crashReports()::forwarded);
         mMetrics.peerTraffic("control", mControl.peerCounters());
         mMetrics.peerTraffic("forwards", mNetwork.counters());
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -161,10 +161,21 @@
         if (failure == Failure.NOT_SENT) {
             mDependencies.failureDetector().markUnreachable(mEndpoint);
         } else {
-            mDependencies.failureDetector().probeAfterConnectionLoss(mEndpoint, mExchange);
+            mDependencies
+                    .failureDetector()
+                    .probeAfterConnectionLoss(mEndpoint, interruptedRequest());
         }
     }
 
+    private InterruptedRequest interruptedRequest() {
+        return new InterruptedRequest(
+                mExchange.head().requestId(),
+                mExchange.digest(),
+                mExchange.head().promptDemand().map(PromptDemand::partIds).orElse("-"),
+                Clocks.steadyMs() - mSentMs,
+                mFirstDataReceived);
+    }
+
     @Override
     void noteStall() {
         mEndpoint.recordOutcome(true, Clocks.steadyMs());
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.policy.routing;
 
 import java.util.List;
+import java.util.stream.Collectors;
 
 /**
  * Describes the prompt and the expected token use of a request to a model engine.
@@ -32,6 +33,11 @@
         return sharedParts.isEmpty() ? "" : sharedParts.get(sharedParts.size() - 1).id();
     }
 
+    /** Returns the ids of all parts in order, separated by slashes, for the log. */
+    public String partIds() {
+        return parts.stream().map(PromptPart::id).collect(Collectors.joining("/"));
+    }
+
     /** Returns the affinity key and the prompt and output tokens, for the log. */
     public String summary() {
         return affinityKey() + ":" + promptTokens + "+" + outputTokens;
