--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -5,8 +5,10 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -30,6 +32,9 @@
     /** The Retry-After delay of {@link Fault#REJECT_WITH_RETRY_AFTER}, in seconds. */
     public static final int RETRY_AFTER_S = 3;
 
+    /** How long a replica is down after a request has crashed it, in milliseconds. */
+    public static final long CRASH_DOWN_MS = 600;
+
     private final Vertx mVertx;
     private final KvStoreStandIn mStore;
     private final String mId;
@@ -43,9 +48,12 @@
     private final ArrivalLog mLimitStatements = new ArrivalLog();
     private final Queue<ExecutedRequest> mExecutedRequests = new ConcurrentLinkedQueue<>();
     private final Map<String, Integer> mExecutionsByRequestId = new ConcurrentHashMap<>();
+    private final ArrivalLog mCrashes = new ArrivalLog();
+    private final Set<String> mCrashingParts = ConcurrentHashMap.newKeySet();
     private volatile Fault mFault = Fault.NONE;
     private volatile String mLimit;
     private volatile int mPort;
+    private volatile boolean mDown;
     private HttpServer mServer;
     private long mRegistrationSequence;
 
@@ -161,6 +169,20 @@
         mLimit = limit;
     }
 
+    /**
+     * Sets the prompt parts that crash the replica when it begins to answer a request with one of
+     * them; it is back {@link #CRASH_DOWN_MS} later. The last part of a prompt never does.
+     */
+    public void setCrashingParts(Set<String> parts) {
+        mCrashingParts.retainAll(parts);
+        mCrashingParts.addAll(parts);
+    }
+
+    /** Returns when the replica crashed, each time with the id of the request that caused it. */
+    public ArrivalLog crashes() {
+        return mCrashes;
+    }
+
     /** Returns the requests whose responses stated a limit, with the time of the response head. */
     public ArrivalLog limitStatements() {
         return mLimitStatements;
@@ -260,6 +282,10 @@
             response.putHeader("Filbertrudder-Server-Stamp", mId + ".stamp");
         }
         boolean stream = request.getHeader("Filbertrudder-Token-Usage") != null;
+        if (stream && hasCrashingPart(request)) {
+            mVertx.setTimer(PROCESSING_TIME_MS, timer -> crashAndRestart(request));
+            return;
+        }
         switch (mFault) {
             case NO_RESPONSE -> {}
             case SINGLE_BYTES -> streamSingleBytes(response);
@@ -288,6 +314,36 @@
         }
     }
 
+    private boolean hasCrashingPart(HttpServerRequest request) {
+        String prefix = request.getHeader("Filbertrudder-Prompt-Prefix");
+        if (prefix == null || mCrashingParts.isEmpty()) {
+            return false;
+        }
+        List<String> parts = List.of(prefix.split(","));
+        return parts.subList(0, parts.size() - 1).stream()
+                .anyMatch(part -> mCrashingParts.contains(part.split(":")[0]));
+    }
+
+    private void crashAndRestart(HttpServerRequest request) {
+        if (mDown || request.response().closed()) {
+            return;
+        }
+        mDown = true;
+        mCrashes.add(request.getHeader("Filbertrudder-Attempt-Id"));
+        mServer.close();
+        mVertx.setTimer(
+                CRASH_DOWN_MS,
+                timer -> {
+                    mServer = mVertx.createHttpServer().requestHandler(this::serve);
+                    mServer.listen(mPort, mHost)
+                            .onSuccess(
+                                    server -> {
+                                        mDown = false;
+                                        register("ready", 0, System.currentTimeMillis());
+                                    });
+                });
+    }
+
     private void respond(HttpServerRequest request, HttpServerResponse response) {
         String body = "{\"by\":\"" + mId + "\",\"uri\":\"" + request.uri() + "\"}";
         mVertx.setTimer(PROCESSING_TIME_MS, timer -> response.end(body));
