A crash report beyond the maximum of a request is not sent on again and again

Cause: SuspectRequests took each report of a crash beyond the maximum of crashes of a request for new, as it did not keep it, and instances send on what is new. Why it works: at most one report more than the maximum is new, so each instance sends on a bounded number.

--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -36,8 +36,10 @@
     }
 
     /**
-     * Records a crash report and returns whether it is new: it reports another crash, or shows that
-     * a request that is not refused yet ran alone. A crash that is reported twice counts once.
+     * Records a crash report and returns whether it is new: it reports another crash up to the
+     * maximum, or shows that a request that is not refused yet ran alone. A crash that is reported
+     * twice counts once. As at most one report more than the maximum is new, reports that instances
+     * send on while they are new come to an end.
      */
     public boolean recordCrash(PeerMessage.CrashReport report, long nowMs) {
         RequestDigest request = new RequestDigest(report.account(), report.bodySha256());
@@ -93,8 +95,9 @@
         boolean addCrash(PeerMessage.CrashReport report, long nowMs, int maxCrashes) {
             mUpdatedMs = nowMs;
             Crash crash = new Crash(report.endpoint(), report.atMs());
-            boolean isNewCrash = mCrashes.stream().noneMatch(crash::isSameAs);
-            if (isNewCrash && mCrashes.size() < maxCrashes) {
+            boolean isNewCrash =
+                    mCrashes.size() < maxCrashes && mCrashes.stream().noneMatch(crash::isSameAs);
+            if (isNewCrash) {
                 mCrashes.add(crash);
             }
             boolean provesCause = report.alone() && !mRefused;
