Block a part of prompts that crashes endpoints, in all instances

Cause: what crashes endpoints was known by the digest of the whole request only. Fix: policy/crashes follows parts instead. A request that is lost before the first event of its answer implicates the shared parts of its prompt; one whose answer begins clears them. Losses are counted by causality (one more than was known when the request was sent), so a crash counts once whoever sees it and whatever the clocks say. The evidence only grows, merging it is commutative and idempotent, and it spreads by gossip with a repair each second; a new instance reads blocked parts from the store before it is ready. One check right before each send holds for first attempts, repeats, forwards and resumed streams; requests that wait or are being read in are refused when the part is blocked. A stream without length or chunks that ends with its connection before its first event counts as interrupted.

--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
@@ -0,0 +1,102 @@
+package org.filbertrudder.gateway.control;
+
+import io.vertx.core.Context;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.model.message.PartEvidence;
+
+/**
+ * Keeps the blocked prompt parts in the store, so that they outlive a stop of all instances.
+ *
+ * <p>Each part is written once by one instance, read once by each instance at its start, and
+ * deleted when it is allowed again.
+ */
+public final class BlockedPartStore {
+
+    private static final ComponentLogger LOG = ComponentLogger.of("crashes");
+
+    /** The delay before a failed call is repeated, in milliseconds. */
+    private static final long RETRY_DELAY_MS = 2_000;
+
+    private final Context mContext;
+    private final StateSource mSource;
+    private final CompletableFuture<List<PartEvidence>> mStored = new CompletableFuture<>();
+    private final Map<String, Long> mWrittenOrTriedMs = new HashMap<>();
+    private final Map<String, Integer> mWrittenLosses = new HashMap<>();
+    private boolean mReading;
+    private long mNextReadMs = Long.MIN_VALUE;
+
+    BlockedPartStore(Context context, StateSource source) {
+        mContext = context;
+        mSource = source;
+    }
+
+    /**
+     * Completes on the control thread with the parts that were stored when the instance started.
+     */
+    public CompletableFuture<List<PartEvidence>> stored() {
+        return mStored;
+    }
+
+    /** Reads the stored parts until that has succeeded once. */
+    void tick(long nowMs) {
+        if (mStored.isDone() || mReading || nowMs < mNextReadMs) {
+            return;
+        }
+        mReading = true;
+        mNextReadMs = nowMs + RETRY_DELAY_MS;
+        mSource.readBlockedParts()
+                .subscribe()
+                .with(
+                        found -> mContext.runOnContext(ignored -> mStored.complete(found)),
+                        failure -> mContext.runOnContext(ignored -> mReading = false));
+    }
+
+    /** Writes the parts that this instance has not written yet; may be called from any thread. */
+    public void retain(Collection<PartEvidence> parts) {
+        mContext.runOnContext(ignored -> parts.forEach(this::write));
+    }
+
+    private void write(PartEvidence evidence) {
+        String part = evidence.part();
+        long nowMs = Clocks.steadyMs();
+        boolean written = mWrittenLosses.getOrDefault(part, 0) >= evidence.losses();
+        if (written || nowMs < mWrittenOrTriedMs.getOrDefault(part, Long.MIN_VALUE)) {
+            return;
+        }
+        mWrittenOrTriedMs.put(part, nowMs + RETRY_DELAY_MS);
+        mSource.writeBlockedPart(evidence)
+                .subscribe()
+                .with(
+                        done ->
+                                mContext.runOnContext(
+                                        ignored -> mWrittenLosses.put(part, evidence.losses())),
+                        failure -> logFailure("write", part, failure));
+    }
+
+    /** Deletes a part that is allowed again; may be called from any thread. */
+    public void remove(String part) {
+        mContext.runOnContext(
+                ignored -> {
+                    mWrittenOrTriedMs.remove(part);
+                    if (mWrittenLosses.remove(part) != null) {
+                        mSource.deleteBlockedPart(part)
+                                .subscribe()
+                                .with(done -> {}, failure -> logFailure("delete", part, failure));
+                    }
+                });
+    }
+
+    private static void logFailure(String call, String part, Throwable failure) {
+        LOG.warn(
+                "The store did not take a blocked part.",
+                LogField.of("call", call),
+                LogField.of("part", part),
+                LogField.of("why", failure.getMessage()));
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -101,6 +101,7 @@
     private final StateFreshness mStateFreshness;
     private final StateFollower mFollower;
     private final CrashReportRegistry mCrashReports;
+    private final BlockedPartStore mBlockedParts;
     private final SecureRandom mRandom = new SecureRandom();
     private final Map<Class<?>, BiConsumer<PeerConnection, PeerMessage>> mHandlers =
             new HashMap<>();
@@ -132,6 +133,7 @@
         mCrashReports =
                 CrashReportRegistry.withMaxCrashes(
                         MAX_CRASHES_PER_REQUEST, context, Clocks::steadyMs, this::flood);
+        mBlockedParts = new BlockedPartStore(context, source);
         registerHandlers();
     }
 
@@ -207,13 +209,15 @@
         mFollower.tick(now);
         mTokenReservations.tick(nowMs);
         registerAndReadInstances(nowMs);
+        mBlockedParts.tick(nowMs);
         if (mMembership.version() != mPublishedVersion) {
             mPublishedVersion = mMembership.version();
             dropConnectionsToSuspects();
             updateShares(nowMs);
             publish();
         }
-        if (mFollower.isReady() && mRegisteredInstances != null && !mReady.isDone()) {
+        boolean isRead = mRegisteredInstances != null && mBlockedParts.stored().isDone();
+        if (mFollower.isReady() && isRead && !mReady.isDone()) {
             LOG.info("The instance is ready.", LogField.of("instance", mSettings.id()));
             mReady.complete(null);
         }
@@ -381,7 +385,10 @@
                 (from, message) -> mCrashReports.handle(message, from));
     }
 
-    /** Completes when the configuration, the endpoints and the instances have been read. */
+    /**
+     * Completes when the configuration, the endpoints, the instances and the blocked prompt parts
+     * have been read.
+     */
     public CompletableFuture<Void> ready() {
         return mReady;
     }
@@ -427,6 +434,11 @@
         return mCrashReports;
     }
 
+    /** Returns the prompt parts that are blocked, as they are kept in the store. */
+    public BlockedPartStore blockedParts() {
+        return mBlockedParts;
+    }
+
     /** Announces to the other instances that this instance accepts no new work. */
     public CompletableFuture<Void> announceLeaving() {
         CompletableFuture<Void> announced = new CompletableFuture<>();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
@@ -7,6 +7,7 @@
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.store.StoreCallCounts;
 
 /**
@@ -46,6 +47,15 @@
     /** Reads the registered instances; the result may be seconds old. */
     Uni<List<Member>> readInstances();
 
+    /** Reads the prompt parts that were blocked, with their age by the wall clock. */
+    Uni<List<PartEvidence>> readBlockedParts();
+
+    /** Stores a blocked prompt part. */
+    Uni<Void> writeBlockedPart(PartEvidence evidence);
+
+    /** Deletes a stored prompt part. */
+    Uni<Void> deleteBlockedPart(String part);
+
     /** Returns the number of calls to the store since the start. */
     StoreCallCounts calls();
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -42,6 +42,7 @@
     private Buffer mBody = Buffer.buffer();
     private boolean mStreaming;
     private boolean mPassingThrough;
+    private boolean mEventReceived;
     private long mStallTimer = -1;
     private long mLastProgressMs;
     private boolean mPaused;
@@ -201,6 +202,7 @@
         }
         if (relay.events() > previousEvents) {
             mLastProgressMs = Clocks.steadyMs();
+            noteEventReceived();
         }
         return true;
     }
@@ -228,6 +230,18 @@
         return true;
     }
 
+    private void noteEventReceived() {
+        if (!mEventReceived) {
+            mEventReceived = true;
+            noteAnswerBegun();
+        }
+    }
+
+    /** Returns whether the answer has begun: a complete event of a stream has been received. */
+    boolean answerBegun() {
+        return mEventReceived;
+    }
+
     private void onSinkDrained() {
         mPaused = false;
         mLastProgressMs = Clocks.steadyMs();
@@ -248,6 +262,12 @@
     /** Handles the arrival of stream data. */
     void noteStreamData() {}
 
+    /** Handles the first complete event of a stream, or a complete successful response. */
+    void noteAnswerBegun() {}
+
+    /** Handles a stream that ends in the middle of an event. */
+    void noteCutEvent() {}
+
     /** Ends an attempt whose response is invalid, and adds the reason to the trace. */
     private void rejectResponse(String step) {
         mExchange.trace(step);
@@ -273,8 +293,19 @@
         }
     }
 
+    /** A stream that ends with its connection before its first event has been interrupted. */
+    @Override
+    public void endByClose() {
+        if (mStreaming && !mEventReceived && !mFinished) {
+            failed(Failure.INTERRUPTED);
+        } else {
+            end();
+        }
+    }
+
     private void endStream() {
         if (!mExchange.relay().isAtEventBoundary()) {
+            noteCutEvent();
             rejectResponse("cut-event");
             return;
         }
@@ -307,6 +338,9 @@
             return;
         }
         finish(true);
+        if (mHead.isSuccess()) {
+            noteAnswerBegun();
+        }
         if (impliesNotExecuted()) {
             mRunner.giveUp(mExchange, GatewayRefusal.incompleteResponse());
             return;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.filbertrudder.entry.control.TokensRefusedException;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.control.Clocks;
@@ -33,18 +34,26 @@
     private final GatewayControl mControl;
     private final GatewayExchangeFinisher mFinisher;
     private final Consumer<GatewayExchange> mDispatch;
+    private final Predicate<GatewayExchange> mRefuseBlocked;
 
+    /**
+     * Creates the admission.
+     *
+     * @param refuseBlocked refuses a request with a blocked part; returns whether it did
+     */
     Admission(
             Vertx vertx,
             Context context,
             GatewayControl control,
             GatewayExchangeFinisher finisher,
-            Consumer<GatewayExchange> dispatch) {
+            Consumer<GatewayExchange> dispatch,
+            Predicate<GatewayExchange> refuseBlocked) {
         mVertx = vertx;
         mContext = context;
         mControl = control;
         mFinisher = finisher;
         mDispatch = dispatch;
+        mRefuseBlocked = refuseBlocked;
     }
 
     /** Admits a request of a caller. */
@@ -105,7 +114,7 @@
     }
 
     private void checkCrashReports(GatewayExchange exchange, Runnable next) {
-        if (exchange.ended()) {
+        if (exchange.ended() || mRefuseBlocked.test(exchange)) {
             return;
         }
         if (mControl.crashReports().size() == 0) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptDependencies.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptDependencies.java
@@ -13,6 +13,7 @@
  * @param forwardClient forwards requests to instances in other regions
  * @param loadReporting holds the load that other instances and regions report
  * @param limits records the request limits that endpoints state
+ * @param crashingParts decides which parts of prompts crash endpoints
  * @param failureDetector detects endpoints that have crashed, stalled or are unreachable
  * @param retryBudgets limits retries
  * @param finisher ends exchanges and logs their outcome
@@ -25,6 +26,7 @@
         GatewayForwardClient forwardClient,
         LoadReporting loadReporting,
         EndpointLimitTracker limits,
+        CrashingPartService crashingParts,
         EndpointFailureDetector failureDetector,
         RetryBudgets retryBudgets,
         GatewayExchangeFinisher finisher) {}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptListener.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptListener.java
@@ -14,6 +14,11 @@
     /** Handles the end of a complete response. */
     void end();
 
+    /** Handles the end of a response that has no length and ends with its connection. */
+    default void endByClose() {
+        end();
+    }
+
     /** Handles an attempt that ends without a complete response. */
     void failed(Failure failure);
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -224,7 +224,11 @@
         if (!mReusable) {
             close();
         }
-        listener.end();
+        if (mCloseDelimited) {
+            listener.endByClose();
+        } else {
+            listener.end();
+        }
         onRelease.run();
     }
 
@@ -260,6 +264,11 @@
         return mReusable && !mClosed;
     }
 
+    /** Returns whether the connection has carried a complete response. */
+    boolean usedBefore() {
+        return mUsedBefore;
+    }
+
     /** Returns how long the connection has been idle, in milliseconds. */
     long idleMs(long nowMs) {
         return nowMs - mIdleSinceMs;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -44,6 +44,7 @@
     private final GatewayControl mControl;
     private final EndpointTable mTable;
     private final GatewayMetrics mMetrics;
+    private final CrashingPartService mCrashingParts;
     private final Map<EndpointId, List<InterruptedRequest>> mInterruptedRequests = new HashMap<>();
     private final Set<EndpointId> mUnreachable = new HashSet<>();
 
@@ -51,11 +52,13 @@
             EndpointConnectionPools connections,
             GatewayControl control,
             EndpointTable table,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            CrashingPartService crashingParts) {
         mConnections = connections;
         mControl = control;
         mTable = table;
         mMetrics = metrics;
+        mCrashingParts = crashingParts;
     }
 
     /**
@@ -74,6 +77,9 @@
                     List<InterruptedRequest> interrupted =
                             mInterruptedRequests.remove(endpoint.id());
                     logInterruption(endpoint.id(), interrupted, connection == null);
+                    if (connection == null || interrupted.size() > 1) {
+                        reportAmbiguousLosses(interrupted);
+                    }
                     if (connection != null) {
                         mConnections.release(endpoint.endpoint(), connection);
                         return;
@@ -83,6 +89,16 @@
                 });
     }
 
+    /**
+     * Reports the requests that an idle connection might explain, if the endpoint accepts no
+     * connection or has interrupted several of them.
+     */
+    private void reportAmbiguousLosses(List<InterruptedRequest> interrupted) {
+        interrupted.stream()
+                .filter(request -> request.isAmbiguous() && !request.answerBegun())
+                .forEach(mCrashingParts::recordLoss);
+    }
+
     /** Logs which requests of this instance an endpoint interrupted at the same time. */
     private void logInterruption(
             EndpointId endpoint, List<InterruptedRequest> interrupted, boolean probeRefused) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -92,6 +92,11 @@
             giveUp(exchange, GatewayRefusal.timedOut(true));
             return false;
         }
+        Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(exchange);
+        if (refusedPart.isPresent()) {
+            giveUpBlocked(exchange, refusedPart.get());
+            return false;
+        }
         if (exchange.sends() == 0) {
             mDependencies.retryBudgets().recordRequest(exchange.service());
         } else if (!mDependencies
@@ -118,6 +123,14 @@
                 .refuse(exchange, accurate ? refusal : GatewayRefusal.incompleteResponse());
     }
 
+    /** Ends a request for good because a part of its prompt crashes endpoints. */
+    void giveUpBlocked(GatewayExchange exchange, String part) {
+        exchange.trace("blocked=" + part);
+        mDependencies
+                .finisher()
+                .refuse(exchange, GatewayRefusal.crashingPart(exchange.runs() == 0));
+    }
+
     /**
      * Submits the request for another attempt if it may run again; otherwise ends it with the held
      * error response, if any, or with the given refusal.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
@@ -159,6 +159,16 @@
                 422, "crashing_request", "Endpoints crashed while running this request.", true, 0);
     }
 
+    /** Refuses a request for good whose prompt has a part that crashes endpoints. */
+    static GatewayRefusal crashingPart(boolean notRun) {
+        return new GatewayRefusal(
+                422,
+                "crashing_part",
+                "A part of the prompt crashes endpoints. Leave it out or contact the operators.",
+                notRun,
+                0);
+    }
+
     /** Ends a request that may have been executed but has no usable response. */
     static GatewayRefusal incompleteResponse() {
         return new GatewayRefusal(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -32,6 +32,7 @@
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.KeyId;
 import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
@@ -85,6 +86,8 @@
     private GatewayForwardServer mForwardServer;
     private LoadReporting mLoadReporting;
     private SendPermitService mSendPermits;
+    private CrashingPartService mCrashingParts;
+    private GatewayAttemptRunner mRunner;
     private EndpointConnectionPools mConnections;
     private RequestDispatcher mDispatcher;
     private GatewayExchangeFinisher mFinisher;
@@ -116,22 +119,11 @@
                         violation ->
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
         EndpointLimitTracker limits = createLoadAndLimitExchange();
+        mCrashingParts = createCrashingParts();
         mForwardClient = new GatewayForwardClient(mNetwork);
         mConnections = new EndpointConnectionPools(vertx, mProtocol, this::maxIdleConnections);
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
-        AttemptDependencies dependencies =
-                new AttemptDependencies(
-                        vertx,
-                        mControl,
-                        mProtocol,
-                        mConnections,
-                        mForwardClient,
-                        mLoadReporting,
-                        limits,
-                        createFailureDetector(),
-                        new RetryBudgets(mControl::bounds),
-                        mFinisher);
-        GatewayAttemptRunner runner = new GatewayAttemptRunner(dependencies, mRandom);
+        mRunner = new GatewayAttemptRunner(createDependencies(limits), mRandom);
         UniformRegionGraph regions = new UniformRegionGraph(mSettings.domains().values());
         Router router = new Router(mSettings.region(), mEndpointTable, mLoadReporting);
         mDispatcher =
@@ -139,10 +131,10 @@
                         router,
                         regions,
                         mRandom,
-                        runner,
+                        mRunner,
                         action -> vertx.setTimer(PUMP_DELAY_MS, ignored -> action.run()));
-        runner.setDispatcher(mDispatcher);
-        mAdmission = new Admission(vertx, context, mControl, mFinisher, mDispatcher::submit);
+        mRunner.setDispatcher(mDispatcher);
+        mAdmission = createAdmission();
         mForwardServer = new GatewayForwardServer(this::acceptForwarded, this::callerDisconnected);
         mCallerServer =
                 new CallerServer(
@@ -166,8 +158,76 @@
                 .onComplete(started);
     }
 
+    private AttemptDependencies createDependencies(EndpointLimitTracker limits) {
+        return new AttemptDependencies(
+                vertx,
+                mControl,
+                mProtocol,
+                mConnections,
+                mForwardClient,
+                mLoadReporting,
+                limits,
+                mCrashingParts,
+                createFailureDetector(),
+                new RetryBudgets(mControl::bounds),
+                mFinisher);
+    }
+
+    private Admission createAdmission() {
+        return new Admission(
+                vertx, context, mControl, mFinisher, mDispatcher::submit, this::refuseBlocked);
+    }
+
     private EndpointFailureDetector createFailureDetector() {
-        return new EndpointFailureDetector(mConnections, mControl, mEndpointTable, mMetrics);
+        return new EndpointFailureDetector(
+                mConnections, mControl, mEndpointTable, mMetrics, mCrashingParts);
+    }
+
+    private CrashingPartService createCrashingParts() {
+        CrashingPartService parts =
+                new CrashingPartService(
+                        mControl::snapshot,
+                        mNetwork,
+                        mMetrics,
+                        mControl.blockedParts(),
+                        this::refuseNewlyBlocked);
+        mControl.blockedParts()
+                .stored()
+                .thenAccept(stored -> context.runOnContext(ignored -> parts.addStored(stored)));
+        return parts;
+    }
+
+    /** Refuses the requests with parts that have become blocked and without an answer so far. */
+    private void refuseNewlyBlocked(Set<String> parts) {
+        for (GatewayExchange exchange : List.copyOf(mActive)) {
+            boolean mayCancel =
+                    exchange.relay() == null
+                            && (exchange.runs() == 0
+                                    || exchange.route().isRepeatable()
+                                    || exchange.isStream());
+            if (mayCancel) {
+                refuseBlocked(exchange);
+            }
+        }
+    }
+
+    /** Refuses a request that has a blocked part; returns whether it did. */
+    private boolean refuseBlocked(GatewayExchange exchange) {
+        Optional<String> part = mCrashingParts.refusedPart(exchange);
+        part.ifPresent(blocked -> mRunner.giveUpBlocked(exchange, blocked));
+        return part.isPresent();
+    }
+
+    /** Returns the prompt parts that are blocked; may be called from any thread. */
+    public List<PartEvidence> blockedParts() {
+        return mCrashingParts.blocked();
+    }
+
+    /** Allows a blocked part again; completes with whether it was blocked. */
+    public CompletableFuture<Boolean> allowPart(String part) {
+        CompletableFuture<Boolean> allowed = new CompletableFuture<>();
+        context.runOnContext(ignored -> allowed.complete(mCrashingParts.allow(part)));
+        return allowed;
     }
 
     /** Creates what exchanges loads, limits and permits with the other instances. */
@@ -225,7 +285,9 @@
             return;
         }
         Member from = connection.peerMember();
-        if (!mLoadReporting.handle(from, message) && !mSendPermits.handle(from, message)) {
+        if (!mLoadReporting.handle(from, message)
+                && !mSendPermits.handle(from, message)
+                && !mCrashingParts.handle(from, message)) {
             mForwardServer.handle(connection, message);
         }
     }
@@ -324,6 +386,7 @@
         mDispatcher.tick();
         mLoadReporting.tick(nowMs);
         mSendPermits.tick(nowMs);
+        mCrashingParts.tick(nowMs);
         mForwardClient.tick(nowMs);
         mForwardServer.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/InterruptedRequest.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/InterruptedRequest.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.gateway.traffic;
 
+import org.filbertrudder.policy.crashes.SentParts;
 import org.filbertrudder.policy.retry.RequestDigest;
 
 /**
@@ -7,16 +8,21 @@
  *
  * @param requestId the id that the caller assigned
  * @param digest recognises the request when it is sent again
- * @param prompt the prompt's parts and tokens, for the log
+ * @param prompt the ids of the prompt's parts, for the log
+ * @param sentParts the prompt's shared parts, with what was known of them at the send
  * @param runningMs the time since the request was sent, in milliseconds
- * @param answerBegun whether a part of the answer had been received
+ * @param answerBegun whether a complete event of the answer had been received
+ * @param isAmbiguous whether the connection had been used before and broke so soon that the
+ *     endpoint may have closed it while it was idle
  */
 record InterruptedRequest(
         String requestId,
         RequestDigest digest,
         String prompt,
+        SentParts sentParts,
         long runningMs,
-        boolean answerBegun) {
+        boolean answerBegun,
+        boolean isAmbiguous) {
 
     /** Returns the request's id, prompt and progress, for the log. */
     String summary() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.policy.crashes.SentParts;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.PromptDemand;
 import org.filbertrudder.policy.routing.PromptLoad;
@@ -11,10 +12,17 @@
 /** Runs a request at an endpoint of this region. */
 final class LocalAttempt extends AbstractAttempt {
 
+    /**
+     * A request that is lost sooner on a connection that was used before may have met a connection
+     * that the endpoint had closed while it was idle, in milliseconds.
+     */
+    private static final long IDLE_CLOSE_DETECTION_MS = 50;
+
     private final EndpointState mEndpoint;
     private EndpointConnection mConnection;
     private long mSentMs;
     private boolean mFirstDataReceived;
+    private SentParts mSentParts = SentParts.NONE;
     private Optional<PromptLoad> mPromptLoad = Optional.empty();
 
     LocalAttempt(GatewayAttemptRunner runner, GatewayExchange exchange, EndpointState endpoint) {
@@ -78,6 +86,15 @@
                             : GatewayRefusal.stateOutdated());
             return;
         }
+        Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(mExchange);
+        if (refusedPart.isPresent()) {
+            mExchange.uncountRun();
+            finish(false);
+            mDependencies.connections().release(mEndpoint.endpoint(), connection);
+            mRunner.giveUpBlocked(mExchange, refusedPart.get());
+            return;
+        }
+        mSentParts = mDependencies.crashingParts().recordSend(mExchange);
         HttpHeaders headers = EndpointConnection.newHeaders();
         mExchange.head().passedHeaders().forEach(headers::set);
         mDependencies
@@ -131,6 +148,16 @@
         }
     }
 
+    @Override
+    void noteAnswerBegun() {
+        mDependencies.crashingParts().recordAnswer(mSentParts, mExchange.head().requestId());
+    }
+
+    @Override
+    void noteCutEvent() {
+        noteInterruption();
+    }
+
     @Override
     void release(boolean answered) {
         mPromptLoad.ifPresent(PromptLoad::release);
@@ -161,19 +188,32 @@
         if (failure == Failure.NOT_SENT) {
             mDependencies.failureDetector().markUnreachable(mEndpoint);
         } else {
-            mDependencies
-                    .failureDetector()
-                    .probeAfterConnectionLoss(mEndpoint, interruptedRequest());
+            noteInterruption();
+        }
+    }
+
+    /**
+     * Reports the interrupted request. A request without an answer implicates the parts of its
+     * prompt, before it is sent again.
+     */
+    private void noteInterruption() {
+        InterruptedRequest request = interruptedRequest();
+        if (!request.answerBegun() && !request.isAmbiguous()) {
+            mDependencies.crashingParts().recordLoss(request);
         }
+        mDependencies.failureDetector().probeAfterConnectionLoss(mEndpoint, request);
     }
 
     private InterruptedRequest interruptedRequest() {
+        long runningMs = Clocks.steadyMs() - mSentMs;
         return new InterruptedRequest(
                 mExchange.head().requestId(),
                 mExchange.digest(),
                 mExchange.head().promptDemand().map(PromptDemand::partIds).orElse("-"),
-                Clocks.steadyMs() - mSentMs,
-                mFirstDataReceived);
+                mSentParts,
+                runningMs,
+                answerBegun(),
+                mConnection.usedBefore() && runningMs < IDLE_CLOSE_DETECTION_MS);
     }
 
     @Override
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -15,6 +15,7 @@
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.freshness.ClockReading;
 import org.filbertrudder.policy.freshness.StateFreshness;
@@ -246,6 +247,21 @@
             return Uni.createFrom().item(List.of());
         }
 
+        @Override
+        public Uni<List<PartEvidence>> readBlockedParts() {
+            return Uni.createFrom().item(List.of());
+        }
+
+        @Override
+        public Uni<Void> writeBlockedPart(PartEvidence evidence) {
+            return Uni.createFrom().voidItem();
+        }
+
+        @Override
+        public Uni<Void> deleteBlockedPart(String part) {
+            return Uni.createFrom().voidItem();
+        }
+
         @Override
         public StoreCallCounts calls() {
             return new StoreCallCounts(0, 0, 0, 0);
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/Member.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/Member.java
@@ -93,6 +93,11 @@
         return state.compareTo(other.state) > 0;
     }
 
+    /** Returns whether duties may be assigned to the member, as it is not known to stop. */
+    public boolean canHoldDuties() {
+        return state == MemberState.LIVE || state == MemberState.SUSPECT;
+    }
+
     /** Returns whether new requests may be sent to the member. */
     public boolean acceptsNewRequests() {
         return state == MemberState.LIVE;
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -45,7 +45,9 @@
     @JsonSubTypes.Type(value = PeerMessage.RegionLoadSum.class, name = "ls"),
     @JsonSubTypes.Type(value = PeerMessage.RegionReport.class, name = "rg"),
     @JsonSubTypes.Type(value = PeerMessage.SendPermitRequest.class, name = "pq"),
-    @JsonSubTypes.Type(value = PeerMessage.SendPermitReply.class, name = "pr")
+    @JsonSubTypes.Type(value = PeerMessage.SendPermitReply.class, name = "pr"),
+    @JsonSubTypes.Type(value = PeerMessage.PartEvidenceReport.class, name = "pe"),
+    @JsonSubTypes.Type(value = PeerMessage.PartEvidenceDigest.class, name = "pd")
 })
 public sealed interface PeerMessage {
 
@@ -375,6 +377,27 @@
     record SendPermitReply(long id, EndpointLimitReport limit, int count, long waitMs)
             implements PeerMessage {}
 
+    /**
+     * Distributes evidence about parts of prompts that may crash endpoints.
+     *
+     * @param evidence the evidence that has changed, or all of the sender's
+     * @param answer whether the receiver answers with all evidence of its own
+     */
+    record PartEvidenceReport(List<PartEvidence> evidence, boolean answer) implements PeerMessage {
+
+        /** Copies the evidence. */
+        public PartEvidenceReport {
+            evidence = evidence == null ? List.of() : List.copyOf(evidence);
+        }
+    }
+
+    /**
+     * Detects evidence about parts of prompts that differs between two instances.
+     *
+     * @param digest the digest of all evidence of the sender
+     */
+    record PartEvidenceDigest(long digest) implements PeerMessage {}
+
     /**
      * Describes the load of one or several instances on an endpoint.
      *
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -23,6 +23,7 @@
 import org.filbertrudder.model.message.AccountShareSnapshot;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.ShardOwner;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -84,6 +85,18 @@
             {new PeerMessage.ForwardHead(1, 200, Map.of("a", "b"))},
             {new PeerMessage.ForwardEnd(1, true)},
             {new PeerMessage.CrashReport(ACCOUNT, "digest", EndpointId.of("e"), 7, true)},
+            {new PeerMessage.PartEvidenceDigest(7)},
+            {
+                new PeerMessage.PartEvidenceReport(
+                        List.of(
+                                new PartEvidence(
+                                        "part",
+                                        3,
+                                        1,
+                                        List.of(new PartEvidence.LostRequest(4, 3)),
+                                        500)),
+                        true)
+            },
         };
     }
 
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
@@ -0,0 +1,130 @@
+package org.filbertrudder.policy.crashes;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.PartEvidence;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.RendezvousHashing;
+
+/**
+ * Spreads the evidence about parts of prompts among all instances.
+ *
+ * <p>New evidence goes to a few other instances, chosen by rendezvous hashing, which send on what
+ * is new to them. As evidence only grows, and by a bounded amount for each loss, this comes to an
+ * end whatever the order, loss or repetition of messages. In addition each instance compares
+ * digests with one of them at intervals, and the two exchange all evidence if it differs. That
+ * repairs what was lost and informs instances that have just started or were cut off.
+ */
+public final class EvidenceGossip {
+
+    /** The interval at which digests are compared, in milliseconds. */
+    public static final long EXCHANGE_INTERVAL_MS = 1_000;
+
+    /** The maximum number of instances that this one sends to by itself. */
+    private static final int MAX_PARTNERS = 8;
+
+    private final CrashingParts mParts;
+    private final InstanceId mSelf;
+    private final Map<String, PartEvidence> mChanged = new LinkedHashMap<>();
+    private List<InstanceId> mOthers = List.of();
+    private List<InstanceId> mPartners = List.of();
+    private int mNextPartner;
+    private long mNextExchangeMs = Long.MIN_VALUE;
+
+    /** Creates the gossip about the given evidence. */
+    public EvidenceGossip(InstanceId self, CrashingParts parts) {
+        mSelf = self;
+        mParts = parts;
+    }
+
+    /**
+     * A message to another instance.
+     *
+     * @param to the receiver
+     * @param message the message
+     */
+    public record Send(InstanceId to, PeerMessage message) {}
+
+    /** Adds changed evidence, which is sent with the next tick. */
+    public void addChanged(Collection<PartEvidence> changed) {
+        changed.forEach(evidence -> mChanged.put(evidence.part(), evidence));
+    }
+
+    /**
+     * Returns the messages that are due.
+     *
+     * @param others the other running instances
+     */
+    public List<Send> tick(List<InstanceId> others, long nowMs) {
+        List<Send> sends = new ArrayList<>();
+        if (others.isEmpty()) {
+            return sends;
+        }
+        List<InstanceId> partners = partners(others);
+        if (!mChanged.isEmpty()) {
+            PeerMessage report =
+                    new PeerMessage.PartEvidenceReport(List.copyOf(mChanged.values()), false);
+            mChanged.clear();
+            partners.forEach(to -> sends.add(new Send(to, report)));
+        }
+        if (nowMs >= mNextExchangeMs) {
+            mNextExchangeMs = nowMs + EXCHANGE_INTERVAL_MS;
+            mNextPartner = (mNextPartner + 1) % partners.size();
+            InstanceId partner = partners.get(mNextPartner);
+            sends.add(new Send(partner, new PeerMessage.PartEvidenceDigest(mParts.digest())));
+        }
+        return sends;
+    }
+
+    /**
+     * Returns the instances that this one sends to. They stay the same while the instances do, so
+     * that the number of connections does not grow with the number of instances.
+     */
+    private List<InstanceId> partners(List<InstanceId> others) {
+        if (!others.equals(mOthers)) {
+            mOthers = List.copyOf(others);
+            mPartners =
+                    RendezvousHashing.rank(mSelf.value(), mOthers, InstanceId::value).stream()
+                            .limit(MAX_PARTNERS)
+                            .toList();
+        }
+        return mPartners;
+    }
+
+    /** Handles a digest and returns the answer. */
+    public List<Send> handle(InstanceId from, PeerMessage.PartEvidenceDigest message, long nowMs) {
+        return message.digest() == mParts.digest()
+                ? List.of()
+                : List.of(
+                        new Send(
+                                from,
+                                new PeerMessage.PartEvidenceReport(mParts.evidence(nowMs), true)));
+    }
+
+    /**
+     * Merges the evidence of another instance and returns the answer; what has changed is sent on
+     * with the next tick if there are more instances than the sender could reach itself.
+     *
+     * @param instances the number of other running instances
+     */
+    public List<Send> handle(
+            InstanceId from, PeerMessage.PartEvidenceReport message, int instances, long nowMs) {
+        List<PartEvidence> changed = new ArrayList<>();
+        for (PartEvidence evidence : message.evidence()) {
+            mParts.merge(evidence, nowMs).ifPresent(changed::add);
+        }
+        if (instances > MAX_PARTNERS) {
+            addChanged(changed);
+        }
+        return message.answer()
+                ? List.of(
+                        new Send(
+                                from,
+                                new PeerMessage.PartEvidenceReport(mParts.evidence(nowMs), false)))
+                : List.of();
+    }
+}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SchedulerSelection.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/SchedulerSelection.java
@@ -28,7 +28,7 @@
                 endpoint.value(),
                 members.stream()
                         .filter(member -> member.region().equals(region))
-                        .filter(SchedulerSelection::isRunning)
+                        .filter(Member::canHoldDuties)
                         .toList(),
                 member -> member.id().value());
     }
@@ -43,8 +43,4 @@
                         .count();
         return all == 0 ? 1 : (double) alive / all;
     }
-
-    private static boolean isRunning(Member member) {
-        return member.state() == MemberState.LIVE || member.state() == MemberState.SUSPECT;
-    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
@@ -27,6 +27,11 @@
         return parts.isEmpty() ? List.of() : parts.subList(0, parts.size() - 1);
     }
 
+    /** Returns the ids of the parts that other requests may share. */
+    public List<String> sharedPartIds() {
+        return sharedParts().stream().map(PromptPart::id).toList();
+    }
+
     /** Returns the id of the longest shared prefix; empty if the prompt shares nothing. */
     String affinityKey() {
         List<PromptPart> sharedParts = sharedParts();
