Do not block the sound parts that come with a part that crashes endpoints

Cause: successive losses alone do not tell a part that crashes endpoints from one that accompanies it, and popular parts are lost in each crash faster than their next answer is known everywhere. Fix: a part that any instance has seen answered in the last ten minutes needs six losses at least half a second apart; blocked parts that were lost in the same requests are refused together only, until a request with one of them alone is answered or lost. A part that was not answered is also blocked after it was lost at three endpoints at once by three requests, as in a large fleet many requests are on their way before the first crash is known.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
@@ -90,7 +90,7 @@
         List<String> parts = sharedParts(exchange);
         return mParts.decide(parts, this::triesPart, Clocks.steadyMs())
                         == CrashingParts.Decision.BLOCKED
-                ? mParts.blockedPart(parts)
+                ? mParts.refusedPart(parts)
                 : Optional.empty();
     }
 
@@ -106,12 +106,14 @@
     /** Records that a request is sent to an endpoint, and returns what to record its outcome by. */
     SentParts recordSend(GatewayExchange exchange) {
         List<String> parts = sharedParts(exchange);
-        SentParts sent = mParts.sent(parts);
-        if (mParts.blockedPart(parts).isPresent()) {
-            mMetrics.counter("blocked_part_trials").inc();
-            exchange.trace("trial=" + mParts.blockedPart(parts).get());
-            mParts.recordTrial(parts, Clocks.steadyMs());
-        }
+        SentParts sent = mParts.sent(parts, Clocks.steadyMs());
+        mParts.refusedPart(parts)
+                .ifPresent(
+                        part -> {
+                            mMetrics.counter("blocked_part_trials").inc();
+                            exchange.trace("trial=" + part);
+                            mParts.recordTrial(parts, Clocks.steadyMs());
+                        });
         return sent;
     }
 
@@ -123,15 +125,13 @@
                         request.sentParts(),
                         RendezvousHashing.hash(
                                 request.digest().account() + request.digest().bodySha256()),
+                        RendezvousHashing.hash(request.endpoint().value()),
                         Clocks.steadyMs()));
         noteChanges(request.requestId());
     }
 
     /** Records that the answer to a request has begun. */
     void recordAnswer(SentParts sent, String requestId) {
-        if (mParts.size() == 0) {
-            return;
-        }
         List<PartEvidence> changed = mParts.recordAnswer(sent, Clocks.steadyMs());
         if (!changed.isEmpty()) {
             mGossip.addChanged(changed);
@@ -250,6 +250,7 @@
                 LogField.of("part", evidence.part()),
                 LogField.of("losses", evidence.losses()),
                 LogField.of("cleared", evidence.cleared()),
+                LogField.of("answered", evidence.answered()),
                 LogField.of("requests", evidence.requests().size()),
                 LogField.of("ageMs", evidence.ageMs()),
                 LogField.of("from", source));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/InterruptedRequest.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/InterruptedRequest.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.gateway.traffic;
 
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.policy.crashes.SentParts;
 import org.filbertrudder.policy.retry.RequestDigest;
 
@@ -7,6 +8,7 @@
  * Describes a request whose connection to an endpoint was lost.
  *
  * @param requestId the id that the caller assigned
+ * @param endpoint the endpoint
  * @param digest recognises the request when it is sent again
  * @param prompt the ids of the prompt's parts, for the log
  * @param sentParts the prompt's shared parts, with what was known of them at the send
@@ -17,6 +19,7 @@
  */
 record InterruptedRequest(
         String requestId,
+        EndpointId endpoint,
         RequestDigest digest,
         String prompt,
         SentParts sentParts,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -208,6 +208,7 @@
         long runningMs = Clocks.steadyMs() - mSentMs;
         return new InterruptedRequest(
                 mExchange.head().requestId(),
+                mEndpoint.id(),
                 mExchange.digest(),
                 mExchange.head().promptDemand().map(PromptDemand::partIds).orElse("-"),
                 mSentParts,
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PartEvidence.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PartEvidence.java
@@ -12,13 +12,19 @@
  *     was known when the request was sent
  * @param cleared the number of these losses that were known when a request was sent whose answer
  *     began
+ * @param answered whether requests with the part have been answered
  * @param requests the latest requests lost and not cleared
  * @param ageMs the time since the last loss, in milliseconds
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-@JsonPropertyOrder({"part", "losses", "cleared", "requests", "ageMs"})
+@JsonPropertyOrder({"part", "losses", "cleared", "answered", "requests", "ageMs"})
 public record PartEvidence(
-        String part, int losses, int cleared, List<LostRequest> requests, long ageMs) {
+        String part,
+        int losses,
+        int cleared,
+        boolean answered,
+        List<LostRequest> requests,
+        long ageMs) {
 
     /** Copies the requests. */
     public PartEvidence {
@@ -30,8 +36,10 @@
      *
      * @param request a hash of the request's content
      * @param losses the number of losses of the part with this one
+     * @param endpoint a hash of the endpoint; 0 if the sender has not run for long enough to know
+     *     which parts are answered
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"request", "losses"})
-    public record LostRequest(long request, int losses) {}
+    @JsonPropertyOrder({"request", "losses", "endpoint"})
+    public record LostRequest(long request, int losses, long endpoint) {}
 }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -93,7 +93,8 @@
                                         "part",
                                         3,
                                         1,
-                                        List.of(new PartEvidence.LostRequest(4, 3)),
+                                        true,
+                                        List.of(new PartEvidence.LostRequest(4, 3, 5)),
                                         500)),
                         true)
             },
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/CrashingParts.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/CrashingParts.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +18,9 @@
  * <p>A crash interrupts many requests, and each of them has several parts. Those whose answer had
  * begun prove their parts sound. The parts of the others are suspected until a request with them
  * that was sent later begins its answer. A part is blocked after {@link #BLOCKING_LOSSES}
- * successive losses of at least {@link #MIN_REQUESTS} requests.
+ * successive losses of at least {@link #MIN_REQUESTS} requests. A part that has been answered
+ * lately needs {@link #BLOCKING_LOSSES_ANSWERED}, with time between them for answers to arrive, as
+ * popular parts are in each crash.
  *
  * <p>The losses of a part are counted by causality instead of by time: a lost request counts one
  * more than was known when it was sent. A crash that several instances see, several requests that
@@ -30,9 +33,21 @@
     /** The successive losses after which a part is blocked. */
     public static final int BLOCKING_LOSSES = 3;
 
+    /** The successive losses after which a part is blocked that has been answered lately. */
+    public static final int BLOCKING_LOSSES_ANSWERED = 6;
+
     /** The number of different requests that must have been lost before a part is blocked. */
     public static final int MIN_REQUESTS = 2;
 
+    /**
+     * The number of different requests lost at as many endpoints at the same time after which a
+     * part is blocked that has not been answered lately.
+     */
+    public static final int BLOCKING_ENDPOINTS = 3;
+
+    /** The answers after which an instance knows which parts are answered. */
+    private static final long MIN_ANSWERS = 50;
+
     /** The maximum number of parts with evidence. */
     public static final int MAX_PARTS = 1_024;
 
@@ -48,15 +63,26 @@
     /** The time after the last loss at which a blocked part is tried again, for each trial. */
     private static final List<Long> TRIAL_DELAYS_MS = List.of(60_000L, 600_000L);
 
-    private static final int MAX_KEPT_REQUESTS = 4;
+    /**
+     * The minimum time between two losses of a part that has been answered lately, in milliseconds.
+     */
+    private static final long MIN_LOSS_INTERVAL_MS = 500;
+
+    /** The maximum number of parts whose latest answer is remembered. */
+    private static final int MAX_ANSWERED_PARTS = 4_096;
+
+    private static final int MAX_KEPT_REQUESTS = 6;
     private static final int MAX_PART_ID_LENGTH = 128;
 
     private static final Comparator<LostRequest> LATEST_FIRST =
             Comparator.comparingInt(LostRequest::losses)
                     .reversed()
-                    .thenComparingLong(LostRequest::request);
+                    .thenComparingLong(LostRequest::request)
+                    .thenComparingLong(LostRequest::endpoint);
 
     private final Map<String, Entry> mEntries = new HashMap<>();
+    private final LinkedHashMap<String, Long> mAnsweredMs = new LinkedHashMap<>(16, 0.75f, true);
+    private long mAnswers;
     private int mBlocked;
     private long mDigest;
 
@@ -71,35 +97,62 @@
     }
 
     /** Returns the parts of a request that is about to be sent, with what is known of them. */
-    public SentParts sent(List<String> parts) {
+    public SentParts sent(List<String> parts, long nowMs) {
         if (parts.isEmpty()) {
             return SentParts.NONE;
         }
         List<String> followed = parts.subList(0, Math.min(parts.size(), MAX_PARTS_PER_REQUEST));
-        return new SentParts(followed, followed.stream().map(this::losses).toList());
+        return new SentParts(
+                followed,
+                followed.stream().map(this::knownLosses).toList(),
+                followed.stream().map(part -> lossesIfLost(part, nowMs)).toList());
     }
 
-    private int losses(String part) {
+    private int knownLosses(String part) {
         Entry entry = mEntries.get(part);
         return entry == null ? 0 : entry.mLosses;
     }
 
+    private int lossesIfLost(String part, long nowMs) {
+        Entry entry = mEntries.get(part);
+        if (entry == null) {
+            return 1;
+        }
+        boolean tooSoon = entry.mAnswered && nowMs - entry.mRaisedMs < MIN_LOSS_INTERVAL_MS;
+        return entry.mLosses + (tooSoon ? 0 : 1);
+    }
+
+    /** Returns whether this instance has run for long enough to know which parts are answered. */
+    private boolean knowsAnswers() {
+        return mAnswers >= MIN_ANSWERS;
+    }
+
+    private boolean isAnswered(String part, long nowMs) {
+        Long answeredMs = mAnsweredMs.get(part);
+        return answeredMs != null && nowMs - answeredMs <= SUSPICION_RETENTION_MS;
+    }
+
     /**
      * Records that a request was lost before its answer began.
      *
      * @param request a hash of the request's content
+     * @param endpoint a hash of the endpoint's id
      * @return the evidence that has changed
      */
-    public List<PartEvidence> recordLoss(SentParts sent, long request, long nowMs) {
+    public List<PartEvidence> recordLoss(SentParts sent, long request, long endpoint, long nowMs) {
         Optional<String> blocked = sent.parts().stream().filter(this::isBlocked).findFirst();
         List<PartEvidence> changed = new ArrayList<>();
         for (int i = 0; i < sent.parts().size(); i++) {
             String part = sent.parts().get(i);
             // A blocked part explains the loss, so the others are not suspected because of it.
             if (blocked.isEmpty() || isBlocked(part)) {
-                int losses = sent.losses().get(i) + 1;
-                List<LostRequest> requests = List.of(new LostRequest(request, losses));
-                addChanged(grow(new PartEvidence(part, losses, 0, requests, 0), nowMs), changed);
+                int losses = sent.lossesIfLost().get(i);
+                boolean answered = isAnswered(part, nowMs);
+                List<LostRequest> requests =
+                        List.of(new LostRequest(request, losses, knowsAnswers() ? endpoint : 0));
+                addChanged(
+                        grow(new PartEvidence(part, losses, 0, answered, requests, 0), nowMs),
+                        changed);
             }
         }
         return changed;
@@ -112,12 +165,18 @@
      */
     public List<PartEvidence> recordAnswer(SentParts sent, long nowMs) {
         List<PartEvidence> changed = new ArrayList<>();
+        mAnswers++;
         for (int i = 0; i < sent.parts().size(); i++) {
-            Entry entry = mEntries.get(sent.parts().get(i));
-            if (entry != null && sent.losses().get(i) > entry.mCleared) {
-                addChanged(clear(entry, sent.losses().get(i), nowMs), changed);
+            String part = sent.parts().get(i);
+            mAnsweredMs.put(part, nowMs);
+            Entry entry = mEntries.get(part);
+            if (entry != null && sent.knownLosses().get(i) > entry.mCleared) {
+                addChanged(clear(entry, sent.knownLosses().get(i), nowMs), changed);
             }
         }
+        while (mAnsweredMs.size() > MAX_ANSWERED_PARTS) {
+            mAnsweredMs.remove(mAnsweredMs.keySet().iterator().next());
+        }
         return changed;
     }
 
@@ -131,7 +190,8 @@
 
     private Optional<PartEvidence> clear(Entry entry, int cleared, long nowMs) {
         return grow(
-                new PartEvidence(entry.mPart, cleared, cleared, List.of(), entry.ageMs(nowMs)),
+                new PartEvidence(
+                        entry.mPart, cleared, cleared, true, List.of(), entry.ageMs(nowMs)),
                 nowMs);
     }
 
@@ -140,12 +200,25 @@
     }
 
     /**
-     * Merges the evidence of another instance or of an earlier life of this one.
+     * Merges the evidence of another instance or of an earlier life of this one, and adds whether
+     * requests with the part have been answered here.
      *
      * @return the merged evidence if it has changed
      */
     public Optional<PartEvidence> merge(PartEvidence evidence, long nowMs) {
-        return isValid(evidence) ? grow(evidence, nowMs) : Optional.empty();
+        if (!isValid(evidence)) {
+            return Optional.empty();
+        }
+        boolean answered = evidence.answered() || isAnswered(evidence.part(), nowMs);
+        return grow(
+                new PartEvidence(
+                        evidence.part(),
+                        evidence.losses(),
+                        evidence.cleared(),
+                        answered,
+                        evidence.requests(),
+                        evidence.ageMs()),
+                nowMs);
     }
 
     private static boolean isValid(PartEvidence evidence) {
@@ -204,11 +277,28 @@
         return entry != null && entry.isBlocked();
     }
 
-    /** Returns the first blocked part of a request, if it has any. */
-    public Optional<String> blockedPart(List<String> parts) {
-        return mBlocked == 0
-                ? Optional.empty()
-                : parts.stream().filter(this::isBlocked).findFirst();
+    /** Returns the part because of which a request is refused, if there is one. */
+    public Optional<String> refusedPart(List<String> parts) {
+        return refusedParts(parts).stream().findFirst();
+    }
+
+    private List<String> refusedParts(List<String> parts) {
+        if (mBlocked == 0) {
+            return List.of();
+        }
+        List<String> blocked = parts.stream().filter(this::isBlocked).distinct().toList();
+        boolean isTest = blocked.size() == 1 && hasOtherExplanation(mEntries.get(blocked.get(0)));
+        return isTest ? List.of() : blocked;
+    }
+
+    /** Returns whether another blocked part was in the same lost requests as the given one. */
+    private boolean hasOtherExplanation(Entry entry) {
+        return mEntries.values().stream()
+                .anyMatch(
+                        other ->
+                                other != entry
+                                        && other.isBlocked()
+                                        && other.wasIn(entry.mRequests));
     }
 
     /**
@@ -217,23 +307,19 @@
      * @param triesPart tells whether this instance is the one that tries a part again
      */
     public Decision decide(List<String> parts, Predicate<String> triesPart, long nowMs) {
-        if (mBlocked == 0) {
+        List<String> refused = refusedParts(parts);
+        if (refused.isEmpty()) {
             return Decision.ALLOWED;
         }
-        List<String> blocked = parts.stream().filter(this::isBlocked).distinct().toList();
-        if (blocked.isEmpty()) {
-            return Decision.ALLOWED;
-        }
-        boolean tries =
-                blocked.size() == 1
-                        && mEntries.get(blocked.get(0)).isTrialDue(nowMs)
-                        && triesPart.test(blocked.get(0));
-        return tries ? Decision.TRIAL : Decision.BLOCKED;
+        String part = refused.get(0);
+        boolean isTrial =
+                refused.size() == 1 && mEntries.get(part).isTrialDue(nowMs) && triesPart.test(part);
+        return isTrial ? Decision.TRIAL : Decision.BLOCKED;
     }
 
     /** Records that a request with a blocked part is sent to try the part. */
     public void recordTrial(List<String> parts, long nowMs) {
-        blockedPart(parts).ifPresent(part -> mEntries.get(part).mTriedMs = nowMs);
+        refusedPart(parts).ifPresent(part -> mEntries.get(part).mTriedMs = nowMs);
     }
 
     /** Returns all evidence, the most suspected parts first. */
@@ -279,6 +365,8 @@
         private final String mPart;
         private int mLosses;
         private int mCleared;
+        private boolean mAnswered;
+        private long mRaisedMs;
         private List<LostRequest> mRequests = List.of();
         private long mLastLossMs;
         private long mTriedMs = Long.MIN_VALUE / 2;
@@ -294,12 +382,17 @@
             int cleared = Math.max(mCleared, evidence.cleared());
             List<LostRequest> requests = mergedRequests(evidence.requests(), cleared);
             boolean changed =
-                    losses != mLosses || cleared != mCleared || !requests.equals(mRequests);
+                    losses != mLosses
+                            || cleared != mCleared
+                            || (evidence.answered() && !mAnswered)
+                            || !requests.equals(mRequests);
             if (losses > mLosses) {
+                mRaisedMs = nowMs;
                 mLastLossMs = Math.max(mLastLossMs, nowMs - evidence.ageMs());
             }
             mLosses = losses;
             mCleared = cleared;
+            mAnswered |= evidence.answered();
             mRequests = requests;
             return changed;
         }
@@ -319,11 +412,34 @@
         }
 
         boolean isBlocked() {
-            return mLosses - mCleared >= BLOCKING_LOSSES && mRequests.size() >= MIN_REQUESTS;
+            boolean inSuccession =
+                    mLosses - mCleared >= blockingLosses() && mRequests.size() >= MIN_REQUESTS;
+            return inSuccession || (!mAnswered && endpoints() >= BLOCKING_ENDPOINTS);
+        }
+
+        private long endpoints() {
+            return mRequests.stream()
+                    .mapToLong(LostRequest::endpoint)
+                    .filter(endpoint -> endpoint != 0)
+                    .distinct()
+                    .count();
+        }
+
+        /** Returns whether the part was in all of the given requests when they were lost. */
+        boolean wasIn(List<LostRequest> requests) {
+            return requests.stream()
+                    .allMatch(
+                            request ->
+                                    mRequests.stream()
+                                            .anyMatch(own -> own.request() == request.request()));
+        }
+
+        private int blockingLosses() {
+            return mAnswered ? BLOCKING_LOSSES_ANSWERED : BLOCKING_LOSSES;
         }
 
         boolean isTrialDue(long nowMs) {
-            int failedTrials = mLosses - mCleared - BLOCKING_LOSSES;
+            int failedTrials = Math.max(0, mLosses - mCleared - blockingLosses());
             if (failedTrials >= TRIAL_DELAYS_MS.size()) {
                 return false;
             }
@@ -340,13 +456,13 @@
         }
 
         PartEvidence evidence(long nowMs) {
-            return new PartEvidence(mPart, mLosses, mCleared, mRequests, ageMs(nowMs));
+            return new PartEvidence(mPart, mLosses, mCleared, mAnswered, mRequests, ageMs(nowMs));
         }
 
         long hash() {
-            long hash = RendezvousHashing.weight(mPart, mLosses + ":" + mCleared);
+            long hash = RendezvousHashing.weight(mPart, mLosses + ":" + mCleared + ":" + mAnswered);
             for (LostRequest each : mRequests) {
-                hash += RendezvousHashing.weight(each.request(), each.losses());
+                hash += RendezvousHashing.weight(each.request() + each.endpoint(), each.losses());
             }
             return hash;
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
@@ -107,19 +107,21 @@
 
     /**
      * Merges the evidence of another instance and returns the answer; what has changed is sent on
-     * with the next tick if there are more instances than the sender could reach itself.
+     * with the next tick if there are more instances than the sender could reach itself, or if this
+     * instance has added to it.
      *
      * @param instances the number of other running instances
      */
     public List<Send> handle(
             InstanceId from, PeerMessage.PartEvidenceReport message, int instances, long nowMs) {
+        boolean sendsOn = instances > MAX_PARTNERS;
         List<PartEvidence> changed = new ArrayList<>();
         for (PartEvidence evidence : message.evidence()) {
-            mParts.merge(evidence, nowMs).ifPresent(changed::add);
-        }
-        if (instances > MAX_PARTNERS) {
-            addChanged(changed);
+            mParts.merge(evidence, nowMs)
+                    .filter(merged -> sendsOn || merged.answered() != evidence.answered())
+                    .ifPresent(changed::add);
         }
+        addChanged(changed);
         return message.answer()
                 ? List.of(
                         new Send(
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/SentParts.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/SentParts.java
@@ -3,19 +3,21 @@
 import java.util.List;
 
 /**
- * Holds the parts of a request's prompt and the losses of each that were known when it was sent.
+ * Holds the parts of a request's prompt and what was known of them when it was sent.
  *
  * @param parts the ids of the parts
- * @param losses the known losses of each part
+ * @param knownLosses the losses of each part that an answer to the request clears
+ * @param lossesIfLost the losses of each part if the request is lost
  */
-public record SentParts(List<String> parts, List<Integer> losses) {
+public record SentParts(List<String> parts, List<Integer> knownLosses, List<Integer> lossesIfLost) {
 
     /** Represents a request whose prompt has no part that other requests may share. */
-    public static final SentParts NONE = new SentParts(List.of(), List.of());
+    public static final SentParts NONE = new SentParts(List.of(), List.of(), List.of());
 
     /** Copies the lists. */
     public SentParts {
         parts = List.copyOf(parts);
-        losses = List.copyOf(losses);
+        knownLosses = List.copyOf(knownLosses);
+        lossesIfLost = List.copyOf(lossesIfLost);
     }
 }
