Show and lift blocked parts; test restarts of all instances; crashing parts in the soak

GET /blocked-parts on the metrics port lists the evidence of each blocked part, DELETE /blocked-parts/ID allows one again at all instances. CrashingPartTest stops all instances and finds the part blocked at a new one, and lifts a block.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -75,7 +75,8 @@
                         id ->
                                 mVertx.deployVerticle(
                                         new ManagementVerticle(
-                                                mSettings, mControl, mProtocol, mMetrics)))
+                                                mSettings, mControl, mProtocol, mMetrics,
+                                                mTraffic)))
                 .<Void>mapEmpty()
                 .toCompletionStage()
                 .toCompletableFuture();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
@@ -3,6 +3,7 @@
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Set;
@@ -18,12 +19,16 @@
 import org.filbertrudder.policy.membership.InstanceSubsetSelector;
 import org.filbertrudder.policy.membership.PeerAddress;
 
-/** Serves readiness checks, the directory of instances for callers, metrics and the state dump. */
+/**
+ * Serves readiness checks, the directory of instances for callers, metrics, the state dump and the
+ * blocked prompt parts.
+ */
 public final class ManagementVerticle extends AbstractVerticle {
 
     private static final ComponentLogger LOG = ComponentLogger.of("directory");
     private static final String METRICS_PATH = "/metrics";
     private static final String DUMP_PATH = "/dump";
+    private static final String BLOCKED_PARTS_PATH = "/blocked-parts";
 
     /**
      * How long callers may use a directory response, in milliseconds; limits how long they miss
@@ -35,13 +40,16 @@
     private final GatewayControl mControl;
     private final HttpProtocol mProtocol;
     private final GatewayMetrics mMetrics;
+    private final GatewayTrafficVerticle mTraffic;
 
     /** Creates the verticle; its servers start to listen when it is deployed. */
     public ManagementVerticle(
             GatewaySettings settings,
             GatewayControl control,
             HttpProtocol protocol,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            GatewayTrafficVerticle traffic) {
+        mTraffic = traffic;
         mSettings = settings;
         mControl = control;
         mProtocol = protocol;
@@ -76,6 +84,8 @@
             serveDirectory(request);
         } else if (path.equals(METRICS_PATH)) {
             request.response().end(mMetrics.toText());
+        } else if (path.startsWith(BLOCKED_PARTS_PATH) && isOperatorPort(request)) {
+            serveBlockedParts(request, path.substring(BLOCKED_PARTS_PATH.length()));
         } else if (path.equals(DUMP_PATH)) {
             mControl.collectState()
                     .thenAccept(state -> request.response().end(Json.writeIndented(state)));
@@ -84,6 +94,26 @@
         }
     }
 
+    /** Returns whether a request arrived at the port that callers do not know. */
+    private boolean isOperatorPort(HttpServerRequest request) {
+        return request.localAddress().port() == mSettings.metricsPort();
+    }
+
+    /** Lists the blocked prompt parts, or allows the one whose id follows the path again. */
+    private void serveBlockedParts(HttpServerRequest request, String rest) {
+        if (request.method() == HttpMethod.GET && rest.isEmpty()) {
+            request.response()
+                    .putHeader("content-type", "application/json")
+                    .end(Json.writeIndented(mTraffic.blockedParts()));
+        } else if (request.method() == HttpMethod.DELETE && rest.length() > 1) {
+            mTraffic.allowPart(rest.substring(1))
+                    .thenAccept(
+                            allowed -> request.response().setStatusCode(allowed ? 204 : 404).end());
+        } else {
+            request.response().setStatusCode(405).end();
+        }
+    }
+
     private boolean isReady() {
         return mControl.ready().isDone() && !mControl.snapshot().isLeaving();
     }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -10,12 +10,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.filbertrudder.standins.platform.ArrivalLog;
@@ -23,9 +25,10 @@
 import org.filbertrudder.standins.platform.ReplicaStandIn;
 
 /**
- * Runs gateway processes of one region under load, while replicas state, change and lift limits and
- * a seeded series of signals, restarts and outages disturbs the processes, the replicas and the
- * store. Checks what the replicas see against the platform's rule LIMIT.
+ * Runs gateway processes of one region under load, while replicas state, change and lift limits, a
+ * part of prompts crashes replicas, and a seeded series of signals, restarts and outages disturbs
+ * the processes, the replicas and the store. Checks what the replicas and the callers see against
+ * the platform's rules LIMIT, BUDGET and LOST.
  */
 public final class LimitSoak {
 
@@ -45,6 +48,11 @@
     /** The time in which a replica whose limit has ended gets requests beyond it again. */
     private static final long RETURN_MS = 12_000;
 
+    private static final String CRASHING_PART = "deadly";
+    private static final String CRASHING_MARK = "/bad";
+    private static final double CRASHING_SHARE = 0.1;
+    private static final int STATUS_CRASHING_PART = 422;
+
     private static final List<String> LIMITS =
             List.of("0", "0.5", "1", "1.2", "2", "5", "12", "-1", "NaN", "soon", "3,1");
 
@@ -59,7 +67,9 @@
     private final List<String> mEvents = Collections.synchronizedList(new ArrayList<>());
     private final AtomicLong mNextRequest = new AtomicLong();
     private final Map<String, Long> mLiftedMs = new ConcurrentHashMap<>();
+    private CrashingPartChecker mCrashingPart;
     private long mStartedMs;
+    private volatile long mCrashingFromMs = Long.MAX_VALUE;
     private volatile boolean mStopped;
 
     /**
@@ -116,6 +126,7 @@
         faults.shutdownNow();
         callers.shutdown();
         mCheckers.forEach((name, checker) -> mViolations.addAll(checker.violations(name)));
+        mViolations.addAll(mCrashingPart.violations(mCrashingFromMs, ArrivalLog.nowMs()));
         checkReturns();
         checkExecutions();
         return new Report(List.copyOf(mViolations), new TreeMap<>(mStatuses), List.copyOf(mEvents));
@@ -127,6 +138,9 @@
             startReplica("pool-" + i, PlatformFleet.MODEL_SERVICE);
             startReplica("desk-" + i, PlatformFleet.BOOKING_SERVICE);
         }
+        mCrashingPart =
+                new CrashingPartChecker(
+                        mFleet.replicas(), id -> id.contains(CRASHING_MARK), this::isExcused);
         List<String> hosts = new ArrayList<>();
         for (int i = 0; i < mOptions.instances(); i++) {
             hosts.add(addressPrefix() + (i + 1));
@@ -191,12 +205,14 @@
         PlatformClient client = process.callerClient();
         long nextMs = ArrivalLog.nowMs();
         while (!mStopped) {
-            String id = process.id() + "/" + mNextRequest.incrementAndGet();
             PlatformClient.Response response =
                     path.startsWith("/digest")
-                            ? client.sendStream(id, path, API_KEY, "part" + id.hashCode() % 20)
+                            ? callModel(process, client, path)
                             : client.sendPlain(
-                                    id, path.startsWith("/book") ? "POST" : "GET", path, API_KEY);
+                                    newId(process, "/"),
+                                    path.startsWith("/book") ? "POST" : "GET",
+                                    path,
+                                    API_KEY);
             mStatuses.merge(response.status(), 1, Integer::sum);
             if (response.status() == 503 && response.retryAfter().isEmpty()) {
                 mViolations.add("A refusal has no time to come back: " + response.body());
@@ -206,7 +222,32 @@
         }
     }
 
+    private String newId(GatewayProcess process, String mark) {
+        return process.id() + mark + mNextRequest.incrementAndGet();
+    }
+
+    /** Sends a sound request to the model, or one with the part that crashes replicas. */
+    private PlatformClient.Response callModel(
+            GatewayProcess process, PlatformClient client, String path) {
+        long sentMs = ArrivalLog.nowMs();
+        boolean crashing =
+                sentMs >= mCrashingFromMs
+                        && ThreadLocalRandom.current().nextDouble() < CRASHING_SHARE;
+        String id = newId(process, crashing ? CRASHING_MARK : "/");
+        String prompt = "book:300,chapter" + Math.floorMod(id.hashCode(), 20);
+        PlatformClient.Response response =
+                client.sendStream(
+                        id, path, API_KEY, crashing ? prompt + ":200," + CRASHING_PART : prompt);
+        if (!crashing) {
+            // Limits and outages refuse sound requests as well, but with another status.
+            boolean refused = response.status() == STATUS_CRASHING_PART;
+            mCrashingPart.recordSound(process.id(), sentMs, !refused);
+        }
+        return response;
+    }
+
     private void scheduleFaults(ScheduledExecutorService faults) {
+        schedule(faults, 2_000 + mRandom.nextInt(4_000), this::startCrashingPart);
         for (long atMs = 500; atMs < seconds() * 1_000L; atMs += 300 + mRandom.nextInt(1_500)) {
             String replica = pick(new ArrayList<>(mCheckers.keySet()));
             String limit = mRandom.nextInt(5) == 0 ? null : pick(LIMITS);
@@ -253,6 +294,12 @@
         mEvents.add(String.format(Locale.ROOT, "%.1f %s", seconds, event));
     }
 
+    private void startCrashingPart() {
+        note("requests with a part that crashes replicas begin");
+        mFleet.replicas().forEach(each -> each.setCrashingParts(Set.of(CRASHING_PART)));
+        mCrashingFromMs = ArrivalLog.nowMs();
+    }
+
     private void setLimit(String replica, String limit) {
         note(replica + " states " + limit);
         mCheckers.get(replica).setLimit(limit);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformClient.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformClient.java
@@ -56,6 +56,11 @@
         return send(HttpRequest.newBuilder(resolve(uri)).GET(), "");
     }
 
+    /** Deletes what an instance itself keeps. */
+    public Response delete(String uri) {
+        return send(HttpRequest.newBuilder(resolve(uri)).DELETE(), "");
+    }
+
     /** Sends a request that is not streamed; with a null key, it has no Authorization header. */
     public Response sendPlain(String method, String path, String apiKey) {
         return sendPlain(newRequestId(), method, path, apiKey);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -193,9 +193,21 @@
 
     /** Returns the metrics page of an instance. */
     public String metrics(String gateway) {
-        return new PlatformClient(address(mSettings.get(gateway).metricsPort()))
-                .get("/metrics")
-                .body();
+        return operatorClient(gateway).get("/metrics").body();
+    }
+
+    /** Returns the page of an instance that lists the blocked prompt parts. */
+    public String blockedParts(String gateway) {
+        return operatorClient(gateway).get("/blocked-parts").body();
+    }
+
+    /** Allows a blocked prompt part at an instance and returns the status of the response. */
+    public int allowPart(String gateway, String part) {
+        return operatorClient(gateway).delete("/blocked-parts/" + part).status();
+    }
+
+    private PlatformClient operatorClient(String gateway) {
+        return new PlatformClient(address(mSettings.get(gateway).metricsPort()));
     }
 
     /** Shuts down an instance gracefully, as SIGTERM would; completes when it has stopped. */
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CrashingPartTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CrashingPartTest.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.scenarios.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
@@ -18,6 +19,7 @@
 public class CrashingPartTest {
 
     private static final String API_KEY = "key-club";
+    private static final String BLOCKED_PARTS_KEY = "filbertrudder/blocked-parts/";
     private static final List<String> GATEWAYS = List.of("mtl-1", "mtl-2", "mtl-3");
     private static final int REPLICAS = 4;
     private static final long SOUND_INTERVAL_MS = 60;
@@ -81,6 +83,68 @@
         assertTrue(violations.isEmpty(), violations.toString());
     }
 
+    @Test
+    public void allInstancesForgetABlockedPartWhenTheyRestart() {
+        mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of("deadly")));
+        sendCrashingUntilRefused("mtl-1");
+        PlatformFleet.await(
+                "the part is in the store",
+                () -> !mFleet.store().keys(BLOCKED_PARTS_KEY).isEmpty());
+        int crashes = mChecker.crashTimesMs().size();
+        List<CompletableFuture<Void>> stopped = GATEWAYS.stream().map(mFleet::stopGateway).toList();
+        stopped.forEach(CompletableFuture::join);
+
+        mFleet.startGateway("mtl-4", "mtl");
+        PlatformClient.Response refused =
+                mFleet.callerClient("mtl-4")
+                        .sendStream("mtl-4/bad", "/digest/x", API_KEY, "book:300,deadly");
+
+        assertEquals(refused.status(), 422, refused.body());
+        assertTrue(refused.retryAfter().isEmpty(), "a final refusal has no time to come back");
+        assertEquals(mChecker.crashTimesMs().size(), crashes);
+    }
+
+    @Test
+    public void anOperatorSeesABlockedPartAndAllowsItAtAllInstances() {
+        mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of("deadly")));
+        sendCrashingUntilRefused("mtl-1");
+        mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of()));
+
+        assertTrue(mFleet.blockedParts("mtl-2").contains("deadly"));
+        assertEquals(mFleet.allowPart("mtl-3", "made-up"), 404);
+        assertEquals(mFleet.allowPart("mtl-3", "deadly"), 204);
+
+        for (String gateway : GATEWAYS) {
+            PlatformFleet.await(
+                    gateway + " serves the part again",
+                    () ->
+                            mFleet.callerClient(gateway)
+                                            .sendStream("/digest/x", API_KEY, "book:300,deadly")
+                                            .status()
+                                    == 200);
+        }
+        PlatformFleet.await(
+                "the part is not in the store",
+                () -> mFleet.store().keys(BLOCKED_PARTS_KEY).isEmpty());
+    }
+
+    /** Sends requests with the part and others beside them until all instances refuse the part. */
+    private void sendCrashingUntilRefused(String gateway) {
+        for (String each : GATEWAYS) {
+            mFleet.callerClient(each).sendStream("/digest/x", API_KEY, "book:300,chapter");
+        }
+        PlatformFleet.await(
+                "all instances refuse the part",
+                () -> {
+                    String id = gateway + "/bad" + mNextId.incrementAndGet();
+                    PlatformClient client = mFleet.callerClient(gateway);
+                    client.sendStream("/digest/x", API_KEY, "book:300,chapter");
+                    client.sendStream(id, "/digest/x", API_KEY, "book:300,deadly");
+                    return GATEWAYS.stream()
+                            .allMatch(each -> mFleet.blockedParts(each).contains("deadly"));
+                });
+    }
+
     private void sendSound(String gateway, String prompt, long fromMs, long endMs) {
         PlatformClient client = mFleet.callerClient(gateway);
         for (long nextMs = fromMs; nextMs < endMs; nextMs = next(nextMs, SOUND_INTERVAL_MS)) {
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -54,6 +54,7 @@
     private volatile String mLimit;
     private volatile int mPort;
     private volatile boolean mDown;
+    private volatile int mStarts;
     private HttpServer mServer;
     private long mRegistrationSequence;
 
@@ -126,6 +127,8 @@
         mServer = mVertx.createHttpServer().requestHandler(this::serve);
         mServer.listen(0, mHost).toCompletionStage().toCompletableFuture().join();
         mPort = mServer.actualPort();
+        mDown = false;
+        mStarts++;
         register("ready", 0);
         return this;
     }
@@ -331,9 +334,13 @@
         mDown = true;
         mCrashes.add(request.getHeader("Filbertrudder-Attempt-Id"));
         mServer.close();
+        int starts = mStarts;
         mVertx.setTimer(
                 CRASH_DOWN_MS,
                 timer -> {
+                    if (starts != mStarts) {
+                        return;
+                    }
                     mServer = mVertx.createHttpServer().requestHandler(this::serve);
                     mServer.listen(mPort, mHost)
                             .onSuccess(
