--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
@@ -26,7 +26,8 @@
     private final Context mContext;
     private final StateSource mSource;
     private final CompletableFuture<List<PartEvidence>> mStored = new CompletableFuture<>();
-    private final Map<String, Long> mWrittenOrTriedMs = new HashMap<>();
+    private final Map<String, Long> mNextWriteMs = new HashMap<>();
+    private final Map<String, Long> mNextDeleteMs = new HashMap<>();
     private final Map<String, Integer> mWrittenLosses = new HashMap<>();
     private boolean mReading;
     private long mNextReadMs = Long.MIN_VALUE;
@@ -43,8 +44,11 @@
         return mStored;
     }
 
-    /** Reads the stored parts until that has succeeded once. */
+    /** Reads the stored parts until that has succeeded once, and deletes those that are due. */
     void tick(long nowMs) {
+        List.copyOf(mNextDeleteMs.entrySet()).stream()
+                .filter(entry -> entry.getValue() <= nowMs)
+                .forEach(entry -> delete(entry.getKey(), nowMs));
         if (mStored.isDone() || mReading || nowMs < mNextReadMs) {
             return;
         }
@@ -66,10 +70,11 @@
         String part = evidence.part();
         long nowMs = Clocks.steadyMs();
         boolean written = mWrittenLosses.getOrDefault(part, 0) >= evidence.losses();
-        if (written || nowMs < mWrittenOrTriedMs.getOrDefault(part, Long.MIN_VALUE)) {
+        if (written || nowMs < mNextWriteMs.getOrDefault(part, Long.MIN_VALUE)) {
             return;
         }
-        mWrittenOrTriedMs.put(part, nowMs + RETRY_DELAY_MS);
+        mNextWriteMs.put(part, nowMs + RETRY_DELAY_MS);
+        mNextDeleteMs.remove(part);
         mSource.writeBlockedPart(evidence)
                 .subscribe()
                 .with(
@@ -79,19 +84,30 @@
                         failure -> logFailure("write", part, failure));
     }
 
-    /** Deletes a part that is allowed again; may be called from any thread. */
-    public void remove(String part) {
+    /**
+     * Deletes a part that is allowed again, if this instance has written it or is told to, as the
+     * one that wrote it may have stopped; may be called from any thread.
+     */
+    public void remove(String part, boolean always) {
         mContext.runOnContext(
                 ignored -> {
-                    mWrittenOrTriedMs.remove(part);
-                    if (mWrittenLosses.remove(part) != null) {
-                        mSource.deleteBlockedPart(part)
-                                .subscribe()
-                                .with(done -> {}, failure -> logFailure("delete", part, failure));
+                    mNextWriteMs.remove(part);
+                    boolean written = mWrittenLosses.remove(part) != null;
+                    if (written || always) {
+                        mNextDeleteMs.put(part, Clocks.steadyMs());
                     }
                 });
     }
 
+    private void delete(String part, long nowMs) {
+        mNextDeleteMs.put(part, nowMs + RETRY_DELAY_MS);
+        mSource.deleteBlockedPart(part)
+                .subscribe()
+                .with(
+                        done -> mContext.runOnContext(ignored -> mNextDeleteMs.remove(part)),
+                        failure -> logFailure("delete", part, failure));
+    }
+
     private static void logFailure(String call, String part, Throwable failure) {
         LOG.warn(
                 "The store did not take a blocked part.",
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
@@ -237,7 +237,7 @@
                     "A prompt part is allowed again.",
                     LogField.of("part", part),
                     LogField.of("from", source));
-            mStore.remove(part);
+            mStore.remove(part, storesPart(part, mSnapshot.get()));
         }
         if (!added.isEmpty()) {
             mOnBlocked.accept(added);
