Answers without a prompt do not count as knowledge of which parts are answered

After a restart of all instances bookings alone would have sufficed, and a popular part that was lost at three endpoints at once would have been blocked for a minute. The call that refuses requests with newly blocked parts takes no argument that it ignores.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -43,7 +42,7 @@
     private final PeerNetwork mNetwork;
     private final GatewayMetrics mMetrics;
     private final BlockedPartStore mStore;
-    private final Consumer<Set<String>> mOnBlocked;
+    private final Runnable mOnBlocked;
     private final CrashingParts mParts = new CrashingParts();
     private final EvidenceGossip mGossip;
     private Set<String> mBlocked = Set.of();
@@ -52,14 +51,14 @@
     /**
      * Creates the service.
      *
-     * @param onBlocked runs with the parts that have become blocked
+     * @param onBlocked runs when further parts have become blocked
      */
     CrashingPartService(
             Supplier<GatewaySnapshot> snapshot,
             PeerNetwork network,
             GatewayMetrics metrics,
             BlockedPartStore store,
-            Consumer<Set<String>> onBlocked) {
+            Runnable onBlocked) {
         mSnapshot = snapshot;
         mNetwork = network;
         mMetrics = metrics;
@@ -240,7 +239,7 @@
             mStore.remove(part, storesPart(part, mSnapshot.get()));
         }
         if (!added.isEmpty()) {
-            mOnBlocked.accept(added);
+            mOnBlocked.run();
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -197,8 +197,8 @@
         return parts;
     }
 
-    /** Refuses the requests with parts that have become blocked and without an answer so far. */
-    private void refuseNewlyBlocked(Set<String> parts) {
+    /** Refuses the requests without an answer so far that have a blocked part. */
+    private void refuseNewlyBlocked() {
         for (GatewayExchange exchange : List.copyOf(mActive)) {
             boolean mayCancel =
                     exchange.relay() == null
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/CrashingParts.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/CrashingParts.java
@@ -45,7 +45,7 @@
      */
     public static final int BLOCKING_ENDPOINTS = 3;
 
-    /** The answers after which an instance knows which parts are answered. */
+    /** The answers to prompts after which an instance knows which parts are answered. */
     private static final long MIN_ANSWERS = 50;
 
     /** The maximum number of parts with evidence. */
@@ -122,7 +122,10 @@
         return entry.mLosses + (tooSoon ? 0 : 1);
     }
 
-    /** Returns whether this instance has run for long enough to know which parts are answered. */
+    /**
+     * Returns whether this instance has seen enough answers to prompts to know which parts are
+     * answered.
+     */
     private boolean knowsAnswers() {
         return mAnswers >= MIN_ANSWERS;
     }
@@ -164,6 +167,9 @@
      * @return the evidence that has changed
      */
     public List<PartEvidence> recordAnswer(SentParts sent, long nowMs) {
+        if (sent.parts().isEmpty()) {
+            return List.of();
+        }
         List<PartEvidence> changed = new ArrayList<>();
         mAnswers++;
         for (int i = 0; i < sent.parts().size(); i++) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/crashes/CrashingPartsTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/crashes/CrashingPartsTest.java
@@ -94,17 +94,20 @@
         assertTrue(mParts.isBlocked("deadly"));
     }
 
-    /** Lists how many answers an instance has seen before, and whether it blocks the part. */
+    /** Lists the answers that an instance has seen before, and whether it blocks the part. */
     @DataProvider
     public Object[][] answersBefore() {
-        return new Object[][] {{0, false}, {200, true}};
+        List<String> noPrompt = List.of();
+        return new Object[][] {
+            {0, List.of("book"), false}, {200, noPrompt, false}, {200, List.of("book"), true}
+        };
     }
 
     @Test(dataProvider = "answersBefore")
     public void blocksAnUnansweredPartThatIsLostAtSeveralEndpointsAtOnce(
-            int answers, boolean blocked) {
+            int answers, List<String> answered, boolean blocked) {
         for (int i = 0; i < answers; i++) {
-            answer(mParts, List.of("book"), 0);
+            answer(mParts, answered, 0);
         }
         SentParts sent = mParts.sent(PROMPT, 0);
         for (long i = 1; i <= CrashingParts.BLOCKING_ENDPOINTS; i++) {
