--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PartEvidence.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PartEvidence.java
@@ -26,9 +26,9 @@
         List<LostRequest> requests,
         long ageMs) {
 
-    /** Copies the requests. */
+    /** Replaces a missing list by an empty one. */
     public PartEvidence {
-        requests = requests == null ? List.of() : List.copyOf(requests);
+        requests = requests == null ? List.of() : requests;
     }
 
     /**
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -385,9 +385,9 @@
      */
     record PartEvidenceReport(List<PartEvidence> evidence, boolean answer) implements PeerMessage {
 
-        /** Copies the evidence. */
+        /** Replaces a missing list by an empty one. */
         public PartEvidenceReport {
-            evidence = evidence == null ? List.of() : List.copyOf(evidence);
+            evidence = evidence == null ? List.of() : evidence;
         }
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/CrashingParts.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/CrashingParts.java
@@ -228,7 +228,8 @@
     }
 
     private static boolean isValid(PartEvidence evidence) {
-        return evidence.part() != null
+        return evidence != null
+                && evidence.part() != null
                 && !evidence.part().isEmpty()
                 && evidence.part().length() <= MAX_PART_ID_LENGTH
                 && evidence.cleared() >= 0
@@ -237,7 +238,7 @@
                 && evidence.ageMs() <= BLOCK_RETENTION_MS
                 && evidence.requests().size() <= MAX_KEPT_REQUESTS
                 && evidence.requests().stream()
-                        .allMatch(each -> each.losses() <= evidence.losses());
+                        .allMatch(each -> each != null && each.losses() <= evidence.losses());
     }
 
     private Optional<PartEvidence> grow(PartEvidence evidence, long nowMs) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/crashes/CrashingPartsTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/crashes/CrashingPartsTest.java
@@ -275,7 +275,10 @@
     @DataProvider
     public Object[][] malformedEvidence() {
         List<PartEvidence.LostRequest> beyond = List.of(new PartEvidence.LostRequest(1, 9, 0));
+        List<PartEvidence.LostRequest> missing = Collections.singletonList(null);
         return new Object[][] {
+            {null},
+            {new PartEvidence("part", 3, 0, false, missing, 0)},
             {new PartEvidence(null, 3, 0, false, List.of(), 0)},
             {new PartEvidence("", 3, 0, false, List.of(), 0)},
             {new PartEvidence("x".repeat(1_000), 3, 0, false, List.of(), 0)},
