One rule for what may be cancelled, one way to withdraw an attempt before its send

Whether a running request may be cancelled was written a second time for newly blocked parts, in other words for the same kinds; both callers ask GatewayExchange.mayCancel now. The steps that end an attempt before its request is sent stood twice in LocalAttempt.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -294,6 +294,14 @@
         return mRuns == 0 || (repeatable && mRuns < mRoute.maxRuns());
     }
 
+    /**
+     * Returns whether the request may be cancelled: an unsafe one that may be running may not, as
+     * its outcome would be unknown.
+     */
+    boolean mayCancel() {
+        return mRuns == 0 || mRoute.kind() != RequestKind.UNSAFE;
+    }
+
     /**
      * Returns an endpoint's error response that is passed on if no later attempt succeeds; null if
      * none.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -21,7 +21,6 @@
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
-import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.gateway.control.Clocks;
@@ -200,12 +199,7 @@
     /** Refuses the requests without an answer so far that have a blocked part. */
     private void refuseNewlyBlocked() {
         for (GatewayExchange exchange : List.copyOf(mActive)) {
-            boolean mayCancel =
-                    exchange.relay() == null
-                            && (exchange.runs() == 0
-                                    || exchange.route().isRepeatable()
-                                    || exchange.isStream());
-            if (mayCancel) {
+            if (exchange.relay() == null && exchange.mayCancel()) {
                 refuseBlocked(exchange);
             }
         }
@@ -315,8 +309,7 @@
             return;
         }
         exchange.setCallerDisconnected();
-        // An unsafe request that may be running is not cancelled, as its outcome would be unknown.
-        if (exchange.route().kind() != RequestKind.UNSAFE || exchange.runs() == 0) {
+        if (exchange.mayCancel()) {
             mFinisher.callerDisconnected(exchange);
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -76,9 +76,7 @@
         if (remainingMs <= 0
                 || (hasAccount
                         && !mDependencies.control().stateFreshness().isFresh(Clocks.now()))) {
-            mExchange.uncountRun();
-            finish(false);
-            mDependencies.connections().release(mEndpoint.endpoint(), connection);
+            withdraw(connection);
             mRunner.giveUp(
                     mExchange,
                     remainingMs <= 0
@@ -88,9 +86,7 @@
         }
         Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(mExchange);
         if (refusedPart.isPresent()) {
-            mExchange.uncountRun();
-            finish(false);
-            mDependencies.connections().release(mEndpoint.endpoint(), connection);
+            withdraw(connection);
             mRunner.giveUpBlocked(mExchange, refusedPart.get());
             return;
         }
@@ -119,6 +115,13 @@
                 () -> mDependencies.connections().release(mEndpoint.endpoint(), connection));
     }
 
+    /** Ends the attempt before its request is sent; the connection may carry another one. */
+    private void withdraw(EndpointConnection connection) {
+        mExchange.uncountRun();
+        finish(false);
+        mDependencies.connections().release(mEndpoint.endpoint(), connection);
+    }
+
     @Override
     public void head(ResponseHead head) {
         mDependencies.failureDetector().noteResponse(mEndpoint, head);
