Crashing parts: periodic work where it belongs, answers go to the sender

The list of the other instances was built from all members ten times a second and each message looked its receiver up in it; it is built when the members change. Evidence was expired and blocked parts were offered to the control thread ten times a second; both are done with the other work of each second, and a new block is still written at once. EvidenceGossip.handle returns the answer instead of a list of at most one message with its receiver.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -45,6 +47,8 @@
     private final Runnable mOnBlocked;
     private final CrashingParts mParts = new CrashingParts();
     private final EvidenceGossip mGossip;
+    private List<Member> mMembers = List.of();
+    private Map<InstanceId, Member> mOthers = Map.of();
     private Set<String> mBlocked = Set.of();
     private volatile List<PartEvidence> mBlockedEvidence = List.of();
 
@@ -147,22 +151,31 @@
         return blocked;
     }
 
-    /** Sends what is due to the other instances and updates the store. */
+    /** Sends what is due to the other instances. */
     void tick(long nowMs) {
-        GatewaySnapshot snapshot = mSnapshot.get();
-        send(mGossip.tick(others(snapshot), nowMs), snapshot);
+        Map<InstanceId, Member> others = others();
+        for (EvidenceGossip.Send send : mGossip.tick(others.keySet(), nowMs)) {
+            mNetwork.send(PeerAddress.ofForwards(others.get(send.to())), send.message());
+        }
+    }
+
+    /** Drops old evidence, and writes blocked parts to the store that it does not have yet. */
+    void maintain(long nowMs) {
         if (mParts.size() > 0) {
             mParts.expire(nowMs);
             noteChanges("expiry");
-        }
-        if (!mBlocked.isEmpty()) {
-            mStore.retain(
-                    mParts.blocked(nowMs).stream()
-                            .filter(evidence -> storesPart(evidence.part(), snapshot))
-                            .toList());
+            storeBlocked();
         }
     }
 
+    private void storeBlocked() {
+        GatewaySnapshot snapshot = mSnapshot.get();
+        mStore.retain(
+                mBlockedEvidence.stream()
+                        .filter(evidence -> storesPart(evidence.part(), snapshot))
+                        .toList());
+    }
+
     /** Returns whether this instance writes a blocked part to the store. */
     private boolean storesPart(String part, GatewaySnapshot snapshot) {
         return isFirst(part, snapshot, Member::canHoldDuties);
@@ -178,40 +191,35 @@
                 .orElse(false);
     }
 
-    private static List<InstanceId> others(GatewaySnapshot snapshot) {
-        return snapshot.members().stream()
-                .filter(member -> member.state() != MemberState.DEAD)
-                .map(Member::id)
-                .filter(id -> !id.equals(snapshot.self().id()))
-                .toList();
-    }
-
-    private void send(List<EvidenceGossip.Send> sends, GatewaySnapshot snapshot) {
-        for (EvidenceGossip.Send each : sends) {
-            snapshot.members().stream()
-                    .filter(member -> member.id().equals(each.to()))
-                    .findFirst()
-                    .ifPresent(
-                            member ->
-                                    mNetwork.send(PeerAddress.ofForwards(member), each.message()));
+    /** Returns the other instances that are not known to be dead, by id. */
+    private Map<InstanceId, Member> others() {
+        GatewaySnapshot snapshot = mSnapshot.get();
+        if (snapshot.members() != mMembers) {
+            mMembers = snapshot.members();
+            mOthers =
+                    mMembers.stream()
+                            .filter(member -> member.state() != MemberState.DEAD)
+                            .filter(member -> !member.id().equals(snapshot.self().id()))
+                            .collect(Collectors.toMap(Member::id, Function.identity()));
         }
+        return mOthers;
     }
 
     /** Handles a message about crashing parts; returns false for other messages. */
     boolean handle(Member from, PeerMessage message) {
         long nowMs = Clocks.steadyMs();
-        GatewaySnapshot snapshot = mSnapshot.get();
+        Optional<PeerMessage> answer;
         if (message instanceof PeerMessage.PartEvidenceDigest digest) {
-            send(mGossip.handle(from.id(), digest, nowMs), snapshot);
-            return true;
-        }
-        if (message instanceof PeerMessage.PartEvidenceReport report) {
+            answer = mGossip.handle(digest, nowMs);
+        } else if (message instanceof PeerMessage.PartEvidenceReport report) {
             mMetrics.counter("part_evidence_received").inc(report.evidence().size());
-            send(mGossip.handle(from.id(), report, others(snapshot).size(), nowMs), snapshot);
+            answer = mGossip.handle(report, others().size(), nowMs);
             noteChanges(from.id().value());
-            return true;
+        } else {
+            return false;
         }
-        return false;
+        answer.ifPresent(reply -> mNetwork.send(PeerAddress.ofForwards(from), reply));
+        return true;
     }
 
     /** Logs the parts that are blocked or allowed since the last call, and reports the former. */
@@ -239,6 +247,7 @@
             mStore.remove(part, storesPart(part, mSnapshot.get()));
         }
         if (!added.isEmpty()) {
+            storeBlocked();
             mOnBlocked.run();
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -387,6 +387,7 @@
             Set<EndpointId> registered = registeredEndpoints();
             mConnections.tick(registered);
             mEndpointTable.expireLimits(nowMs);
+            mCrashingParts.maintain(nowMs);
             mCallerServer.closeIdle(isRefusing());
         }
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
@@ -30,7 +32,7 @@
     private final CrashingParts mParts;
     private final InstanceId mSelf;
     private final Map<String, PartEvidence> mChanged = new LinkedHashMap<>();
-    private List<InstanceId> mOthers = List.of();
+    private Set<InstanceId> mOthers = Set.of();
     private List<InstanceId> mPartners = List.of();
     private int mNextPartner;
     private long mNextExchangeMs = Long.MIN_VALUE;
@@ -59,7 +61,7 @@
      *
      * @param others the other running instances
      */
-    public List<Send> tick(List<InstanceId> others, long nowMs) {
+    public List<Send> tick(Set<InstanceId> others, long nowMs) {
         List<Send> sends = new ArrayList<>();
         if (others.isEmpty()) {
             return sends;
@@ -84,37 +86,34 @@
      * Returns the instances that this one sends to. They stay the same while the instances do, so
      * that the number of connections does not grow with the number of instances.
      */
-    private List<InstanceId> partners(List<InstanceId> others) {
+    private List<InstanceId> partners(Set<InstanceId> others) {
         if (!others.equals(mOthers)) {
-            mOthers = List.copyOf(others);
             mPartners =
-                    RendezvousHashing.rank(mSelf.value(), mOthers, InstanceId::value).stream()
+                    RendezvousHashing.rank(mSelf.value(), others, InstanceId::value).stream()
                             .limit(MAX_PARTNERS)
                             .toList();
         }
+        mOthers = others;
         return mPartners;
     }
 
-    /** Handles a digest and returns the answer. */
-    public List<Send> handle(InstanceId from, PeerMessage.PartEvidenceDigest message, long nowMs) {
+    /** Handles a digest of another instance and returns the answer to it, if any. */
+    public Optional<PeerMessage> handle(PeerMessage.PartEvidenceDigest message, long nowMs) {
         return message.digest() == mParts.digest()
-                ? List.of()
-                : List.of(
-                        new Send(
-                                from,
-                                new PeerMessage.PartEvidenceReport(mParts.evidence(nowMs), true)));
+                ? Optional.empty()
+                : Optional.of(new PeerMessage.PartEvidenceReport(mParts.evidence(nowMs), true));
     }
 
     /**
-     * Merges the evidence of another instance and returns the answer; what has changed is sent on
-     * with the next tick if there are more instances than the sender could reach itself, or if this
-     * instance has added to it.
+     * Merges the evidence of another instance and returns the answer to it, if any; what has
+     * changed is sent on with the next tick if there are more instances than the sender could reach
+     * itself, or if this instance has added to it.
      *
-     * @param instances the number of other running instances
+     * @param others the number of other running instances
      */
-    public List<Send> handle(
-            InstanceId from, PeerMessage.PartEvidenceReport message, int instances, long nowMs) {
-        boolean sendsOn = instances > MAX_PARTNERS;
+    public Optional<PeerMessage> handle(
+            PeerMessage.PartEvidenceReport message, int others, long nowMs) {
+        boolean sendsOn = others > MAX_PARTNERS;
         List<PartEvidence> changed = new ArrayList<>();
         for (PartEvidence evidence : message.evidence()) {
             mParts.merge(evidence, nowMs)
@@ -123,10 +122,7 @@
         }
         addChanged(changed);
         return message.answer()
-                ? List.of(
-                        new Send(
-                                from,
-                                new PeerMessage.PartEvidenceReport(mParts.evidence(nowMs), false)))
-                : List.of();
+                ? Optional.of(new PeerMessage.PartEvidenceReport(mParts.evidence(nowMs), false))
+                : Optional.empty();
     }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/crashes/CrashingFleetSimulation.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/crashes/CrashingFleetSimulation.java
@@ -3,8 +3,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -91,6 +93,7 @@
     private final class Instance {
 
         private final InstanceId mId;
+        private final Set<InstanceId> mOthers = new LinkedHashSet<>();
         private CrashingParts mParts = new CrashingParts();
         private EvidenceGossip mGossip;
         private long mOutOfTouchUntilMs;
@@ -145,6 +148,11 @@
         for (int i = 0; i < scenario.instances(); i++) {
             mInstances.add(new Instance(i));
         }
+        mInstances.forEach(
+                instance ->
+                        mInstances.stream()
+                                .filter(each -> each != instance)
+                                .forEach(each -> instance.mOthers.add(each.mId)));
         for (int i = 0; i < Math.max(8, scenario.instances()); i++) {
             mEndpoints.add(new Endpoint());
         }
@@ -283,9 +291,9 @@
         if (instance.mDead) {
             return;
         }
-        List<InstanceId> others =
-                mInstances.stream().filter(each -> each != instance).map(each -> each.mId).toList();
-        deliver(instance, instance.mGossip.tick(others, mNowMs));
+        for (EvidenceGossip.Send send : instance.mGossip.tick(instance.mOthers, mNowMs)) {
+            deliver(instance, instance(send.to()), send.message());
+        }
         for (PartEvidence evidence : instance.mParts.blocked(mNowMs)) {
             mStore.putIfAbsent(evidence.part(), evidence);
             boolean sound = !evidence.part().startsWith("crashing");
@@ -295,15 +303,12 @@
         }
     }
 
-    private void deliver(Instance from, List<EvidenceGossip.Send> sends) {
-        for (EvidenceGossip.Send each : sends) {
-            mMessages++;
-            Instance to = instance(each.to());
-            boolean lost = mScenario.faults() && mRandom.nextInt(10) == 0;
-            if (!lost && !isCut(from) && !isCut(to)) {
-                long delayMs = 1 + mRandom.nextInt(mRandom.nextInt(10) == 0 ? 900 : 100);
-                schedule(mNowMs + delayMs, () -> receive(to, from.mId, each.message()));
-            }
+    private void deliver(Instance from, Instance to, PeerMessage message) {
+        mMessages++;
+        boolean lost = mScenario.faults() && mRandom.nextInt(10) == 0;
+        if (!lost && !isCut(from) && !isCut(to)) {
+            long delayMs = 1 + mRandom.nextInt(mRandom.nextInt(10) == 0 ? 900 : 100);
+            schedule(mNowMs + delayMs, () -> receive(to, from, message));
         }
     }
 
@@ -315,15 +320,18 @@
         return instance.mDead || mNowMs < instance.mCutUntilMs;
     }
 
-    private void receive(Instance to, InstanceId from, PeerMessage message) {
+    private void receive(Instance to, Instance from, PeerMessage message) {
         if (isCut(to)) {
             return;
         }
-        if (message instanceof PeerMessage.PartEvidenceDigest digest) {
-            deliver(to, to.mGossip.handle(from, digest, mNowMs));
-        } else if (message instanceof PeerMessage.PartEvidenceReport report) {
-            deliver(to, to.mGossip.handle(from, report, mInstances.size() - 1, mNowMs));
-        }
+        Optional<PeerMessage> answer =
+                message instanceof PeerMessage.PartEvidenceDigest digest
+                        ? to.mGossip.handle(digest, mNowMs)
+                        : to.mGossip.handle(
+                                (PeerMessage.PartEvidenceReport) message,
+                                to.mOthers.size(),
+                                mNowMs);
+        answer.ifPresent(reply -> deliver(to, from, reply));
     }
 
     private void fault() {
