--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
@@ -58,7 +58,12 @@
                 .subscribe()
                 .with(
                         found -> mContext.runOnContext(ignored -> mStored.complete(found)),
-                        failure -> mContext.runOnContext(ignored -> mReading = false));
+                        failure -> {
+                            LOG.warn(
+                                    "The blocked parts cannot be read from the store.",
+                                    LogField.of("why", failure.getMessage()));
+                            mContext.runOnContext(ignored -> mReading = false);
+                        });
     }
 
     /** Writes the parts that this instance has not written yet; may be called from any thread. */
