A path that only begins like that of the blocked parts is not one of them

DELETE on a path such as /blocked-partsX was taken for the part whose id follows the next character. The list and the lifting of a block are two methods now.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
@@ -84,8 +84,10 @@
             serveDirectory(request);
         } else if (path.equals(METRICS_PATH)) {
             request.response().end(mMetrics.toText());
-        } else if (path.startsWith(BLOCKED_PARTS_PATH) && isOperatorPort(request)) {
-            serveBlockedParts(request, path.substring(BLOCKED_PARTS_PATH.length()));
+        } else if (path.equals(BLOCKED_PARTS_PATH) && isOperatorPort(request)) {
+            listBlockedParts(request);
+        } else if (path.startsWith(BLOCKED_PARTS_PATH + "/") && isOperatorPort(request)) {
+            allowPart(request, path.substring(BLOCKED_PARTS_PATH.length() + 1));
         } else if (path.equals(DUMP_PATH)) {
             mControl.collectState()
                     .thenAccept(state -> request.response().end(Json.writeIndented(state)));
@@ -99,19 +101,19 @@
         return request.localAddress().port() == mSettings.metricsPort();
     }
 
-    /** Lists the blocked prompt parts, or allows the one whose id follows the path again. */
-    private void serveBlockedParts(HttpServerRequest request, String rest) {
-        if (request.method() == HttpMethod.GET && rest.isEmpty()) {
-            request.response()
-                    .putHeader("content-type", "application/json")
-                    .end(Json.writeIndented(mTraffic.blockedParts()));
-        } else if (request.method() == HttpMethod.DELETE && rest.length() > 1) {
-            mTraffic.allowPart(rest.substring(1))
-                    .thenAccept(
-                            allowed -> request.response().setStatusCode(allowed ? 204 : 404).end());
-        } else {
+    private void listBlockedParts(HttpServerRequest request) {
+        request.response()
+                .putHeader("content-type", "application/json")
+                .end(Json.writeIndented(mTraffic.blockedParts()));
+    }
+
+    private void allowPart(HttpServerRequest request, String part) {
+        if (request.method() != HttpMethod.DELETE) {
             request.response().setStatusCode(405).end();
+            return;
         }
+        mTraffic.allowPart(part)
+                .thenAccept(allowed -> request.response().setStatusCode(allowed ? 204 : 404).end());
     }
 
     private boolean isReady() {
