--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ShardOwnershipManager.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ShardOwnershipManager.java
@@ -29,6 +29,7 @@
 import org.filbertrudder.store.KeyValue;
 import org.filbertrudder.store.Store;
 import org.filbertrudder.store.StoreException;
+import org.filbertrudder.store.StoreListing;
 import org.filbertrudder.store.Transaction;
 import org.filbertrudder.store.TransactionResult;
 
@@ -127,6 +128,7 @@
         }
         mReadPending = true;
         mStore.list(StoreKeys.shardsPrefix(mMembership.self().region()))
+                .map(StoreListing::items)
                 .emitOn(this::execute)
                 .subscribe()
                 .with(this::handleOwners, failure -> execute(() -> mReadPending = false));
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/IdempotencyClaims.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/IdempotencyClaims.java
@@ -304,7 +304,9 @@
                                     return isOwnClaim
                                             ? mStore.commit(removal(key, found.get(0)))
                                             : Uni.createFrom()
-                                                    .item(new TransactionResult(true, List.of()));
+                                                    .item(
+                                                            new TransactionResult(
+                                                                    mStore.era(), true, List.of()));
                                 });
         retryInBackground(removal, "An unused claim cannot be removed.");
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.filbertrudder.entry.control.CrashReportRegistry;
 import org.filbertrudder.entry.log.ComponentLogger;
@@ -424,6 +425,14 @@
         return mTokenReservations;
     }
 
+    /** Registers the newest era of the store and the decisions about received states. */
+    public void registerMetrics(BiConsumer<String, Supplier<Long>> registry) {
+        registry.accept("store_era", () -> mSource.era().number());
+        registry.accept("states_passed_over", mFollower.decisions()::passedOver);
+        registry.accept(
+                "states_confirmed_in_other_era", mFollower.decisions()::confirmedInOtherEra);
+    }
+
     /** Returns the counters of the control messages between instances. */
     public PeerCounters peerCounters() {
         return mNetwork.counters();
@@ -479,7 +488,8 @@
                                         mStateFreshness.ageMs(Clocks.now()),
                                         mFollower.endpoints(),
                                         mShares.levels(Clocks.steadyMs()),
-                                        mSource.calls())));
+                                        mSource.calls(),
+                                        mSource.era())));
         return result;
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControlState.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControlState.java
@@ -5,6 +5,7 @@
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.store.StoreCallCounts;
+import org.filbertrudder.store.StoreEra;
 
 /**
  * Holds the control state of an instance for the state dump.
@@ -16,6 +17,7 @@
  * @param endpoints the registered endpoints
  * @param allowances the tokens that this instance can grant now, by client account
  * @param storeCalls the number of calls to the store since the start
+ * @param storeEra the newest era of the store that a response has reported
  */
 public record GatewayControlState(
         List<Member> members,
@@ -23,4 +25,5 @@
         long stateAgeMs,
         List<EndpointAvailability> endpoints,
         Map<AccountId, Double> allowances,
-        StoreCallCounts storeCalls) {}
+        StoreCallCounts storeCalls,
+        StoreEra storeEra) {}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -11,6 +11,7 @@
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.config.ServiceRule;
+import org.filbertrudder.gateway.control.StateDecisionLog.Decision;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InvalidValueException;
@@ -83,6 +84,7 @@
     private final StateFreshness mStateFreshness;
     private final Listener mListener;
     private final EndpointRegistry mRegistry;
+    private final StateDecisionLog mDecisions = new StateDecisionLog();
     private final Map<Long, ClockReading> mPeerRequestTimes = new HashMap<>();
     private final List<Runnable> mConfirmationWaiters = new ArrayList<>();
     private OperatorState mState = OperatorState.NONE;
@@ -187,6 +189,7 @@
      * applied.
      */
     private void applyState(OperatorState state, ClockReading requestedAt, String source) {
+        logDecision(state, requestedAt, source);
         if (state.revision() > mState.revision()
                 && !applyConfiguration(state, requestedAt, source)) {
             return;
@@ -201,6 +204,21 @@
         }
     }
 
+    private void logDecision(OperatorState state, ClockReading requestedAt, String source) {
+        Decision decision = Decision.CONFIRMED;
+        if (state.revision() != mState.revision()) {
+            decision =
+                    state.revision() > mState.revision() ? Decision.APPLIED : Decision.PASSED_OVER;
+        }
+        mDecisions.log(
+                decision,
+                state,
+                mState,
+                mConfiguration == null ? 0 : mConfiguration.version(),
+                source,
+                Clocks.steadyMs() - requestedAt.steadyMs());
+    }
+
     private boolean applyConfiguration(
             OperatorState state, ClockReading requestedAt, String source) {
         GatewayConfiguration configuration;
@@ -224,7 +242,9 @@
     }
 
     private void applyEvacuations(Map<FailureDomainId, Long> evacuations, String source) {
-        mState = new OperatorState(mState.revision(), mState.configuration(), evacuations);
+        mState =
+                new OperatorState(
+                        mState.era(), mState.revision(), mState.configuration(), evacuations);
         if (mRegistry.setEvacuated(evacuations.keySet(), Clocks.steadyMs())) {
             LOG.info(
                     "The evacuated failure domains have changed.",
@@ -336,7 +356,8 @@
                         requestedAt.steadyMs() - reply.ageMs(),
                         requestedAt.wallMs() - reply.ageMs());
         applyState(
-                new OperatorState(reply.revision(), reply.configuration(), evacuations),
+                new OperatorState(
+                        mState.era(), reply.revision(), reply.configuration(), evacuations),
                 asOf,
                 "peer");
         if (reply.endpointsAgeMs() >= 0 && reply.endpointsAgeMs() < MAX_SHARED_ENDPOINTS_AGE_MS) {
@@ -390,6 +411,11 @@
         return mState.revision();
     }
 
+    /** Returns the record of the decisions about received states. */
+    StateDecisionLog decisions() {
+        return mDecisions;
+    }
+
     List<EndpointAvailability> endpoints() {
         return mRegistry.availabilities();
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
@@ -9,6 +9,7 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.store.StoreCallCounts;
+import org.filbertrudder.store.StoreEra;
 
 /**
  * Reads the operators' state and the registered endpoints and instances from the store, and
@@ -56,6 +57,9 @@
     /** Deletes a stored prompt part. */
     Uni<Void> deleteBlockedPart(String part);
 
+    /** Returns the newest era of the store that a response has reported. */
+    StoreEra era();
+
     /** Returns the number of calls to the store since the start. */
     StoreCallCounts calls();
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -245,6 +245,7 @@
         mMetrics.gauge("endpoint_connections_opened", mConnections::opened);
         mMetrics.gauge("crash_reports_received", mControl.crashReports()::received);
         mMetrics.gauge("crash_reports_forwarded", mControl.crashReports()::forwarded);
+        mControl.registerMetrics((name, value) -> mMetrics.gauge(name, value::get));
         mMetrics.peerTraffic("control", mControl.peerCounters());
         mMetrics.peerTraffic("forwards", mNetwork.counters());
     }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -20,6 +20,7 @@
 import org.filbertrudder.policy.freshness.ClockReading;
 import org.filbertrudder.policy.freshness.StateFreshness;
 import org.filbertrudder.store.StoreCallCounts;
+import org.filbertrudder.store.StoreEra;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -69,7 +70,10 @@
     }
 
     private void respond(int read, long revision, String configuration) {
-        mStoreResponses.get(read).complete(new OperatorState(revision, configuration, Map.of()));
+        mStoreResponses
+                .get(read)
+                .complete(
+                        new OperatorState(StoreEra.UNREPORTED, revision, configuration, Map.of()));
         onContext(() -> {});
     }
 
@@ -262,6 +266,11 @@
             return Uni.createFrom().voidItem();
         }
 
+        @Override
+        public StoreEra era() {
+            return StoreEra.UNREPORTED;
+        }
+
         @Override
         public StoreCallCounts calls() {
             return new StoreCallCounts(0, 0, 0, 0);
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
@@ -62,10 +62,11 @@
     }
 
     @Override
-    public Uni<List<KeyValue>> list(String prefix) {
+    public Uni<StoreListing> list(String prefix) {
         mReads.incrementAndGet();
         return call("/v3/kv/range", prefixRange(prefix))
-                .map(response -> keyValues(response.getJsonArray("kvs")));
+                .map(response -> keyValues(response.getJsonArray("kvs")))
+                .map(found -> new StoreListing(StoreEra.UNREPORTED, found));
     }
 
     @Override
@@ -149,7 +150,7 @@
                 currentValues.addAll(keyValues(read.getJsonArray("kvs")));
             }
         }
-        return new TransactionResult(succeeded, currentValues);
+        return new TransactionResult(StoreEra.UNREPORTED, succeeded, currentValues);
     }
 
     private Uni<JsonObject> call(String path, JsonObject body) {
@@ -230,6 +231,11 @@
         }
     }
 
+    @Override
+    public StoreEra era() {
+        return StoreEra.UNREPORTED;
+    }
+
     @Override
     public StoreCallCounts callCounts() {
         return new StoreCallCounts(mReads.get(), mWrites.get(), mWatches.get(), mFailures.get());
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
@@ -11,7 +11,7 @@
     Uni<List<KeyValue>> get(String key);
 
     /** Reads all keys with a prefix, in ascending order. */
-    Uni<List<KeyValue>> list(String prefix);
+    Uni<StoreListing> list(String prefix);
 
     /** Reads the keys with a prefix that are equal to or greater than a key, in ascending order. */
     Uni<List<KeyValue>> listFrom(String fromKey, String prefix);
@@ -41,6 +41,9 @@
      */
     Runnable watch(String prefix, Consumer<KeyValue> onPut, Runnable onEnd);
 
+    /** Returns the newest era of the store that a response has reported. */
+    StoreEra era();
+
     /** Returns the number of calls so far, by kind. */
     StoreCallCounts callCounts();
 }
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/TransactionResult.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/TransactionResult.java
@@ -5,7 +5,8 @@
 /**
  * Holds the outcome of a transaction.
  *
+ * @param era the era of the store in which the transaction was executed
  * @param succeeded whether the conditions were met and the writes took effect
  * @param currentValues the keys that were read because a condition was not met
  */
-public record TransactionResult(boolean succeeded, List<KeyValue> currentValues) {}
+public record TransactionResult(StoreEra era, boolean succeeded, List<KeyValue> currentValues) {}
