Failing test: confirmed changes are not in force after the store returns from a copy

The stand-in of the store can return from a copy: what was written since is lost, leases too, revisions and leases are issued again, watches end with 410, the era rises; operators and replicas write again when told.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -11,8 +11,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.filbertrudder.gateway.BoundSettings;
@@ -56,6 +58,7 @@
     private final Map<String, ReplicaStandIn> mReplicas = new TreeMap<>();
     private final Map<FailureDomainId, RegionId> mRegionByDomain;
     private final Map<String, String> mAccountByApiKey = new HashMap<>();
+    private final Set<String> mAddedRoutes = new ConcurrentSkipListSet<>();
     private double mRatePerSecond;
     private long mConfigurationVersion;
 
@@ -104,6 +107,14 @@
         return mAccountByApiKey;
     }
 
+    /**
+     * Returns the path prefixes of further routes to the booking service that may be repeated.
+     * Changes to the set take effect with the next version of the configuration.
+     */
+    public Set<String> addedRoutes() {
+        return mAddedRoutes;
+    }
+
     /** Sets the token rate and burst of each account from the next configuration version on. */
     public void setRatePerSecond(double ratePerSecond) {
         mRatePerSecond = ratePerSecond;
@@ -217,9 +228,10 @@
     }
 
     /**
-     * Writes the next version of the configuration to the store, with or without the booking route.
+     * Writes the next version of the configuration to the store, with or without the booking route,
+     * and returns the version.
      */
-    public void writeConfiguration(boolean withBookingRoute) {
+    public long writeConfiguration(boolean withBookingRoute) {
         ObjectNode root = Json.MAPPER.createObjectNode().put("version", ++mConfigurationVersion);
         ArrayNode routes = root.putArray("routes");
         addRoute(routes, "/chat/", "stream", MODEL_SERVICE, false)
@@ -232,6 +244,7 @@
                 .add("mtl");
         addRoute(routes, "/stock/", "safe", BOOKING_SERVICE, false);
         addRoute(routes, "/open/", "safe", BOOKING_SERVICE, true);
+        mAddedRoutes.forEach(prefix -> addRoute(routes, prefix, "safe", BOOKING_SERVICE, false));
         if (withBookingRoute) {
             addRoute(routes, "/book/", "unsafe", BOOKING_SERVICE, false).put("attempts", 1);
         }
@@ -260,6 +273,17 @@
                 .sorted()
                 .forEach(name -> addAccount(accounts, name));
         mStore.put("op/config", root.toString());
+        return mConfigurationVersion;
+    }
+
+    /** Requests in the store that nothing more be sent to the replicas of a failure domain. */
+    public void evacuate(String domain) {
+        mStore.put("op/evacuate/" + domain, "{}");
+    }
+
+    /** Ends the evacuation of a failure domain. */
+    public void endEvacuation(String domain) {
+        mStore.delete("op/evacuate/" + domain);
     }
 
     private static ObjectNode addRoute(
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
@@ -17,10 +17,17 @@
 import java.util.TreeMap;
 import org.filbertrudder.model.Json;
 
-/** Simulates the platform's metadata store over HTTP; runs on one event loop. */
+/**
+ * Simulates the platform's metadata store over HTTP; runs on one event loop.
+ *
+ * <p>The store can return from a copy. All that was written since the copy is lost, with its
+ * leases; revisions and leases are issued again, and the era rises by one. Operators and replicas
+ * write again what they had written when {@link #writeAgain} is called.
+ */
 public final class KvStoreStandIn {
 
     private static final int MAX_PAGE_ITEMS = 500;
+    private static final String ERA_HEADER = "Store-Era";
 
     private final Vertx mVertx;
     private final String mHost;
@@ -28,9 +35,14 @@
     private final Map<Long, Lease> mLeases = new HashMap<>();
     private final List<Event> mEventHistory = new ArrayList<>();
     private final List<Watch> mPendingWatches = new ArrayList<>();
+
+    /** What operators and replicas have written last, by key; encoded as Base64. */
+    private final TreeMap<String, String> mExternalValues = new TreeMap<>();
+
     private long mRevision = 1;
     private long mNextLeaseId = 1;
     private long mHistoryStartRevision = 1;
+    private volatile long mEra = 1;
     private volatile Mode mMode = Mode.SERVING;
     private HttpServer mServer;
 
@@ -64,14 +76,65 @@
 
     /** Writes a value, as an operator or a replica would. */
     public synchronized void put(String key, String value) {
-        put(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)), 0);
+        String base64 = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
+        mExternalValues.put(key, base64);
+        put(key, base64, 0);
     }
 
     /** Deletes a key, as an operator or a replica would. */
     public synchronized void delete(String key) {
+        mExternalValues.remove(key);
         remove(key);
     }
 
+    /** Returns a copy of the store from which it can be restored later. */
+    public synchronized Copy copy() {
+        return new Copy(this);
+    }
+
+    /**
+     * Replaces the content of the store by a copy and begins a new era. Pending watches end with
+     * status 410, and the leases of the copy start to run.
+     */
+    public synchronized void restore(Copy copy) {
+        mItems.clear();
+        mItems.putAll(copy.mItems);
+        mLeases.clear();
+        copy.mLeaseTtlsMs.forEach(
+                (id, ttlMs) -> {
+                    mLeases.put(id, new Lease(ttlMs));
+                    restartLeaseTimer(id);
+                });
+        mEventHistory.clear();
+        mEventHistory.addAll(copy.mEventHistory);
+        mRevision = copy.mRevision;
+        mNextLeaseId = copy.mNextLeaseId;
+        mEra++;
+        endPendingWatches();
+    }
+
+    /** Writes again what operators and replicas had written or deleted and the copy lacks. */
+    public synchronized void writeAgain() {
+        List<String> deleted =
+                mItems.keySet().stream()
+                        .filter(key -> key.startsWith("op/") || key.startsWith("servers/"))
+                        .filter(key -> !mExternalValues.containsKey(key))
+                        .toList();
+        deleted.forEach(this::remove);
+        mExternalValues.forEach(
+                (key, value) -> {
+                    Item item = mItems.get(key);
+                    if (item == null || !item.mValue.equals(value)) {
+                        put(key, value, 0);
+                    }
+                });
+    }
+
+    /** Returns the number of watches without a response yet. */
+    public synchronized int pendingWatches() {
+        return mPendingWatches.size();
+    }
+
     /** Returns the keys with a prefix, in ascending order. */
     public synchronized List<String> keys(String prefix) {
         return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
@@ -81,16 +144,25 @@
     public synchronized void compact() {
         mHistoryStartRevision = mRevision;
         mEventHistory.clear();
-        mPendingWatches.forEach(watch -> watch.mRequest.response().setStatusCode(410).end());
+        endPendingWatches();
+    }
+
+    private void endPendingWatches() {
+        mPendingWatches.forEach(watch -> endWithStatus(watch.mRequest, 410));
         mPendingWatches.clear();
     }
 
+    /** Ends a request with a status; the era is the one in which the request is executed. */
+    private void endWithStatus(HttpServerRequest request, int status) {
+        request.response().putHeader(ERA_HEADER, Long.toString(mEra)).setStatusCode(status).end();
+    }
+
     private void handleRequest(HttpServerRequest request) {
         if (mMode == Mode.UNRESPONSIVE) {
             return;
         }
         if (mMode == Mode.REJECTING) {
-            request.response().setStatusCode(503).end();
+            endWithStatus(request, 503);
             return;
         }
         request.body()
@@ -99,7 +171,7 @@
                             try {
                                 dispatch(request, parse(body.toString()));
                             } catch (JsonProcessingException | NumberFormatException e) {
-                                request.response().setStatusCode(400).end(e.getMessage());
+                                endWithStatus(request, 400);
                             }
                         });
     }
@@ -124,9 +196,9 @@
             renewLease(request, leaseId(path));
         } else if (path.startsWith("/kv-lease-end/") && request.method() == HttpMethod.DELETE) {
             endLease(leaseId(path));
-            request.response().end();
+            endWithStatus(request, 200);
         } else {
-            request.response().setStatusCode(404).end();
+            endWithStatus(request, 404);
         }
     }
 
@@ -134,9 +206,10 @@
         return Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
     }
 
-    private static void respond(HttpServerRequest request, int status, JsonNode body) {
+    private void respond(HttpServerRequest request, int status, JsonNode body) {
         request.response()
                 .setStatusCode(status)
+                .putHeader(ERA_HEADER, Long.toString(mEra))
                 .putHeader("content-type", "application/json")
                 .end(body.toString());
     }
@@ -166,7 +239,7 @@
 
     private void watch(HttpServerRequest request) {
         long afterRevision = Long.parseLong(request.getParam("after", "0"));
-        if (afterRevision < mHistoryStartRevision - 1) {
+        if (afterRevision < mHistoryStartRevision - 1 || afterRevision > mRevision) {
             respond(request, 410, Json.MAPPER.createObjectNode());
             return;
         }
@@ -282,12 +355,11 @@
     private void restartLeaseTimer(long id) {
         Lease lease = mLeases.get(id);
         long renewal = ++lease.mRenewals;
-        mVertx.setTimer(lease.mTtlMs, timer -> expireIfNotRenewed(id, renewal));
+        mVertx.setTimer(lease.mTtlMs, timer -> expireIfNotRenewed(id, lease, renewal));
     }
 
-    private synchronized void expireIfNotRenewed(long id, long renewal) {
-        Lease lease = mLeases.get(id);
-        if (lease != null && lease.mRenewals == renewal) {
+    private synchronized void expireIfNotRenewed(long id, Lease lease, long renewal) {
+        if (mLeases.get(id) == lease && lease.mRenewals == renewal) {
             endLease(id);
         }
     }
@@ -319,6 +391,25 @@
 
     private record Event(long revision, String key, ObjectNode json) {}
 
+    /** Holds the content of the store at one moment. */
+    public static final class Copy {
+
+        private final TreeMap<String, Item> mItems;
+        private final Map<Long, Long> mLeaseTtlsMs;
+        private final List<Event> mEventHistory;
+        private final long mRevision;
+        private final long mNextLeaseId;
+
+        private Copy(KvStoreStandIn store) {
+            mItems = new TreeMap<>(store.mItems);
+            mLeaseTtlsMs = new HashMap<>();
+            store.mLeases.forEach((id, lease) -> mLeaseTtlsMs.put(id, lease.mTtlMs));
+            mEventHistory = List.copyOf(store.mEventHistory);
+            mRevision = store.mRevision;
+            mNextLeaseId = store.mNextLeaseId;
+        }
+    }
+
     /** Holds the duration of a lease and the number of its renewals. */
     private static final class Lease {
 
