--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/EntryInstance.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/EntryInstance.java
@@ -25,7 +25,7 @@
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.store.EtcdStore;
 import org.filbertrudder.store.PlatformDirectory;
-import org.filbertrudder.store.Store;
+import org.filbertrudder.store.WatchableStore;
 
 /** Runs one entry instance with one control thread and a number of traffic threads. */
 public final class EntryInstance {
@@ -72,7 +72,7 @@
                 Vertx.vertx(
                         new VertxOptions().setEventLoopPoolSize(1 + mSettings.trafficThreads()));
         mCloser.add(() -> mVertx.close().toCompletionStage().toCompletableFuture());
-        Store store =
+        WatchableStore store =
                 new EtcdStore(
                         mVertx,
                         mSettings.store().host(),
@@ -86,7 +86,7 @@
                 .toCompletableFuture();
     }
 
-    private Future<Void> deployTrafficVerticles(Store store) {
+    private Future<Void> deployTrafficVerticles(WatchableStore store) {
         TrafficContext context =
                 new TrafficContext(mVertx, mControl, store, mMetrics, EntryInstance::monotonicMs);
         Future<Void> deployed = Future.succeededFuture();
@@ -210,9 +210,9 @@
     /** Runs the control loop on its own event loop thread. */
     private final class ControlVerticle extends AbstractVerticle {
 
-        private final Store mStore;
+        private final WatchableStore mStore;
 
-        ControlVerticle(Store store) {
+        ControlVerticle(WatchableStore store) {
             mStore = store;
         }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ConfigurationStore.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ConfigurationStore.java
@@ -11,9 +11,9 @@
 import org.filbertrudder.model.Entity;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.store.KeyValue;
-import org.filbertrudder.store.Store;
 import org.filbertrudder.store.Transaction;
 import org.filbertrudder.store.TransactionResult;
+import org.filbertrudder.store.WatchableStore;
 
 /**
  * Reads and writes the configuration in the platform's store: the root, the changes and the
@@ -23,9 +23,9 @@
 
     private static final int ENTITIES_PER_PART = 1_000;
 
-    private final Store mStore;
+    private final WatchableStore mStore;
 
-    ConfigurationStore(Store store) {
+    ConfigurationStore(WatchableStore store) {
         mStore = store;
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -35,7 +35,7 @@
 import org.filbertrudder.policy.tokens.TokenHolder;
 import org.filbertrudder.policy.tokens.TokenSettings;
 import org.filbertrudder.store.PlatformDirectory;
-import org.filbertrudder.store.Store;
+import org.filbertrudder.store.WatchableStore;
 
 /**
  * Owns the control state of an instance (members, configuration, token shares and orders) and
@@ -50,7 +50,7 @@
     private final Vertx mVertx;
     private final Context mContext;
     private final EntrySettings mSettings;
-    private final Store mStore;
+    private final WatchableStore mStore;
     private final PlatformDirectory mPlatform;
     private final LongSupplier mClockMs;
     private final Map<Class<?>, BiConsumer<PeerConnection, PeerMessage>> mMessageHandlers =
@@ -81,7 +81,7 @@
             Vertx vertx,
             Context context,
             EntrySettings settings,
-            Store store,
+            WatchableStore store,
             PlatformDirectory platform,
             LongSupplier clockMs) {
         mVertx = vertx;
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
@@ -22,7 +22,7 @@
 import java.util.function.Consumer;
 
 /** Accesses the store through the JSON gateway of the etcd v3 API over HTTP. */
-public final class EtcdStore implements Store {
+public final class EtcdStore implements WatchableStore {
 
     private static final int MAX_SUCCESS_STATUS = 299;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
@@ -2,7 +2,6 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.List;
-import java.util.function.Consumer;
 
 /** Accesses the platform's key-value store; failed calls fail with a {@link StoreException}. */
 public interface Store {
@@ -13,9 +12,6 @@
     /** Reads all keys with a prefix, in ascending order. */
     Uni<StoreListing> list(String prefix);
 
-    /** Reads the keys with a prefix that are equal to or greater than a key, in ascending order. */
-    Uni<List<KeyValue>> listFrom(String fromKey, String prefix);
-
     /**
      * Creates a lease that expires after a time in seconds unless renewed; returns the lease id.
      */
@@ -30,17 +26,6 @@
     /** Executes a transaction atomically. */
     Uni<TransactionResult> commit(Transaction transaction);
 
-    /**
-     * Watches the keys with a prefix until closed, and reports when the watch ends for another
-     * reason.
-     *
-     * @param prefix the prefix of the watched keys
-     * @param onPut called with each key that is written; deletions are not reported
-     * @param onEnd called once when the watch ends, unless the returned action ended the watch
-     * @return an action that closes the watch
-     */
-    Runnable watch(String prefix, Consumer<KeyValue> onPut, Runnable onEnd);
-
     /** Returns the newest era of the store that a response has reported. */
     StoreEra era();
 
