Follow the newest version of the operators, whatever revision the store gives it

Cause: a number of one history of the store was taken for a name and an order for ever. A state with a lower revision than the one known was passed over as old and confirmed nothing (H1); "unchanged" for a revision that had been issued again confirmed another document (H2); peers compared revisions of different histories (H3).

Configurations are now ordered by their own version (OperatorStateTracker), never by the store's revision; "unchanged" counts in the era in which the state was read, else all is read again. For 1 s after the era has changed an answer confirms nothing, as it may lack what was acknowledged; a store with an older version than the one in force confirms nothing for 10 s; an evacuation that is missing for 2.5 s may have been lost and stays. An instance that starts asks its peers before it follows what it has read (PeerConsultation), as the store may have lost what they know. Messages between instances carry version and eras; those of earlier releases are understood.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -77,8 +77,6 @@
      */
     private static final long RETRY_DELAY_MS = 500;
 
-    private static final int MAX_STATE_REQUEST_TARGETS = 2;
-
     /** One relay suffices, as an instance that its relay does not update reads the store itself. */
     private static final int RELAYS_PER_FAILURE_DOMAIN = 1;
 
@@ -363,8 +361,7 @@
                         sendTo(from, new PeerMessage.MemberUpdates(mMembership.members())));
         registerHandler(
                 PeerMessage.OperatorStateRequest.class,
-                (from, message) ->
-                        mFollower.answer(message).ifPresent(reply -> sendTo(from, reply)));
+                (from, message) -> sendTo(from, mFollower.answer(message)));
         registerHandler(
                 PeerMessage.OperatorStateReply.class, (from, message) -> mFollower.handle(message));
         registerHandler(
@@ -429,8 +426,8 @@
     public void registerMetrics(BiConsumer<String, Supplier<Long>> registry) {
         registry.accept("store_era", () -> mSource.era().number());
         registry.accept("states_passed_over", mFollower.decisions()::passedOver);
-        registry.accept(
-                "states_confirmed_in_other_era", mFollower.decisions()::confirmedInOtherEra);
+        registry.accept("configuration_version", mFollower::version);
+        registry.accept("states_unconfirmed", mFollower.decisions()::unconfirmed);
     }
 
     /** Returns the counters of the control messages between instances. */
@@ -526,17 +523,33 @@
         }
 
         @Override
-        public void sendToPeers(PeerMessage.OperatorStateRequest request) {
+        public boolean mayHavePeers() {
+            boolean isAloneInStore =
+                    mRegisteredInstances != null
+                            && mRegisteredInstances.stream().allMatch(this::isSelf);
+            return !isAloneInStore
+                    || !mSettings.seeds().isEmpty()
+                    || mMembership.members().size() > 1;
+        }
+
+        private boolean isSelf(Member member) {
+            return member.id().equals(mSettings.id());
+        }
+
+        @Override
+        public int sendToPeers(PeerMessage.OperatorStateRequest request, int maxPeers) {
             List<Member> candidates =
                     new ArrayList<>(
                             mMembership.members().stream()
                                     .filter(Member::acceptsNewRequests)
-                                    .filter(member -> !member.id().equals(mSettings.id()))
+                                    .filter(member -> !isSelf(member))
                                     .toList());
-            for (int i = 0; i < MAX_STATE_REQUEST_TARGETS && !candidates.isEmpty(); i++) {
+            int sent = 0;
+            for (; sent < maxPeers && !candidates.isEmpty(); sent++) {
                 Member chosen = candidates.remove(mRandom.nextInt(candidates.size()));
                 mNetwork.send(PeerAddress.of(chosen), request);
             }
+            return sent;
         }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControlState.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControlState.java
@@ -3,9 +3,9 @@
 import java.util.List;
 import java.util.Map;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.store.StoreCallCounts;
-import org.filbertrudder.store.StoreEra;
 
 /**
  * Holds the control state of an instance for the state dump.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/OperatorState.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/OperatorState.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import org.filbertrudder.model.FailureDomainId;
-import org.filbertrudder.store.StoreEra;
+import org.filbertrudder.model.StoreEra;
 
 /**
  * Holds the configuration and the evacuations that operators have written, from one store response.
@@ -24,8 +24,8 @@
         evacuations = Map.copyOf(evacuations);
     }
 
-    /** Returns the same revisions and documents as found in another era. */
-    public OperatorState inEra(StoreEra other) {
-        return new OperatorState(other, revision, configuration, evacuations);
+    /** Returns whether this state was read no earlier in the history of the store than another. */
+    boolean isAtLeastAsNewAs(OperatorState other) {
+        return era.equals(other.era) ? revision >= other.revision : era.isAfter(other.era);
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateDecisionLog.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateDecisionLog.java
@@ -3,63 +3,61 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
-import org.filbertrudder.store.StoreEra;
+import org.filbertrudder.policy.freshness.OperatorStateTracker.Verdict;
+import org.filbertrudder.policy.freshness.StorePosition;
 
 /**
- * Logs why a state from the store or from a peer was applied, taken as a confirmation or passed
- * over. Consecutive equal decisions are logged once.
+ * Logs whether a state from the store or from a peer was followed and whether it confirmed the
+ * state in force. Consecutive equal decisions are logged once.
  */
 final class StateDecisionLog {
 
     private static final ComponentLogger LOG = ComponentLogger.of("state");
 
     private final AtomicLong mPassedOver = new AtomicLong();
-    private final AtomicLong mConfirmedInOtherEra = new AtomicLong();
+    private final AtomicLong mUnconfirmed = new AtomicLong();
     private Entry mLast;
 
-    /** Lists the decisions about a state. */
-    enum Decision {
-        APPLIED,
-        CONFIRMED,
-        PASSED_OVER
-    }
-
     /** Holds the values of a logged decision except those that differ each time. */
     private record Entry(
-            Decision decision,
-            StoreEra era,
-            long revision,
-            StoreEra knownEra,
-            long knownRevision) {}
+            Verdict verdict, boolean confirms, StorePosition found, StorePosition known) {}
 
-    /** Logs a decision about a state, given the state known before. */
+    /**
+     * Logs a decision.
+     *
+     * @param confirms whether the state proves that no newer one existed
+     * @param found where the state was read
+     * @param known where the state in force before was read
+     * @param source who sent the state
+     * @param ageMs the time since the state was complete, in milliseconds
+     */
     void log(
-            Decision decision,
-            OperatorState state,
-            OperatorState known,
-            long knownVersion,
+            Verdict verdict,
+            boolean confirms,
+            StorePosition found,
+            StorePosition known,
             String source,
             long ageMs) {
-        boolean otherEra = !state.era().equals(known.era());
-        if (decision == Decision.PASSED_OVER) {
+        if (verdict == Verdict.OLDER) {
             mPassedOver.incrementAndGet();
-        } else if (decision == Decision.CONFIRMED && otherEra) {
-            mConfirmedInOtherEra.incrementAndGet();
         }
-        Entry entry =
-                new Entry(decision, state.era(), state.revision(), known.era(), known.revision());
-        boolean isRoutine = decision == Decision.CONFIRMED && !otherEra;
+        if (!confirms) {
+            mUnconfirmed.incrementAndGet();
+        }
+        Entry entry = new Entry(verdict, confirms, found, known);
+        boolean isRoutine = verdict == Verdict.SAME && confirms && found.equals(known);
         if (!isRoutine && !entry.equals(mLast)) {
             LOG.info(
                     "A state was received.",
-                    LogField.of("decision", decision),
+                    LogField.of("verdict", verdict),
+                    LogField.of("confirms", confirms),
                     LogField.of("from", source),
-                    LogField.of("era", state.era()),
-                    LogField.of("revision", state.revision()),
-                    LogField.of("evacuations", state.evacuations()),
+                    LogField.of("era", found.era()),
+                    LogField.of("revision", found.revision()),
+                    LogField.of("version", found.version()),
                     LogField.of("knownEra", known.era()),
                     LogField.of("knownRevision", known.revision()),
-                    LogField.of("knownVersion", knownVersion),
+                    LogField.of("knownVersion", known.version()),
                     LogField.of("ageMs", ageMs));
         }
         mLast = entry;
@@ -71,10 +69,10 @@
     }
 
     /**
-     * Returns how often a state was confirmed in an era other than that in which it was read; may
-     * be called from any thread.
+     * Returns the number of states that did not confirm the state in force; may be called from any
+     * thread.
      */
-    long confirmedInOtherEra() {
-        return mConfirmedInOtherEra.get();
+    long unconfirmed() {
+        return mUnconfirmed.get();
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -6,19 +6,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.config.ServiceRule;
-import org.filbertrudder.gateway.control.StateDecisionLog.Decision;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
-import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.freshness.ClockReading;
+import org.filbertrudder.policy.freshness.OperatorStateTracker;
+import org.filbertrudder.policy.freshness.OperatorStateTracker.Verdict;
+import org.filbertrudder.policy.freshness.PeerConsultation;
 import org.filbertrudder.policy.freshness.StateFreshness;
+import org.filbertrudder.policy.freshness.StorePosition;
 
 /**
  * Keeps the operators' state and the registered endpoints up to date.
@@ -79,6 +83,9 @@
      */
     private static final long MAX_SHARED_ENDPOINTS_AGE_MS = 2 * ENDPOINT_INTERVAL_MS;
 
+    private static final int ASKED_PEERS = 2;
+    private static final long NOT_CONFIRMED = -1;
+
     private final Context mContext;
     private final StateSource mSource;
     private final StateFreshness mStateFreshness;
@@ -87,8 +94,14 @@
     private final StateDecisionLog mDecisions = new StateDecisionLog();
     private final Map<Long, ClockReading> mPeerRequestTimes = new HashMap<>();
     private final List<Runnable> mConfirmationWaiters = new ArrayList<>();
-    private OperatorState mState = OperatorState.NONE;
-    private ClockReading mStateAsOf;
+    private final OperatorStateTracker mTracker = new OperatorStateTracker();
+    private final PeerConsultation mConsultation = new PeerConsultation();
+    private final CachedConfigurationDecoder mDecoder;
+
+    /** The last response of the store, whose revisions the next request is compared with. */
+    private OperatorState mLastRead = OperatorState.NONE;
+
+    private String mDocument = "";
     private GatewayConfiguration mConfiguration;
     private Map<String, String> mRegistrations = Map.of();
     private long mEndpointsReadMs = Long.MIN_VALUE / 2;
@@ -102,11 +115,13 @@
     private int mPendingEndpointCalls;
     private long mNextPeerRequestId = 1;
     private boolean mStoreUnavailable;
+    private ClockReading mPendingConfirmation;
 
     StateFollower(
             Context context, StateSource source, StateFreshness stateFreshness, Listener listener) {
         mContext = context;
         mSource = source;
+        mDecoder = new CachedConfigurationDecoder(source);
         mStateFreshness = stateFreshness;
         mListener = listener;
         mRegistry = new EndpointRegistry(this::warmupMs);
@@ -122,6 +137,9 @@
     /** Starts the store reads and peer requests that are due. */
     void tick(ClockReading now) {
         long nowMs = now.steadyMs();
+        if (mTracker.noteEra(mSource.era(), nowMs)) {
+            handleNewEra(nowMs);
+        }
         boolean asRelay = mListener.isRelay() || !isReady();
         boolean stateOutdated = mStateFreshness.ageMs(now) > RELAY_TIMEOUT_MS;
         if (nowMs >= mNextRelayRequestMs && !asRelay) {
@@ -141,16 +159,57 @@
             mNextEndpointReadMs = nowMs + (asRelay ? ENDPOINT_INTERVAL_MS : FALLBACK_INTERVAL_MS);
             readEndpoints();
         }
-        if (mStateFreshness.ageMs(now) > ASK_PEERS_AFTER_MS && nowMs >= mNextPeerRequestMs) {
+        if (!mConsultation.hasEnded()) {
+            consultPeers(now);
+        } else if (nowMs >= mNextPeerRequestMs
+                && (mStateFreshness.ageMs(now) > ASK_PEERS_AFTER_MS
+                        || mTracker.isSettling(nowMs))) {
             mNextPeerRequestMs = nowMs + RETRY_DELAY_MS;
-            mListener.sendToPeers(newStateRequest(now));
+            mListener.sendToPeers(newStateRequest(now), ASKED_PEERS);
+        }
+    }
+
+    /** Asks peers for the newest configuration before this instance follows the one it has read. */
+    private void consultPeers(ClockReading now) {
+        endConsultationIfOver(now.steadyMs());
+        if (!mConsultation.hasEnded() && now.steadyMs() >= mNextPeerRequestMs) {
+            mNextPeerRequestMs = now.steadyMs() + RETRY_DELAY_MS;
+            PeerMessage.OperatorStateRequest request = newStateRequest(now);
+            mConsultation.begin(
+                    request.id(), mListener.sendToPeers(request, PeerConsultation.PEERS));
+        }
+    }
+
+    private void endConsultationIfOver(long nowMs) {
+        if (mConsultation.checkEnd(mListener.mayHavePeers(), nowMs)) {
+            endConsultation();
+        }
+    }
+
+    private void endConsultation() {
+        if (mConfiguration != null) {
+            mListener.configurationChanged(mConfiguration);
         }
+        if (mPendingConfirmation != null) {
+            confirm(mPendingConfirmation);
+        }
+    }
+
+    private void handleNewEra(long nowMs) {
+        LOG.warn(
+                "The store has returned from a copy.",
+                LogField.of("era", mTracker.era()),
+                LogField.of("knownEra", mTracker.position().era()),
+                LogField.of("knownRevision", mTracker.position().revision()),
+                LogField.of("knownVersion", mTracker.position().version()));
+        mNextStateReadMs = Math.min(mNextStateReadMs, mLastStateReadMs + MIN_STATE_INTERVAL_MS);
+        mNextPeerRequestMs = nowMs;
     }
 
     private void readState(ClockReading requestedAt) {
         mLastStateReadMs = requestedAt.steadyMs();
         mPendingStateCalls++;
-        mSource.readOperatorState(mState)
+        mSource.readOperatorState(mLastRead)
                 .subscribe()
                 .with(
                         state -> runOnContext(() -> handleState(state, requestedAt)),
@@ -167,7 +226,10 @@
             mStoreUnavailable = false;
             LOG.info("The store answers again.");
         }
-        applyState(state, requestedAt, "store");
+        if (state.isAtLeastAsNewAs(mLastRead)) {
+            mLastRead = state;
+        }
+        applyFromStore(state, requestedAt);
     }
 
     private void handleStateFailure(Throwable failure) {
@@ -184,71 +246,83 @@
         return mListener.isRelay() ? RETRY_DELAY_MS : FALLBACK_INTERVAL_MS;
     }
 
-    /**
-     * Applies a state that was complete at the time of its request, unless a newer one has been
-     * applied.
-     */
-    private void applyState(OperatorState state, ClockReading requestedAt, String source) {
-        logDecision(state, requestedAt, source);
-        if (state.revision() > mState.revision()
-                && !applyConfiguration(state, requestedAt, source)) {
+    /** Applies a response of the store, which was complete at the time of its request. */
+    private void applyFromStore(OperatorState state, ClockReading requestedAt) {
+        Optional<GatewayConfiguration> configuration = mDecoder.decode(state.configuration());
+        if (configuration.isEmpty() && !state.configuration().isEmpty()) {
             return;
         }
-        if (mStateAsOf == null || requestedAt.steadyMs() >= mStateAsOf.steadyMs()) {
-            mStateAsOf = requestedAt;
-            applyEvacuations(state.evacuations(), source);
+        long version = configuration.map(GatewayConfiguration::version).orElse(0L);
+        StorePosition found = new StorePosition(state.era(), state.revision(), version);
+        long nowMs = Clocks.steadyMs();
+        StorePosition known = mTracker.position();
+        Verdict verdict = offer(found, state.configuration(), configuration, requestedAt, "store");
+        boolean confirms = mTracker.confirms(found, requestedAt.steadyMs());
+        mDecisions.log(verdict, confirms, found, known, "store", nowMs - requestedAt.steadyMs());
+        Map<FailureDomainId, StoreEra> evacuations = new HashMap<>();
+        state.evacuations().keySet().forEach(domain -> evacuations.put(domain, state.era()));
+        applyEvacuations(state.era(), evacuations, requestedAt, "store");
+        if (confirms) {
+            confirm(requestedAt);
+        } else if (verdict != Verdict.OLDER) {
+            mNextStateReadMs = Math.min(mNextStateReadMs, mTracker.confirmsFromMs());
         }
-        if (state.revision() >= mState.revision()) {
-            mStateFreshness.confirm(requestedAt, Clocks.now());
+        mConsultation.noteStoreRead(nowMs);
+        endConsultationIfOver(nowMs);
+    }
+
+    /**
+     * Confirms the state in force as of a time; while the peers are asked, only if none of them
+     * turns out to know a newer one.
+     */
+    private void confirm(ClockReading asOf) {
+        if (mConsultation.hasEnded()) {
+            mStateFreshness.confirm(asOf, Clocks.now());
             releaseWaiters();
+        } else {
+            mPendingConfirmation = asOf;
         }
     }
 
-    private void logDecision(OperatorState state, ClockReading requestedAt, String source) {
-        Decision decision = Decision.CONFIRMED;
-        if (state.revision() != mState.revision()) {
-            decision =
-                    state.revision() > mState.revision() ? Decision.APPLIED : Decision.PASSED_OVER;
-        }
-        mDecisions.log(
-                decision,
-                state,
-                mState,
-                mConfiguration == null ? 0 : mConfiguration.version(),
-                source,
-                Clocks.steadyMs() - requestedAt.steadyMs());
-    }
-
-    private boolean applyConfiguration(
-            OperatorState state, ClockReading requestedAt, String source) {
-        GatewayConfiguration configuration;
-        try {
-            configuration = mSource.decodeConfiguration(state.configuration());
-        } catch (InvalidValueException e) {
-            LOG.warn("A configuration cannot be read.", LogField.of("error", e.getMessage()));
-            return false;
+    /** Offers a configuration from the store or a peer, and puts it in force if it is newer. */
+    private Verdict offer(
+            StorePosition found,
+            String document,
+            Optional<GatewayConfiguration> configuration,
+            ClockReading requestedAt,
+            String source) {
+        boolean isSameDocument = document.isEmpty() || document.equals(mDocument);
+        Verdict verdict = mTracker.offer(found, isSameDocument, Clocks.steadyMs());
+        if (verdict == Verdict.NEWER) {
+            mPendingConfirmation = null;
+            mDocument = document;
+            mConfiguration = configuration.orElse(null);
+            LOG.info(
+                    "A configuration is in force.",
+                    LogField.of("version", found.version()),
+                    LogField.of("era", found.era()),
+                    LogField.of("revision", found.revision()),
+                    LogField.of("from", source),
+                    LogField.of("ageMs", Clocks.steadyMs() - requestedAt.steadyMs()),
+                    LogField.of("routes", mConfiguration.routeCount()));
+            if (mConsultation.hasEnded()) {
+                mListener.configurationChanged(mConfiguration);
+            }
         }
-        mState = state;
-        mConfiguration = configuration;
-        LOG.info(
-                "A configuration is in force.",
-                LogField.of("version", configuration.version()),
-                LogField.of("revision", state.revision()),
-                LogField.of("from", source),
-                LogField.of("ageMs", Clocks.steadyMs() - requestedAt.steadyMs()),
-                LogField.of("routes", configuration.routeCount()));
-        mListener.configurationChanged(configuration);
-        return true;
-    }
-
-    private void applyEvacuations(Map<FailureDomainId, Long> evacuations, String source) {
-        mState =
-                new OperatorState(
-                        mState.era(), mState.revision(), mState.configuration(), evacuations);
-        if (mRegistry.setEvacuated(evacuations.keySet(), Clocks.steadyMs())) {
+        return verdict;
+    }
+
+    private void applyEvacuations(
+            StoreEra era,
+            Map<FailureDomainId, StoreEra> evacuations,
+            ClockReading requestedAt,
+            String source) {
+        mTracker.updateEvacuations(era, evacuations, requestedAt.steadyMs(), Clocks.steadyMs());
+        Set<FailureDomainId> evacuated = mTracker.evacuations().keySet();
+        if (mRegistry.setEvacuated(evacuated, Clocks.steadyMs())) {
             LOG.info(
                     "The evacuated failure domains have changed.",
-                    LogField.of("domains", evacuations.keySet()),
+                    LogField.of("domains", evacuated),
                     LogField.of("from", source));
             mListener.endpointsChanged();
         }
@@ -307,64 +381,118 @@
                         requestedAt ->
                                 now.steadyMs() - requestedAt.steadyMs() > PEER_REPLY_TIMEOUT_MS);
         mPeerRequestTimes.put(id, now);
-        return new PeerMessage.OperatorStateRequest(id, mState.revision(), mRegistry.digest());
+        StorePosition known = mTracker.position();
+        return new PeerMessage.OperatorStateRequest(
+                id, known.revision(), mRegistry.digest(), known.version());
     }
 
-    /** Answers the request of a peer; empty if the local state is not confirmed recently enough. */
-    Optional<PeerMessage.OperatorStateReply> answer(PeerMessage.OperatorStateRequest request) {
+    /** Answers the request of a peer. */
+    PeerMessage.OperatorStateReply answer(PeerMessage.OperatorStateRequest request) {
         ClockReading now = Clocks.now();
-        if (!mStateFreshness.isFresh(now) || mState.revision() == 0) {
-            return Optional.empty();
-        }
-        boolean includeConfiguration = mState.revision() > request.revision();
+        StorePosition known = mTracker.position();
+        // An instance of an earlier release states its revision only.
+        boolean hasRevision = request.version() == 0 && request.revision() == known.revision();
+        boolean includeConfiguration = known.version() > request.version() && !hasRevision;
         Map<String, Long> evacuations = new HashMap<>();
-        mState.evacuations()
-                .forEach((domain, revision) -> evacuations.put(domain.value(), revision));
+        mTracker.evacuations()
+                .forEach((domain, era) -> evacuations.put(domain.value(), era.number()));
         long endpointsAgeMs = now.steadyMs() - mEndpointsReadMs;
         boolean includeEndpoints =
                 endpointsAgeMs < MAX_SHARED_ENDPOINTS_AGE_MS
                         && request.endpointsDigest() != mRegistry.digest();
-        return Optional.of(
-                new PeerMessage.OperatorStateReply(
-                        request.id(),
-                        mStateFreshness.ageMs(now),
-                        mState.revision(),
-                        includeConfiguration ? mState.configuration() : "",
-                        evacuations,
-                        includeEndpoints ? mRegistrations : Map.of(),
-                        mRegistry.digest(),
-                        endpointsAgeMs,
-                        mRegistry.isAwaitingReregistration(now.steadyMs())));
+        return new PeerMessage.OperatorStateReply(
+                request.id(),
+                mStateFreshness.isFresh(now) ? mStateFreshness.ageMs(now) : NOT_CONFIRMED,
+                known.revision(),
+                includeConfiguration ? mDocument : "",
+                evacuations,
+                includeEndpoints ? mRegistrations : Map.of(),
+                mRegistry.digest(),
+                endpointsAgeMs,
+                mRegistry.isAwaitingReregistration(now.steadyMs()),
+                known.version(),
+                known.era().number(),
+                mTracker.era().number(),
+                mTracker.eraAgeMs(now.steadyMs()));
     }
 
     /** Applies the state and endpoints in the reply of a peer. */
     void handle(PeerMessage.OperatorStateReply reply) {
         ClockReading requestedAt = mPeerRequestTimes.get(reply.id());
-        if (requestedAt == null || reply.ageMs() < 0 || reply.revision() < mState.revision()) {
+        if (requestedAt == null) {
             return;
         }
-        if (reply.revision() > mState.revision() && reply.configuration().isEmpty()) {
-            return;
+        long nowMs = Clocks.steadyMs();
+        noteEra(reply, nowMs);
+        Optional<GatewayConfiguration> configuration = mDecoder.decode(reply.configuration());
+        long version = configuration.map(GatewayConfiguration::version).orElse(reply.version());
+        StorePosition known = mTracker.position();
+        boolean isUsable =
+                version >= known.version()
+                        && (version == known.version() || configuration.isPresent());
+        if (isUsable) {
+            applyFromPeer(reply, configuration, version, requestedAt);
         }
-        Map<FailureDomainId, Long> evacuations = new HashMap<>();
-        reply.evacuations()
-                .forEach(
-                        (domain, revision) ->
-                                evacuations.put(FailureDomainId.of(domain), revision));
+        boolean knowsState = reply.ageMs() >= 0 || version > known.version();
+        if (mConsultation.handleReply(reply.id(), knowsState)) {
+            endConsultation();
+        }
+    }
+
+    private void noteEra(PeerMessage.OperatorStateReply reply, long nowMs) {
+        StoreEra era = new StoreEra(reply.newestEra());
+        boolean isNew =
+                reply.newestEraAgeMs() < 0
+                        ? mTracker.noteEra(era, nowMs)
+                        : mTracker.noteEraAge(era, reply.newestEraAgeMs(), nowMs);
+        if (isNew) {
+            handleNewEra(nowMs);
+        }
+    }
+
+    private void applyFromPeer(
+            PeerMessage.OperatorStateReply reply,
+            Optional<GatewayConfiguration> configuration,
+            long version,
+            ClockReading requestedAt) {
+        StorePosition known = mTracker.position();
+        StorePosition found =
+                new StorePosition(new StoreEra(reply.era()), reply.revision(), version);
+        long ageMs = Math.max(0, reply.ageMs());
         ClockReading asOf =
-                new ClockReading(
-                        requestedAt.steadyMs() - reply.ageMs(),
-                        requestedAt.wallMs() - reply.ageMs());
-        applyState(
-                new OperatorState(
-                        mState.era(), reply.revision(), reply.configuration(), evacuations),
-                asOf,
-                "peer");
+                new ClockReading(requestedAt.steadyMs() - ageMs, requestedAt.wallMs() - ageMs);
+        boolean isConfirmed =
+                reply.ageMs() >= 0
+                        && mTracker.trusts(
+                                new StoreEra(reply.newestEra()),
+                                reply.newestEraAgeMs(),
+                                asOf.steadyMs());
+        Verdict verdict = offer(found, reply.configuration(), configuration, asOf, "peer");
+        mDecisions.log(
+                verdict, isConfirmed, found, known, "peer", Clocks.steadyMs() - asOf.steadyMs());
+        if (isConfirmed) {
+            applyEvacuations(reply, asOf);
+            confirm(asOf);
+        }
         if (reply.endpointsAgeMs() >= 0 && reply.endpointsAgeMs() < MAX_SHARED_ENDPOINTS_AGE_MS) {
             applyEndpoints(reply, requestedAt.steadyMs() - reply.endpointsAgeMs());
         }
     }
 
+    private void applyEvacuations(PeerMessage.OperatorStateReply reply, ClockReading asOf) {
+        // An instance of an earlier release states no eras.
+        boolean statesEras = reply.newestEra() > 0;
+        StoreEra era = statesEras ? new StoreEra(reply.newestEra()) : mTracker.era();
+        Map<FailureDomainId, StoreEra> evacuations = new HashMap<>();
+        reply.evacuations()
+                .forEach(
+                        (domain, seen) ->
+                                evacuations.put(
+                                        FailureDomainId.of(domain),
+                                        statesEras ? new StoreEra(seen) : era));
+        applyEvacuations(era, evacuations, asOf, "peer");
+    }
+
     /**
      * Applies the endpoint list that a peer read at the given time, unless the local list is at
      * least as new.
@@ -401,14 +529,22 @@
         waiters.forEach(Runnable::run);
     }
 
-    /** Returns the configuration in force; null until the first one has been read. */
+    /**
+     * Returns the configuration in force; null until one has been read and the peers have been
+     * asked for a newer one.
+     */
     GatewayConfiguration configuration() {
-        return mConfiguration;
+        return mConsultation.hasEnded() ? mConfiguration : null;
     }
 
     /** Returns the store revision of the configuration in force; 0 until the first one was read. */
     long revision() {
-        return mState.revision();
+        return mTracker.position().revision();
+    }
+
+    /** Returns the version of the configuration in force; 0 until the first one was read. */
+    long version() {
+        return mTracker.position().version();
     }
 
     /** Returns the record of the decisions about received states. */
@@ -422,7 +558,7 @@
 
     /** Returns whether the configuration and the endpoints have been read. */
     boolean isReady() {
-        return mConfiguration != null && mRegistry.hasRead();
+        return configuration() != null && mRegistry.hasRead();
     }
 
     /** Receives changes and sends state requests to other instances. */
@@ -440,7 +576,13 @@
         /** Sends the request to the relay of this failure domain. */
         void sendToRelay(PeerMessage.OperatorStateRequest request);
 
-        /** Sends the request to a few randomly chosen instances. */
-        void sendToPeers(PeerMessage.OperatorStateRequest request);
+        /** Returns whether there may be other instances. */
+        boolean mayHavePeers();
+
+        /**
+         * Sends the request to randomly chosen instances, at most to the given number; returns to
+         * how many it was sent.
+         */
+        int sendToPeers(PeerMessage.OperatorStateRequest request, int maxPeers);
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
@@ -6,10 +6,10 @@
 import java.util.Optional;
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.store.StoreCallCounts;
-import org.filbertrudder.store.StoreEra;
 
 /**
  * Reads the operators' state and the registered endpoints and instances from the store, and
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -14,13 +14,13 @@
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.model.InvalidValueException;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.freshness.ClockReading;
 import org.filbertrudder.policy.freshness.StateFreshness;
 import org.filbertrudder.store.StoreCallCounts;
-import org.filbertrudder.store.StoreEra;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -34,7 +34,9 @@
     private Optional<Map<String, String>> mRegistrations;
     private StateFreshness mStateFreshness;
     private int mEndpointReads;
+    private final List<PeerMessage.OperatorStateRequest> mPeerRequests = new ArrayList<>();
     private boolean mIsRelay;
+    private boolean mMayHavePeers;
     private Vertx mVertx;
     private Context mContext;
     private StateFollower mFollower;
@@ -44,6 +46,8 @@
         mStoreResponses.clear();
         mAppliedVersions.clear();
         mRelayRequests.clear();
+        mPeerRequests.clear();
+        mMayHavePeers = false;
         mRegistrations = Optional.empty();
         mIsRelay = true;
         mStateFreshness = new StateFreshness(5_000, 250);
@@ -170,7 +174,19 @@
     private static PeerMessage.OperatorStateReply reply(
             long id, long ageMs, long revision, String configuration) {
         return new PeerMessage.OperatorStateReply(
-                id, ageMs, revision, configuration, Map.of(), Map.of(), 0, 0, false);
+                id,
+                ageMs,
+                revision,
+                configuration,
+                Map.of(),
+                Map.of(),
+                0,
+                0,
+                false,
+                Long.parseLong(configuration),
+                0,
+                0,
+                -1);
     }
 
     /** Records the applied versions and the requests to the relay. */
@@ -195,7 +211,15 @@
         }
 
         @Override
-        public void sendToPeers(PeerMessage.OperatorStateRequest request) {}
+        public boolean mayHavePeers() {
+            return mMayHavePeers;
+        }
+
+        @Override
+        public int sendToPeers(PeerMessage.OperatorStateRequest request, int maxPeers) {
+            mPeerRequests.add(request);
+            return mMayHavePeers ? maxPeers : 0;
+        }
     }
 
     /** Leaves reads pending until the test responds; a document holds only its version number. */
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/StoreEra.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/StoreEra.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.store;
+package org.filbertrudder.model;
 
 /**
  * Identifies one uninterrupted history of a store.
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -280,24 +280,31 @@
      * @param id correlates the reply
      * @param revision the store revision of the sender's configuration
      * @param endpointsDigest the digest of the endpoints that the sender has
+     * @param version the version of the sender's configuration; 0 if it has none
      */
-    record OperatorStateRequest(long id, long revision, long endpointsDigest)
+    record OperatorStateRequest(long id, long revision, long endpointsDigest, long version)
             implements PeerMessage {}
 
     /**
      * Transfers the operators' state and its age.
      *
      * @param id the id of the request
-     * @param ageMs the age of the last confirmation by the store, in milliseconds
+     * @param ageMs the age of the last confirmation by the store, in milliseconds; negative if it
+     *     is not recent
      * @param revision the store revision of the configuration
      * @param configuration the configuration as stored; empty if the requester already has this
-     *     revision
-     * @param evacuations the store revision of each evacuation, by failure domain
+     *     version
+     * @param evacuations the era in which the store last had each evacuation, by failure domain
      * @param endpoints the registration of each endpoint, by id; empty if the requester has the
      *     same
      * @param endpointsDigest the digest of the endpoints that the sender has
      * @param endpointsAgeMs the age of the endpoint registrations, in milliseconds
      * @param afterOutage whether, after an outage, missing endpoints may yet register again
+     * @param version the version of the configuration; 0 if there is none
+     * @param era the era of the store that the revision belongs to
+     * @param newestEra the newest era of the store that the sender knows
+     * @param newestEraAgeMs how long the sender has known that era, in milliseconds; negative if
+     *     the era may have begun before the sender started
      */
     record OperatorStateReply(
             long id,
@@ -308,7 +315,11 @@
             Map<String, String> endpoints,
             long endpointsDigest,
             long endpointsAgeMs,
-            boolean afterOutage)
+            boolean afterOutage,
+            long version,
+            long era,
+            long newestEra,
+            long newestEraAgeMs)
             implements PeerMessage {}
 
     /**
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
@@ -57,6 +57,37 @@
         assertEquals(encode(kind, decode(kind, encoding)), encoding);
     }
 
+    /** Lists messages as they were encoded before they had versions and eras. */
+    @DataProvider
+    public Object[][] messagesWithoutVersions() {
+        return new Object[][] {
+            {
+                "tr",
+                "0000002b84a174a27472a26964cd03e8a87265766973696f6ecd07d0af656e64706f696e7473446967"
+                        + "657374cd0bb8"
+            },
+            {
+                "ts",
+                "000000988aa174a27473a26964cd03e8a56167654d73cd07d0a87265766973696f6ecd0bb8ad636f6e"
+                    + "66696775726174696f6ea6746578742d34ab65766163756174696f6e7381a6746578742d35cd"
+                    + "1388a9656e64706f696e747381a6746578742d36a6746578742d36af656e64706f696e747344"
+                    + "6967657374cd1b58ae656e64706f696e74734167654d73cd1f40ab61667465724f7574616765"
+                    + "c3"
+            },
+        };
+    }
+
+    @Test(dataProvider = "messagesWithoutVersions")
+    public void aMissingVersionIsReadAsNone(String kind, String encoding) {
+        Object message = decode(kind, encoding);
+        long version =
+                message instanceof PeerMessage.OperatorStateReply reply
+                        ? reply.version() + reply.era() + reply.newestEra()
+                        : ((PeerMessage.OperatorStateRequest) message).version();
+
+        assertEquals(version, 0);
+    }
+
     /** Lists messages as they were encoded before they had a list of limits. */
     @DataProvider
     public Object[][] messagesWithoutLimits() {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
@@ -4,13 +4,12 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.filbertrudder.model.Json;
@@ -23,16 +22,17 @@
 /** Tests that the simulated store returns from a copy as the platform's store does. */
 public class KvStoreStandInTest {
 
-    private final HttpClient mClient = HttpClient.newHttpClient();
     private Vertx mVertx;
+    private HttpClient mClient;
     private KvStoreStandIn mStore;
-    private String mAddress;
+    private int mPort;
 
     @BeforeMethod
     public void startStore() {
         mVertx = Vertx.vertx();
         mStore = new KvStoreStandIn(mVertx, "127.0.0.1");
-        mAddress = "http://127.0.0.1:" + mStore.start();
+        mPort = mStore.start();
+        mClient = mVertx.createHttpClient();
     }
 
     @AfterMethod(alwaysRun = true)
@@ -40,33 +40,37 @@
         mVertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
-    private HttpResponse<String> call(String method, String uri, String body) {
-        try {
-            return mClient.send(
-                    HttpRequest.newBuilder(URI.create(mAddress + uri))
-                            .method(method, HttpRequest.BodyPublishers.ofString(body))
-                            .build(),
-                    HttpResponse.BodyHandlers.ofString());
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(e);
-        }
+    /** Holds a response of the store. */
+    private record Response(int status, String era, String body) {}
+
+    private CompletableFuture<Response> send(String method, String uri, String body) {
+        return mClient.request(HttpMethod.valueOf(method), mPort, "127.0.0.1", uri)
+                .compose(request -> request.send(Buffer.buffer(body)))
+                .compose(
+                        response ->
+                                response.body()
+                                        .map(
+                                                content ->
+                                                        new Response(
+                                                                response.statusCode(),
+                                                                response.getHeader("Store-Era"),
+                                                                content.toString())))
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private Response call(String method, String uri, String body) {
+        return send(method, uri, body).join();
     }
 
     private JsonNode callForJson(String method, String uri, String body) {
         try {
             return Json.MAPPER.readTree(call(method, uri, body).body());
-        } catch (IOException e) {
+        } catch (JsonProcessingException e) {
             throw new AssertionError(e);
         }
     }
 
-    private static String era(HttpResponse<String> response) {
-        return response.headers().firstValue("store-era").orElse("none");
-    }
-
     private long leaseAfterGrant() {
         return callForJson("POST", "/kv-lease", "{\"ttlMs\":60000}").path("lease").asLong();
     }
@@ -104,19 +108,19 @@
 
     @Test(dataProvider = "calls")
     public void allResponsesHaveTheEra(int status, String method, String uri, String body) {
-        HttpResponse<String> before = call(method, uri, body);
+        Response before = call(method, uri, body);
         returnFromCopy(mStore.copy());
-        HttpResponse<String> after = call(method, uri, body);
+        Response after = call(method, uri, body);
 
-        assertEquals(List.of(before.statusCode(), after.statusCode()), List.of(status, status));
-        assertEquals(List.of(era(before), era(after)), List.of("1", "2"));
+        assertEquals(List.of(before.status(), after.status()), List.of(status, status));
+        assertEquals(List.of(before.era(), after.era()), List.of("1", "2"));
     }
 
     @Test
     public void rejectionsHaveTheEra() {
         mStore.setMode(KvStoreStandIn.Mode.REJECTING);
 
-        assertEquals(era(call("GET", "/kv-key?key=none", "")), "1");
+        assertEquals(call("GET", "/kv-key?key=none", "").era(), "1");
     }
 
     @Test
@@ -147,8 +151,8 @@
         returnFromCopy(copy);
 
         assertEquals(mStore.keys("filbertrudder/"), List.of("filbertrudder/lasting"));
-        assertEquals(call("POST", "/kv-keep/" + lost, "").statusCode(), 404);
-        assertEquals(call("POST", "/kv-keep/" + lasting, "").statusCode(), 200);
+        assertEquals(call("POST", "/kv-keep/" + lost, "").status(), 404);
+        assertEquals(call("POST", "/kv-keep/" + lasting, "").status(), 200);
         assertEquals(leaseAfterGrant(), lost);
     }
 
@@ -159,19 +163,15 @@
         mStore.put("op/config", "second");
         long newest = callForJson("GET", "/kv-key?key=op/config", "").path("rev").asLong();
         String watch = "/kv-watch?pathPrefix=op/&waitMs=8000&after=" + newest;
-        CompletableFuture<HttpResponse<String>> pending =
-                mClient.sendAsync(
-                        HttpRequest.newBuilder(URI.create(mAddress + watch)).build(),
-                        HttpResponse.BodyHandlers.ofString());
+        CompletableFuture<Response> pending = send("GET", watch, "");
         PlatformFleet.await("the watch is pending", () -> mStore.pendingWatches() == 1);
 
         returnFromCopy(copy);
 
-        assertEquals(pending.join().statusCode(), 410);
-        assertEquals(call("GET", watch, "").statusCode(), 410);
+        assertEquals(pending.join().status(), 410);
+        assertEquals(call("GET", watch, "").status(), 410);
         assertEquals(
-                call("GET", watch.replace("after=" + newest, "after=" + (newest - 1)), "")
-                        .statusCode(),
+                call("GET", watch.replace("after=" + newest, "after=" + (newest - 1)), "").status(),
                 200,
                 "a revision that was issued again has a history");
     }
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.filbertrudder.model.StoreEra;
 
 /** Accesses the store through the JSON gateway of the etcd v3 API over HTTP. */
 public final class EtcdStore implements WatchableStore {
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
@@ -2,6 +2,7 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.List;
+import org.filbertrudder.model.StoreEra;
 
 /** Accesses the platform's key-value store; failed calls fail with a {@link StoreException}. */
 public interface Store {
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/StoreListing.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/StoreListing.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.store;
 
 import java.util.List;
+import org.filbertrudder.model.StoreEra;
 
 /**
  * Holds the keys with a prefix that a store has returned.
