--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -9,10 +9,8 @@
 import java.util.Set;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
-import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.config.ServiceRule;
-import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.StoreEra;
@@ -25,7 +23,8 @@
 import org.filbertrudder.policy.freshness.StorePosition;
 
 /**
- * Keeps the operators' state and the registered endpoints up to date.
+ * Keeps the operators' state and, with {@link EndpointFollower}, the registered endpoints up to
+ * date.
  *
  * <p>One relay in each failure domain reads both from the store at short intervals with
  * linearizable calls; each response also confirms that nothing newer existed when the request was
@@ -49,12 +48,6 @@
      */
     private static final long MIN_STATE_INTERVAL_MS = 600;
 
-    /**
-     * The interval at which the endpoints are read, in milliseconds; short enough to stop using a
-     * leaving endpoint within 4 s.
-     */
-    private static final long ENDPOINT_INTERVAL_MS = 1_200;
-
     /** The delay before a retry, in milliseconds; limits the number of calls during an outage. */
     private static final long RETRY_DELAY_MS = 500;
 
@@ -78,11 +71,6 @@
      */
     private static final long FALLBACK_INTERVAL_MS = 1_800;
 
-    /**
-     * The age above which an endpoint list is not sent to or accepted from peers, in milliseconds.
-     */
-    private static final long MAX_SHARED_ENDPOINTS_AGE_MS = 2 * ENDPOINT_INTERVAL_MS;
-
     private static final int ASKED_PEERS = 2;
     private static final long NOT_CONFIRMED = -1;
 
@@ -91,6 +79,7 @@
     private final StateFreshness mStateFreshness;
     private final Listener mListener;
     private final EndpointRegistry mRegistry;
+    private final EndpointFollower mEndpoints;
     private final StateDecisionLog mDecisions = new StateDecisionLog();
     private final Map<Long, ClockReading> mPeerRequestTimes = new HashMap<>();
     private final List<Runnable> mConfirmationWaiters = new ArrayList<>();
@@ -103,16 +92,12 @@
 
     private String mDocument = "";
     private GatewayConfiguration mConfiguration;
-    private Map<String, String> mRegistrations = Map.of();
-    private long mEndpointsReadMs = Long.MIN_VALUE / 2;
     private long mNextStateReadMs;
     private long mLastStateReadMs;
-    private long mNextEndpointReadMs;
     private long mNextPeerRequestMs;
     private long mNextRelayRequestMs;
     private boolean mConfirmationRequested;
     private int mPendingStateCalls;
-    private int mPendingEndpointCalls;
     private long mNextPeerRequestId = 1;
     private boolean mStoreUnavailable;
     private ClockReading mPendingConfirmation;
@@ -125,6 +110,7 @@
         mStateFreshness = stateFreshness;
         mListener = listener;
         mRegistry = new EndpointRegistry(this::warmupMs);
+        mEndpoints = new EndpointFollower(context, source, mRegistry, listener::endpointsChanged);
     }
 
     private long warmupMs(ServiceId service) {
@@ -152,12 +138,8 @@
             mNextStateReadMs = nowMs + (asRelay ? STATE_INTERVAL_MS : FALLBACK_INTERVAL_MS);
             readState(now);
         }
-        boolean endpointsOutdated = nowMs - mEndpointsReadMs > RELAY_TIMEOUT_MS;
-        boolean endpointsDue =
-                nowMs >= mNextEndpointReadMs && mPendingEndpointCalls < MAX_PENDING_CALLS;
-        if (endpointsDue && (asRelay || endpointsOutdated)) {
-            mNextEndpointReadMs = nowMs + (asRelay ? ENDPOINT_INTERVAL_MS : FALLBACK_INTERVAL_MS);
-            readEndpoints();
+        if (asRelay || mEndpoints.ageMs(nowMs) > RELAY_TIMEOUT_MS) {
+            mEndpoints.readIfDue(asRelay, FALLBACK_INTERVAL_MS, retryDelayMs(), nowMs);
         }
         if (!mConsultation.hasEnded()) {
             consultPeers(now);
@@ -328,50 +310,6 @@
         }
     }
 
-    private void readEndpoints() {
-        mPendingEndpointCalls++;
-        long requestedMs = Clocks.steadyMs();
-        mSource.readEndpoints()
-                .subscribe()
-                .with(
-                        found -> runOnContext(() -> handleEndpoints(found, requestedMs)),
-                        failure -> runOnContext(this::handleEndpointFailure));
-    }
-
-    private void handleEndpoints(Map<String, String> found, long requestedMs) {
-        mPendingEndpointCalls--;
-        if (requestedMs > mEndpointsReadMs) {
-            applyEndpoints(found, requestedMs);
-        }
-    }
-
-    private void applyEndpoints(Map<String, String> found, long readMs) {
-        mRegistrations = Map.copyOf(found);
-        mEndpointsReadMs = readMs;
-        Map<EndpointId, EndpointRegistration> registrations = new HashMap<>();
-        found.forEach(
-                (id, text) ->
-                        mSource.decodeEndpoint(id, text)
-                                .ifPresent(
-                                        registration ->
-                                                registrations.put(
-                                                        registration.endpoint().id(),
-                                                        registration)));
-        if (mRegistry.update(registrations, Clocks.steadyMs())) {
-            LOG.info(
-                    "The endpoints have changed.",
-                    LogField.of("registered", found.size()),
-                    LogField.of("understood", registrations.size()));
-            mListener.endpointsChanged();
-        }
-    }
-
-    private void handleEndpointFailure() {
-        mPendingEndpointCalls--;
-        mRegistry.noteOutage();
-        mNextEndpointReadMs = Math.min(mNextEndpointReadMs, Clocks.steadyMs() + retryDelayMs());
-    }
-
     /** Creates a request to a peer; the age of the reply is counted from now. */
     private PeerMessage.OperatorStateRequest newStateRequest(ClockReading now) {
         long id = mNextPeerRequestId++;
@@ -396,19 +334,15 @@
         Map<String, Long> evacuations = new HashMap<>();
         mTracker.evacuations()
                 .forEach((domain, era) -> evacuations.put(domain.value(), era.number()));
-        long endpointsAgeMs = now.steadyMs() - mEndpointsReadMs;
-        boolean includeEndpoints =
-                endpointsAgeMs < MAX_SHARED_ENDPOINTS_AGE_MS
-                        && request.endpointsDigest() != mRegistry.digest();
         return new PeerMessage.OperatorStateReply(
                 request.id(),
                 mStateFreshness.isFresh(now) ? mStateFreshness.ageMs(now) : NOT_CONFIRMED,
                 known.revision(),
                 includeConfiguration ? mDocument : "",
                 evacuations,
-                includeEndpoints ? mRegistrations : Map.of(),
+                mEndpoints.registrationsFor(request.endpointsDigest(), now.steadyMs()),
                 mRegistry.digest(),
-                endpointsAgeMs,
+                mEndpoints.ageMs(now.steadyMs()),
                 mRegistry.isAwaitingReregistration(now.steadyMs()),
                 known.version(),
                 known.era().number(),
@@ -474,9 +408,7 @@
             applyEvacuations(reply, asOf);
             confirm(asOf);
         }
-        if (reply.endpointsAgeMs() >= 0 && reply.endpointsAgeMs() < MAX_SHARED_ENDPOINTS_AGE_MS) {
-            applyEndpoints(reply, requestedAt.steadyMs() - reply.endpointsAgeMs());
-        }
+        mEndpoints.apply(reply, requestedAt.steadyMs());
     }
 
     private void applyEvacuations(PeerMessage.OperatorStateReply reply, ClockReading asOf) {
@@ -493,27 +425,6 @@
         applyEvacuations(era, evacuations, asOf, "peer");
     }
 
-    /**
-     * Applies the endpoint list that a peer read at the given time, unless the local list is at
-     * least as new.
-     */
-    private void applyEndpoints(PeerMessage.OperatorStateReply reply, long readMs) {
-        if (readMs <= mEndpointsReadMs) {
-            return;
-        }
-        if (reply.afterOutage()) {
-            mRegistry.notePeerOutage(Clocks.steadyMs());
-        }
-        if (!reply.endpoints().isEmpty()) {
-            applyEndpoints(reply.endpoints(), readMs);
-        } else if (reply.endpointsDigest() == mRegistry.digest()) {
-            mEndpointsReadMs = readMs;
-            if (mRegistry.confirm(Clocks.steadyMs())) {
-                mListener.endpointsChanged();
-            }
-        }
-    }
-
     /**
      * Runs the action after the next confirmation of the state, and reads the store sooner for it.
      */
