A registration that an endpoint has replaced or removed does not return with a copy of the store

The class of fault is a comparison across histories of the store.

Registrations of one endpoint are ordered by its start and its sequence when a list comes from a newer era than the one in which the endpoint was known; departed endpoints are remembered for two minutes for that. A new era counts as an outage, after which missing endpoints are kept for 2.5 s, also if no call failed. Lists of an older era are ignored, and lists between instances carry their era.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
@@ -7,6 +7,7 @@
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.PeerMessage;
 
 /**
@@ -33,7 +34,7 @@
     private final StateSource mSource;
     private final EndpointRegistry mRegistry;
     private final Runnable mOnChange;
-    private Map<String, String> mRegistrations = Map.of();
+    private EndpointListing mListing = new EndpointListing(StoreEra.UNREPORTED, Map.of());
     private long mReadMs = Long.MIN_VALUE / 2;
     private long mNextReadMs;
     private int mPendingReads;
@@ -70,7 +71,7 @@
         mSource.readEndpoints()
                 .subscribe()
                 .with(
-                        found -> runOnContext(() -> handleEndpoints(found, requestedMs)),
+                        listing -> runOnContext(() -> handleListing(listing, requestedMs)),
                         failure -> runOnContext(() -> handleFailure(retryDelayMs)));
     }
 
@@ -78,10 +79,10 @@
         mContext.runOnContext(ignored -> action.run());
     }
 
-    private void handleEndpoints(Map<String, String> found, long requestedMs) {
+    private void handleListing(EndpointListing listing, long requestedMs) {
         mPendingReads--;
         if (requestedMs > mReadMs) {
-            apply(found, requestedMs);
+            apply(listing, requestedMs);
         }
     }
 
@@ -91,22 +92,27 @@
         mNextReadMs = Math.min(mNextReadMs, Clocks.steadyMs() + retryDelayMs);
     }
 
-    private void apply(Map<String, String> found, long readMs) {
-        mRegistrations = Map.copyOf(found);
+    private void apply(EndpointListing listing, long readMs) {
+        if (mListing.era().isAfter(listing.era())) {
+            return;
+        }
+        mListing = listing;
         mReadMs = readMs;
         Map<EndpointId, EndpointRegistration> registrations = new HashMap<>();
-        found.forEach(
-                (id, text) ->
-                        mSource.decodeEndpoint(id, text)
-                                .ifPresent(
-                                        registration ->
-                                                registrations.put(
-                                                        registration.endpoint().id(),
-                                                        registration)));
-        if (mRegistry.update(registrations, Clocks.steadyMs())) {
+        listing.registrations()
+                .forEach(
+                        (id, text) ->
+                                mSource.decodeEndpoint(id, text)
+                                        .ifPresent(
+                                                registration ->
+                                                        registrations.put(
+                                                                registration.endpoint().id(),
+                                                                registration)));
+        if (mRegistry.update(registrations, listing.era(), Clocks.steadyMs())) {
             LOG.info(
                     "The endpoints have changed.",
-                    LogField.of("registered", found.size()),
+                    LogField.of("era", listing.era()),
+                    LogField.of("registered", listing.registrations().size()),
                     LogField.of("understood", registrations.size()));
             mOnChange.run();
         }
@@ -115,7 +121,12 @@
     /** Returns the registrations for a peer that has a list with the given digest. */
     Map<String, String> registrationsFor(long digest, long nowMs) {
         boolean isShared = ageMs(nowMs) < MAX_SHARED_AGE_MS && digest != mRegistry.digest();
-        return isShared ? mRegistrations : Map.of();
+        return isShared ? mListing.registrations() : Map.of();
+    }
+
+    /** Returns the era of the store in which the endpoints were read. */
+    StoreEra era() {
+        return mListing.era();
     }
 
     /** Applies the list in the reply of a peer, unless the local list is at least as new. */
@@ -128,12 +139,15 @@
         if (!isUsable) {
             return;
         }
+        // An instance of an earlier release states no era.
+        StoreEra era =
+                reply.endpointsEra() > 0 ? new StoreEra(reply.endpointsEra()) : mListing.era();
         if (reply.afterOutage()) {
             mRegistry.notePeerOutage(Clocks.steadyMs());
         }
         if (!reply.endpoints().isEmpty()) {
-            apply(reply.endpoints(), readMs);
-        } else if (reply.endpointsDigest() == mRegistry.digest()) {
+            apply(new EndpointListing(era, reply.endpoints()), readMs);
+        } else if (reply.endpointsDigest() == mRegistry.digest() && era.equals(mListing.era())) {
             mReadMs = readMs;
             if (mRegistry.confirm(Clocks.steadyMs())) {
                 mOnChange.run();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -12,6 +12,7 @@
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.policy.RendezvousHashing;
 
 /**
@@ -26,8 +27,16 @@
      */
     private static final long REREGISTRATION_MS = 2_500;
 
+    /**
+     * How long an endpoint that is no longer registered is remembered, in milliseconds, as a store
+     * that returns from a copy may bring its registration back.
+     */
+    private static final long DEPARTED_MEMORY_MS = 120_000;
+
     private final ToLongFunction<ServiceId> mWarmupMs;
     private final Map<EndpointId, TrackedEndpoint> mTracked = new HashMap<>();
+    private final Map<EndpointId, DepartedEndpoint> mDeparted = new HashMap<>();
+    private StoreEra mEra = StoreEra.UNREPORTED;
     private Set<EndpointId> mLastReadIds = Set.of();
     private long mDigest;
     private Set<FailureDomainId> mEvacuated = Set.of();
@@ -69,7 +78,18 @@
             mStoreUnavailable = false;
             mKeepMissingUntilMs = nowMs + REREGISTRATION_MS;
         }
-        return nowMs >= mKeepMissingUntilMs && mTracked.keySet().retainAll(mLastReadIds);
+        return nowMs >= mKeepMissingUntilMs && dropMissing(nowMs);
+    }
+
+    private boolean dropMissing(long nowMs) {
+        mDeparted.values().removeIf(departed -> nowMs - departed.atMs() > DEPARTED_MEMORY_MS);
+        for (TrackedEndpoint tracked : mTracked.values()) {
+            EndpointId id = tracked.registration().endpoint().id();
+            if (!mLastReadIds.contains(id)) {
+                mDeparted.put(id, new DepartedEndpoint(tracked.registration(), mEra, nowMs));
+            }
+        }
+        return mTracked.keySet().retainAll(mLastReadIds);
     }
 
     /** Returns a digest of the last endpoint list. */
@@ -100,9 +120,17 @@
     }
 
     /**
-     * Applies a complete endpoint list; returns whether any tracked endpoint or its state changed.
+     * Applies a complete endpoint list that was read in an era of the store, which must not be
+     * older than that of the last list; returns whether any tracked endpoint or its state changed.
+     *
+     * <p>The first lists of a new era may come from a copy of the store: they may lack endpoints
+     * that have not registered again, and contain registrations that were replaced or removed.
      */
-    boolean update(Map<EndpointId, EndpointRegistration> found, long nowMs) {
+    boolean update(Map<EndpointId, EndpointRegistration> found, StoreEra era, long nowMs) {
+        if (era.isAfter(mEra) && mHasRead) {
+            noteOutage();
+        }
+        mEra = era;
         mLastReadIds = Set.copyOf(found.keySet());
         mDigest = digest(found);
         boolean changed = false;
@@ -115,9 +143,13 @@
 
     private boolean update(EndpointRegistration registration, long nowMs) {
         EndpointId id = registration.endpoint().id();
+        if (isReplaced(registration)) {
+            return false;
+        }
+        mDeparted.remove(id);
         TrackedEndpoint before = mTracked.get(id);
         TrackedEndpoint after =
-                new TrackedEndpoint(registration, coldUntilMs(before, registration, nowMs));
+                new TrackedEndpoint(registration, coldUntilMs(before, registration, nowMs), mEra);
         mTracked.put(id, after);
         return before == null
                 || !before.registration().endpoint().equals(registration.endpoint())
@@ -126,6 +158,22 @@
                 || after.coldUntilMs() > before.coldUntilMs();
     }
 
+    /**
+     * Returns whether the endpoint had written a newer registration, or had removed this one, in an
+     * earlier era.
+     */
+    private boolean isReplaced(EndpointRegistration registration) {
+        EndpointId id = registration.endpoint().id();
+        TrackedEndpoint tracked = mTracked.get(id);
+        if (tracked != null) {
+            return mEra.isAfter(tracked.era()) && registration.isOlderThan(tracked.registration());
+        }
+        DepartedEndpoint departed = mDeparted.get(id);
+        return departed != null
+                && mEra.isAfter(departed.era())
+                && !departed.registration().isOlderThan(registration);
+    }
+
     private long coldUntilMs(
             TrackedEndpoint before, EndpointRegistration registration, long nowMs) {
         long registeredColdUntilMs =
@@ -186,10 +234,14 @@
         return mHasRead;
     }
 
-    private record TrackedEndpoint(EndpointRegistration registration, long coldUntilMs) {
+    private record DepartedEndpoint(EndpointRegistration registration, StoreEra era, long atMs) {}
+
+    /** An endpoint, when its warm-up ends, and the era in which its registration was read. */
+    private record TrackedEndpoint(
+            EndpointRegistration registration, long coldUntilMs, StoreEra era) {
 
         TrackedEndpoint coldForAtLeast(long warmupMs, long nowMs) {
-            return new TrackedEndpoint(registration, Math.max(coldUntilMs, nowMs + warmupMs));
+            return new TrackedEndpoint(registration, Math.max(coldUntilMs, nowMs + warmupMs), era);
         }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -347,7 +347,8 @@
                 known.version(),
                 known.era().number(),
                 mTracker.era().number(),
-                mTracker.eraAgeMs(now.steadyMs()));
+                mTracker.eraAgeMs(now.steadyMs()),
+                mEndpoints.era().number());
     }
 
     /** Applies the state and endpoints in the reply of a peer. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
@@ -2,7 +2,6 @@
 
 import io.smallrye.mutiny.Uni;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
@@ -33,8 +32,8 @@
      */
     GatewayConfiguration decodeConfiguration(String document);
 
-    /** Reads the current registrations of all endpoints, undecoded, by endpoint id. */
-    Uni<Map<String, String>> readEndpoints();
+    /** Reads the current registrations of all endpoints. */
+    Uni<EndpointListing> readEndpoints();
 
     /** Decodes the registration of an endpoint; empty if the registration is not usable. */
     Optional<EndpointRegistration> decodeEndpoint(String id, String registration);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
@@ -14,6 +14,7 @@
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.model.StoreEra;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -32,6 +33,11 @@
 
     private static EndpointRegistration registration(
             String id, boolean leaving, long warmupMs, long startedMs) {
+        return registration(id, leaving, warmupMs, startedMs, 1);
+    }
+
+    private static EndpointRegistration registration(
+            String id, boolean leaving, long warmupMs, long startedMs, long sequence) {
         Endpoint endpoint =
                 Endpoint.of(
                         EndpointId.of(id),
@@ -41,7 +47,7 @@
                         "10.0.0.1",
                         80,
                         8);
-        return new EndpointRegistration(endpoint, leaving, warmupMs, startedMs);
+        return new EndpointRegistration(endpoint, leaving, warmupMs, startedMs, sequence);
     }
 
     private static Map<EndpointId, EndpointRegistration> registrations(
@@ -53,6 +59,14 @@
         return found;
     }
 
+    private boolean update(Map<EndpointId, EndpointRegistration> found, long nowMs) {
+        return mRegistry.update(found, new StoreEra(1), nowMs);
+    }
+
+    private boolean updateAfterRestore(Map<EndpointId, EndpointRegistration> found, long nowMs) {
+        return mRegistry.update(found, new StoreEra(2), nowMs);
+    }
+
     private EndpointAvailability singleAvailability() {
         List<EndpointAvailability> availabilities = mRegistry.availabilities();
         assertEquals(availabilities.size(), 1);
@@ -61,8 +75,8 @@
 
     @Test
     public void removesUnregisteredEndpointAtOnce() {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 0);
-        mRegistry.update(registrations(), 1_000);
+        update(registrations(registration("e", false, 0, 1)), 0);
+        update(registrations(), 1_000);
 
         assertTrue(mRegistry.availabilities().isEmpty());
     }
@@ -78,19 +92,19 @@
     @Test(dataProvider = "timesAfterOutage")
     public void keepsMissingEndpointDuringReregistrationTimeAfterStoreOutage(
             long elapsedMs, boolean kept) {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 0);
+        update(registrations(registration("e", false, 0, 1)), 0);
         mRegistry.noteOutage();
-        mRegistry.update(registrations(), 10_000);
-        mRegistry.update(registrations(), 10_000 + elapsedMs);
+        update(registrations(), 10_000);
+        update(registrations(), 10_000 + elapsedMs);
 
         assertEquals(!mRegistry.availabilities().isEmpty(), kept);
     }
 
     @Test
     public void confirmRemovesMissingEndpointsAfterTimeToReregister() {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 0);
+        update(registrations(registration("e", false, 0, 1)), 0);
         mRegistry.noteOutage();
-        mRegistry.update(registrations(), 10_000);
+        update(registrations(), 10_000);
 
         assertFalse(mRegistry.confirm(12_000));
         assertTrue(mRegistry.confirm(12_600));
@@ -99,41 +113,41 @@
 
     @Test
     public void pastOutageDoesNotDelayLaterRemoval() {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 0);
+        update(registrations(registration("e", false, 0, 1)), 0);
         mRegistry.noteOutage();
         mRegistry.confirm(10_000);
         mRegistry.notePeerOutage(10_500);
         mRegistry.notePeerOutage(12_000);
 
-        mRegistry.update(registrations(), 20_000);
+        update(registrations(), 20_000);
 
         assertTrue(mRegistry.availabilities().isEmpty());
     }
 
     @Test
     public void digestIgnoresRemainingWarmup() {
-        mRegistry.update(registrations(registration("e", false, 2_000, 1)), 0);
+        update(registrations(registration("e", false, 2_000, 1)), 0);
         long cold = mRegistry.digest();
-        mRegistry.update(registrations(registration("e", false, 1_000, 1)), 1_000);
+        update(registrations(registration("e", false, 1_000, 1)), 1_000);
         assertEquals(mRegistry.digest(), cold);
 
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 2_000);
+        update(registrations(registration("e", false, 0, 1)), 2_000);
         long warm = mRegistry.digest();
-        mRegistry.update(registrations(registration("e", true, 0, 1)), 3_000);
+        update(registrations(registration("e", true, 0, 1)), 3_000);
 
         assertTrue(warm != cold && mRegistry.digest() != warm);
     }
 
     @Test
     public void leavingEndpointIsNotUsable() {
-        mRegistry.update(registrations(registration("e", true, 0, 1)), 0);
+        update(registrations(registration("e", true, 0, 1)), 0);
 
         assertFalse(singleAvailability().usable());
     }
 
     @Test
     public void evacuatedEndpointIsNotUsableAndWarmsUpAfterwards() {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 0);
+        update(registrations(registration("e", false, 0, 1)), 0);
         mRegistry.setEvacuated(Set.of(FailureDomainId.of("mtl-a")), 1_000);
         assertFalse(singleAvailability().usable());
 
@@ -145,7 +159,7 @@
 
     @Test
     public void firstReadTrustsRegisteredWarmup() {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 5_000);
+        update(registrations(registration("e", false, 0, 1)), 5_000);
 
         assertTrue(singleAvailability().coldUntilMs() < 5_000);
     }
@@ -165,24 +179,80 @@
 
     @Test(dataProvider = "laterRegistrations")
     public void detectsEndpointsThatBecomeCold(EndpointRegistration later, long coldUntilMs) {
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 0);
-        mRegistry.update(registrations(later), 10_000);
+        update(registrations(registration("e", false, 0, 1)), 0);
+        update(registrations(later), 10_000);
 
         assertEquals(singleAvailability().coldUntilMs(), coldUntilMs);
     }
 
     @Test
     public void newEndpointWarmsUp() {
-        mRegistry.update(registrations(), 0);
-        mRegistry.update(registrations(registration("e", false, 0, 1)), 10_000);
+        update(registrations(), 0);
+        update(registrations(registration("e", false, 0, 1)), 10_000);
 
         assertEquals(singleAvailability().coldUntilMs(), 10_000 + WARMUP_MS);
     }
 
     @Test
     public void updateReturnsWhetherEndpointsChanged() {
-        assertTrue(mRegistry.update(registrations(registration("e", false, 0, 1)), 0));
-        assertFalse(mRegistry.update(registrations(registration("e", false, 0, 1)), 1_000));
-        assertTrue(mRegistry.update(registrations(registration("e", true, 0, 1)), 2_000));
+        assertTrue(update(registrations(registration("e", false, 0, 1)), 0));
+        assertFalse(update(registrations(registration("e", false, 0, 1)), 1_000));
+        assertTrue(update(registrations(registration("e", true, 0, 1)), 2_000));
+    }
+
+    @Test
+    public void leavingEndpointIsReadyAgainAfterTheStoreReturnsFromACopy() {
+        update(registrations(registration("e", false, 0, 1, 1)), 0);
+        update(registrations(registration("e", true, 0, 1, 2)), 1_000);
+        updateAfterRestore(registrations(registration("e", false, 0, 1, 1)), 2_000);
+
+        assertFalse(singleAvailability().usable());
+
+        updateAfterRestore(registrations(registration("e", false, 0, 1, 3)), 3_000);
+        assertTrue(singleAvailability().usable(), "a newer registration counts");
+    }
+
+    @Test
+    public void departedEndpointIsBackAfterTheStoreReturnsFromACopy() {
+        update(registrations(registration("e", false, 0, 1, 5)), 0);
+        update(registrations(), 1_000);
+        updateAfterRestore(registrations(registration("e", false, 0, 1, 5)), 2_000);
+
+        assertTrue(mRegistry.availabilities().isEmpty());
+
+        updateAfterRestore(registrations(registration("e", false, 0, 1, 6)), 3_000);
+        assertTrue(singleAvailability().usable(), "it has registered again");
+    }
+
+    /** Lists when a list of the new era is read, and whether a missing endpoint is kept then. */
+    @DataProvider
+    public Object[][] timesAfterRestore() {
+        return new Object[][] {{2_000, true}, {4_000, true}, {5_000, false}};
+    }
+
+    @Test(dataProvider = "timesAfterRestore")
+    public void endpointThatTheCopyLacksIsLostBeforeItRegistersAgain(long atMs, boolean kept) {
+        update(registrations(registration("e", false, 0, 1)), 0);
+        updateAfterRestore(registrations(), 2_000);
+        updateAfterRestore(registrations(), atMs);
+
+        assertEquals(mRegistry.availabilities().size(), kept ? 1 : 0);
+    }
+
+    @Test
+    public void restartedEndpointIsReplacedByItsEarlierStart() {
+        update(registrations(registration("e", false, 0, 100, 9)), 0);
+        update(registrations(registration("e", false, 0, 200, 1)), 1_000);
+        updateAfterRestore(registrations(registration("e", false, 0, 100, 9)), 2_000);
+
+        assertEquals(singleAvailability().startedMs(), 200);
+    }
+
+    @Test
+    public void olderRegistrationOfTheSameEraCounts() {
+        update(registrations(registration("e", true, 0, 200, 9)), 0);
+        update(registrations(registration("e", false, 0, 100, 1)), 1_000);
+
+        assertTrue(singleAvailability().usable(), "the clock of the endpoint may have been set");
     }
 }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -31,7 +31,7 @@
     private final List<CompletableFuture<OperatorState>> mStoreResponses = new ArrayList<>();
     private final List<Long> mAppliedVersions = new ArrayList<>();
     private final List<PeerMessage.OperatorStateRequest> mRelayRequests = new ArrayList<>();
-    private Optional<Map<String, String>> mRegistrations;
+    private Optional<EndpointListing> mRegistrations;
     private StateFreshness mStateFreshness;
     private int mEndpointReads;
     private final List<PeerMessage.OperatorStateRequest> mPeerRequests = new ArrayList<>();
@@ -110,7 +110,7 @@
      * Makes the follower ready as an instance that is not a relay; returns the time of the reads.
      */
     private ClockReading becomeReadyAsNonRelay() {
-        mRegistrations = Optional.of(Map.of());
+        mRegistrations = Optional.of(new EndpointListing(StoreEra.UNREPORTED, Map.of()));
         ClockReading now = Clocks.now();
         onContext(() -> mFollower.tick(now));
         onContext(() -> {});
@@ -186,7 +186,8 @@
                 Long.parseLong(configuration),
                 0,
                 0,
-                -1);
+                -1,
+                0);
     }
 
     /** Records the applied versions and the requests to the relay. */
@@ -248,7 +249,7 @@
         }
 
         @Override
-        public Uni<Map<String, String>> readEndpoints() {
+        public Uni<EndpointListing> readEndpoints() {
             mEndpointReads++;
             return mRegistrations
                     .map(found -> Uni.createFrom().item(found))
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -305,6 +305,7 @@
      * @param newestEra the newest era of the store that the sender knows
      * @param newestEraAgeMs how long the sender has known that era, in milliseconds; negative if
      *     the era may have begun before the sender started
+     * @param endpointsEra the era of the store in which the endpoints were read
      */
     record OperatorStateReply(
             long id,
@@ -319,7 +320,8 @@
             long version,
             long era,
             long newestEra,
-            long newestEraAgeMs)
+            long newestEraAgeMs,
+            long endpointsEra)
             implements PeerMessage {}
 
     /**
