--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderCoordinator.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderCoordinator.java
@@ -18,7 +18,7 @@
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.orders.EngineReport;
 import org.filbertrudder.policy.orders.OrderLease;
-import org.filbertrudder.store.Store;
+import org.filbertrudder.store.WatchableStore;
 
 /** Assigns each service to one instance of a region, which sends the orders to its engines. */
 final class OrderCoordinator {
@@ -26,7 +26,7 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
 
     private final Context mContext;
-    private final Store mStore;
+    private final WatchableStore mStore;
     private final Membership mMembership;
     private final LongSupplier mClockMs;
     private final HttpClient mHttpClient;
@@ -35,7 +35,7 @@
     OrderCoordinator(
             Vertx vertx,
             Context context,
-            Store store,
+            WatchableStore store,
             Membership membership,
             LongSupplier clockMs) {
         mContext = context;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderLeaseManager.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderLeaseManager.java
@@ -14,10 +14,11 @@
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.policy.orders.OrderLease;
 import org.filbertrudder.store.KeyValue;
-import org.filbertrudder.store.Store;
 import org.filbertrudder.store.StoreException;
+import org.filbertrudder.store.StoreLease;
 import org.filbertrudder.store.Transaction;
 import org.filbertrudder.store.TransactionResult;
+import org.filbertrudder.store.WatchableStore;
 
 /**
  * Acquires, renews and releases the lease in the store under which one instance sends orders to one
@@ -32,7 +33,7 @@
     private static final long ACQUIRE_RETRY_INTERVAL_MS = 2_000;
 
     private final Context mContext;
-    private final Store mStore;
+    private final WatchableStore mStore;
     private final String mSenderKey;
     private final String mFencingTokenKey;
     private final ServiceId mService;
@@ -40,13 +41,13 @@
     private final LongSupplier mClockMs;
     private final Runnable mOnAcquired;
     private OrderLease mLease;
-    private long mStoreLeaseId;
+    private StoreLease mStoreLease;
     private long mNextStoreCallMs;
     private boolean mStoreCallPending;
 
     OrderLeaseManager(
             Context context,
-            Store store,
+            WatchableStore store,
             RegionId region,
             ServiceId service,
             InstanceId self,
@@ -92,20 +93,20 @@
 
     private void clearLease() {
         mLease = null;
-        mStoreLeaseId = 0;
+        mStoreLease = null;
     }
 
     /** Revokes the lease, so that another instance need not wait until it expires. */
     void release() {
-        if (mStoreLeaseId != 0) {
-            revokeLease(mStoreLeaseId);
+        if (mStoreLease != null) {
+            revokeLease(mStoreLease);
         }
         clearLease();
     }
 
     private void renew(long requestSentMs) {
         mStoreCallPending = true;
-        mStore.renewLease(mStoreLeaseId)
+        mStore.renewLease(mStoreLease)
                 .emitOn(this::execute)
                 .subscribe()
                 .with(
@@ -142,32 +143,32 @@
     private Uni<Optional<AcquiredLease>> grantLeaseAndAcquire() {
         return mStore.grantLease(LEASE_TERM_SECONDS)
                 .flatMap(
-                        leaseId ->
-                                tryAcquire(leaseId)
-                                        .invoke(acquired -> revokeIfNotAcquired(acquired, leaseId))
+                        lease ->
+                                tryAcquire(lease)
+                                        .invoke(acquired -> revokeIfNotAcquired(acquired, lease))
                                         .onFailure()
-                                        .invoke(() -> revokeLease(leaseId)));
+                                        .invoke(() -> revokeLease(lease)));
     }
 
-    private void revokeIfNotAcquired(Optional<AcquiredLease> acquired, long leaseId) {
+    private void revokeIfNotAcquired(Optional<AcquiredLease> acquired, StoreLease lease) {
         if (acquired.isEmpty()) {
-            revokeLease(leaseId);
+            revokeLease(lease);
         }
     }
 
-    private void revokeLease(long leaseId) {
-        mStore.revokeLease(leaseId).subscribe().with(ignored -> {}, failure -> {});
+    private void revokeLease(StoreLease lease) {
+        mStore.revokeLease(lease).subscribe().with(ignored -> {}, failure -> {});
     }
 
     /** Writes this instance as the sender of orders, with the next fencing token. */
-    private Uni<Optional<AcquiredLease>> tryAcquire(long leaseId) {
+    private Uni<Optional<AcquiredLease>> tryAcquire(StoreLease lease) {
         return mStore.get(mFencingTokenKey)
                 .flatMap(
                         keyValues -> {
                             long fencingTokenModRevision =
                                     keyValues.isEmpty() ? 0 : keyValues.get(0).modRevision();
                             return writeSender(
-                                    leaseId,
+                                    lease,
                                     lastFencingToken(keyValues) + 1,
                                     fencingTokenModRevision);
                         });
@@ -178,13 +179,13 @@
     }
 
     private Uni<Optional<AcquiredLease>> writeSender(
-            long leaseId, long fencingToken, long fencingTokenModRevision) {
+            StoreLease lease, long fencingToken, long fencingTokenModRevision) {
         String value = Json.write(new OrderSender(mSelf, UUID.randomUUID().toString()));
         Transaction transaction =
                 Transaction.builder()
                         .ifUnchanged(mSenderKey, 0)
                         .ifUnchanged(mFencingTokenKey, fencingTokenModRevision)
-                        .put(mSenderKey, value, leaseId)
+                        .put(mSenderKey, value, lease.id())
                         .put(mFencingTokenKey, Long.toString(fencingToken))
                         .build();
         return mStore.commit(transaction)
@@ -194,7 +195,7 @@
                 .map(
                         written ->
                                 written
-                                        ? Optional.of(new AcquiredLease(leaseId, fencingToken))
+                                        ? Optional.of(new AcquiredLease(lease, fencingToken))
                                         : Optional.empty());
     }
 
@@ -208,7 +209,7 @@
     }
 
     private void leaseAcquired(AcquiredLease acquired, long requestSentMs) {
-        mStoreLeaseId = acquired.leaseId();
+        mStoreLease = acquired.lease();
         mLease = new OrderLease(acquired.fencingToken(), requestSentMs + LEASE_TERM_MS);
         mNextStoreCallMs = requestSentMs + RENEWAL_INTERVAL_MS;
         LOG.info(
@@ -222,7 +223,7 @@
         mContext.runOnContext(ignored -> action.run());
     }
 
-    private record AcquiredLease(long leaseId, long fencingToken) {}
+    private record AcquiredLease(StoreLease lease, long fencingToken) {}
 
     private record OrderSender(InstanceId instance, String attempt) {}
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/IdempotencyClaims.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/IdempotencyClaims.java
@@ -20,6 +20,7 @@
 import org.filbertrudder.store.KeyValue;
 import org.filbertrudder.store.Store;
 import org.filbertrudder.store.StoreException;
+import org.filbertrudder.store.StoreLease;
 import org.filbertrudder.store.Transaction;
 import org.filbertrudder.store.TransactionResult;
 
@@ -94,6 +95,7 @@
             return Uni.createFrom().item(mLeaseId);
         }
         return mStore.grantLease(RETENTION.toSeconds())
+                .map(StoreLease::id)
                 .emitOn(this::runOnEventLoop)
                 .invoke(
                         leaseId -> {
@@ -306,7 +308,10 @@
                                             : Uni.createFrom()
                                                     .item(
                                                             new TransactionResult(
-                                                                    mStore.era(), true, List.of()));
+                                                                    mStore.era(),
+                                                                    0,
+                                                                    true,
+                                                                    List.of()));
                                 });
         retryInBackground(removal, "An unused claim cannot be removed.");
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -24,6 +24,7 @@
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Contract;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
@@ -63,6 +64,13 @@
     private static final long MAX_CLOCK_GAP_MS = 250;
 
     private static final long REGISTRATION_INTERVAL_MS = 2_000;
+
+    /**
+     * The time in which one instance registers again after the store has returned from a copy, in
+     * milliseconds; with two writes each, a fraction of the writes that the store accepts.
+     */
+    private static final int REGISTRATION_SPREAD_MS = 10;
+
     private static final long INSTANCE_READ_INTERVAL_MS = 5_000;
 
     /**
@@ -113,6 +121,7 @@
     private GatewayTokenReservationService mTokenReservations;
     private List<Member> mRegisteredInstances;
     private Set<InstanceId> mSuspected = Set.of();
+    private StoreEra mEra = StoreEra.UNREPORTED;
     private long mNextRegistrationMs;
     private long mNextInstanceReadMs;
     private long mPublishedVersion = -1;
@@ -206,6 +215,7 @@
         long nowMs = now.steadyMs();
         send(mMembership.tick(mFollower.revision(), nowMs));
         mFollower.tick(now);
+        checkEra(nowMs);
         mTokenReservations.tick(nowMs);
         registerAndReadInstances(nowMs);
         mBlockedParts.tick(nowMs);
@@ -222,6 +232,25 @@
         }
     }
 
+    /**
+     * Registers again and reads the instances when the store has returned from a copy, as it may
+     * have lost both. The instances do so one after the other, as all of them notice it at once.
+     */
+    private void checkEra(long nowMs) {
+        StoreEra era = mSource.era();
+        if (!era.isAfter(mEra)) {
+            return;
+        }
+        boolean isFirst = mEra.equals(StoreEra.UNREPORTED);
+        mEra = era;
+        if (!isFirst) {
+            int spreadMs = REGISTRATION_SPREAD_MS * mMembership.members().size();
+            mNextRegistrationMs = nowMs + mRandom.nextInt(spreadMs);
+            mNextInstanceReadMs =
+                    Math.min(mNextInstanceReadMs, mNextRegistrationMs + REGISTRATION_INTERVAL_MS);
+        }
+    }
+
     /** Drops connections to newly suspected members, as the connection itself may be broken. */
     private void dropConnectionsToSuspects() {
         Set<InstanceId> suspected = new HashSet<>();
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
@@ -336,10 +336,20 @@
         mPendingWatches.removeIf(watch -> respondToWatch(watch, false));
     }
 
-    private void grantLease(HttpServerRequest request, long ttlMs) {
+    /** Grants a lease and writes a key under it, as another user of the store would. */
+    public synchronized void putWithLease(String key, long ttlMs) {
+        put(key, "", grantLease(ttlMs));
+    }
+
+    private long grantLease(long ttlMs) {
         long id = mNextLeaseId++;
         mLeases.put(id, new Lease(ttlMs));
         restartLeaseTimer(id);
+        return id;
+    }
+
+    private void grantLease(HttpServerRequest request, long ttlMs) {
+        long id = grantLease(ttlMs);
         respond(request, 200, Json.MAPPER.createObjectNode().put("lease", id).put("ttlMs", ttlMs));
     }
 
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
@@ -78,24 +78,25 @@
     }
 
     @Override
-    public Uni<Long> grantLease(long seconds) {
+    public Uni<StoreLease> grantLease(long seconds) {
         mWrites.incrementAndGet();
         return call("/v3/lease/grant", new JsonObject().put("TTL", Long.toString(seconds)))
-                .map(response -> Long.parseLong(response.getString("ID")));
+                .map(response -> Long.parseLong(response.getString("ID")))
+                .map(id -> new StoreLease(id, StoreEra.UNREPORTED));
     }
 
     @Override
-    public Uni<Boolean> renewLease(long leaseId) {
+    public Uni<Boolean> renewLease(StoreLease lease) {
         mWrites.incrementAndGet();
-        return call("/v3/lease/keepalive", new JsonObject().put("ID", Long.toString(leaseId)))
+        return call("/v3/lease/keepalive", new JsonObject().put("ID", Long.toString(lease.id())))
                 .map(response -> response.getJsonObject("result", response))
                 .map(result -> Long.parseLong(result.getString("TTL", "0")) > 0);
     }
 
     @Override
-    public Uni<Void> revokeLease(long leaseId) {
+    public Uni<Void> revokeLease(StoreLease lease) {
         mWrites.incrementAndGet();
-        return call("/v3/lease/revoke", new JsonObject().put("ID", Long.toString(leaseId)))
+        return call("/v3/lease/revoke", new JsonObject().put("ID", Long.toString(lease.id())))
                 .replaceWithVoid();
     }
 
@@ -151,7 +152,7 @@
                 currentValues.addAll(keyValues(read.getJsonArray("kvs")));
             }
         }
-        return new TransactionResult(StoreEra.UNREPORTED, succeeded, currentValues);
+        return new TransactionResult(StoreEra.UNREPORTED, 0, succeeded, currentValues);
     }
 
     private Uni<JsonObject> call(String path, JsonObject body) {
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/Store.java
@@ -13,16 +13,13 @@
     /** Reads all keys with a prefix, in ascending order. */
     Uni<StoreListing> list(String prefix);
 
+    /** Creates a lease that expires after a time in seconds unless renewed. */
+    Uni<StoreLease> grantLease(long seconds);
+
     /**
-     * Creates a lease that expires after a time in seconds unless renewed; returns the lease id.
+     * Renews a lease; returns false if the lease has already expired or was granted in another era.
      */
-    Uni<Long> grantLease(long seconds);
-
-    /** Renews a lease; returns false if the lease has already expired. */
-    Uni<Boolean> renewLease(long leaseId);
-
-    /** Revokes a lease; the store deletes all keys attached to the lease. */
-    Uni<Void> revokeLease(long leaseId);
+    Uni<Boolean> renewLease(StoreLease lease);
 
     /** Executes a transaction atomically. */
     Uni<TransactionResult> commit(Transaction transaction);
