Blocked prompt parts are written and deleted again when the store has returned from a copy

Callers saw (in tests): a block was lost with what the store lost, so that after a stop of all instances the part crashed endpoints again; a part that operators had allowed was blocked again after one.

Cause: a successful write or deletion was taken to last for ever.

Writes are repeated by the instance that keeps the part, deletions of the last two minutes by the one that deleted.

Failed before: blockedPartIsLostWhenTheStoreReturnsFromACopy and allowedPartIsBlockedAgainWhenTheStoreReturnsFromACopy in CrashingPartTest (20 s without effect).

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartStore.java
@@ -8,13 +8,15 @@
 import java.util.concurrent.CompletableFuture;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.PartEvidence;
 
 /**
  * Keeps the blocked prompt parts in the store, so that they outlive a stop of all instances.
  *
  * <p>Each part is written once by one instance, read once by each instance at its start, and
- * deleted when it is allowed again.
+ * deleted when it is allowed again. A store that has returned from a copy may lack what was written
+ * and contain what was deleted, so both are repeated.
  */
 public final class BlockedPartStore {
 
@@ -23,12 +25,20 @@
     /** The delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_DELAY_MS = 2_000;
 
+    /**
+     * How long a deletion is remembered, in milliseconds; longer than the age of a copy from which
+     * the store returns.
+     */
+    private static final long DELETION_MEMORY_MS = 120_000;
+
     private final Context mContext;
     private final StateSource mSource;
     private final CompletableFuture<List<PartEvidence>> mStored = new CompletableFuture<>();
     private final Map<String, Long> mNextWriteMs = new HashMap<>();
     private final Map<String, Long> mNextDeleteMs = new HashMap<>();
     private final Map<String, Integer> mWrittenLosses = new HashMap<>();
+    private final Map<String, Long> mDeletedMs = new HashMap<>();
+    private StoreEra mEra = StoreEra.UNREPORTED;
     private boolean mReading;
     private long mNextReadMs = Long.MIN_VALUE;
 
@@ -46,6 +56,7 @@
 
     /** Reads the stored parts until that has succeeded once, and deletes those that are due. */
     void tick(long nowMs) {
+        checkEra(nowMs);
         List.copyOf(mNextDeleteMs.entrySet()).stream()
                 .filter(entry -> entry.getValue() <= nowMs)
                 .forEach(entry -> delete(entry.getKey(), nowMs));
@@ -66,6 +77,17 @@
                         });
     }
 
+    /** Repeats the writes and recent deletions if the store has returned from a copy. */
+    private void checkEra(long nowMs) {
+        StoreEra era = mSource.era();
+        if (era.isAfter(mEra) && !mEra.equals(StoreEra.UNREPORTED)) {
+            mWrittenLosses.clear();
+            mDeletedMs.values().removeIf(deletedMs -> nowMs - deletedMs > DELETION_MEMORY_MS);
+            mDeletedMs.keySet().forEach(part -> mNextDeleteMs.putIfAbsent(part, nowMs));
+        }
+        mEra = era;
+    }
+
     /** Writes the parts that this instance has not written yet; may be called from any thread. */
     public void retain(Collection<PartEvidence> parts) {
         mContext.runOnContext(ignored -> parts.forEach(this::write));
@@ -80,6 +102,7 @@
         }
         mNextWriteMs.put(part, nowMs + RETRY_DELAY_MS);
         mNextDeleteMs.remove(part);
+        mDeletedMs.remove(part);
         mSource.writeBlockedPart(evidence)
                 .subscribe()
                 .with(
@@ -109,10 +132,15 @@
         mSource.deleteBlockedPart(part)
                 .subscribe()
                 .with(
-                        done -> mContext.runOnContext(ignored -> mNextDeleteMs.remove(part)),
+                        done -> mContext.runOnContext(ignored -> recordDeletion(part)),
                         failure -> logFailure("delete", part, failure));
     }
 
+    private void recordDeletion(String part) {
+        mNextDeleteMs.remove(part);
+        mDeletedMs.put(part, Clocks.steadyMs());
+    }
+
     private static void logFailure(String call, String part, Throwable failure) {
         LOG.warn(
                 "The store did not take a blocked part.",
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CrashingPartTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CrashingPartTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.filbertrudder.standins.platform.ArrivalLog;
+import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -104,6 +105,41 @@
         assertEquals(mChecker.crashTimesMs().size(), crashes);
     }
 
+    @Test
+    public void blockedPartIsLostWhenTheStoreReturnsFromACopy() {
+        mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of("deadly")));
+        KvStoreStandIn.Copy copy = mFleet.store().copy();
+        sendCrashingUntilRefused("mtl-1");
+        awaitStoredParts(1);
+
+        mFleet.store().restore(copy);
+        mFleet.store().writeAgain();
+
+        awaitStoredParts(1);
+    }
+
+    @Test
+    public void allowedPartIsBlockedAgainWhenTheStoreReturnsFromACopy() {
+        mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of("deadly")));
+        sendCrashingUntilRefused("mtl-1");
+        awaitStoredParts(1);
+        mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of()));
+        KvStoreStandIn.Copy copy = mFleet.store().copy();
+        mFleet.allowPart("mtl-3", "deadly");
+        awaitStoredParts(0);
+
+        mFleet.store().restore(copy);
+        mFleet.store().writeAgain();
+
+        awaitStoredParts(0);
+    }
+
+    private void awaitStoredParts(int count) {
+        PlatformFleet.await(
+                count + " parts are in the store",
+                () -> mFleet.store().keys(BLOCKED_PARTS_KEY).size() == count);
+    }
+
     @Test
     public void anOperatorSeesABlockedPartAndAllowsItAtAllInstances() {
         mFleet.replicas().forEach(replica -> replica.setCrashingParts(Set.of("deadly")));
