One odd entry of the live list does not hide the others (own interface)

Callers saw (in tests): after another writer had left one odd entry in the live list, instances followed the list no longer: leaving endpoints got requests, instances that restarted were not found.

Cause: the list was decoded as a whole, so that a wrong type, an unknown state, a deep nesting or a number too large in one entry failed all; an address or id that is invalid raised an exception where the list is used.

The list is read entry by entry; what cannot be read is passed over with a line in the log.

Failed before: LiveListPollerTest in 14 of 15 cases.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListPoller.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/LiveListPoller.java
@@ -5,11 +5,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.store.LiveListEntry;
 import org.filbertrudder.store.PlatformDirectory;
@@ -104,15 +107,30 @@
     Set<EndpointId> leavingEndpoints() {
         return mEntries.stream()
                 .filter(entry -> entry.state() == LiveListEntry.State.LEAVING)
-                .map(entry -> EndpointId.of(entry.id()))
+                .flatMap(entry -> ifValid(entry, () -> EndpointId.of(entry.id())))
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns what an entry names; nothing if another writer left a value there that is invalid.
+     */
+    private static <T> Stream<T> ifValid(LiveListEntry entry, Supplier<T> value) {
+        try {
+            return Stream.of(value.get());
+        } catch (InvalidValueException e) {
+            LOG.debug(
+                    "An entry of the live list is passed over.",
+                    LogField.of("entry", entry.id()),
+                    LogField.of("why", e.getMessage()));
+            return Stream.empty();
+        }
+    }
+
     /** Returns the peer addresses of the listed instances; endpoints have none. */
     List<PeerAddress> peerAddresses() {
         return mEntries.stream()
                 .filter(entry -> !entry.address().isEmpty())
-                .map(entry -> PeerAddress.parse(entry.address()))
+                .flatMap(entry -> ifValid(entry, () -> PeerAddress.parse(entry.address())))
                 .toList();
     }
 }
--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/PlatformDirectory.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/PlatformDirectory.java
@@ -1,6 +1,5 @@
 package org.filbertrudder.store;
 
-import com.fasterxml.jackson.core.type.TypeReference;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Vertx;
 import io.vertx.ext.web.client.WebClientOptions;
@@ -52,8 +51,7 @@
                             + ", expected 200. Check the platform.");
         }
         try {
-            return Json.MAPPER.readValue(
-                    response.bodyAsString(), new TypeReference<List<LiveListEntry>>() {});
+            return LiveListParser.parse(response.bodyAsString());
         } catch (IOException e) {
             throw new IllegalStateException(
                     "The live list cannot be parsed. Check the version of the platform.", e);
