One odd entry in the store does not keep an instance from following the others (platform)

Callers saw (in tests): an entry "null" among the blocked parts kept an instance from becoming ready for good; among the instances it, or a port out of range, ended each reading of the list with an exception, so that requests were refused.

Cause: the document "null" decodes to no object without an error; ports and the size of numbers were not checked.

--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/Json.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/Json.java
@@ -49,10 +49,15 @@
      * @throws InvalidValueException if the text is not a valid JSON document of the type
      */
     public static <T> T read(String text, Class<T> type) {
+        T value;
         try {
-            return MAPPER.readValue(text, type);
+            value = MAPPER.readValue(text, type);
         } catch (JsonProcessingException e) {
             throw new InvalidValueException(JsonErrorMessages.describe(e));
         }
+        if (value == null) {
+            throw new InvalidValueException("The document is null. Provide an object.");
+        }
+        return value;
     }
 }
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/Member.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/Member.java
@@ -2,6 +2,7 @@
 
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.model.RegionId;
 
 /**
@@ -33,11 +34,37 @@
     /** The CPU share assumed for an instance that reports none, in hundredths of a core. */
     public static final int STANDARD_STRENGTH = 100;
 
+    private static final int MAX_PORT = 65_535;
+
     /** Replaces a strength of 0 or less by the standard strength. */
     public Member {
         strength = strength <= 0 ? STANDARD_STRENGTH : strength;
     }
 
+    /**
+     * Returns this member if it has an identity and an address.
+     *
+     * @throws InvalidValueException if something is missing or a port is out of range
+     */
+    public Member requireValid() {
+        boolean hasIdentity =
+                id != null && region != null && failureDomain != null && state != null;
+        boolean hasAddress = host != null && !host.isEmpty();
+        if (!hasIdentity || !hasAddress) {
+            throw new InvalidValueException(
+                    "A member lacks its id, place, state or host. Check who registered it.");
+        }
+        if (!isPort(peerPort) || !isPort(forwardPort) || !isPort(callerPort)) {
+            throw new InvalidValueException(
+                    "A port of member " + id + " is out of range. Expected 0 to 65535.");
+        }
+        return this;
+    }
+
+    private static boolean isPort(int port) {
+        return port >= 0 && port <= MAX_PORT;
+    }
+
     /** Creates a member of standard strength. */
     public Member(
             InstanceId id,
