A connection ends with a refusal, as a copy of it could not be told from the next one (own interface)

Callers saw (in tests): an endpoint that wrote an earlier refusal once more on a kept connection made requests that it was running look refused, "not run".

Cause: answers are matched by the id of the request where the endpoint repeats it; one without an id was taken for the answer to the request in flight.

After an answer that is no success the connection is not used again, so that no later request can get a copy of it.

Failed before: EndpointCallTest.repeatedRefusal... for an endpoint that does not name the request (it ran and was called not run); for one that does, the request was reported as unknown instead of refused.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
@@ -18,6 +18,7 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("endpoints");
     private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final int FIRST_UNSUCCESSFUL_STATUS = 300;
 
     private final UpstreamListener mListener;
     private final String mRequestId;
@@ -89,6 +90,11 @@
             return;
         }
         mResponse = response;
+        if (response.statusCode() >= FIRST_UNSUCCESSFUL_STATUS) {
+            // A late copy of a refusal could not be told from the refusal of a later request, so
+            // that the connection ends with this response.
+            request().connection().shutdown();
+        }
         response.exceptionHandler(failure -> fail(UpstreamListener.Failure.BROKEN));
         response.handler(this::receiveData);
         response.endHandler(ignored -> receiveEnd());
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/EndpointCallTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/EndpointCallTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
@@ -18,6 +19,7 @@
 import org.filbertrudder.model.ServiceId;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests that a call rejects a response that carries the id of another request. */
@@ -67,6 +69,49 @@
         server.close();
     }
 
+    /** Lists whether the repeated refusal names its request. */
+    @DataProvider
+    public Object[][] refusals() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    @Test(dataProvider = "refusals")
+    public void repeatedRefusalIsTakenForTheAnswerToARequestThatRuns(boolean namesRequest)
+            throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        AtomicInteger executions = new AtomicInteger();
+        NetServer server = mVertx.createNetServer();
+        server.connectHandler(
+                socket -> {
+                    connections.incrementAndGet();
+                    AtomicReference<String> refusal = new AtomicReference<>();
+                    socket.handler(
+                            bytes -> {
+                                if (refusal.compareAndSet(null, refusal(bytes, namesRequest))) {
+                                    socket.write(refusal.get());
+                                } else {
+                                    executions.incrementAndGet();
+                                    socket.write(refusal.get() + httpResponse("r2", "second"));
+                                }
+                            });
+                });
+        server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+        HttpClient client = mVertx.createHttpClient(new HttpClientOptions().setMaxPoolSize(1));
+
+        assertEquals(call(client, server.actualPort(), "r1"), "503 ");
+        assertEquals(call(client, server.actualPort(), "r2"), "503 ");
+        assertEquals(executions.get(), 0, "a request that ran is called not run");
+        assertEquals(connections.get(), 2);
+        server.close();
+    }
+
+    private static String refusal(Buffer request, boolean namesRequest) {
+        String id = request.toString().contains("r1") ? "r1" : "r2";
+        return "HTTP/1.1 503 Service Unavailable\r\n"
+                + (namesRequest ? "x-request-id: " + id + "\r\n" : "")
+                + "Content-Length: 0\r\n\r\n";
+    }
+
     private String call(HttpClient client, int port, String requestId) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
         Endpoint endpoint =
