A refused request is not repeated on the connection on which it was refused (platform)

A copy of a refusal has the id of its request.

EndpointConnection.mayCarry excludes it (EndpointConnectionTest).

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -20,6 +20,8 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.impl.NetSocketInternal;
+import java.util.HashSet;
+import java.util.Set;
 import org.filbertrudder.gateway.control.Clocks;
 
 /**
@@ -58,6 +60,9 @@
      */
     private static final long DEFAULT_KEEP_ALIVE_MS = 300;
 
+    /** The number of refused requests after which a connection is not used again. */
+    private static final int MAX_REFUSED_REQUESTS = 16;
+
     private final NetSocketInternal mSocket;
     private final EndpointResponseDecoder mDecoder;
     private final HttpProtocol mProtocol;
@@ -66,6 +71,7 @@
     private String mRequestId;
     private boolean mInResponse;
     private boolean mUsedBefore;
+    private final Set<String> mRefusedRequests = new HashSet<>();
     private int mInterimResponses;
     private int mSkippedResponses;
     private long mSkippedBytes;
@@ -180,7 +186,13 @@
             }
             return;
         }
-        mReusable &= HttpUtil.isKeepAlive(response) && !mCloseDelimited;
+        if (!head.isSuccess()) {
+            mRefusedRequests.add(mRequestId);
+        }
+        mReusable &=
+                HttpUtil.isKeepAlive(response)
+                        && !mCloseDelimited
+                        && mRefusedRequests.size() < MAX_REFUSED_REQUESTS;
         mKeepAliveMs =
                 head.keepAliveMs().isPresent()
                         ? Math.max(0, head.keepAliveMs().getAsLong() - KEEP_ALIVE_MARGIN_MS)
@@ -259,6 +271,14 @@
         mSocket.close();
     }
 
+    /**
+     * Returns whether the connection may carry a request. One that was refused on it may not be
+     * repeated on it, as a late copy of the refusal could not be told from the new response.
+     */
+    boolean mayCarry(String requestId) {
+        return isReusable() && !mRefusedRequests.contains(requestId);
+    }
+
     /** Returns whether the connection may carry another request. */
     boolean isReusable() {
         return mReusable && !mClosed;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnectionPools.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnectionPools.java
@@ -10,6 +10,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.ToIntFunction;
@@ -57,9 +58,13 @@
      * @param repeatable whether the request may be sent again if the endpoint has closed the
      *     connection
      */
-    void acquire(Endpoint endpoint, boolean repeatable, Consumer<EndpointConnection> action) {
+    void acquire(
+            Endpoint endpoint,
+            String requestId,
+            boolean repeatable,
+            Consumer<EndpointConnection> action) {
         Pool pool = pool(endpoint);
-        EndpointConnection idle = pool.poll(repeatable);
+        EndpointConnection idle = pool.poll(requestId, repeatable);
         if (idle != null) {
             action.accept(idle);
         } else {
@@ -159,15 +164,20 @@
             return endpoint.host().equals(mEndpoint.host()) && endpoint.port() == mEndpoint.port();
         }
 
-        EndpointConnection poll(boolean repeatable) {
+        EndpointConnection poll(String requestId, boolean repeatable) {
             long nowMs = Clocks.steadyMs();
             closeExpired(nowMs);
-            EndpointConnection mostRecent = mIdle.peekFirst();
-            if (mostRecent == null
-                    || (!repeatable && mostRecent.idleMs(nowMs) > MAX_IDLE_UNREPEATABLE_MS)) {
-                return null;
-            }
-            return mIdle.pollFirst();
+            Optional<EndpointConnection> mostRecent =
+                    mIdle.stream()
+                            .filter(connection -> connection.mayCarry(requestId))
+                            .findFirst()
+                            .filter(
+                                    connection ->
+                                            repeatable
+                                                    || connection.idleMs(nowMs)
+                                                            <= MAX_IDLE_UNREPEATABLE_MS);
+            mostRecent.ifPresent(mIdle::remove);
+            return mostRecent.orElse(null);
         }
 
         void closeExpired(long nowMs) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -47,7 +47,10 @@
         mDependencies
                 .connections()
                 .acquire(
-                        mEndpoint.endpoint(), mExchange.route().isRepeatable(), this::onConnection);
+                        mEndpoint.endpoint(),
+                        mExchange.head().requestId(),
+                        mExchange.route().isRepeatable(),
+                        this::onConnection);
     }
 
     /** Adds the engine's estimated state at the time of the choice to the trace. */
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -92,12 +92,16 @@
                     @Override
                     public void end() {
                         result.complete(
-                                new Outcome(true, body.toString(), connection.isReusable()));
+                                new Outcome(
+                                        true,
+                                        body.toString(),
+                                        connection.isReusable(),
+                                        connection.mayCarry("a1")));
                     }
 
                     @Override
                     public void failed(Failure failure) {
-                        result.complete(new Outcome(false, body.toString(), false));
+                        result.complete(new Outcome(false, body.toString(), false, false));
                     }
                 },
                 () -> {});
@@ -171,6 +175,17 @@
         assertFalse(outcome.reusable());
     }
 
+    @Test
+    public void requestThatWasRefusedIsRepeatedOnTheSameConnection() {
+        String refusal = "HTTP/1.1 503 Busy\r\nid: a1\r\nContent-Length: 5\r\n\r\nright";
+        Outcome refused = exchange(socket -> socket.write(refusal));
+        Outcome served = exchange(socket -> socket.write(VALID_RESPONSE));
+
+        assertTrue(refused.reusable(), "it may carry other requests");
+        assertFalse(refused.mayCarryAgain());
+        assertTrue(served.mayCarryAgain());
+    }
+
     /** Provides seeds of the random changes. */
     @DataProvider
     public Object[][] seeds() {
@@ -204,7 +219,8 @@
         return text.toString();
     }
 
-    private record Outcome(boolean complete, String body, boolean reusable) {}
+    private record Outcome(
+            boolean complete, String body, boolean reusable, boolean mayCarryAgain) {}
 
     /** Reads the request id of a response from the header {@code id}. */
     private static final class IdHeaderProtocol implements HttpProtocol {
