A response of another type does not continue a broken stream (own interface)

Callers could get the body of an answer with status 200 that names the right offset but is no stream of events, behind the events they had; by the code also a second head. Errors, redirects and answers without the offset were refused before (AttemptRunner.continuesStream); InterruptedStreamTest breaks streams at each byte.

Tried on the decision, not with an engine's bytes.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
@@ -363,11 +363,8 @@
     /** Returns whether the response continues the stream after the last event that was sent. */
     private static boolean continuesStream(
             Exchange exchange, int status, Map<String, String> headers) {
-        if (!exchange.relay().resumable()) {
-            return true;
-        }
-        String offset = Long.toString(exchange.relay().eventsSent());
-        return status == 200 && offset.equals(headers.get(Exchange.RESUME_OFFSET_HEADER));
+        return !exchange.relay().resumable()
+                || ResponseRelay.continuesAfter(exchange.relay().eventsSent(), status, headers);
     }
 
     /** Handles the response of an attempt on an endpoint in this region. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ResponseRelay.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ResponseRelay.java
@@ -18,6 +18,7 @@
     private static final String EVENT_STREAM_TYPE = "text/event-stream";
     private static final String LAST_EVENT_DATA = "data: [DONE]";
     private static final String ERROR_EVENT_START = "event: error";
+    private static final int STATUS_OK = 200;
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
     private static final Set<String> HEADERS_NOT_RELAYED =
             Set.of(
@@ -82,6 +83,13 @@
         }
     }
 
+    /** Returns whether a response continues a stream after a number of events. */
+    static boolean continuesAfter(long events, int status, Map<String, String> headers) {
+        return status == STATUS_OK
+                && Long.toString(events).equals(headers.get(Exchange.RESUME_OFFSET_HEADER))
+                && headers.getOrDefault("content-type", "").startsWith(EVENT_STREAM_TYPE);
+    }
+
     private static long declaredLength(Map<String, String> headers) {
         String length = headers.get("content-length");
         return length == null ? 0 : Long.parseLong(length);
