The soak changes the configuration and lets the store return from copies

ConfigurationLoad adds and drops routes each 0.5 to 4.5 s, keeps copies of the store and lets it return from one of them, beside the other faults of LimitSoak; ConfigurationChecker counts CONFIG and DENIED.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -26,9 +26,10 @@
 
 /**
  * Runs gateway processes of one region under load, while replicas state, change and lift limits, a
- * part of prompts crashes replicas, and a seeded series of signals, restarts and outages disturbs
- * the processes, the replicas and the store. Checks what the replicas and the callers see against
- * the platform's rules LIMIT, BUDGET and LOST.
+ * part of prompts crashes replicas, the configuration changes, and a seeded series of signals,
+ * restarts and outages disturbs the processes, the replicas and the store, which may return from a
+ * copy. Checks what the replicas and the callers see against the platform's rules LIMIT, BUDGET,
+ * LOST, CONFIG and DENIED.
  */
 public final class LimitSoak {
 
@@ -42,6 +43,8 @@
     private static final long MAX_REQUEST_INTERVAL_MS = 1_000;
     private static final long MIN_REQUEST_INTERVAL_MS = 40;
 
+    private static final long COPY_INTERVAL_MS = 500;
+
     /** How long a disturbed instance is excused after the end of the disturbance. */
     private static final long CONTACT_MS = 6_000;
 
@@ -67,6 +70,8 @@
     private final List<String> mEvents = Collections.synchronizedList(new ArrayList<>());
     private final AtomicLong mNextRequest = new AtomicLong();
     private final Map<String, Long> mLiftedMs = new ConcurrentHashMap<>();
+    private final ConfigurationLoad mConfiguration =
+            new ConfigurationLoad(mFleet, API_KEY, this::isExcused);
     private CrashingPartChecker mCrashingPart;
     private long mStartedMs;
     private volatile long mCrashingFromMs = Long.MAX_VALUE;
@@ -127,13 +132,14 @@
         callers.shutdown();
         mCheckers.forEach((name, checker) -> mViolations.addAll(checker.violations(name)));
         mViolations.addAll(mCrashingPart.violations(mCrashingFromMs, ArrivalLog.nowMs()));
+        mViolations.addAll(mConfiguration.violations());
         checkReturns();
         checkExecutions();
         return new Report(List.copyOf(mViolations), new TreeMap<>(mStatuses), List.copyOf(mEvents));
     }
 
     private void startFleet() {
-        mFleet.writeConfiguration(true);
+        mConfiguration.write();
         for (int i = 1; i <= REPLICAS_PER_SERVICE; i++) {
             startReplica("pool-" + i, PlatformFleet.MODEL_SERVICE);
             startReplica("desk-" + i, PlatformFleet.BOOKING_SERVICE);
@@ -199,6 +205,17 @@
         for (String path : List.of("/digest/x", "/stock/x", "/book/x")) {
             callers.execute(() -> call(process, path, intervalMs));
         }
+        callers.execute(() -> probeConfiguration(process, intervalMs));
+    }
+
+    private void probeConfiguration(GatewayProcess process, long intervalMs) {
+        PlatformClient client = process.callerClient();
+        for (int i = 0; !mStopped; i++) {
+            long sentMs = ArrivalLog.nowMs();
+            int start = mDisturbances.get(process.id()).size();
+            mConfiguration.probe(client, newId(process, "/"), process.id(), start, i);
+            sleepUntil(sentMs + intervalMs);
+        }
     }
 
     private void call(GatewayProcess process, String path, long intervalMs) {
@@ -253,6 +270,12 @@
             String limit = mRandom.nextInt(5) == 0 ? null : pick(LIMITS);
             schedule(faults, atMs, () -> setLimit(replica, limit));
         }
+        for (long atMs = 0; atMs < seconds() * 1_000L; atMs += COPY_INTERVAL_MS) {
+            schedule(faults, atMs, mConfiguration::copy);
+        }
+        for (long atMs = 1_000; atMs < seconds() * 1_000L; atMs += 500 + mRandom.nextInt(4_000)) {
+            schedule(faults, atMs, mConfiguration::change);
+        }
         for (long atMs = 3_000; atMs < seconds() * 1_000L; atMs += 500 + mRandom.nextInt(5_000)) {
             Runnable fault = drawFault();
             schedule(faults, atMs, fault);
@@ -279,12 +302,15 @@
                 mRandom.nextBoolean()
                         ? KvStoreStandIn.Mode.REJECTING
                         : KvStoreStandIn.Mode.UNRESPONSIVE;
-        return switch (mRandom.nextInt(6)) {
+        long copyAgeMs = mRandom.nextInt(9_000);
+        long rewriteDelayMs = mRandom.nextBoolean() ? 0 : mRandom.nextInt(500);
+        return switch (mRandom.nextInt(8)) {
             case 0 -> () -> restart(process, "TERM");
             case 1 -> () -> restart(process, "KILL");
             case 2 -> () -> freeze(process, durationMs);
             case 3 -> () -> signal(process, "HUP");
             case 4 -> () -> interruptStore(mode, durationMs);
+            case 5, 6 -> () -> restoreStore(mode, durationMs / 2, copyAgeMs, rewriteDelayMs);
             default -> () -> restartReplica(replica, durationMs);
         };
     }
@@ -347,9 +373,14 @@
 
     private void interruptStore(KvStoreStandIn.Mode mode, long durationMs) {
         note("the store is " + mode);
-        mFleet.store().setMode(mode);
-        sleepUntil(ArrivalLog.nowMs() + durationMs);
-        mFleet.store().setMode(KvStoreStandIn.Mode.SERVING);
+        mConfiguration.interruptStore(mode, durationMs);
+    }
+
+    private void restoreStore(
+            KvStoreStandIn.Mode mode, long durationMs, long copyAgeMs, long rewriteDelayMs) {
+        note("the store is " + mode + " and returns from a copy, age " + copyAgeMs + " ms");
+        mConfiguration.restoreStore(mode, durationMs, copyAgeMs, rewriteDelayMs);
+        note("the store has returned");
     }
 
     /** Restarts a replica under the same id; the new process states no limit. */
