--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ConfigurationLoad.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ConfigurationLoad.java
@@ -109,6 +109,7 @@
     synchronized void restoreStore(
             KvStoreStandIn.Mode mode, long durationMs, long copyAgeMs, long rewriteDelayMs) {
         Outage outage = beginOutage(mode, durationMs);
+        // The oldest copy of those that are not older than told.
         mCopies.stream()
                 .filter(copy -> outage.mFromMs - copy.atMs() <= copyAgeMs)
                 .findFirst()
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -44,6 +44,7 @@
     private static final long MIN_REQUEST_INTERVAL_MS = 40;
 
     private static final long COPY_INTERVAL_MS = 500;
+    private static final long QUIET_OUTAGE_MS = 1_500;
 
     /** How long a disturbed instance is excused after the end of the disturbance. */
     private static final long CONTACT_MS = 6_000;
@@ -127,8 +128,9 @@
         ScheduledExecutorService faults = Executors.newScheduledThreadPool(8);
         scheduleFaults(faults);
         sleepUntil(mStartedMs + TimeUnit.SECONDS.toMillis(mOptions.seconds()));
-        mStopped = true;
         faults.shutdownNow();
+        loseChangesInAQuietTime();
+        mStopped = true;
         callers.shutdown();
         mCheckers.forEach((name, checker) -> mViolations.addAll(checker.violations(name)));
         mViolations.addAll(mCrashingPart.violations(mCrashingFromMs, ArrivalLog.nowMs()));
@@ -138,6 +140,21 @@
         return new Report(List.copyOf(mViolations), new TreeMap<>(mStatuses), List.copyOf(mEvents));
     }
 
+    /**
+     * Lets the store lose more changes than follow, without other faults, so that an instance that
+     * does not follow the operators any more shows.
+     */
+    private void loseChangesInAQuietTime() {
+        mConfiguration.copy();
+        mConfiguration.change();
+        mConfiguration.change();
+        sleepUntil(ArrivalLog.nowMs() + CONTACT_MS / 2);
+        restoreStore(KvStoreStandIn.Mode.REJECTING, QUIET_OUTAGE_MS, CONTACT_MS, 0);
+        sleepUntil(ArrivalLog.nowMs() + CONTACT_MS / 2);
+        mConfiguration.change();
+        sleepUntil(ArrivalLog.nowMs() + 2 * CONTACT_MS);
+    }
+
     private void startFleet() {
         mConfiguration.write();
         for (int i = 1; i <= REPLICAS_PER_SERVICE; i++) {
