--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -171,6 +171,21 @@
         assertEquals(mStateFreshness.ageMs(later(readyAt, 100)), 100);
     }
 
+    @Test
+    public void startedInstanceFollowsTheStoreAlthoughAPeerKnowsANewerVersion() {
+        mMayHavePeers = true;
+        onContext(() -> mFollower.tick(Clocks.now()));
+        respond(0, 20, "60");
+        assertEquals(mAppliedVersions, List.of(), "the peers have not replied");
+        assertEquals(mStateFreshness.isFresh(Clocks.now()), false);
+        long request = mPeerRequests.get(mPeerRequests.size() - 1).id();
+
+        onContext(() -> mFollower.handle(reply(request, -1, 22, "130")));
+
+        assertEquals(mAppliedVersions, List.of(130L));
+        assertEquals(mStateFreshness.isFresh(Clocks.now()), false, "nothing confirms it");
+    }
+
     private static PeerMessage.OperatorStateReply reply(
             long id, long ageMs, long revision, String configuration) {
         return new PeerMessage.OperatorStateReply(
