One reader of raw requests for the tests of odd replicas

BrokenStreamTest and RepeatedRefusalTest each collected the bytes of requests by themselves; RawRequestReader serves both. Two methods of PlatformFleet that nothing called are gone.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -276,16 +276,6 @@
         return mConfigurationVersion;
     }
 
-    /** Requests in the store that nothing more be sent to the replicas of a failure domain. */
-    public void evacuate(String domain) {
-        mStore.put("op/evacuate/" + domain, "{}");
-    }
-
-    /** Ends the evacuation of a failure domain. */
-    public void endEvacuation(String domain) {
-        mStore.delete("op/evacuate/" + domain);
-    }
-
     private static ObjectNode addRoute(
             ArrayNode routes, String prefix, String type, String service, boolean publicAccess) {
         return routes.addObject()
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/BrokenStreamTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/BrokenStreamTest.java
@@ -17,10 +17,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -30,10 +29,6 @@
 /** Tests streams that begin at one replica and break off, if the next one answers oddly. */
 public class BrokenStreamTest {
 
-    private static final Pattern REQUEST_ID =
-            Pattern.compile("Filbertrudder-Attempt-Id: *(\\S+)", Pattern.CASE_INSENSITIVE);
-    private static final Pattern CONTENT_LENGTH =
-            Pattern.compile("content-length: *(\\d+)", Pattern.CASE_INSENSITIVE);
     private static final int READ_TIMEOUT_MS = 10_000;
     private static final String FOREIGN = "foreign";
     private static final String END_OF_CHUNKS = "0\r\n\r\n";
@@ -207,7 +202,7 @@
     private final class Connection {
 
         private final NetSocket mSocket;
-        private Buffer mReceived = Buffer.buffer();
+        private final RawRequestReader mRequests = new RawRequestReader();
 
         Connection(NetSocket socket) {
             mSocket = socket;
@@ -215,19 +210,14 @@
         }
 
         private void receive(Buffer bytes) {
-            mReceived.appendBuffer(bytes);
-            String text = mReceived.toString();
-            Matcher length = CONTENT_LENGTH.matcher(text);
-            int bodyLength = length.find() ? Integer.parseInt(length.group(1)) : 0;
-            int headEnd = text.indexOf("\r\n\r\n");
-            if (headEnd < 0 || text.length() < headEnd + 4 + bodyLength) {
-                return;
-            }
-            mReceived = Buffer.buffer();
-            Matcher id = REQUEST_ID.matcher(text);
-            if (!id.find()) {
+            mRequests.add(bytes).ifPresent(this::answer);
+        }
+
+        private void answer(String request) {
+            Optional<String> id = RawRequestReader.requestId(request);
+            if (id.isEmpty()) {
                 mSocket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-            } else if (mBegun.add(id.group(1))) {
+            } else if (mBegun.add(id.get())) {
                 String begun =
                         head(
                                         "200 OK",
@@ -235,10 +225,10 @@
                                                 + "Transfer-Encoding: chunked\r\n")
                                 + chunk(event(1))
                                 + chunk(event(2) + "id: 3\nda");
-                mSocket.write(begun.replace("ID", id.group(1))).onComplete(done -> mSocket.close());
+                mSocket.write(begun.replace("ID", id.get())).onComplete(done -> mSocket.close());
             } else {
                 mAnswered = true;
-                mSocket.write(mNextAnswer.replace("ID", id.group(1)))
+                mSocket.write(mNextAnswer.replace("ID", id.get()))
                         .onComplete(done -> closeIfUnbounded());
             }
         }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/RepeatedRefusalTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/RepeatedRefusalTest.java
@@ -11,8 +11,6 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -22,10 +20,6 @@
 public class RepeatedRefusalTest {
 
     private static final String API_KEY = "key-club";
-    private static final Pattern REQUEST_ID =
-            Pattern.compile("Filbertrudder-Attempt-Id: *(\\S+)", Pattern.CASE_INSENSITIVE);
-    private static final Pattern CONTENT_LENGTH =
-            Pattern.compile("content-length: *(\\d+)", Pattern.CASE_INSENSITIVE);
     private static final long EXECUTION_MS = 100;
     private static final int REQUESTS = 12;
 
@@ -94,7 +88,7 @@
 
         private final NetSocket mSocket;
         private final List<String> mRefusals = new ArrayList<>();
-        private Buffer mReceived = Buffer.buffer();
+        private final RawRequestReader mRequests = new RawRequestReader();
 
         Connection(NetSocket socket) {
             mSocket = socket;
@@ -102,20 +96,9 @@
         }
 
         private void receive(Buffer bytes) {
-            mReceived.appendBuffer(bytes);
-            String text = mReceived.toString();
-            int headEnd = text.indexOf("\r\n\r\n");
-            if (headEnd < 0) {
-                return;
-            }
-            Matcher length = CONTENT_LENGTH.matcher(text);
-            int bodyLength = length.find() ? Integer.parseInt(length.group(1)) : 0;
-            if (text.length() < headEnd + 4 + bodyLength) {
-                return;
-            }
-            Matcher id = REQUEST_ID.matcher(text);
-            mReceived = Buffer.buffer();
-            answer(id.find() ? id.group(1) : "");
+            mRequests
+                    .add(bytes)
+                    .ifPresent(request -> answer(RawRequestReader.requestId(request).orElse("")));
         }
 
         private void answer(String requestId) {
