Log and count the outcomes of prompts by size, and how long they were generated

The line of each request now has its size class among the recent requests of its route, the events relayed and the time from the first to the last; counters have the outcomes of each class. No decision has changed.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -206,6 +206,7 @@
         }
         if (relay.events() > previousEvents) {
             mLastProgressMs = Clocks.steadyMs();
+            mExchange.noteEvent(mLastProgressMs);
             noteEventReceived();
         }
         return true;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -36,6 +36,8 @@
      */
     private static final double ENGINE_WAIT_GOAL_FRACTION = 0.4;
 
+    private static final long NO_EVENT = Long.MIN_VALUE;
+
     private static final AccountId ANONYMOUS_ACCOUNT = AccountId.of("everybody");
 
     private final RequestHead mHead;
@@ -64,6 +66,8 @@
     private boolean mQueued;
     private boolean mEnded;
     private boolean mCallerDisconnected;
+    private long mFirstEventMs = NO_EVENT;
+    private long mLastEventMs = NO_EVENT;
 
     GatewayExchange(
             RequestHead head,
@@ -348,6 +352,24 @@
         mCallerDisconnected = true;
     }
 
+    /** Records that an event of the response stream has been relayed. */
+    void noteEvent(long nowMs) {
+        if (mFirstEventMs == NO_EVENT) {
+            mFirstEventMs = nowMs;
+        }
+        mLastEventMs = nowMs;
+    }
+
+    /** Returns the time from the first to the last relayed event, in milliseconds. */
+    long generatingMs() {
+        return mLastEventMs - mFirstEventMs;
+    }
+
+    /** Returns the number of relayed events of the response stream. */
+    long events() {
+        return mRelay == null ? 0 : mRelay.events();
+    }
+
     /** Adds a step to the trace that is logged when the exchange ends. */
     void trace(String step) {
         if (mTraceSteps.length() > 0) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.gateway.traffic;
 
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
@@ -7,6 +8,7 @@
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.GatewayTokenReservationService;
+import org.filbertrudder.gateway.traffic.RequestSizes.SizeClass;
 import org.filbertrudder.policy.routing.PromptDemand;
 
 /**
@@ -21,6 +23,7 @@
     private final GatewayControl mControl;
     private final Supplier<GatewayTokenReservationService> mTokenReservations;
     private final GatewayMetrics mMetrics;
+    private final RequestSizes mSizes = new RequestSizes();
 
     GatewayExchangeFinisher(GatewayControl control, GatewayMetrics metrics) {
         mControl = control;
@@ -69,8 +72,11 @@
         }
         returnUnusedTokens(exchange);
         long durationMs = Clocks.steadyMs() - exchange.arrivedMs();
-        mMetrics.counter("requests_" + outcome.replace('-', '_')).inc();
+        String outcomeName = outcome.replace('-', '_');
+        mMetrics.counter("requests_" + outcomeName).inc();
         mMetrics.latencyMs("request").update(durationMs);
+        Optional<SizeClass> size = sizeClass(exchange);
+        size.ifPresent(each -> mMetrics.counter(each.label() + "_" + outcomeName).inc());
         LOG.info(
                 "Ended.",
                 LogField.of("id", exchange.head().requestId()),
@@ -84,11 +90,23 @@
                 LogField.of(
                         "prompt",
                         exchange.head().promptDemand().map(PromptDemand::summary).orElse(null)),
+                LogField.of("size", size.map(SizeClass::label).orElse(null)),
+                LogField.of("events", exchange.events()),
+                LogField.of("generatingMs", exchange.generatingMs()),
                 LogField.of("steps", exchange.traceText()),
                 LogField.of("version", mControl.snapshot().configuration().version()),
                 LogField.of("stateAgeMs", mControl.stateFreshness().ageMs(Clocks.now())));
     }
 
+    /** Returns the size class of a prompt that this instance has received from its caller. */
+    private Optional<SizeClass> sizeClass(GatewayExchange exchange) {
+        return exchange.forwarded()
+                ? Optional.empty()
+                : exchange.head()
+                        .promptDemand()
+                        .map(prompt -> mSizes.classify(exchange.route().name(), prompt.size()));
+    }
+
     private void returnUnusedTokens(GatewayExchange exchange) {
         if (exchange.grant() != null && exchange.runs() == 0) {
             mTokenReservations.get().settle(exchange.grant(), exchange.grant().tokens());
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptDemand.java
@@ -12,6 +12,8 @@
  */
 public record PromptDemand(List<PromptPart> parts, long promptTokens, long outputTokens) {
 
+    private static final long OUTPUT_TOKEN_WEIGHT = 10;
+
     /** Copies the parts. */
     public PromptDemand {
         parts = List.copyOf(parts);
@@ -38,6 +40,11 @@
         return sharedParts.isEmpty() ? "" : sharedParts.get(sharedParts.size() - 1).id();
     }
 
+    /** Returns the size of the request; generating a token counts like reading ten. */
+    public long size() {
+        return promptTokens + OUTPUT_TOKEN_WEIGHT * outputTokens;
+    }
+
     /** Returns the ids of all parts in order, separated by slashes, for the log. */
     public String partIds() {
         return parts.stream().map(PromptPart::id).collect(Collectors.joining("/"));
