Engines accept prompts only while their running streams can end in time

Cause: the time to generate an answer was part of no decision. An engine was chosen and filled by the time to the first token, its memory and its slots. It reads prompts between the tokens that it generates, so each prompt that it accepts slows all its running streams, and the longest are the first that miss their deadlines. Class of fault: admission by the start of work, without regard to the work that runs already.

Each instance now measures from the events of its own streams how fast an engine generates, and its fastest pace. A stream whose remaining events, at that pace, need nearly all the time that is left takes part in the engine's backlog until it is safe or has ended; the backlog is reported to the other instances as before, so that all of them stop sending prompts there. Streams that would end too late even so do not count. How many events an output token makes is learned from completed streams; no figure of a deployment is in it. A new request goes to an engine at whose pace it ends in time, if there is one.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -204,9 +204,11 @@
             rejectResponse("odd-events");
             return false;
         }
-        if (relay.events() > previousEvents) {
+        long newEvents = relay.events() - previousEvents;
+        if (newEvents > 0) {
             mLastProgressMs = Clocks.steadyMs();
             mExchange.noteEvent(mLastProgressMs);
+            noteEvents((int) newEvents);
             noteEventReceived();
         }
         return true;
@@ -267,6 +269,9 @@
     /** Handles the arrival of stream data. */
     void noteStreamData() {}
 
+    /** Handles the arrival of complete events of a stream. */
+    void noteEvents(int count) {}
+
     /** Handles the first complete event of a stream, or a complete successful response. */
     void noteAnswerBegun() {}
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -22,6 +22,7 @@
     private EndpointConnection mConnection;
     private long mSentMs;
     private boolean mFirstDataReceived;
+    private boolean mResumed;
     private SentParts mSentParts = SentParts.NONE;
     private Optional<PromptLoad> mPromptLoad = Optional.empty();
 
@@ -37,12 +38,16 @@
         mExchange.head().promptDemand().ifPresent(prompt -> traceEngineState(prompt, nowMs));
         mExchange.setAttempt(this);
         mExchange.countSend();
+        mResumed = mExchange.lastEventId() > 0;
         mEndpoint.requestStarted(false, nowMs);
         mPromptLoad =
                 mExchange
                         .head()
                         .promptDemand()
-                        .map(prompt -> mEndpoint.addPromptLoad(prompt, nowMs));
+                        .map(
+                                prompt ->
+                                        mEndpoint.addPromptLoad(
+                                                prompt, mExchange.deadlineMs(), nowMs));
         watchForStall();
         mDependencies
                 .connections()
@@ -154,6 +159,11 @@
         }
     }
 
+    @Override
+    void noteEvents(int count) {
+        mPromptLoad.ifPresent(load -> load.eventsReceived(count, Clocks.steadyMs()));
+    }
+
     @Override
     void noteAnswerBegun() {
         mDependencies.crashingParts().recordAnswer(mSentParts, mExchange.head().requestId());
@@ -166,10 +176,12 @@
 
     @Override
     void release(boolean answered) {
-        mPromptLoad.ifPresent(PromptLoad::release);
         if (answered) {
+            // A resumed stream has only a part of the expected events.
+            mPromptLoad.ifPresent(mResumed ? PromptLoad::release : PromptLoad::complete);
             mEndpoint.requestSucceeded();
         } else {
+            mPromptLoad.ifPresent(PromptLoad::release);
             mEndpoint.requestEnded();
         }
         mRunner.dispatcher().schedulePump(mExchange.service());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -110,6 +110,7 @@
     }
 
     private static RouteRequest routeRequest(GatewayExchange exchange) {
+        long nowMs = Clocks.steadyMs();
         return new RouteRequest(
                 exchange.service(),
                 exchange::mayRunIn,
@@ -118,8 +119,9 @@
                 Optional.empty(),
                 false,
                 exchange.forwarded(),
-                exchange.mayWaitForEngine(Clocks.steadyMs()),
-                exchange.head().promptDemand());
+                exchange.mayWaitForEngine(nowMs),
+                exchange.head().promptDemand(),
+                exchange.deadlineMs() - nowMs);
     }
 
     /** Returns how long the request waits because of the limits that endpoints state. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -287,9 +287,31 @@
         mEngineLoad.setLoadOfOthers(prefillMs, memoryTokens);
     }
 
-    /** Adds a prompt to the estimated load of the engine; the result releases it again. */
+    /** Adds a prompt without a deadline to the estimated load of the engine. */
     public PromptLoad addPromptLoad(PromptDemand prompt, long nowMs) {
-        return mEngineLoad.addPromptLoad(prompt, nowMs);
+        return addPromptLoad(prompt, Long.MAX_VALUE, nowMs);
+    }
+
+    /**
+     * Adds a prompt to the estimated load of the engine; the result releases it again.
+     *
+     * @param deadlineMs when the response must have ended
+     */
+    public PromptLoad addPromptLoad(PromptDemand prompt, long deadlineMs, long nowMs) {
+        return mEngineLoad.addPromptLoad(prompt, deadlineMs, nowMs);
+    }
+
+    /** Shares what is learned about the events of the service's streams. */
+    void setOutputEvents(OutputEvents outputEvents) {
+        mEngineLoad.setOutputEvents(outputEvents);
+    }
+
+    /**
+     * Returns how much later than in the remaining time the prompt's response would end, in
+     * milliseconds; 0 if it would end in time or the engine's pace is not known.
+     */
+    double overrunMs(PromptDemand prompt, long remainingMs, long nowMs) {
+        return mEngineLoad.overrunMs(prompt, remainingMs, nowMs);
     }
 
     /**
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -27,6 +27,7 @@
     private Map<ServiceInRegion, List<EndpointState>> mStatesByGroup = Map.of();
     private final LeavingAnnouncements mLeavingAnnouncements = new LeavingAnnouncements();
     private final EndpointLimits mLimits = new EndpointLimits();
+    private final Map<ServiceId, OutputEvents> mOutputEvents = new HashMap<>();
     private Set<EndpointId> mLeaving = Set.of();
 
     /** Replaces the set of endpoints; endpoints that remain in the set keep their state. */
@@ -38,6 +39,8 @@
                     mStates.computeIfAbsent(
                             endpoint.id(), id -> new EndpointState(endpoint, nowMs));
             state.setEndpoint(endpoint, nowMs);
+            state.setOutputEvents(
+                    mOutputEvents.computeIfAbsent(endpoint.service(), key -> new OutputEvents()));
             state.setLeaving(mLeaving.contains(endpoint.id()));
             mLimits.find(endpoint.id()).ifPresent(each -> state.setLimit(each, nowMs));
             ids.add(endpoint.id());
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -1,5 +1,7 @@
 package org.filbertrudder.policy.routing;
 
+import java.util.OptionalDouble;
+
 /**
  * Estimates the prefill backlog and memory use of a model engine from this instance's requests and
  * the reports of other instances.
@@ -24,6 +26,8 @@
     private static final long MAX_PREFILL_BACKLOG_MS = 400;
 
     private final PrefixCacheHints mPrefixHints;
+    private final GenerationPace mPace = new GenerationPace();
+    private OutputEvents mOutputEvents = new OutputEvents();
     private long mMemoryLimitTokens = Long.MAX_VALUE;
     private double mOwnPrefillMs;
     private long mOwnMemoryTokens;
@@ -38,6 +42,10 @@
         mMemoryLimitTokens = (long) (memoryTokens * MAX_REQUEST_MEMORY_SHARE);
     }
 
+    void setOutputEvents(OutputEvents outputEvents) {
+        mOutputEvents = outputEvents;
+    }
+
     void setLoadOfOthers(double prefillMs, long memoryTokens) {
         mOthersPrefillMs = prefillMs;
         mOthersMemoryTokens = memoryTokens;
@@ -65,8 +73,26 @@
         return prompt.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
     }
 
+    /** Returns the prefill time for which a new prompt waits in the engine, in milliseconds. */
     double prefillBacklogMs() {
-        return mOwnPrefillMs + mOthersPrefillMs;
+        return ownPrefillMs() + mOthersPrefillMs;
+    }
+
+    /**
+     * Returns how much later than its deadline the prompt's response would end at the engine's
+     * recent pace, in milliseconds; 0 if it would end in time or the pace is not known.
+     */
+    double overrunMs(PromptDemand prompt, long remainingMs, long nowMs) {
+        OptionalDouble msPerEvent = mPace.msPerEvent(nowMs);
+        OptionalDouble events = mOutputEvents.expectedEvents(prompt.outputTokens());
+        if (msPerEvent.isEmpty() || events.isEmpty()) {
+            return 0;
+        }
+        double durationMs =
+                prefillBacklogMs()
+                        + prefillMs(prompt, nowMs)
+                        + events.getAsDouble() * msPerEvent.getAsDouble();
+        return Math.max(0, durationMs - remainingMs);
     }
 
     boolean canAccept(PromptDemand prompt) {
@@ -83,8 +109,12 @@
         return usedTokens == 0 || usedTokens + prompt.memoryTokens() <= mMemoryLimitTokens;
     }
 
+    /**
+     * Returns the prefill time of this instance's waiting prompts and the time that its running
+     * streams lack, in milliseconds. The engine accepts no prompts while that time is missing.
+     */
     double ownPrefillMs() {
-        return mOwnPrefillMs;
+        return mOwnPrefillMs + Math.min(mPace.missingMs(), MAX_PREFILL_BACKLOG_MS);
     }
 
     long memoryTokens() {
@@ -95,14 +125,19 @@
         return mOwnMemoryTokens;
     }
 
-    /** Adds a request to the estimate; the result releases its load again. */
-    PromptLoad addPromptLoad(PromptDemand prompt, long nowMs) {
+    /**
+     * Adds a request to the estimate; the result releases its load again.
+     *
+     * @param deadlineMs when the response must have ended
+     */
+    PromptLoad addPromptLoad(PromptDemand prompt, long deadlineMs, long nowMs) {
         double prefillMs = prefillMs(prompt, nowMs);
         prompt.sharedParts().forEach(part -> mPrefixHints.markCached(part.id(), nowMs));
         mOwnPrefillMs += prefillMs;
         mOwnMemoryTokens += prompt.memoryTokens();
         return new PromptLoad(
                 () -> mOwnPrefillMs = Math.max(0, mOwnPrefillMs - prefillMs),
-                () -> mOwnMemoryTokens -= prompt.memoryTokens());
+                () -> mOwnMemoryTokens -= prompt.memoryTokens(),
+                new StreamProgress(mPace, mOutputEvents, prompt.outputTokens(), deadlineMs));
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptLoad.java
@@ -9,12 +9,30 @@
 
     private final Runnable mOnPrefillFinished;
     private final Runnable mOnEnd;
+    private final StreamProgress mProgress;
     private boolean mPrefillFinished;
     private boolean mEnded;
 
-    PromptLoad(Runnable onPrefillFinished, Runnable onEnd) {
+    PromptLoad(Runnable onPrefillFinished, Runnable onEnd, StreamProgress progress) {
         mOnPrefillFinished = onPrefillFinished;
         mOnEnd = onEnd;
+        mProgress = progress;
+    }
+
+    /** Records events of the response stream, which show the pace of the engine. */
+    public void eventsReceived(int count, long nowMs) {
+        if (!mEnded) {
+            prefillFinished();
+            mProgress.eventsReceived(count, nowMs);
+        }
+    }
+
+    /** Releases the load of a request whose response is complete. */
+    public void complete() {
+        if (!mEnded) {
+            mProgress.completed();
+        }
+        release();
     }
 
     /** Releases the prefill time; the first token shows that the prefill has finished. */
@@ -30,6 +48,7 @@
         prefillFinished();
         if (!mEnded) {
             mEnded = true;
+            mProgress.end();
             mOnEnd.run();
         }
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -12,9 +12,10 @@
  *
  * <p>The engine with the lowest cost is chosen. The cost is the expected time to first token, plus
  * a cost for shared tokens that are not cached there, plus a cost for forwarding to another region,
- * plus a penalty for a high failure rate. Shared tokens cost nothing extra on the preferred engine
- * of the prompt. That engine is found by rendezvous hashing and is the same for all instances, so
- * that a part that is not cached anywhere yet is not prefilled on several engines.
+ * plus penalties for a high failure rate and for a pace at which the response would end after its
+ * deadline. Shared tokens cost nothing extra on the preferred engine of the prompt. That engine is
+ * found by rendezvous hashing and is the same for all instances, so that a part that is not cached
+ * anywhere yet is not prefilled on several engines.
  */
 final class PromptPlacement {
 
@@ -31,6 +32,12 @@
      */
     private static final double HIGH_FAILURE_RATE_PENALTY_MS = 600;
 
+    /**
+     * The cost of an engine at whose pace the response would end after its deadline, in
+     * milliseconds of waiting; the overrun is added to it.
+     */
+    private static final double OVERRUN_PENALTY_MS = 1_000;
+
     /** The granularity of cost comparisons, in ms; within it, affinity decides instead. */
     private static final double COST_BUCKET_MS = 50;
 
@@ -42,9 +49,15 @@
 
     /** Returns the cost function of a prompt over the engines that may run it, in milliseconds. */
     ToDoubleFunction<EndpointState> costsMs(
-            PromptDemand prompt, List<EndpointState> usable, RegionGraph regions, long nowMs) {
+            PromptDemand prompt,
+            long remainingMs,
+            List<EndpointState> usable,
+            RegionGraph regions,
+            long nowMs) {
         Optional<EndpointState> preferredEngine = preferredEngine(prompt, usable);
-        return state -> costMs(state, prompt, preferredEngine, regions, nowMs);
+        return state ->
+                costMs(state, prompt, preferredEngine, regions, nowMs)
+                        + overrunCostMs(state, prompt, remainingMs, nowMs);
     }
 
     /** Returns the engine with the lowest cost that can accept the prompt now, if any. */
@@ -109,6 +122,12 @@
                 + forwardingCostMs(state, regions);
     }
 
+    private static double overrunCostMs(
+            EndpointState state, PromptDemand prompt, long remainingMs, long nowMs) {
+        double overrunMs = state.overrunMs(prompt, remainingMs, nowMs);
+        return overrunMs > 0 ? OVERRUN_PENALTY_MS + overrunMs : 0;
+    }
+
     private double forwardingCostMs(EndpointState state, RegionGraph regions) {
         RegionId region = state.endpoint().region();
         return region.equals(mLocalRegion)
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
@@ -20,6 +20,7 @@
  * @param mayWaitForBusyEngine whether the request may wait for a busy engine that has probably
  *     cached its shared prompt parts
  * @param prompt the prompt and its expected token use, if known
+ * @param remainingMs the time until the response must have ended, in milliseconds
  */
 public record RouteRequest(
         ServiceId service,
@@ -30,7 +31,35 @@
         boolean exclusive,
         boolean forwarded,
         boolean mayWaitForBusyEngine,
-        Optional<PromptDemand> prompt) {
+        Optional<PromptDemand> prompt,
+        long remainingMs) {
+
+    /** The remaining time of a request without a deadline, in milliseconds. */
+    public static final long NO_DEADLINE = Long.MAX_VALUE;
+
+    /** Describes a request without a deadline. */
+    public RouteRequest(
+            ServiceId service,
+            Predicate<RegionId> allowed,
+            String affinityKey,
+            Set<EndpointId> excludedEndpoints,
+            Optional<EndpointId> pinnedEndpoint,
+            boolean exclusive,
+            boolean forwarded,
+            boolean mayWaitForBusyEngine,
+            Optional<PromptDemand> prompt) {
+        this(
+                service,
+                allowed,
+                affinityKey,
+                excludedEndpoints,
+                pinnedEndpoint,
+                exclusive,
+                forwarded,
+                mayWaitForBusyEngine,
+                prompt,
+                NO_DEADLINE);
+    }
 
     /** Describes a request without prompt details, which does not wait for a busy engine. */
     public RouteRequest(
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -177,7 +177,7 @@
                         .filter(state -> mayRunIn(state.endpoint().region(), request))
                         .toList();
         ToDoubleFunction<EndpointState> costsMs =
-                mPlacement.costsMs(prompt, usable, regions, nowMs);
+                mPlacement.costsMs(prompt, request.remainingMs(), usable, regions, nowMs);
         Optional<EndpointState> limitCheck =
                 usable.stream()
                         .filter(state -> state.isLimitCheckDue(nowMs))
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedExchange.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedExchange.java
@@ -112,7 +112,8 @@
                 false,
                 mOrigin.isPresent(),
                 untried() && mFleet.nowMs() < mArrivedMs + maxEngineWaitMs,
-                Optional.of(mCall.prompt()));
+                Optional.of(mCall.prompt()),
+                mCall.deadlineMs() - mFleet.nowMs());
     }
 
     void cancel() {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedInstance.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedInstance.java
@@ -149,7 +149,7 @@
         PromptDemand prompt = exchange.call().prompt();
         exchange.countLocalSend(state.id());
         state.requestStarted(false, nowMs);
-        PromptLoad load = state.addPromptLoad(prompt, nowMs);
+        PromptLoad load = state.addPromptLoad(prompt, exchange.call().deadlineMs(), nowMs);
         exchange.setOnCancel(() -> endRun(state, load, false));
         mFleet.schedule(
                 nowMs + LOCAL_DELAY_MS,
@@ -177,7 +177,7 @@
         if (exchange.ended() || !(last || exchange.call().kind().mStream)) {
             return;
         }
-        load.prefillFinished();
+        load.eventsReceived(1, mFleet.nowMs());
         exchange.relay(last);
         if (last) {
             endRun(state, load, true);
@@ -185,10 +185,11 @@
     }
 
     private void endRun(EndpointState state, PromptLoad load, boolean answered) {
-        load.release();
         if (answered) {
+            load.complete();
             state.requestSucceeded();
         } else {
+            load.release();
             state.requestEnded();
         }
         schedulePump();
