--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedCall.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedCall.java
@@ -21,6 +21,7 @@
     private boolean mReturned;
     private boolean mEnded;
     private boolean mServed;
+    private boolean mLeft;
     private long mFirstEventMs = Long.MAX_VALUE;
     private long mLastEventMs;
 
@@ -83,6 +84,11 @@
         return mServed;
     }
 
+    /** Returns whether the caller left after the first event, without the complete answer. */
+    boolean leftDuringAnswer() {
+        return mLeft && mFirstEventMs != Long.MAX_VALUE;
+    }
+
     /** Returns whether the answer was complete and began within the latency goal. */
     boolean servedInTime() {
         return mServed && mFirstEventMs <= mArrivedMs + mKind.mGoalMs;
@@ -116,6 +122,7 @@
     private void leave() {
         if (!mEnded) {
             mEnded = true;
+            mLeft = true;
             mExchange.cancel();
         }
     }
