--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -4,25 +4,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.filbertrudder.policy.membership.PeerAddress;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -221,71 +210,4 @@
 
     private record Outcome(
             boolean complete, String body, boolean reusable, boolean mayCarryAgain) {}
-
-    /** Reads the request id of a response from the header {@code id}. */
-    private static final class IdHeaderProtocol implements HttpProtocol {
-
-        @Override
-        public Optional<String> readRequestId(MultiMap headers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public RequestHead readRequest(MultiMap headers) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public void writeAttemptHeaders(HttpHeaders headers, AttemptMetadata attempt) {
-            throw new UnsupportedOperationException();
-        }
-
-        @Override
-        public ResponseHead readResponse(HttpResponse response) {
-            Map<String, String> passedHeaders = new HashMap<>();
-            return new ResponseHead(
-                    response.status().code(),
-                    Optional.ofNullable(response.headers().get("id")),
-                    false,
-                    true,
-                    false,
-                    false,
-                    OptionalLong.empty(),
-                    LimitStatement.NONE,
-                    OptionalInt.empty(),
-                    OptionalLong.of(5_000),
-                    passedHeaders,
-                    Set.of());
-        }
-
-        @Override
-        public String retryAfterHeaderName() {
-            return "retry-after";
-        }
-
-        @Override
-        public String formatRetryAfter(long retryAfterMs) {
-            return Long.toString(retryAfterMs);
-        }
-
-        @Override
-        public String readinessPath() {
-            return "/ready";
-        }
-
-        @Override
-        public String directoryPath() {
-            return "/directory";
-        }
-
-        @Override
-        public DirectoryQuery readDirectoryQuery(MultiMap query) {
-            return new DirectoryQuery("", Optional.empty(), Optional.empty());
-        }
-
-        @Override
-        public String formatDirectoryResponse(List<PeerAddress> instances, long validMs) {
-            return instances.toString();
-        }
-    }
 }
