A response is lost when its request cannot be sent to the end

Callers saw: a 200 with a short body, framed as whole (MIXED), or a stream with its end marker (ORDER), where an endpoint had answered without a length before it had read the request, and its connection was reset on the way.

Cause: the event loop writes before it reads. With bytes of the request still to be sent, the reset shows as a failed write, upon which Netty closes the channel without an exception for its handlers. For the decoder the channel ends as it does after a regular close, which completes a body without length.

EndpointConnection now ends the attempt when the write of its request fails; Netty fails the write before it tells the handlers that the channel is closed.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -123,7 +123,8 @@
         if (body.length() > 0 || !"GET".equals(method)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length());
         }
-        mSocket.writeMessage(request);
+        // A failed write closes the connection like the endpoint's regular end does.
+        mSocket.writeMessage(request).onFailure(failure -> connectionLost());
     }
 
     /** Returns an empty set of headers for a request. */
