A response of an engine is lost when its request cannot be sent to the end

Callers of the own interface saw: a 200 with a short body, framed as whole, where an endpoint had answered without a length before it had read the request, and its connection was reset on the way.

With bytes of the request still to be sent, the reset shows as a failed write; the channel closes without an exception, and the decoder completes the body as at a regular end. Vert.x's client reports the end of the response, and the failure only by the result of the write, which nothing looked at.

EndpointCall now fails when its request cannot be written; that result comes before the end of the response.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
@@ -65,11 +65,9 @@
         request.response()
                 .onFailure(failure -> fail(UpstreamListener.Failure.BROKEN))
                 .onSuccess(this::receive);
-        if (body.length() > 0) {
-            request.end(body);
-        } else {
-            request.end();
-        }
+        // A failed write closes the connection like the endpoint's regular end does.
+        (body.length() > 0 ? request.end(body) : request.end())
+                .onFailure(failure -> fail(UpstreamListener.Failure.BROKEN));
     }
 
     private void receive(HttpClientResponse response) {
