Log at which step each open request stands in a planned stop

Callers report requests that got neither an answer nor a refusal beside planned stops. The log lines of a stop counted admitted requests only, and a connection that closed with an open request left no line at all, so the step and who closed it could not be told.

OpenRequests keeps the requests of callers from the arrival of the head until the response has been sent. The drain logs the number of open requests by step when it begins, when it ends the rest and when it has ended, with one line for each unfinished one. A connection that closes with an open request is logged with the request's id, its step and who closed it. No behaviour changes.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
@@ -15,13 +15,31 @@
     private final HttpServerResponse mResponse;
     private final HttpProtocol mProtocol;
     private final BooleanSupplier mStopping;
+    private final OpenRequests.OpenRequest mOpenRequest;
 
     CallerResponseSink(
-            HttpServerResponse response, HttpProtocol protocol, BooleanSupplier stopping) {
+            HttpServerResponse response,
+            HttpProtocol protocol,
+            BooleanSupplier stopping,
+            OpenRequests.OpenRequest openRequest) {
         super(response);
         mResponse = response;
         mProtocol = protocol;
         mStopping = stopping;
+        mOpenRequest = openRequest;
+    }
+
+    @Override
+    public void end() {
+        if (!mResponse.closed() && !mResponse.ended()) {
+            mOpenRequest.flushing(mResponse.end());
+        }
+    }
+
+    @Override
+    public void abort() {
+        mOpenRequest.aborted();
+        super.abort();
     }
 
     @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -4,14 +4,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -55,7 +51,7 @@
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mRefusing;
     private final ExchangeLifecycle mLifecycle;
-    private final Map<HttpConnection, Long> mIdleSinceMs = new HashMap<>();
+    private final OpenRequests mOpenRequests = new OpenRequests();
     private HttpServer mServer;
     private int mPendingLookups;
 
@@ -89,16 +85,11 @@
         mServer = mVertx.createHttpServer(options);
         mServer.requestHandler(this::receive);
         mServer.invalidRequestHandler(this::refuseInvalid);
-        mServer.connectionHandler(this::connectionOpened);
+        mServer.connectionHandler(mOpenRequests::connectionOpened);
         return mServer.listen(mSettings.callerAddress().port(), mSettings.callerAddress().host())
                 .mapEmpty();
     }
 
-    private void connectionOpened(HttpConnection connection) {
-        mIdleSinceMs.put(connection, Clocks.steadyMs());
-        connection.closeHandler(ignored -> mIdleSinceMs.remove(connection));
-    }
-
     private void refuseInvalid(HttpServerRequest request) {
         LOG.info("A malformed HTTP request is refused.");
         GatewayRefusal refusal = GatewayRefusal.malformed("Send a valid HTTP/1.1 request.");
@@ -111,10 +102,12 @@
 
     private void receive(HttpServerRequest request) {
         long arrivedMs = Clocks.steadyMs();
-        HttpConnection connection = request.connection();
-        mIdleSinceMs.remove(connection);
-        request.response().endHandler(ignored -> markIdle(connection));
-        CallerResponseSink sink = new CallerResponseSink(request.response(), mProtocol, mStopping);
+        request.response().endHandler(ignored -> mOpenRequests.markIdle(request.connection()));
+        OpenRequests.OpenRequest open =
+                mOpenRequests.open(request, mProtocol.readRequestId(request.headers()), arrivedMs);
+        request.endHandler(ignored -> open.bodyRead());
+        CallerResponseSink sink =
+                new CallerResponseSink(request.response(), mProtocol, mStopping, open);
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         if (configuration == null || mRefusing.getAsBoolean()) {
             refuse(
@@ -139,12 +132,8 @@
                 request,
                 configuration.limits().maxBodyBytes(),
                 sink,
-                body -> admitOrAwaitState(request, head, body, sink, arrivedMs));
-    }
-
-    private void markIdle(HttpConnection connection) {
-        mIdleSinceMs.put(connection, Clocks.steadyMs());
-        connection.closeHandler(ignored -> mIdleSinceMs.remove(connection));
+                open,
+                body -> admitOrAwaitState(request, head, body, sink, open));
     }
 
     private void refuse(
@@ -188,6 +177,7 @@
             HttpServerRequest request,
             long maxBytes,
             CallerResponseSink sink,
+            OpenRequests.OpenRequest open,
             Consumer<Buffer> onBody) {
         Buffer body = Buffer.buffer();
         boolean[] refused = new boolean[1];
@@ -204,6 +194,7 @@
                 });
         request.endHandler(
                 ignored -> {
+                    open.bodyRead();
                     if (!refused[0]) {
                         onBody.accept(body);
                     }
@@ -219,17 +210,18 @@
             RequestHead head,
             Buffer body,
             CallerResponseSink sink,
-            long arrivedMs) {
-        if (admitIfFound(request, head, body, sink, arrivedMs)) {
+            OpenRequests.OpenRequest open) {
+        if (admitIfFound(request, head, body, sink, open)) {
             return;
         }
         ClockReading lookupStart = Clocks.now();
         mPendingLookups++;
+        open.lookupStarted();
         mAdmission.onConfirmation(
                 LOOKUP_WAIT_MS,
                 () -> {
                     mPendingLookups--;
-                    if (admitIfFound(request, head, body, sink, arrivedMs)) {
+                    if (admitIfFound(request, head, body, sink, open)) {
                         return;
                     }
                     boolean stateConfirmed =
@@ -265,7 +257,7 @@
             RequestHead head,
             Buffer body,
             CallerResponseSink sink,
-            long arrivedMs) {
+            OpenRequests.OpenRequest open) {
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         Optional<RouteRule> route = configuration.route(head.host(), request.path());
         if (route.isEmpty()) {
@@ -288,10 +280,10 @@
                         route.get().chooseService(mRandom.nextDouble()),
                         false,
                         sink,
-                        arrivedMs);
+                        open.arrivedMs());
+        open.admitted(exchange);
         mLifecycle.begin(exchange);
-        request.response().closeHandler(ignored -> mLifecycle.callerDisconnected(exchange));
-        request.response().exceptionHandler(ignored -> mLifecycle.callerDisconnected(exchange));
+        open.onClosed(() -> mLifecycle.callerDisconnected(exchange));
         if (request.response().closed()) {
             mLifecycle.callerDisconnected(exchange);
             return true;
@@ -308,15 +300,16 @@
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         long limitMs =
                 configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
-        long nowMs = Clocks.steadyMs();
-        List<HttpConnection> idle = new ArrayList<>();
-        mIdleSinceMs.forEach(
-                (connection, sinceMs) -> {
-                    if (allIdle || nowMs - sinceMs > limitMs) {
-                        idle.add(connection);
-                    }
-                });
-        idle.forEach(HttpConnection::close);
+        if (allIdle) {
+            mOpenRequests.closeIdleLongerThan(-1, OpenRequests.CloseCause.DRAIN);
+        } else {
+            mOpenRequests.closeIdleLongerThan(limitMs, OpenRequests.CloseCause.IDLE_LIMIT);
+        }
+    }
+
+    /** Returns the open requests of callers. */
+    OpenRequests openRequests() {
+        return mOpenRequests;
     }
 
     Future<Void> close() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -336,6 +336,20 @@
         mQueued = queued;
     }
 
+    /** Returns the step at which the request stands once it has been admitted. */
+    RequestStep step() {
+        if (mEnded) {
+            return RequestStep.FLUSHING;
+        }
+        if (mSink.headSent()) {
+            return RequestStep.ANSWERING;
+        }
+        if (mAttempt != null) {
+            return RequestStep.SENT;
+        }
+        return mQueued ? RequestStep.QUEUED : RequestStep.ADMISSION;
+    }
+
     boolean ended() {
         return mEnded;
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -501,6 +501,7 @@
 
     private void beginDrain(CompletableFuture<Void> drained) {
         mStoppingSinceMs = Clocks.steadyMs();
+        logDrain("The drain begins.");
         long drainDeadlineMs = mStoppingSinceMs + mControl.bounds().graceMs() - STOP_MARGIN_MS;
         vertx.setPeriodic(
                 TICK_MS,
@@ -516,7 +517,8 @@
     }
 
     private void finishDrain(CompletableFuture<Void> drained) {
-        LOG.info("The drain ends the remaining requests.", LogField.of("running", mActive.size()));
+        logDrain("The drain ends the remaining requests.");
+        mCallerServer.openRequests().all().forEach(this::logUnfinished);
         for (GatewayExchange exchange : List.copyOf(mActive)) {
             mFinisher.refuse(
                     exchange,
@@ -525,7 +527,34 @@
                             : GatewayRefusal.incompleteResponse());
         }
         mCallerServer.closeIdle(true);
-        vertx.setTimer(TICK_MS, ignored -> drained.complete(null));
+        vertx.setTimer(
+                TICK_MS,
+                ignored -> {
+                    logDrain("The drain has ended.");
+                    drained.complete(null);
+                });
+    }
+
+    /** Logs how many requests are open at each step, those of callers and the forwarded ones. */
+    private void logDrain(String message) {
+        List<RequestStep> steps = new ArrayList<>();
+        mCallerServer.openRequests().all().forEach(request -> steps.add(request.step()));
+        mActive.stream()
+                .filter(GatewayExchange::forwarded)
+                .forEach(exchange -> steps.add(exchange.step()));
+        LOG.info(
+                message,
+                LogField.of("running", mActive.size()),
+                LogField.of("steps", RequestStep.summary(steps)),
+                LogField.of("ms", Clocks.steadyMs() - mStoppingSinceMs));
+    }
+
+    private void logUnfinished(OpenRequests.OpenRequest request) {
+        LOG.info(
+                "A request is unfinished at the end of the drain.",
+                LogField.of("id", request.id()),
+                LogField.of("step", request.step()),
+                LogField.of("ms", Clocks.steadyMs() - request.arrivedMs()));
     }
 
     @Override
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -0,0 +1,187 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.gateway.control.Clocks;
+
+/**
+ * Keeps the open requests of callers. A request is open from the arrival of its head until its body
+ * has been read and its response has been sent, or its connection has closed.
+ */
+final class OpenRequests {
+
+    private static final ComponentLogger LOG = ComponentLogger.of("callers");
+
+    private static final long BUSY = -1;
+
+    private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
+    private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
+
+    void connectionOpened(HttpConnection connection) {
+        CallerConnection state = new CallerConnection();
+        mConnections.put(connection, state);
+        connection.closeHandler(ignored -> connectionClosed(connection, state));
+    }
+
+    private void connectionClosed(HttpConnection connection, CallerConnection state) {
+        mConnections.remove(connection);
+        List.copyOf(state.mOpen).forEach(OpenRequest::closed);
+    }
+
+    /** Opens a request whose head has arrived. */
+    OpenRequest open(HttpServerRequest request, Optional<String> id, long arrivedMs) {
+        CallerConnection connection = mConnections.get(request.connection());
+        OpenRequest open = new OpenRequest(connection, id.orElse(null), arrivedMs);
+        mOpen.add(open);
+        connection.mOpen.add(open);
+        connection.mIdleSinceMs = BUSY;
+        request.response().closeHandler(ignored -> open.closed());
+        request.response().exceptionHandler(ignored -> open.closed());
+        return open;
+    }
+
+    /** Marks a connection as idle from now on. */
+    void markIdle(HttpConnection connection) {
+        Optional.ofNullable(mConnections.get(connection))
+                .ifPresent(state -> state.mIdleSinceMs = Clocks.steadyMs());
+    }
+
+    /** Closes the connections that have been idle for longer than the limit, in milliseconds. */
+    void closeIdleLongerThan(long limitMs, CloseCause cause) {
+        long nowMs = Clocks.steadyMs();
+        for (Map.Entry<HttpConnection, CallerConnection> entry :
+                List.copyOf(mConnections.entrySet())) {
+            CallerConnection state = entry.getValue();
+            if (state.mIdleSinceMs != BUSY && nowMs - state.mIdleSinceMs > limitMs) {
+                state.mCloseCause = cause;
+                entry.getKey().close();
+            }
+        }
+    }
+
+    /** Returns the open requests in the order of their arrival. */
+    List<OpenRequest> all() {
+        return List.copyOf(mOpen);
+    }
+
+    int size() {
+        return mOpen.size();
+    }
+
+    /** Lists who closes connections. */
+    enum CloseCause {
+        CALLER,
+        IDLE_LIMIT,
+        DRAIN,
+        ABORTED_RESPONSE
+    }
+
+    private static final class CallerConnection {
+
+        private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
+        private CloseCause mCloseCause = CloseCause.CALLER;
+        private long mIdleSinceMs = Clocks.steadyMs();
+    }
+
+    /** Holds the state of one open request. */
+    final class OpenRequest {
+
+        private final CallerConnection mConnection;
+        private final String mId;
+        private final long mArrivedMs;
+        private RequestStep mStep = RequestStep.READING;
+        private GatewayExchange mExchange;
+        private Runnable mOnClosed = () -> {};
+        private boolean mBodyRead;
+        private boolean mResponseSent;
+
+        private OpenRequest(CallerConnection connection, String id, long arrivedMs) {
+            mConnection = connection;
+            mId = id;
+            mArrivedMs = arrivedMs;
+        }
+
+        String id() {
+            return mId;
+        }
+
+        long arrivedMs() {
+            return mArrivedMs;
+        }
+
+        RequestStep step() {
+            boolean exchangeDecides = mExchange != null && mStep == RequestStep.ADMISSION;
+            return exchangeDecides ? mExchange.step() : mStep;
+        }
+
+        /** Sets the action to run if the connection closes before the response has ended. */
+        void onClosed(Runnable action) {
+            mOnClosed = action;
+        }
+
+        void bodyRead() {
+            mBodyRead = true;
+            removeIfDone();
+        }
+
+        void lookupStarted() {
+            mStep = RequestStep.LOOKUP;
+        }
+
+        void admitted(GatewayExchange exchange) {
+            mStep = RequestStep.ADMISSION;
+            mExchange = exchange;
+        }
+
+        /** Waits until the response, which has ended, has been sent. */
+        void flushing(Future<Void> sent) {
+            mStep = RequestStep.FLUSHING;
+            sent.onComplete(
+                    result -> {
+                        if (result.failed()) {
+                            closed();
+                        } else {
+                            mResponseSent = true;
+                            removeIfDone();
+                        }
+                    });
+        }
+
+        private void removeIfDone() {
+            if (mBodyRead && mResponseSent) {
+                remove();
+            }
+        }
+
+        private boolean remove() {
+            mConnection.mOpen.remove(this);
+            return mOpen.remove(this);
+        }
+
+        void aborted() {
+            mConnection.mCloseCause = CloseCause.ABORTED_RESPONSE;
+        }
+
+        private void closed() {
+            if (!remove()) {
+                return;
+            }
+            LOG.info(
+                    "A connection closed with an open request.",
+                    LogField.of("id", mId),
+                    LogField.of("step", step()),
+                    LogField.of("closedBy", mConnection.mCloseCause),
+                    LogField.of("ms", Clocks.steadyMs() - mArrivedMs));
+            mOnClosed.run();
+        }
+    }
+}
