Failing tests: a planned stop leaves requests without an answer and outlasts its grace

With real processes, signals and bytes: a body that is being read when SIGTERM comes ends with the connection and no answer; bookings and chats that come in the stop are executed and cut with 502; with output that nobody reads, the process is gone 5.3 s after SIGTERM with a grace of 4 s (busy machine).

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
@@ -20,7 +20,10 @@
     private static final int PEER_PORT = 8509;
     private static final int FIRST_INNER_PORT = 8520;
     private static final int LAST_INNER_PORT = 8530;
-    private static final int GRACE_SECONDS = 4;
+
+    /** The time in seconds after which a stopping instance may be killed. */
+    public static final int GRACE_SECONDS = 4;
+
     private static final long EXIT_TIMEOUT_MS = 20_000;
 
     private final String mId;
@@ -105,16 +108,24 @@
         return mId;
     }
 
-    /** Starts the process. */
+    /** Starts the process; its output goes to the log file. */
     public void start() {
+        start(ProcessBuilder.Redirect.appendTo(mLogFile.toFile()));
+    }
+
+    /** Starts the process with its output in a pipe that nobody reads. */
+    public void startWithUnreadOutput() {
+        start(ProcessBuilder.Redirect.PIPE);
+    }
+
+    private void start(ProcessBuilder.Redirect output) {
         ProcessBuilder builder =
                 new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString());
         builder.command().addAll(JAVA_OPTIONS);
         builder.command()
                 .addAll(List.of("-jar", Fleet.jar("app", Fleet.PRODUCT_JAR).toString(), "gateway"));
         builder.environment().put("FILBERTRUDDER_NODE_FILE", mSettingsFile.toString());
-        builder.redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(mLogFile.toFile()));
+        builder.redirectErrorStream(true).redirectOutput(output);
         try {
             mProcess = builder.start();
         } catch (IOException e) {
@@ -127,6 +138,11 @@
         return new PlatformClient(address(READINESS_PORT)).get("/readyz").status() == 200;
     }
 
+    /** Returns the address of the caller port of the instance. */
+    public PeerAddress callerAddress() {
+        return address(CALLER_PORT);
+    }
+
     /** Returns a client for the caller port of the instance. */
     public PlatformClient callerClient() {
         return new PlatformClient(address(CALLER_PORT));
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -60,6 +60,7 @@
     private final Map<String, String> mAccountByApiKey = new HashMap<>();
     private final Set<String> mAddedRoutes = new ConcurrentSkipListSet<>();
     private double mRatePerSecond;
+    private long mIdleTimeoutMs = 15_000;
     private long mConfigurationVersion;
 
     /** Starts a store for regions with one failure domain each; starts no replica or instance. */
@@ -120,6 +121,11 @@
         mRatePerSecond = ratePerSecond;
     }
 
+    /** Sets the idle limit of callers' connections from the next configuration version on. */
+    public void setIdleTimeoutMs(long idleTimeoutMs) {
+        mIdleTimeoutMs = idleTimeoutMs;
+    }
+
     /** Starts a replica. */
     public ReplicaStandIn startReplica(String id, String service, String region, int slots) {
         ReplicaStandIn replica =
@@ -266,7 +272,7 @@
                 .put("maxHeaderBytes", 16_384)
                 .put("maxBodyBytes", 65_536)
                 .put("headerTimeoutMs", 3_000)
-                .put("idleTimeoutMs", 15_000);
+                .put("idleTimeoutMs", mIdleTimeoutMs);
         ArrayNode accounts = root.putArray("tenants");
         mAccountByApiKey.values().stream()
                 .distinct()
