--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -102,7 +102,6 @@
 
     private void receive(HttpServerRequest request) {
         long arrivedMs = Clocks.steadyMs();
-        request.response().endHandler(ignored -> mOpenRequests.markIdle(request.connection()));
         OpenRequests.OpenRequest open =
                 mOpenRequests.open(request, mProtocol.readRequestId(request.headers()), arrivedMs);
         request.endHandler(ignored -> open.bodyRead());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -21,8 +21,6 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("callers");
 
-    private static final long BUSY = -1;
-
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
     private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
 
@@ -43,25 +41,18 @@
         OpenRequest open = new OpenRequest(connection, id.orElse(null), arrivedMs);
         mOpen.add(open);
         connection.mOpen.add(open);
-        connection.mIdleSinceMs = BUSY;
         request.response().closeHandler(ignored -> open.closed());
         request.response().exceptionHandler(ignored -> open.closed());
         return open;
     }
 
-    /** Marks a connection as idle from now on. */
-    void markIdle(HttpConnection connection) {
-        Optional.ofNullable(mConnections.get(connection))
-                .ifPresent(state -> state.mIdleSinceMs = Clocks.steadyMs());
-    }
-
     /** Closes the connections that have been idle for longer than the limit, in milliseconds. */
     void closeIdleLongerThan(long limitMs, CloseCause cause) {
         long nowMs = Clocks.steadyMs();
         for (Map.Entry<HttpConnection, CallerConnection> entry :
                 List.copyOf(mConnections.entrySet())) {
             CallerConnection state = entry.getValue();
-            if (state.mIdleSinceMs != BUSY && nowMs - state.mIdleSinceMs > limitMs) {
+            if (state.mOpen.isEmpty() && nowMs - state.mIdleSinceMs > limitMs) {
                 state.mCloseCause = cause;
                 entry.getKey().close();
             }
@@ -164,6 +155,7 @@
 
         private boolean remove() {
             mConnection.mOpen.remove(this);
+            mConnection.mIdleSinceMs = Clocks.steadyMs();
             return mOpen.remove(this);
         }
 
