Let a planned stop wait for every open request and count its times from the signal

What callers saw: a request whose body arrived while the instance stopped got no answer, as the drain counted admitted requests and lookups only and ended while the body was read.

The drain now asks OpenRequests, which holds each request until its response has been handed to the socket. At the cut, requests that are still read or looked up are refused as not run and cannot be admitted afterwards. The drain begins without waiting for the control thread.

PlannedStopTest.stopEndsWithoutAnswerWhileABodyIsRead failed before. The test class takes the time of the signal before it sends it, since the process that sends it ends some 0.2 s later.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import org.filbertrudder.entry.Closer;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.StateSource;
 import org.filbertrudder.gateway.traffic.GatewayMetrics;
@@ -97,9 +98,10 @@
     public synchronized CompletableFuture<Void> shutDown() {
         if (!mStopping) {
             mStopping = true;
+            long signalMs = Clocks.steadyMs();
             LOG.info("Stopping.", LogField.of("instance", mSettings.id()));
-            mControl.announceLeaving()
-                    .thenCompose(done -> mTraffic.drain())
+            mControl.announceLeaving();
+            mTraffic.drain(signalMs)
                     .thenCompose(done -> mControl.stop())
                     .whenComplete(
                             (done, failure) -> {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -53,7 +53,6 @@
     private final ExchangeLifecycle mLifecycle;
     private final OpenRequests mOpenRequests = new OpenRequests();
     private HttpServer mServer;
-    private int mPendingLookups;
 
     CallerServer(
             Vertx vertx,
@@ -107,6 +106,7 @@
         request.endHandler(ignored -> open.bodyRead());
         CallerResponseSink sink =
                 new CallerResponseSink(request.response(), mProtocol, mStopping, open);
+        open.onRefuse(refusal -> refuse(request, sink, refusal));
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         if (configuration == null || mRefusing.getAsBoolean()) {
             refuse(
@@ -210,17 +210,15 @@
             Buffer body,
             CallerResponseSink sink,
             OpenRequests.OpenRequest open) {
-        if (admitIfFound(request, head, body, sink, open)) {
+        if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
             return;
         }
         ClockReading lookupStart = Clocks.now();
-        mPendingLookups++;
         open.lookupStarted();
         mAdmission.onConfirmation(
                 LOOKUP_WAIT_MS,
                 () -> {
-                    mPendingLookups--;
-                    if (admitIfFound(request, head, body, sink, open)) {
+                    if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
                         return;
                     }
                     boolean stateConfirmed =
@@ -234,14 +232,6 @@
                 });
     }
 
-    /**
-     * Returns the number of requests that wait for a confirmation of the state to find their route
-     * and account.
-     */
-    int pendingLookups() {
-        return mPendingLookups;
-    }
-
     private GatewayRefusal unknownRouteOrKey(HttpServerRequest request, RequestHead head) {
         boolean routeExists =
                 mControl.snapshot().configuration().route(head.host(), request.path()).isPresent();
--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -0,0 +1,111 @@
+package org.filbertrudder.gateway.traffic;
+
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.gateway.control.Clocks;
+
+/**
+ * Drains a stopping instance: waits for the open requests, ends those that are left when the
+ * schedule says so, and waits until the responses have been sent.
+ */
+final class GatewayDrain {
+
+    private static final ComponentLogger LOG = ComponentLogger.of("traffic");
+    private static final long CHECK_INTERVAL_MS = 20;
+
+    private final Vertx mVertx;
+    private final CallerServer mCallerServer;
+    private final Collection<GatewayExchange> mActive;
+    private final GatewayExchangeFinisher mFinisher;
+    private final StopSchedule mSchedule;
+    private final CompletableFuture<Void> mDrained;
+    private boolean mCut;
+
+    /**
+     * Creates the drain.
+     *
+     * @param active the admitted requests that have not ended, those of other instances included
+     * @param drained completes when the drain has ended
+     */
+    GatewayDrain(
+            Vertx vertx,
+            CallerServer callerServer,
+            Collection<GatewayExchange> active,
+            GatewayExchangeFinisher finisher,
+            StopSchedule schedule,
+            CompletableFuture<Void> drained) {
+        mVertx = vertx;
+        mCallerServer = callerServer;
+        mActive = active;
+        mFinisher = finisher;
+        mSchedule = schedule;
+        mDrained = drained;
+    }
+
+    void begin() {
+        log("The drain begins.");
+        mVertx.setPeriodic(CHECK_INTERVAL_MS, this::check);
+    }
+
+    private void check(long timer) {
+        long nowMs = Clocks.steadyMs();
+        if (nowMs < mSchedule.acceptUntilMs()) {
+            return;
+        }
+        if (nowMs >= mSchedule.cutMs() && !mCut) {
+            mCut = true;
+            endOpenRequests();
+        }
+        boolean allSent = mActive.isEmpty() && mCallerServer.openRequests().size() == 0;
+        if (allSent || nowMs >= mSchedule.exitMs()) {
+            mVertx.cancelTimer(timer);
+            mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
+            mCallerServer.closeIdle(true);
+            log("The drain has ended.");
+            mDrained.complete(null);
+        }
+    }
+
+    private void endOpenRequests() {
+        log("The drain ends the remaining requests.");
+        mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
+        for (GatewayExchange exchange : List.copyOf(mActive)) {
+            mFinisher.refuse(
+                    exchange,
+                    exchange.runs() == 0
+                            ? GatewayRefusal.stopping()
+                            : GatewayRefusal.incompleteResponse());
+        }
+        mCallerServer
+                .openRequests()
+                .all()
+                .forEach(request -> request.refuseUnadmitted(GatewayRefusal.stopping()));
+    }
+
+    /** Logs how many requests are open at each step, those of callers and the forwarded ones. */
+    private void log(String message) {
+        List<RequestStep> steps = new ArrayList<>();
+        mCallerServer.openRequests().all().forEach(request -> steps.add(request.step()));
+        mActive.stream()
+                .filter(GatewayExchange::forwarded)
+                .forEach(exchange -> steps.add(exchange.step()));
+        LOG.info(
+                message,
+                LogField.of("running", mActive.size()),
+                LogField.of("steps", RequestStep.summary(steps)),
+                LogField.of("ms", Clocks.steadyMs() - mSchedule.signalMs()));
+    }
+
+    private static void logUnfinished(OpenRequests.OpenRequest request) {
+        LOG.info(
+                "A request is unfinished at the end of the drain.",
+                LogField.of("id", request.id()),
+                LogField.of("step", request.step()),
+                LogField.of("ms", Clocks.steadyMs() - request.arrivedMs()));
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -54,24 +54,12 @@
      */
     private static final long PUMP_DELAY_MS = 10;
 
-    /**
-     * How long a stopping instance still accepts requests of callers that are not aware of the stop
-     * yet, in milliseconds.
-     */
-    private static final long STOPPING_ACCEPT_MS = 3_000;
-
     /**
      * Idle connections may use half of the connections that an endpoint accepts; the other half is
      * left for running requests.
      */
     private static final int IDLE_CONNECTION_DIVISOR = 2;
 
-    /**
-     * The part of the grace period reserved for sending the last bytes and exiting, in
-     * milliseconds.
-     */
-    private static final long STOP_MARGIN_MS = 500;
-
     private final GatewaySettings mSettings;
     private final GatewayControl mControl;
     private final HttpProtocol mProtocol;
@@ -92,7 +80,7 @@
     private GatewayExchangeFinisher mFinisher;
     private Admission mAdmission;
     private long mNextSlowTickMs;
-    private long mStoppingSinceMs = Long.MAX_VALUE;
+    private Optional<StopSchedule> mStop = Optional.empty();
 
     /** Creates the verticle that handles the requests of an instance. */
     public GatewayTrafficVerticle(
@@ -266,11 +254,11 @@
     }
 
     private boolean isStopping() {
-        return mStoppingSinceMs != Long.MAX_VALUE;
+        return mStop.isPresent();
     }
 
     private boolean isRefusing() {
-        return isStopping() && Clocks.steadyMs() - mStoppingSinceMs > STOPPING_ACCEPT_MS;
+        return mStop.map(stop -> Clocks.steadyMs() >= stop.acceptUntilMs()).orElse(false);
     }
 
     private void receive(PeerConnection connection, PeerMessage message) {
@@ -487,74 +475,21 @@
 
     /**
      * Drains this instance. Requests of callers that are not aware of the stop yet are first still
-     * accepted for {@code STOPPING_ACCEPT_MS}; then new requests are refused while running ones
-     * complete.
+     * accepted; then new requests are refused while running ones complete.
      *
-     * @return a future that completes when no request is running, or shortly before the grace
-     *     period ends
+     * @param signalMs when the stop was requested, on the steady clock
+     * @return a future that completes when no request is open, or shortly before the grace period
+     *     ends
      */
-    public CompletableFuture<Void> drain() {
+    public CompletableFuture<Void> drain(long signalMs) {
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        context.runOnContext(ignored -> beginDrain(drained));
+        context.runOnContext(ignored -> beginDrain(signalMs, drained));
         return drained;
     }
 
-    private void beginDrain(CompletableFuture<Void> drained) {
-        mStoppingSinceMs = Clocks.steadyMs();
-        logDrain("The drain begins.");
-        long drainDeadlineMs = mStoppingSinceMs + mControl.bounds().graceMs() - STOP_MARGIN_MS;
-        vertx.setPeriodic(
-                TICK_MS,
-                timer -> {
-                    boolean allServed = mActive.isEmpty() && mCallerServer.pendingLookups() == 0;
-                    boolean idle = isRefusing() && allServed;
-                    boolean deadlineReached = Clocks.steadyMs() >= drainDeadlineMs;
-                    if (idle || deadlineReached) {
-                        vertx.cancelTimer(timer);
-                        finishDrain(drained);
-                    }
-                });
-    }
-
-    private void finishDrain(CompletableFuture<Void> drained) {
-        logDrain("The drain ends the remaining requests.");
-        mCallerServer.openRequests().all().forEach(this::logUnfinished);
-        for (GatewayExchange exchange : List.copyOf(mActive)) {
-            mFinisher.refuse(
-                    exchange,
-                    exchange.runs() == 0
-                            ? GatewayRefusal.stopping()
-                            : GatewayRefusal.incompleteResponse());
-        }
-        mCallerServer.closeIdle(true);
-        vertx.setTimer(
-                TICK_MS,
-                ignored -> {
-                    logDrain("The drain has ended.");
-                    drained.complete(null);
-                });
-    }
-
-    /** Logs how many requests are open at each step, those of callers and the forwarded ones. */
-    private void logDrain(String message) {
-        List<RequestStep> steps = new ArrayList<>();
-        mCallerServer.openRequests().all().forEach(request -> steps.add(request.step()));
-        mActive.stream()
-                .filter(GatewayExchange::forwarded)
-                .forEach(exchange -> steps.add(exchange.step()));
-        LOG.info(
-                message,
-                LogField.of("running", mActive.size()),
-                LogField.of("steps", RequestStep.summary(steps)),
-                LogField.of("ms", Clocks.steadyMs() - mStoppingSinceMs));
-    }
-
-    private void logUnfinished(OpenRequests.OpenRequest request) {
-        LOG.info(
-                "A request is unfinished at the end of the drain.",
-                LogField.of("id", request.id()),
-                LogField.of("step", request.step()),
-                LogField.of("ms", Clocks.steadyMs() - request.arrivedMs()));
+    private void beginDrain(long signalMs, CompletableFuture<Void> drained) {
+        mStop = Optional.of(StopSchedule.of(signalMs, mControl.bounds().graceMs()));
+        new GatewayDrain(vertx, mCallerServer, mActive, mFinisher, mStop.get(), drained).begin();
     }
 
     @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
@@ -92,6 +93,7 @@
         private RequestStep mStep = RequestStep.READING;
         private GatewayExchange mExchange;
         private Runnable mOnClosed = () -> {};
+        private Consumer<GatewayRefusal> mRefuse = refusal -> {};
         private boolean mBodyRead;
         private boolean mResponseSent;
 
@@ -119,6 +121,23 @@
             mOnClosed = action;
         }
 
+        /** Sets how the request is refused as long as it has not been admitted. */
+        void onRefuse(Consumer<GatewayRefusal> refuse) {
+            mRefuse = refuse;
+        }
+
+        /** Refuses the request if it is still being read or looked up. */
+        void refuseUnadmitted(GatewayRefusal refusal) {
+            if (awaitsAdmission()) {
+                mRefuse.accept(refusal);
+            }
+        }
+
+        /** Returns whether the request has neither been admitted nor answered. */
+        boolean awaitsAdmission() {
+            return mStep == RequestStep.READING || mStep == RequestStep.LOOKUP;
+        }
+
         void bodyRead() {
             mBodyRead = true;
             removeIfDone();
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlannedStopTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlannedStopTest.java
@@ -55,8 +55,8 @@
     }
 
     private void stop() {
-        mProcess.signal("TERM");
         mStopNs = System.nanoTime();
+        mProcess.signal("TERM");
     }
 
     private void awaitStopNoticed() {
