Send nothing in a planned stop that is not expected to end before its cut

Callers saw bookings and chats that came in a stop taken, passed on and cut at its end, though they may not be repeated; the same held for requests that waited in the queue until the last moment.

Right before each send, in one place, a stopping instance now refuses a request as not run, with a time to retry: any request later than two thirds of the grace period, and one that may not be repeated if its route's longest recent run, or without one its whole remaining time, ends after the cut. Both cases of unrepeatableRequestThatMayNotEndInTimeIsStartedInAStop failed before; unrepeatableRequestThatEndsInTimeIsServedInAStop keeps passing.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.RegionId;
@@ -25,11 +26,21 @@
 
     private final AttemptDependencies mDependencies;
     private final RandomGenerator mRandom;
+    private final Predicate<GatewayExchange> mEndsBeforeStop;
     private RequestDispatcher mDispatcher;
 
-    GatewayAttemptRunner(AttemptDependencies dependencies, RandomGenerator random) {
+    /**
+     * Creates the runner.
+     *
+     * @param endsBeforeStop whether a request that starts now ends before this instance stops
+     */
+    GatewayAttemptRunner(
+            AttemptDependencies dependencies,
+            RandomGenerator random,
+            Predicate<GatewayExchange> endsBeforeStop) {
         mDependencies = dependencies;
         mRandom = random;
+        mEndsBeforeStop = endsBeforeStop;
     }
 
     AttemptDependencies dependencies() {
@@ -92,6 +103,10 @@
             giveUp(exchange, GatewayRefusal.timedOut(true));
             return false;
         }
+        if (!mEndsBeforeStop.test(exchange)) {
+            giveUp(exchange, GatewayRefusal.stopping());
+            return false;
+        }
         Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(exchange);
         if (refusedPart.isPresent()) {
             giveUpBlocked(exchange, refusedPart.get());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -67,6 +67,7 @@
     private final EndpointTable mEndpointTable = new EndpointTable();
     private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
     private final RandomGenerator mRandom = new SplittableRandom();
+    private final RunTimes mRunTimes = new RunTimes();
     private CallerServer mCallerServer;
     private PeerNetwork mNetwork;
     private GatewayForwardClient mForwardClient;
@@ -110,7 +111,8 @@
         mForwardClient = new GatewayForwardClient(mNetwork);
         mConnections = new EndpointConnectionPools(vertx, mProtocol, this::maxIdleConnections);
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
-        mRunner = new GatewayAttemptRunner(createDependencies(limits), mRandom);
+        mRunner =
+                new GatewayAttemptRunner(createDependencies(limits), mRandom, this::endsBeforeStop);
         UniformRegionGraph regions = new UniformRegionGraph(mSettings.domains().values());
         Router router = new Router(mSettings.region(), mEndpointTable, mLoadReporting);
         mDispatcher =
@@ -257,6 +259,20 @@
         return mStop.isPresent();
     }
 
+    /** Returns whether a request that starts now is expected to end before this instance stops. */
+    private boolean endsBeforeStop(GatewayExchange exchange) {
+        if (mStop.isEmpty()) {
+            return true;
+        }
+        long nowMs = Clocks.steadyMs();
+        long remainingMs = exchange.deadlineMs() - nowMs;
+        long expectedMs =
+                Math.min(
+                        remainingMs,
+                        mRunTimes.longestMs(exchange.route().name()).orElse(remainingMs));
+        return mStop.get().mayStart(nowMs, exchange.route().isRepeatable(), expectedMs);
+    }
+
     private boolean isRefusing() {
         return mStop.map(stop -> Clocks.steadyMs() >= stop.acceptUntilMs()).orElse(false);
     }
@@ -285,6 +301,10 @@
                 () -> {
                     vertx.cancelTimer(timer);
                     mActive.remove(exchange);
+                    if (exchange.runs() > 0) {
+                        long durationMs = Clocks.steadyMs() - exchange.arrivedMs();
+                        mRunTimes.record(exchange.route().name(), durationMs);
+                    }
                     mDispatcher.remove(exchange);
                 });
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StopSchedule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StopSchedule.java
@@ -22,4 +22,14 @@
                 signalMs + graceMs * 5 / 6,
                 signalMs + graceMs * 11 / 12);
     }
+
+    /**
+     * Returns whether a request may be sent now. One that may not be repeated must be expected to
+     * end before the cut, as it cannot be sent elsewhere afterwards.
+     *
+     * @param expectedMs how long the request is expected to run, in milliseconds
+     */
+    boolean mayStart(long nowMs, boolean repeatable, long expectedMs) {
+        return nowMs < lastStartMs && (repeatable || nowMs + expectedMs <= cutMs);
+    }
 }
