--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedAsyncHandler.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedAsyncHandler.java
@@ -3,8 +3,8 @@
 import java.io.PrintStream;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -21,7 +21,12 @@
     /** Limits the memory of queued lines to about a megabyte. */
     private static final int MAX_QUEUED_LINES = 4_096;
 
-    private static final long FLUSH_TIMEOUT_MS = 500;
+    private static final long FLUSH_TIMEOUT_NS = 500_000_000;
+
+    /** A flush ends early when no line is written for this long, as nobody may be reading. */
+    private static final long FLUSH_STALL_NS = 100_000_000;
+
+    private static final long FLUSH_CHECK_INTERVAL_NS = 1_000_000;
 
     private final BlockingQueue<LogRecord> mQueue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final AtomicLong mDroppedCount = new AtomicLong();
@@ -74,9 +79,18 @@
 
     @Override
     public void flush() {
-        long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_TIMEOUT_MS);
-        while (mWrittenCount.get() < mQueuedCount.get() && System.nanoTime() < deadlineNs) {
-            Thread.onSpinWait();
+        long target = mQueuedCount.get();
+        long startNs = System.nanoTime();
+        long progressNs = startNs;
+        long written = mWrittenCount.get();
+        while (written < target
+                && System.nanoTime() - startNs < FLUSH_TIMEOUT_NS
+                && System.nanoTime() - progressNs < FLUSH_STALL_NS) {
+            LockSupport.parkNanos(FLUSH_CHECK_INTERVAL_NS);
+            if (mWrittenCount.get() > written) {
+                written = mWrittenCount.get();
+                progressNs = System.nanoTime();
+            }
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -38,6 +38,9 @@
 
     /** Opens a request whose head has arrived. */
     OpenRequest open(HttpServerRequest request, Optional<String> id, long arrivedMs) {
+        if (!mConnections.containsKey(request.connection())) {
+            connectionOpened(request.connection());
+        }
         CallerConnection connection = mConnections.get(request.connection());
         OpenRequest open = new OpenRequest(connection, id.orElse(null), arrivedMs);
         mOpen.add(open);
