--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -4,14 +4,10 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -55,9 +51,8 @@
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mRefusing;
     private final ExchangeLifecycle mLifecycle;
-    private final Map<HttpConnection, Long> mIdleSinceMs = new HashMap<>();
+    private final OpenRequests mOpenRequests = new OpenRequests();
     private HttpServer mServer;
-    private int mPendingLookups;
 
     CallerServer(
             Vertx vertx,
@@ -89,16 +84,11 @@
         mServer = mVertx.createHttpServer(options);
         mServer.requestHandler(this::receive);
         mServer.invalidRequestHandler(this::refuseInvalid);
-        mServer.connectionHandler(this::connectionOpened);
+        mServer.connectionHandler(mOpenRequests::connectionOpened);
         return mServer.listen(mSettings.callerAddress().port(), mSettings.callerAddress().host())
                 .mapEmpty();
     }
 
-    private void connectionOpened(HttpConnection connection) {
-        mIdleSinceMs.put(connection, Clocks.steadyMs());
-        connection.closeHandler(ignored -> mIdleSinceMs.remove(connection));
-    }
-
     private void refuseInvalid(HttpServerRequest request) {
         LOG.info("A malformed HTTP request is refused.");
         GatewayRefusal refusal = GatewayRefusal.malformed("Send a valid HTTP/1.1 request.");
@@ -111,10 +101,12 @@
 
     private void receive(HttpServerRequest request) {
         long arrivedMs = Clocks.steadyMs();
-        HttpConnection connection = request.connection();
-        mIdleSinceMs.remove(connection);
-        request.response().endHandler(ignored -> markIdle(connection));
-        CallerResponseSink sink = new CallerResponseSink(request.response(), mProtocol, mStopping);
+        OpenRequests.OpenRequest open =
+                mOpenRequests.open(request, mProtocol.readRequestId(request.headers()), arrivedMs);
+        request.endHandler(ignored -> open.bodyRead());
+        CallerResponseSink sink =
+                new CallerResponseSink(request.response(), mProtocol, mStopping, open);
+        open.onRefuse(refusal -> refuse(request, sink, refusal));
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         if (configuration == null || mRefusing.getAsBoolean()) {
             refuse(
@@ -139,12 +131,8 @@
                 request,
                 configuration.limits().maxBodyBytes(),
                 sink,
-                body -> admitOrAwaitState(request, head, body, sink, arrivedMs));
-    }
-
-    private void markIdle(HttpConnection connection) {
-        mIdleSinceMs.put(connection, Clocks.steadyMs());
-        connection.closeHandler(ignored -> mIdleSinceMs.remove(connection));
+                open,
+                body -> admitOrAwaitState(request, head, body, sink, open));
     }
 
     private void refuse(
@@ -188,6 +176,7 @@
             HttpServerRequest request,
             long maxBytes,
             CallerResponseSink sink,
+            OpenRequests.OpenRequest open,
             Consumer<Buffer> onBody) {
         Buffer body = Buffer.buffer();
         boolean[] refused = new boolean[1];
@@ -204,6 +193,7 @@
                 });
         request.endHandler(
                 ignored -> {
+                    open.bodyRead();
                     if (!refused[0]) {
                         onBody.accept(body);
                     }
@@ -219,17 +209,16 @@
             RequestHead head,
             Buffer body,
             CallerResponseSink sink,
-            long arrivedMs) {
-        if (admitIfFound(request, head, body, sink, arrivedMs)) {
+            OpenRequests.OpenRequest open) {
+        if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
             return;
         }
         ClockReading lookupStart = Clocks.now();
-        mPendingLookups++;
+        open.lookupStarted();
         mAdmission.onConfirmation(
                 LOOKUP_WAIT_MS,
                 () -> {
-                    mPendingLookups--;
-                    if (admitIfFound(request, head, body, sink, arrivedMs)) {
+                    if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
                         return;
                     }
                     boolean stateConfirmed =
@@ -243,14 +232,6 @@
                 });
     }
 
-    /**
-     * Returns the number of requests that wait for a confirmation of the state to find their route
-     * and account.
-     */
-    int pendingLookups() {
-        return mPendingLookups;
-    }
-
     private GatewayRefusal unknownRouteOrKey(HttpServerRequest request, RequestHead head) {
         boolean routeExists =
                 mControl.snapshot().configuration().route(head.host(), request.path()).isPresent();
@@ -265,7 +246,7 @@
             RequestHead head,
             Buffer body,
             CallerResponseSink sink,
-            long arrivedMs) {
+            OpenRequests.OpenRequest open) {
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         Optional<RouteRule> route = configuration.route(head.host(), request.path());
         if (route.isEmpty()) {
@@ -288,10 +269,10 @@
                         route.get().chooseService(mRandom.nextDouble()),
                         false,
                         sink,
-                        arrivedMs);
+                        open.arrivedMs());
+        open.admitted(exchange);
         mLifecycle.begin(exchange);
-        request.response().closeHandler(ignored -> mLifecycle.callerDisconnected(exchange));
-        request.response().exceptionHandler(ignored -> mLifecycle.callerDisconnected(exchange));
+        open.onClosed(() -> mLifecycle.callerDisconnected(exchange));
         if (request.response().closed()) {
             mLifecycle.callerDisconnected(exchange);
             return true;
@@ -308,15 +289,16 @@
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         long limitMs =
                 configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
-        long nowMs = Clocks.steadyMs();
-        List<HttpConnection> idle = new ArrayList<>();
-        mIdleSinceMs.forEach(
-                (connection, sinceMs) -> {
-                    if (allIdle || nowMs - sinceMs > limitMs) {
-                        idle.add(connection);
-                    }
-                });
-        idle.forEach(HttpConnection::close);
+        if (allIdle) {
+            mOpenRequests.closeIdleLongerThan(-1, OpenRequests.CloseCause.DRAIN);
+        } else {
+            mOpenRequests.closeIdleLongerThan(limitMs, OpenRequests.CloseCause.IDLE_LIMIT);
+        }
+    }
+
+    /** Returns the open requests of callers. */
+    OpenRequests openRequests() {
+        return mOpenRequests;
     }
 
     Future<Void> close() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -54,24 +54,12 @@
      */
     private static final long PUMP_DELAY_MS = 10;
 
-    /**
-     * How long a stopping instance still accepts requests of callers that are not aware of the stop
-     * yet, in milliseconds.
-     */
-    private static final long STOPPING_ACCEPT_MS = 3_000;
-
     /**
      * Idle connections may use half of the connections that an endpoint accepts; the other half is
      * left for running requests.
      */
     private static final int IDLE_CONNECTION_DIVISOR = 2;
 
-    /**
-     * The part of the grace period reserved for sending the last bytes and exiting, in
-     * milliseconds.
-     */
-    private static final long STOP_MARGIN_MS = 500;
-
     private final GatewaySettings mSettings;
     private final GatewayControl mControl;
     private final HttpProtocol mProtocol;
@@ -79,6 +67,7 @@
     private final EndpointTable mEndpointTable = new EndpointTable();
     private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
     private final RandomGenerator mRandom = new SplittableRandom();
+    private final RunTimes mRunTimes = new RunTimes();
     private CallerServer mCallerServer;
     private PeerNetwork mNetwork;
     private GatewayForwardClient mForwardClient;
@@ -92,7 +81,7 @@
     private GatewayExchangeFinisher mFinisher;
     private Admission mAdmission;
     private long mNextSlowTickMs;
-    private long mStoppingSinceMs = Long.MAX_VALUE;
+    private Optional<StopSchedule> mStop = Optional.empty();
 
     /** Creates the verticle that handles the requests of an instance. */
     public GatewayTrafficVerticle(
@@ -122,7 +111,8 @@
         mForwardClient = new GatewayForwardClient(mNetwork);
         mConnections = new EndpointConnectionPools(vertx, mProtocol, this::maxIdleConnections);
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
-        mRunner = new GatewayAttemptRunner(createDependencies(limits), mRandom);
+        mRunner =
+                new GatewayAttemptRunner(createDependencies(limits), mRandom, this::endsBeforeStop);
         UniformRegionGraph regions = new UniformRegionGraph(mSettings.domains().values());
         Router router = new Router(mSettings.region(), mEndpointTable, mLoadReporting);
         mDispatcher =
@@ -266,11 +256,25 @@
     }
 
     private boolean isStopping() {
-        return mStoppingSinceMs != Long.MAX_VALUE;
+        return mStop.isPresent();
+    }
+
+    /** Returns whether a request that starts now is expected to end before this instance stops. */
+    private boolean endsBeforeStop(GatewayExchange exchange) {
+        if (mStop.isEmpty()) {
+            return true;
+        }
+        long nowMs = Clocks.steadyMs();
+        long remainingMs = exchange.deadlineMs() - nowMs;
+        long expectedMs =
+                Math.min(
+                        remainingMs,
+                        mRunTimes.longestMs(exchange.route().name()).orElse(remainingMs));
+        return mStop.get().mayStart(nowMs, exchange.route().isRepeatable(), expectedMs);
     }
 
     private boolean isRefusing() {
-        return isStopping() && Clocks.steadyMs() - mStoppingSinceMs > STOPPING_ACCEPT_MS;
+        return mStop.map(stop -> Clocks.steadyMs() >= stop.acceptUntilMs()).orElse(false);
     }
 
     private void receive(PeerConnection connection, PeerMessage message) {
@@ -297,6 +301,10 @@
                 () -> {
                     vertx.cancelTimer(timer);
                     mActive.remove(exchange);
+                    if (exchange.runs() > 0) {
+                        long durationMs = Clocks.steadyMs() - exchange.arrivedMs();
+                        mRunTimes.record(exchange.route().name(), durationMs);
+                    }
                     mDispatcher.remove(exchange);
                 });
     }
@@ -487,45 +495,21 @@
 
     /**
      * Drains this instance. Requests of callers that are not aware of the stop yet are first still
-     * accepted for {@code STOPPING_ACCEPT_MS}; then new requests are refused while running ones
-     * complete.
+     * accepted; then new requests are refused while running ones complete.
      *
-     * @return a future that completes when no request is running, or shortly before the grace
-     *     period ends
+     * @param signalMs when the stop was requested, on the steady clock
+     * @return a future that completes when no request is open, or shortly before the grace period
+     *     ends
      */
-    public CompletableFuture<Void> drain() {
+    public CompletableFuture<Void> drain(long signalMs) {
         CompletableFuture<Void> drained = new CompletableFuture<>();
-        context.runOnContext(ignored -> beginDrain(drained));
+        context.runOnContext(ignored -> beginDrain(signalMs, drained));
         return drained;
     }
 
-    private void beginDrain(CompletableFuture<Void> drained) {
-        mStoppingSinceMs = Clocks.steadyMs();
-        long drainDeadlineMs = mStoppingSinceMs + mControl.bounds().graceMs() - STOP_MARGIN_MS;
-        vertx.setPeriodic(
-                TICK_MS,
-                timer -> {
-                    boolean allServed = mActive.isEmpty() && mCallerServer.pendingLookups() == 0;
-                    boolean idle = isRefusing() && allServed;
-                    boolean deadlineReached = Clocks.steadyMs() >= drainDeadlineMs;
-                    if (idle || deadlineReached) {
-                        vertx.cancelTimer(timer);
-                        finishDrain(drained);
-                    }
-                });
-    }
-
-    private void finishDrain(CompletableFuture<Void> drained) {
-        LOG.info("The drain ends the remaining requests.", LogField.of("running", mActive.size()));
-        for (GatewayExchange exchange : List.copyOf(mActive)) {
-            mFinisher.refuse(
-                    exchange,
-                    exchange.runs() == 0
-                            ? GatewayRefusal.stopping()
-                            : GatewayRefusal.incompleteResponse());
-        }
-        mCallerServer.closeIdle(true);
-        vertx.setTimer(TICK_MS, ignored -> drained.complete(null));
+    private void beginDrain(long signalMs, CompletableFuture<Void> drained) {
+        mStop = Optional.of(StopSchedule.of(signalMs, mControl.bounds().graceMs()));
+        new GatewayDrain(vertx, mCallerServer, mActive, mFinisher, mStop.get(), drained).begin();
     }
 
     @Override
