The outcome of an etcd call without a whole body is unknown

A response without a length whose connection ends within the body arrived as a NullPointerException or DecodeException and not as a StoreException. Callers of the store act on StoreException only: a claim of an idempotency key was not tried again, and an order lease that had been written was not looked up. No response was taken for a whole one.

CutEtcdResponseTest failed in 4 of 8 cases before (calls without a length) and passes with the fix.

--- a/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
+++ b/filbertrudder-store/src/main/java/org/filbertrudder/store/EtcdStore.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.core.parsetools.JsonParser;
@@ -169,7 +170,7 @@
     private static JsonObject successBody(HttpResponse<Buffer> response) {
         int status = response.statusCode();
         if (status <= MAX_SUCCESS_STATUS) {
-            return response.bodyAsJsonObject();
+            return jsonBody(response);
         }
         boolean rejectedUnexecuted =
                 status == STATUS_TOO_MANY_REQUESTS || status == STATUS_UNAVAILABLE;
@@ -181,6 +182,23 @@
                 null);
     }
 
+    /** Returns the body; one that ends with its connection may have been cut. */
+    private static JsonObject jsonBody(HttpResponse<Buffer> response) {
+        DecodeException cause = null;
+        try {
+            JsonObject body = response.bodyAsJsonObject();
+            if (body != null) {
+                return body;
+            }
+        } catch (DecodeException e) {
+            cause = e;
+        }
+        throw new StoreException(
+                StoreException.Kind.OUTCOME_UNKNOWN,
+                "The store sent no complete response. Check that the store is running.",
+                cause);
+    }
+
     private static StoreException noResponseFailure(Throwable failure) {
         boolean notConnected = failure instanceof ConnectException;
         return new StoreException(
