--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/Fleet.java
@@ -131,10 +131,14 @@
      * domain.
      */
     public void startInstance(String instanceId, String region, int number) {
-        ManagedProcess process =
-                ManagedProcess.start(
-                        jar("app", PRODUCT_JAR),
-                        logFile(instanceId),
+        startInstance(instanceId, region, number, List.of());
+    }
+
+    /** Starts an instance with additional arguments and adds it to the platform's live list. */
+    public void startInstance(
+            String instanceId, String region, int number, List<String> additionalArguments) {
+        List<String> arguments =
+                new ArrayList<>(
                         List.of(
                                 "entry",
                                 "--id",
@@ -159,6 +163,9 @@
                                 seedAddresses(),
                                 "--operators",
                                 "demo:operate:" + OPERATOR_TOKEN));
+        arguments.addAll(additionalArguments);
+        ManagedProcess process =
+                ManagedProcess.start(jar("app", PRODUCT_JAR), logFile(instanceId), arguments);
         synchronized (mInstances) {
             mInstances.put(instanceId, process);
             mRegionByInstance.put(instanceId, region);
