A planned stop answers each request that it has read (own interface)

Callers saw: connections closed with no answer at the end of the grace, also for bookings that had come in its last seconds; and closed at once, while their body was arriving or their responses were not yet read, when no other request ran.

Cause: requests were accepted until the server was closed, and the deadline closed the server with whatever ran. Only requests whose body had arrived counted as open, and only until the response had been handed to the library, whose close drops bytes that are not sent. The grace began when the shards were handed over, up to 5 s after the signal.

A schedule now runs from the signal. Requests are accepted for 1.5 s (a quarter of a short grace); later ones are refused as not run, once their body has arrived. Nothing starts in the last quarter; what has not run then is refused as not run. Shortly before the end all others get an error that says what is known. Requests are open from the head on, and each connection is flushed before it is closed. The handover of shards goes on beside this.

Ruled out: a response that ends while a pipelined request waits; the library does not close on 'Connection: close' of the response, and the next request is answered.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/EntryInstance.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/EntryInstance.java
@@ -18,6 +18,7 @@
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.entry.traffic.ListenPorts;
+import org.filbertrudder.entry.traffic.ShutdownSchedule;
 import org.filbertrudder.entry.traffic.TrafficContext;
 import org.filbertrudder.entry.traffic.TrafficMetrics;
 import org.filbertrudder.entry.traffic.TrafficVerticle;
@@ -34,7 +35,7 @@
     private static final long STORE_REQUEST_TIMEOUT_MS = 2_000;
     private static final long PLATFORM_REQUEST_TIMEOUT_MS = 2_000;
     private static final long SHARD_HANDOVER_TIMEOUT_MS = 5_000;
-    private static final long REDIRECT_PERIOD_MS = 1_500;
+    private static final long CLOSE_TIMEOUT_MS = 500;
 
     private final EntrySettings mSettings;
     private final Closer mCloser = new Closer();
@@ -111,33 +112,39 @@
         if (!mStopping) {
             mStopping = true;
             LOG.info("The instance is shutting down.", LogField.of("instance", mSettings.id()));
-            mControl.leave()
-                    .orTimeout(SHARD_HANDOVER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                    .whenComplete((ignored, failure) -> drain());
+            ShutdownSchedule schedule =
+                    new ShutdownSchedule(monotonicMs(), mSettings.drainTimeoutMs());
+            mTrafficVerticles.forEach(verticle -> verticle.beginShutdown(schedule));
+            CompletableFuture<Void> handedOver =
+                    mControl.leave()
+                            .orTimeout(SHARD_HANDOVER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                            .exceptionally(failure -> null);
+            CompletableFuture.allOf(handedOver, drain(schedule))
+                    .orTimeout(schedule.graceMs(), TimeUnit.MILLISECONDS)
+                    .whenComplete((ignored, failure) -> close(schedule));
         }
         return mStopped;
     }
 
-    /**
-     * Gives callers time to switch to other instances, then waits for running requests until the
-     * drain timeout.
-     */
-    private void drain() {
-        long deadlineMs = monotonicMs() + mSettings.drainTimeoutMs();
+    /** Gives callers time to switch to other instances, then waits for the open requests. */
+    private CompletableFuture<Void> drain(ShutdownSchedule schedule) {
+        CompletableFuture<Void> redirected = new CompletableFuture<>();
         mVertx.setTimer(
-                REDIRECT_PERIOD_MS,
-                timer -> {
-                    CompletableFuture<?>[] closed =
-                            mTrafficVerticles.stream()
-                                    .map(verticle -> verticle.closeWhenIdle(deadlineMs))
-                                    .toArray(CompletableFuture<?>[]::new);
-                    CompletableFuture.allOf(closed).thenRun(this::close);
-                });
+                Math.max(1, schedule.acceptUntilMs() - monotonicMs()),
+                timer -> redirected.complete(null));
+        return redirected.thenCompose(
+                ignored ->
+                        CompletableFuture.allOf(
+                                mTrafficVerticles.stream()
+                                        .map(verticle -> verticle.closeWhenIdle(schedule))
+                                        .toArray(CompletableFuture<?>[]::new)));
     }
 
-    private void close() {
+    private void close(ShutdownSchedule schedule) {
+        long remainingMs = Math.max(0, schedule.deadlineMs() - monotonicMs());
         mControl.stop()
                 .thenCompose(ignored -> mCloser.close())
+                .orTimeout(remainingMs + CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                 .whenComplete(
                         (ignored, failure) -> {
                             LOG.info(
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
@@ -203,6 +203,15 @@
         return mRetryBudget.tryAcquireRetry(retryShare, mContext.nowMs());
     }
 
+    /** Ends an exchange that is not complete when the instance has to stop. */
+    void endForShutdown(Exchange exchange) {
+        if (exchange.mayHaveRun()) {
+            endAfterFailure(exchange);
+        } else {
+            mFinisher.refuse(exchange, Refusal.shuttingDown());
+        }
+    }
+
     private void endAfterFailure(Exchange exchange) {
         if (!exchange.mayHaveRun()) {
             mFinisher.refuse(exchange, Refusal.noRegionReachable());
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -36,10 +36,13 @@
     private static final int ENTRIES_VALIDITY_SECONDS = 30;
     private static final String SERVICES_PREFIX = "/services/";
     private static final int MAX_IDEMPOTENCY_KEY_LENGTH = 255;
+    private static final String HEAD_RECEIVED_MS = "headReceivedMs";
 
     private final TrafficContext mContext;
     private final EntrySettings mSettings;
     private final RequestFactory mRequestFactory;
+    private final RequestAdmission mAdmission;
+    private final CallerConnections mConnections;
     private final BiConsumer<Exchange, String> mServe;
     private final Consumer<Exchange> mCancel;
 
@@ -53,11 +56,15 @@
             TrafficContext context,
             EntrySettings settings,
             RequestFactory requestFactory,
+            RequestAdmission admission,
+            CallerConnections connections,
             BiConsumer<Exchange, String> serve,
             Consumer<Exchange> cancel) {
         mContext = context;
         mSettings = settings;
         mRequestFactory = requestFactory;
+        mAdmission = admission;
+        mConnections = connections;
         mServe = serve;
         mCancel = cancel;
     }
@@ -81,6 +88,7 @@
 
     Router router(Vertx vertx) {
         Router router = Router.router(vertx);
+        router.route().handler(this::trackRequest);
         router.route().handler(context -> checkRequest(vertx, context));
         router.route().handler(BodyHandler.create(false).setBodyLimit(mSettings.maxBodyBytes()));
         router.get("/v1/entries").handler(catchingRefusals(this::listEntries));
@@ -124,6 +132,15 @@
                 "malformed_request", "The request is not valid HTTP. Correct it.");
     }
 
+    private void trackRequest(RoutingContext context) {
+        context.put(HEAD_RECEIVED_MS, mContext.nowMs());
+        mConnections.requestBegun(context);
+        if (mAdmission.isShuttingDown()) {
+            context.response().putHeader("connection", "close");
+        }
+        context.next();
+    }
+
     /**
      * Refuses ambiguous requests, unknown transfer codings, bodies that arrive too slowly, and all
      * requests until the first configuration is in force.
@@ -155,9 +172,6 @@
             refuse(context, noConfiguration());
             return;
         }
-        if (snapshot.isLeaving()) {
-            request.response().putHeader("connection", "close");
-        }
         long timer = vertx.setTimer(BODY_TIMEOUT_MS, ignored -> refuseSlowBody(context));
         context.addEndHandler(ignored -> vertx.cancelTimer(timer));
         context.next();
@@ -221,6 +235,20 @@
         };
     }
 
+    /** Announces in all responses that have not begun that their connections will be closed. */
+    void announceClose() {
+        mConnections
+                .unansweredRequests()
+                .forEach(context -> context.response().putHeader("connection", "close"));
+    }
+
+    /** Refuses the requests that are still arriving. */
+    void refuseUnanswered() {
+        mConnections
+                .unansweredRequests()
+                .forEach(context -> refuse(context, Refusal.shuttingDown()));
+    }
+
     private static void refuse(RoutingContext context, Refusal refusal) {
         if (!context.response().ended() && !context.response().headWritten()) {
             ExchangeFinisher.send(
@@ -317,6 +345,9 @@
 
     private void startExchange(
             RoutingContext context, Exchange.Request request, String idempotencyKey) {
+        if (!mAdmission.accepts(context.get(HEAD_RECEIVED_MS)) || !mAdmission.mayStart()) {
+            throw new RefusedException(Refusal.shuttingDown());
+        }
         Exchange exchange =
                 new Exchange(request, new HttpResponseSink(context.response()), mContext.nowMs());
         context.response().putHeader(Exchange.REQUEST_ID_HEADER, request.requestId());
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Dispatcher.java
@@ -26,6 +26,7 @@
     private final ExchangeFinisher mFinisher;
     private final RequestCopyTracker mCopyTracker;
     private final AttemptStarter mAttemptStarter;
+    private final RequestAdmission mAdmission;
     private final Map<ServiceId, ServiceQueue> mQueues = new HashMap<>();
 
     Dispatcher(
@@ -33,12 +34,14 @@
             Router router,
             ExchangeFinisher finisher,
             RequestCopyTracker copyTracker,
-            AttemptStarter attemptStarter) {
+            AttemptStarter attemptStarter,
+            RequestAdmission admission) {
         mCopyTracker = copyTracker;
         mContext = context;
         mRouter = router;
         mFinisher = finisher;
         mAttemptStarter = attemptStarter;
+        mAdmission = admission;
     }
 
     /** Routes the request, or queues it behind requests that already wait for the service. */
@@ -107,7 +110,9 @@
     }
 
     private void startOnRoute(Exchange exchange, Route route) {
-        if (isKnownToCrash(exchange)) {
+        if (!exchange.mayHaveRun() && !mAdmission.mayStart()) {
+            mFinisher.refuse(exchange, Refusal.shuttingDown());
+        } else if (isKnownToCrash(exchange)) {
             mFinisher.refuse(exchange, Refusal.requestCrashesEndpoints());
         } else if (isSuspectedOfCrash(exchange)) {
             mAttemptStarter.deferForCrashReports(exchange);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -26,6 +26,7 @@
     private final Consumer<Exchange> mServe;
     private final Consumer<Exchange> mCancel;
     private final Map<StreamKey, ForwardedResponseSink> mOpenStreams = new HashMap<>();
+    private int mWaitingRequests;
 
     ForwardServer(
             TrafficContext context,
@@ -56,6 +57,11 @@
         }
     }
 
+    /** Returns whether a request waits for the configuration that its sender has. */
+    boolean hasWaitingRequests() {
+        return mWaitingRequests > 0;
+    }
+
     /**
      * Serves the request once this instance has at least the sender's configuration revision;
      * refuses it if that takes too long.
@@ -65,10 +71,14 @@
         ControlSnapshot snapshot = mContext.snapshot();
         boolean outOfDate = snapshot.configuration().revision() < start.revision();
         if (outOfDate && mContext.nowMs() < catchUpDeadlineMs) {
+            mWaitingRequests++;
             mContext.vertx()
                     .setTimer(
                             CATCH_UP_CHECK_INTERVAL_MS,
-                            timer -> serveWhenUpToDate(connection, start, catchUpDeadlineMs));
+                            timer -> {
+                                mWaitingRequests--;
+                                serveWhenUpToDate(connection, start, catchUpDeadlineMs);
+                            });
             return;
         }
         ForwardedResponseSink sink = new ForwardedResponseSink(connection, start.stream());
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Refusal.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Refusal.java
@@ -73,6 +73,10 @@
         return new Refusal(503, "unavailable", message, true, DEFAULT_RETRY_MS);
     }
 
+    static Refusal shuttingDown() {
+        return unavailable("The instance is shutting down. Send the request to another instance.");
+    }
+
     static Refusal noRegionReachable() {
         return unavailable("No region that may serve the request is reachable. Retry later.");
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -42,7 +42,11 @@
     private final ListenPorts mPorts;
     private final EndpointTable mEndpointTable = new EndpointTable();
     private final Set<Exchange> mActiveExchanges = new LinkedHashSet<>();
+    private final CallerConnections mCallerConnections = new CallerConnections();
+    private final RequestAdmission mAdmission;
     private ControlSnapshot mAppliedSnapshot;
+    private CallerApi mCallerApi;
+    private ForwardServer mForwardServer;
     private HttpServer mServer;
     private PeerNetwork mPeerNetwork;
     private ExchangeFinisher mFinisher;
@@ -58,6 +62,7 @@
         mTrafficContext = trafficContext;
         mSettings = settings;
         mPorts = ports;
+        mAdmission = new RequestAdmission(trafficContext.clockMs());
     }
 
     @Override
@@ -91,26 +96,41 @@
                         linkAvailability,
                         this::mayRunExclusiveRequestsOn);
         mDispatcher =
-                new Dispatcher(mTrafficContext, router, mFinisher, copyTracker, mAttemptRunner);
+                new Dispatcher(
+                        mTrafficContext,
+                        router,
+                        mFinisher,
+                        copyTracker,
+                        mAttemptRunner,
+                        mAdmission);
         mAttemptRunner.setDispatcher(mDispatcher);
         mIdempotencyClaims = new IdempotencyClaims(context, mTrafficContext, mFinisher);
         mLoadPoller =
                 new LoadPoller(
                         mTrafficContext, client, mEndpointTable, this::updateLeavingEndpoints);
         RequestFactory requestFactory = new RequestFactory(mTrafficContext);
-        ForwardServer forwardServer =
+        mForwardServer =
                 new ForwardServer(
                         mTrafficContext, requestFactory, this::serveForwarded, this::cancel);
-        mPeerNetwork = createPeerNetwork(forwardClient, forwardServer);
+        mPeerNetwork = createPeerNetwork(forwardClient, mForwardServer);
         forwardClient.setPeerNetwork(mPeerNetwork);
-        CallerApi callerApi =
-                new CallerApi(
-                        mTrafficContext, mSettings, requestFactory, this::serve, this::cancel);
+        mCallerApi = createCallerApi(requestFactory);
         mTrafficContext
                 .control()
                 .addSnapshotListener(() -> context.runOnContext(ignored -> applySnapshot()));
         vertx.setPeriodic(TICK_INTERVAL_MS, timer -> tick());
-        startListening(callerApi, started);
+        startListening(started);
+    }
+
+    private CallerApi createCallerApi(RequestFactory requestFactory) {
+        return new CallerApi(
+                mTrafficContext,
+                mSettings,
+                requestFactory,
+                mAdmission,
+                mCallerConnections,
+                this::serve,
+                this::cancel);
     }
 
     /**
@@ -153,10 +173,11 @@
         }
     }
 
-    private void startListening(CallerApi callerApi, Promise<Void> started) {
-        mServer = vertx.createHttpServer(callerApi.serverOptions());
-        mServer.requestHandler(callerApi.router(vertx));
-        mServer.invalidRequestHandler(callerApi::refuseInvalid);
+    private void startListening(Promise<Void> started) {
+        mServer = vertx.createHttpServer(mCallerApi.serverOptions());
+        mServer.connectionHandler(mCallerConnections::add);
+        mServer.requestHandler(mCallerApi.router(vertx));
+        mServer.invalidRequestHandler(mCallerApi::refuseInvalid);
         mServer.listen(mPorts.callerPort(), mSettings.host())
                 .compose(
                         server -> {
@@ -308,20 +329,47 @@
     }
 
     /**
-     * Closes the server for callers as soon as no request is active, at the latest at the deadline.
-     *
-     * <p>The check and the call that closes the server run in the same event-loop task, so no
-     * request can begin in between.
+     * Announces the shutdown to callers, and ends requests when the schedule leaves them no time.
      */
-    public CompletableFuture<Void> closeWhenIdle(long deadlineMs) {
+    public void beginShutdown(ShutdownSchedule schedule) {
+        context.runOnContext(
+                ignored -> {
+                    mAdmission.beginShutdown(schedule);
+                    mCallerApi.announceClose();
+                    runAt(schedule.lastStartMs(), this::endRequestsThatHaveNotRun);
+                    runAt(schedule.endRequestsMs(), this::endAllRequests);
+                });
+    }
+
+    private void runAt(long timeMs, Runnable action) {
+        long delayMs = Math.max(1, timeMs - mTrafficContext.nowMs());
+        vertx.setTimer(delayMs, timer -> action.run());
+    }
+
+    private void endRequestsThatHaveNotRun() {
+        List.copyOf(mActiveExchanges).stream()
+                .filter(exchange -> !exchange.mayHaveRun())
+                .forEach(mAttemptRunner::endForShutdown);
+    }
+
+    private void endAllRequests() {
+        mAdmission.close();
+        List.copyOf(mActiveExchanges).forEach(mAttemptRunner::endForShutdown);
+        mCallerApi.refuseUnanswered();
+    }
+
+    /**
+     * Closes the server for callers as soon as no request is open and all responses have been sent,
+     * at the latest at the deadline.
+     */
+    public CompletableFuture<Void> closeWhenIdle(ShutdownSchedule schedule) {
         CompletableFuture<Void> closed = new CompletableFuture<>();
-        vertx.setPeriodic(
-                TICK_INTERVAL_MS,
-                timer ->
-                        context.runOnContext(
-                                ignored -> {
-                                    boolean deadlineReached = mTrafficContext.nowMs() >= deadlineMs;
-                                    if (mActiveExchanges.isEmpty() || deadlineReached) {
+        context.runOnContext(
+                ignored ->
+                        vertx.setPeriodic(
+                                TICK_INTERVAL_MS,
+                                timer -> {
+                                    if (isClosed(schedule)) {
                                         vertx.cancelTimer(timer);
                                         mServer.close().onComplete(done -> closed.complete(null));
                                     }
@@ -329,6 +377,22 @@
         return closed;
     }
 
+    /** Closes idle connections if no request is open; returns whether none is left to wait for. */
+    private boolean isClosed(ShutdownSchedule schedule) {
+        boolean idle =
+                mActiveExchanges.isEmpty()
+                        && !mCallerConnections.hasOpenRequests()
+                        && !mForwardServer.hasWaitingRequests();
+        if (idle) {
+            mAdmission.close();
+        }
+        if (mAdmission.isClosed()) {
+            mCallerConnections.closeIdle();
+        }
+        boolean deadlineReached = mTrafficContext.nowMs() >= schedule.deadlineMs();
+        return deadlineReached || (idle && mCallerConnections.isEmpty());
+    }
+
     @Override
     public void stop(Promise<Void> stopped) {
         mServer.close()
