An instance whose log nobody reads goes on answering (own interface)

Callers saw: no answers at all once about 64 KB of log lines were unread on standard error, as with a supervisor that is stopped or slow; a planned stop then never ended, and all requests were cut by the kill.

Cause: log lines were written to standard error by the thread that serves requests.

The bounded handler of the gateway now writes these lines as well; lines beyond its queue are dropped and counted. The count goes through the formatter, so that it is text in a text log ('lines' is a string in JSON now, like all other fields). The process waits at most 0.5 s for the last lines before it ends, and sleeps meanwhile instead of keeping a core busy.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/EntryCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/EntryCommand.java
@@ -30,6 +30,7 @@
             entry.stopped().join();
             return ExitCode.OK;
         } catch (CompletionException e) {
+            LogSetup.flush();
             System.err.println("The instance cannot start: " + e.getCause().getMessage());
             return ExitCode.FAILED;
         }
@@ -41,6 +42,7 @@
      */
     private static void shutDown(EntryInstance entry) {
         entry.shutDown().join();
+        LogSetup.flush();
         Runtime.getRuntime().halt(ExitCode.OK);
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedAsyncHandler.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedAsyncHandler.java
@@ -5,8 +5,10 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 /**
@@ -22,6 +24,7 @@
     private static final int MAX_QUEUED_LINES = 4_096;
 
     private static final long FLUSH_TIMEOUT_MS = 500;
+    private static final long FLUSH_POLL_NS = 1_000_000;
 
     private final BlockingQueue<LogRecord> mQueue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final AtomicLong mDroppedCount = new AtomicLong();
@@ -60,8 +63,7 @@
                 }
                 long dropped = mDroppedCount.getAndSet(0);
                 if (dropped > 0) {
-                    lines.append("{\"message\":\"log: Lines were dropped.\",\"lines\":");
-                    lines.append(dropped).append("}\n");
+                    lines.append(mFormatter.format(droppedLines(dropped)));
                 }
                 mOut.print(lines);
                 mOut.flush();
@@ -72,11 +74,17 @@
         }
     }
 
+    private static LogRecord droppedLines(long count) {
+        LogRecord record = new LogRecord(Level.WARNING, "log: Lines were dropped.");
+        record.setParameters(new Object[] {LogField.of("lines", count)});
+        return record;
+    }
+
     @Override
     public void flush() {
         long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLUSH_TIMEOUT_MS);
         while (mWrittenCount.get() < mQueuedCount.get() && System.nanoTime() < deadlineNs) {
-            Thread.onSpinWait();
+            LockSupport.parkNanos(FLUSH_POLL_NS);
         }
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/LogSetup.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/LogSetup.java
@@ -1,6 +1,5 @@
 package org.filbertrudder.entry.log;
 
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -14,26 +13,23 @@
 
     private LogSetup() {}
 
-    /** Writes all log lines to standard error in the given format. */
+    /**
+     * Writes all log lines to standard error in the given format, without blocking the calling
+     * threads.
+     */
     public static void apply(Level level, Format format) {
-        for (Handler handler : ROOT_LOGGER.getHandlers()) {
-            ROOT_LOGGER.removeHandler(handler);
-        }
-        ConsoleHandler consoleHandler = new ConsoleHandler();
-        consoleHandler.setLevel(Level.ALL);
-        consoleHandler.setFormatter(format.createFormatter());
-        ROOT_LOGGER.addHandler(consoleHandler);
-        ROOT_LOGGER.setLevel(Level.WARNING);
-        PRODUCT_LOGGER.setLevel(level);
+        apply(level, new BoundedAsyncHandler(System.err, format.createFormatter()));
     }
 
     /** Writes all log lines to standard output as JSON, without blocking the calling threads. */
     public static void applyNonBlocking(Level level) {
+        apply(level, new BoundedAsyncHandler(System.out, new JsonLineFormatter()));
+    }
+
+    private static void apply(Level level, BoundedAsyncHandler asyncHandler) {
         for (Handler handler : ROOT_LOGGER.getHandlers()) {
             ROOT_LOGGER.removeHandler(handler);
         }
-        BoundedAsyncHandler asyncHandler =
-                new BoundedAsyncHandler(System.out, new JsonLineFormatter());
         asyncHandler.setLevel(Level.ALL);
         ROOT_LOGGER.addHandler(asyncHandler);
         ROOT_LOGGER.setLevel(Level.WARNING);
