An internal error says whether the request may have run, and ends it (own interface)

Callers saw: status 500 with 'not_run' true also after an attempt had been sent.

Cause: the handler of exceptions knew nothing of the exchange. For the same reason the exchange stayed active: a request that waited in a queue could run after its refusal, its tokens were not settled, and a planned stop waited for it.

The exchange is bound to the request before it is served, and an exception ends it with what is known. No request was found that raises such an exception; the fault was read in the code.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -37,6 +37,7 @@
     private static final String SERVICES_PREFIX = "/services/";
     private static final int MAX_IDEMPOTENCY_KEY_LENGTH = 255;
     private static final String HEAD_RECEIVED_MS = "headReceivedMs";
+    private static final String EXCHANGE = "exchange";
 
     private final TrafficContext mContext;
     private final EntrySettings mSettings;
@@ -45,12 +46,14 @@
     private final CallerConnections mConnections;
     private final BiConsumer<Exchange, String> mServe;
     private final Consumer<Exchange> mCancel;
+    private final Consumer<Exchange> mFail;
 
     /**
      * Creates the API.
      *
      * @param serve serves an exchange, with the idempotency key or null if there is none
      * @param cancel ends an exchange whose caller has closed the connection
+     * @param fail ends an exchange whose handling has raised an exception
      */
     CallerApi(
             TrafficContext context,
@@ -59,7 +62,8 @@
             RequestAdmission admission,
             CallerConnections connections,
             BiConsumer<Exchange, String> serve,
-            Consumer<Exchange> cancel) {
+            Consumer<Exchange> cancel,
+            Consumer<Exchange> fail) {
         mContext = context;
         mSettings = settings;
         mRequestFactory = requestFactory;
@@ -67,6 +71,7 @@
         mConnections = connections;
         mServe = serve;
         mCancel = cancel;
+        mFail = fail;
     }
 
     HttpServerOptions serverOptions() {
@@ -98,7 +103,7 @@
         router.route("/services/:service/*").handler(catchingRefusals(this::servePlain));
         router.route().handler(context -> refuse(context, unknownPath()));
         router.errorHandler(413, context -> refuse(context, bodyTooLong()));
-        router.errorHandler(500, context -> refuse(context, internalError()));
+        router.errorHandler(500, context -> refuseAfterException(context, mFail));
         router.errorHandler(400, context -> refuse(context, malformed()));
         return router;
     }
@@ -120,13 +125,6 @@
                         + " bytes. Send a shorter one.");
     }
 
-    private static Refusal internalError() {
-        return Refusal.of(
-                500,
-                "internal_error",
-                "An internal error occurred while processing the request. Retry later.");
-    }
-
     private static Refusal malformed() {
         return Refusal.badRequest(
                 "malformed_request", "The request is not valid HTTP. Correct it.");
@@ -249,6 +247,20 @@
                 .forEach(context -> refuse(context, Refusal.shuttingDown()));
     }
 
+    /** Ends the exchange of the request, so that a request that waits does not run later. */
+    static void refuseAfterException(RoutingContext context, Consumer<Exchange> fail) {
+        Exchange exchange = context.get(EXCHANGE);
+        if (exchange == null) {
+            refuse(context, Refusal.internalError(true));
+        } else {
+            fail.accept(exchange);
+        }
+    }
+
+    static void bindExchange(RoutingContext context, Exchange exchange) {
+        context.put(EXCHANGE, exchange);
+    }
+
     private static void refuse(RoutingContext context, Refusal refusal) {
         if (!context.response().ended() && !context.response().headWritten()) {
             ExchangeFinisher.send(
@@ -353,6 +365,7 @@
         context.response().putHeader(Exchange.REQUEST_ID_HEADER, request.requestId());
         context.response().closeHandler(ignored -> mCancel.accept(exchange));
         context.response().exceptionHandler(ignored -> mCancel.accept(exchange));
+        bindExchange(context, exchange);
         mServe.accept(exchange, idempotencyKey);
     }
 
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ExchangeFinisher.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ExchangeFinisher.java
@@ -45,6 +45,11 @@
         send(exchange.sink(), exchange.request().requestId(), refusal);
     }
 
+    /** Ends an exchange whose handling has raised an exception. */
+    void fail(Exchange exchange) {
+        refuse(exchange, Refusal.internalError(!exchange.mayHaveRun()));
+    }
+
     /** Sends a refusal; if the response has begun, as its last server-sent event. */
     static void send(ResponseSink sink, String requestId, Refusal refusal) {
         String json = refusal.toJson(requestId);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Refusal.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Refusal.java
@@ -73,6 +73,15 @@
         return new Refusal(503, "unavailable", message, true, DEFAULT_RETRY_MS);
     }
 
+    static Refusal internalError(boolean notRun) {
+        return new Refusal(
+                500,
+                "internal_error",
+                "An internal error occurred while processing the request. Retry later.",
+                notRun,
+                0);
+    }
+
     static Refusal shuttingDown() {
         return unavailable("The instance is shutting down. Send the request to another instance.");
     }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -130,7 +130,8 @@
                 mAdmission,
                 mCallerConnections,
                 this::serve,
-                this::cancel);
+                this::cancel,
+                mFinisher::fail);
     }
 
     /**
