--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedAsyncHandler.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/BoundedAsyncHandler.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.LogRecord;
 
 /**
@@ -65,8 +66,7 @@
                 }
                 long dropped = mDroppedCount.getAndSet(0);
                 if (dropped > 0) {
-                    lines.append("{\"message\":\"log: Lines were dropped.\",\"lines\":");
-                    lines.append(dropped).append("}\n");
+                    lines.append(mFormatter.format(droppedLines(dropped)));
                 }
                 mOut.print(lines);
                 mOut.flush();
@@ -77,6 +77,12 @@
         }
     }
 
+    private static LogRecord droppedLines(long count) {
+        LogRecord record = new LogRecord(Level.WARNING, "log: Lines were dropped.");
+        record.setParameters(new Object[] {LogField.of("lines", count)});
+        return record;
+    }
+
     @Override
     public void flush() {
         long target = mQueuedCount.get();
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -36,30 +36,42 @@
     private static final int ENTRIES_VALIDITY_SECONDS = 30;
     private static final String SERVICES_PREFIX = "/services/";
     private static final int MAX_IDEMPOTENCY_KEY_LENGTH = 255;
+    private static final String HEAD_RECEIVED_MS = "headReceivedMs";
+    private static final String EXCHANGE = "exchange";
 
     private final TrafficContext mContext;
     private final EntrySettings mSettings;
     private final RequestFactory mRequestFactory;
+    private final RequestAdmission mAdmission;
+    private final CallerConnections mConnections;
     private final BiConsumer<Exchange, String> mServe;
     private final Consumer<Exchange> mCancel;
+    private final Consumer<Exchange> mFail;
 
     /**
      * Creates the API.
      *
      * @param serve serves an exchange, with the idempotency key or null if there is none
      * @param cancel ends an exchange whose caller has closed the connection
+     * @param fail ends an exchange whose handling has raised an exception
      */
     CallerApi(
             TrafficContext context,
             EntrySettings settings,
             RequestFactory requestFactory,
+            RequestAdmission admission,
+            CallerConnections connections,
             BiConsumer<Exchange, String> serve,
-            Consumer<Exchange> cancel) {
+            Consumer<Exchange> cancel,
+            Consumer<Exchange> fail) {
         mContext = context;
         mSettings = settings;
         mRequestFactory = requestFactory;
+        mAdmission = admission;
+        mConnections = connections;
         mServe = serve;
         mCancel = cancel;
+        mFail = fail;
     }
 
     HttpServerOptions serverOptions() {
@@ -81,6 +93,7 @@
 
     Router router(Vertx vertx) {
         Router router = Router.router(vertx);
+        router.route().handler(this::trackRequest);
         router.route().handler(context -> checkRequest(vertx, context));
         router.route().handler(BodyHandler.create(false).setBodyLimit(mSettings.maxBodyBytes()));
         router.get("/v1/entries").handler(catchingRefusals(this::listEntries));
@@ -90,7 +103,7 @@
         router.route("/services/:service/*").handler(catchingRefusals(this::servePlain));
         router.route().handler(context -> refuse(context, unknownPath()));
         router.errorHandler(413, context -> refuse(context, bodyTooLong()));
-        router.errorHandler(500, context -> refuse(context, internalError()));
+        router.errorHandler(500, context -> refuseAfterException(context, mFail));
         router.errorHandler(400, context -> refuse(context, malformed()));
         return router;
     }
@@ -112,18 +125,20 @@
                         + " bytes. Send a shorter one.");
     }
 
-    private static Refusal internalError() {
-        return Refusal.of(
-                500,
-                "internal_error",
-                "An internal error occurred while processing the request. Retry later.");
-    }
-
     private static Refusal malformed() {
         return Refusal.badRequest(
                 "malformed_request", "The request is not valid HTTP. Correct it.");
     }
 
+    private void trackRequest(RoutingContext context) {
+        context.put(HEAD_RECEIVED_MS, mContext.nowMs());
+        mConnections.requestBegun(context);
+        if (mAdmission.isShuttingDown()) {
+            context.response().putHeader("connection", "close");
+        }
+        context.next();
+    }
+
     /**
      * Refuses ambiguous requests, unknown transfer codings, bodies that arrive too slowly, and all
      * requests until the first configuration is in force.
@@ -155,9 +170,6 @@
             refuse(context, noConfiguration());
             return;
         }
-        if (snapshot.isLeaving()) {
-            request.response().putHeader("connection", "close");
-        }
         long timer = vertx.setTimer(BODY_TIMEOUT_MS, ignored -> refuseSlowBody(context));
         context.addEndHandler(ignored -> vertx.cancelTimer(timer));
         context.next();
@@ -221,6 +233,34 @@
         };
     }
 
+    /** Announces in all responses that have not begun that their connections will be closed. */
+    void announceClose() {
+        mConnections
+                .unansweredRequests()
+                .forEach(context -> context.response().putHeader("connection", "close"));
+    }
+
+    /** Refuses the requests that are still arriving. */
+    void refuseUnanswered() {
+        mConnections
+                .unansweredRequests()
+                .forEach(context -> refuse(context, Refusal.shuttingDown()));
+    }
+
+    /** Ends the exchange of the request, so that a request that waits does not run later. */
+    static void refuseAfterException(RoutingContext context, Consumer<Exchange> fail) {
+        Exchange exchange = context.get(EXCHANGE);
+        if (exchange == null) {
+            refuse(context, Refusal.internalError(true));
+        } else {
+            fail.accept(exchange);
+        }
+    }
+
+    static void bindExchange(RoutingContext context, Exchange exchange) {
+        context.put(EXCHANGE, exchange);
+    }
+
     private static void refuse(RoutingContext context, Refusal refusal) {
         if (!context.response().ended() && !context.response().headWritten()) {
             ExchangeFinisher.send(
@@ -317,11 +357,15 @@
 
     private void startExchange(
             RoutingContext context, Exchange.Request request, String idempotencyKey) {
+        if (!mAdmission.accepts(context.get(HEAD_RECEIVED_MS)) || !mAdmission.mayStart()) {
+            throw new RefusedException(Refusal.shuttingDown());
+        }
         Exchange exchange =
                 new Exchange(request, new HttpResponseSink(context.response()), mContext.nowMs());
         context.response().putHeader(Exchange.REQUEST_ID_HEADER, request.requestId());
         context.response().closeHandler(ignored -> mCancel.accept(exchange));
         context.response().exceptionHandler(ignored -> mCancel.accept(exchange));
+        bindExchange(context, exchange);
         mServe.accept(exchange, idempotencyKey);
     }
 
