Protect long answers with less weight and more notice

As each instance with streams on an engine adds the whole missing time, the engine closed for all of them at the first sign. Each now adds a part of it, and sooner.

--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -25,6 +25,12 @@
      */
     private static final long MAX_PREFILL_BACKLOG_MS = 400;
 
+    /**
+     * The part of the missing time that an instance adds to the backlog; the others with streams on
+     * the engine add theirs.
+     */
+    private static final double MISSING_TIME_WEIGHT = 0.2;
+
     private final PrefixCacheHints mPrefixHints;
     private final GenerationPace mPace = new GenerationPace();
     private OutputEvents mOutputEvents = new OutputEvents();
@@ -114,7 +120,8 @@
      * streams lack, in milliseconds. The engine accepts no prompts while that time is missing.
      */
     double ownPrefillMs() {
-        return mOwnPrefillMs + Math.min(mPace.missingMs(), MAX_PREFILL_BACKLOG_MS);
+        return mOwnPrefillMs
+                + Math.min(MISSING_TIME_WEIGHT * mPace.missingMs(), MAX_PREFILL_BACKLOG_MS);
     }
 
     long memoryTokens() {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/GenerationPace.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/GenerationPace.java
@@ -35,7 +35,7 @@
      * The time until the engine generates at its fastest pace after it has stopped accepting
      * prompts, in milliseconds: the load reports of the other instances and the accepted prompts.
      */
-    private static final long REACTION_TIME_MS = 800;
+    private static final long REACTION_TIME_MS = 1_500;
 
     private final Set<RunningStream> mStreams = new LinkedHashSet<>();
     private double mMsPerEvent;
