Skip all interim responses of engines

Where an endpoint sent a 102 Processing before its final response, callers of the own interface were to get the status 102 with an empty body as the whole response: EndpointCall reported just that.

Cause: Vert.x's client knows the interim responses 100 and 103 and takes all others for the final response. InterimResponseFilter drops them before they reach the client. 101 ends HTTP on the connection and is passed on as before.

CutEndpointResponseTest with a 102 in front failed in 16 of 16 cases before and passes with the filter, as do its 50 other cases and EndpointCallTest.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -68,6 +68,7 @@
                                 .setMaxPoolSize(MAX_CONNECTIONS_PER_ENDPOINT)
                                 .setTcpNoDelay(true)
                                 .setKeepAlive(true));
+        InterimResponseFilter.installIn(client);
         mFinisher =
                 new ExchangeFinisher(
                         mTrafficContext.control()::tokenReservations, mTrafficContext.metrics());
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/CutEndpointResponseTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/CutEndpointResponseTest.java
@@ -110,6 +110,7 @@
                 List.of(
                         "",
                         "HTTP/1.1 100 Continue\r\n\r\n",
+                        "HTTP/1.1 102 Processing\r\n\r\n",
                         "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
         List<Object[]> cases = new ArrayList<>();
         for (String interim : interimResponses) {
@@ -169,6 +170,7 @@
     private Outcome call(boolean reset, boolean connectionUsed, Buffer requestBody) {
         int port = (reset ? mResettingServer : mClosingServer).actualPort();
         HttpClient client = mVertx.createHttpClient(new HttpClientOptions().setMaxPoolSize(1));
+        InterimResponseFilter.installIn(client);
         try {
             if (connectionUsed) {
                 assertTrue(call(client, port, FIRST_REQUEST, Buffer.buffer()).complete());
