--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PlannedStopTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PlannedStopTest.java
@@ -241,6 +241,19 @@
         }
     }
 
+    @Test
+    public void requestWhoseBodyDoesNotEndIsClosedWithoutAnAnswer() throws Exception {
+        String booking = booking("never-whole");
+        try (RawCallerConnection caller = connect()) {
+            caller.send(booking.substring(0, booking.length() - 1));
+            TimeUnit.MILLISECONDS.sleep(200);
+            terminateInstance();
+
+            assertRefusedAsNotRun(caller.readToEnd());
+            assertInstanceExits();
+        }
+    }
+
     @Test
     public void graceBeginsOnlyWhenTheStoreHasAnswered() {
         mFleet.endpoints().setBookingBehaviour(LONG_BOOKINGS);
