Close all sockets before the process halts

Cause: Runtime.halt waits up to 300 ms for threads in native code; the event loops and the acceptor are such. Meanwhile the listener and all sockets are open, and no thread answers.

The gateway now closes its servers, connections and event loops first, for 200 ms at most.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.filbertrudder.entry.log.LogSetup;
@@ -27,6 +28,7 @@
 final class GatewayCommand {
 
     private static final int MACHINE_ID_BYTES = 8;
+    private static final long CLOSE_TIMEOUT_MS = 200;
 
     private GatewayCommand() {}
 
@@ -70,6 +72,8 @@
 
     private static void shutDown(Gateway gateway) {
         gateway.shutDown().join();
+        // While the virtual machine halts, open sockets would accept requests that nobody answers.
+        gateway.close().completeOnTimeout(null, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
         LogSetup.flush();
         Runtime.getRuntime().halt(ExitCode.OK);
     }
