A late response is not given up while no other endpoint can answer

A caller whose stream had begun got neither its answer nor a refusal.

Cause: an attempt without progress for the stall timeout was ended first, and only then was another one looked for. Where none was to be had (attempts used, retry budget, endpoints busy, all others tried, requests waiting), the request was lost. Class of fault: giving up what one has before there is something better; a replica's silence is no reason to end an answer.

The attempt is now ended only if another endpoint or region can accept the request at once. Otherwise it goes on, and the other endpoints are looked at again each 200 ms while the request may still run once more.

LateResponseTest failed before in both cases (502 after 1.0 s and 1.1 s) and passes; PlatformFleetTest, EndpointResponseTest and BrokenStreamTest pass, among them the streams that are resumed elsewhere when an engine stops responding.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -26,6 +26,12 @@
 
     private static final long MIN_STALL_TIMEOUT_MS = 1_000;
 
+    /**
+     * The interval at which an attempt that has stalled looks for another endpoint, in
+     * milliseconds.
+     */
+    private static final long STALL_RECHECK_MS = 200;
+
     /** Responses up to this length are passed on only when they are complete, in bytes. */
     private static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
@@ -44,6 +50,7 @@
     private boolean mPassingThrough;
     private boolean mEventReceived;
     private long mStallTimer = -1;
+    private boolean mStallNoted;
     private long mLastProgressMs;
     private boolean mPaused;
     private int mBytesSinceProgress;
@@ -103,11 +110,22 @@
         long remainingMs = mPaused ? stallTimeoutMs() : mLastProgressMs + stallTimeoutMs() - nowMs;
         if (remainingMs > 0) {
             scheduleStallCheck(remainingMs);
-        } else if (mExchange.mayRunAgain()) {
+        } else if (mRunner.mayRetryAtOnce(mExchange)) {
             retryAfterStall();
         } else {
+            awaitLateResponse();
+        }
+    }
+
+    /** Goes on waiting, as ending the attempt would only lose a response that may still come. */
+    private void awaitLateResponse() {
+        if (!mStallNoted) {
+            mStallNoted = true;
             noteStall();
         }
+        if (mExchange.mayRunAgain()) {
+            scheduleStallCheck(STALL_RECHECK_MS);
+        }
     }
 
     private void retryAfterStall() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -146,6 +146,18 @@
                 .refuse(exchange, GatewayRefusal.crashingPart(exchange.runs() == 0));
     }
 
+    /** Returns whether the request may run again and another endpoint can accept it now. */
+    boolean mayRetryAtOnce(GatewayExchange exchange) {
+        return !exchange.callerDisconnected()
+                && exchange.mayRunAgain()
+                && mDependencies
+                        .retryBudgets()
+                        .allowsRetry(
+                                exchange.service(),
+                                mDependencies.control().snapshot().runningCount())
+                && mDispatcher.canStartNow(exchange);
+    }
+
     /**
      * Submits the request for another attempt if it may run again; otherwise ends it with the held
      * error response, if any, or with the given refusal.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -85,6 +85,19 @@
         }
     }
 
+    /**
+     * Returns whether an endpoint or another region can accept the request now. One that has to
+     * wait while others do might be refused instead.
+     */
+    boolean canStartNow(GatewayExchange exchange) {
+        ServiceQueue queue = queue(exchange.service());
+        if (queue.mWaiting.size() > 0) {
+            return false;
+        }
+        Route route = choose(exchange, queue);
+        return route instanceof Route.Local || route instanceof Route.Forward;
+    }
+
     private ServiceQueue queue(ServiceId service) {
         return mQueues.computeIfAbsent(service, key -> new ServiceQueue());
     }
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -32,6 +32,9 @@
     /** The Retry-After delay of {@link Fault#REJECT_WITH_RETRY_AFTER}, in seconds. */
     public static final int RETRY_AFTER_S = 3;
 
+    /** The delay of responses of {@link Fault#LATE_RESPONSE}, in milliseconds. */
+    private static final long LATE_RESPONSE_MS = 1_800;
+
     /** How long a replica is down after a request has crashed it, in milliseconds. */
     public static final long CRASH_DOWN_MS = 600;
 
@@ -91,6 +94,8 @@
         NO_RESPONSE,
         /** Streams stop between two events but stay open; other requests never get a response. */
         STALL,
+        /** Requests are executed, and their responses begin late. */
+        LATE_RESPONSE,
         /** Requests are rejected with status 503 without execution. */
         REJECT,
         /** Responses have no server stamp. */
@@ -291,6 +296,16 @@
         }
         switch (mFault) {
             case NO_RESPONSE -> {}
+            case LATE_RESPONSE ->
+                    mVertx.setTimer(
+                            LATE_RESPONSE_MS,
+                            timer -> {
+                                if (stream) {
+                                    stream(request, response, Interruption.NONE);
+                                } else {
+                                    respond(request, response);
+                                }
+                            });
             case SINGLE_BYTES -> streamSingleBytes(response);
             case STALL -> {
                 if (stream) {
