A late response is not given up for a retry that is refused

Found by review: the check before a late response is given up looked at fewer conditions than the start of the retry. In a stop past two thirds of the grace, with a state that is not current, or with all sends used, the running attempt was ended and the retry then refused: 502 or a cut stream. A retry also waited behind the queue, where it might be refused as overloaded.

Both now ask the same conditions, and the retry precedes the requests that wait.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -132,8 +132,10 @@
         mExchange.trace("stalled");
         finish(false);
         abort();
-        noteStall();
-        mRunner.retryOrGiveUp(mExchange, GatewayRefusal.incompleteResponse());
+        if (!mStallNoted) {
+            noteStall();
+        }
+        mRunner.dispatcher().submitFirst(mExchange);
     }
 
     void finish(boolean answered) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -94,17 +94,9 @@
         if (exchange.ended()) {
             return false;
         }
-        boolean hasAccount = exchange.account().isPresent();
-        if (hasAccount && !mDependencies.control().stateFreshness().isFresh(Clocks.now())) {
-            giveUp(exchange, GatewayRefusal.stateOutdated());
-            return false;
-        }
-        if (exchange.deadlineMs() - Clocks.steadyMs() < MIN_REMAINING_MS) {
-            giveUp(exchange, GatewayRefusal.timedOut(true));
-            return false;
-        }
-        if (!mEndsBeforeStop.test(exchange)) {
-            giveUp(exchange, GatewayRefusal.stopping());
+        Optional<GatewayRefusal> refusal = refusalOfStart(exchange);
+        if (refusal.isPresent()) {
+            giveUp(exchange, refusal.get());
             return false;
         }
         Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(exchange);
@@ -124,6 +116,20 @@
         return true;
     }
 
+    /** Returns why no attempt may start now; empty if one may. */
+    private Optional<GatewayRefusal> refusalOfStart(GatewayExchange exchange) {
+        boolean hasAccount = exchange.account().isPresent();
+        if (hasAccount && !mDependencies.control().stateFreshness().isFresh(Clocks.now())) {
+            return Optional.of(GatewayRefusal.stateOutdated());
+        }
+        if (exchange.deadlineMs() - Clocks.steadyMs() < MIN_REMAINING_MS) {
+            return Optional.of(GatewayRefusal.timedOut(true));
+        }
+        return mEndsBeforeStop.test(exchange)
+                ? Optional.empty()
+                : Optional.of(GatewayRefusal.stopping());
+    }
+
     @Override
     public void giveUp(GatewayExchange exchange, GatewayRefusal refusal) {
         BufferedResponse errorResponse = exchange.heldErrorResponse();
@@ -148,8 +154,8 @@
 
     /** Returns whether the request may run again and another endpoint can accept it now. */
     boolean mayRetryAtOnce(GatewayExchange exchange) {
-        return !exchange.callerDisconnected()
-                && exchange.mayRunAgain()
+        return maySendAgain(exchange)
+                && refusalOfStart(exchange).isEmpty()
                 && mDependencies
                         .retryBudgets()
                         .allowsRetry(
@@ -163,11 +169,16 @@
      * error response, if any, or with the given refusal.
      */
     void retryOrGiveUp(GatewayExchange exchange, GatewayRefusal fallback) {
-        boolean maySend = exchange.sends() < exchange.route().maxRuns() + MAX_UNEXECUTED_SENDS;
-        if (!exchange.callerDisconnected() && exchange.mayRunAgain() && maySend) {
+        if (maySendAgain(exchange)) {
             mDispatcher.submit(exchange);
         } else {
             giveUp(exchange, fallback);
         }
     }
+
+    private static boolean maySendAgain(GatewayExchange exchange) {
+        return !exchange.callerDisconnected()
+                && exchange.mayRunAgain()
+                && exchange.sends() < exchange.route().maxRuns() + MAX_UNEXECUTED_SENDS;
+    }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -85,16 +85,14 @@
         }
     }
 
-    /**
-     * Returns whether an endpoint or another region can accept the request now. One that has to
-     * wait while others do might be refused instead.
-     */
+    /** Starts or queues the request; it precedes those that wait. */
+    void submitFirst(GatewayExchange exchange) {
+        route(exchange, queue(exchange.service()));
+    }
+
+    /** Returns whether an endpoint or another region can accept the request now. */
     boolean canStartNow(GatewayExchange exchange) {
-        ServiceQueue queue = queue(exchange.service());
-        if (queue.mWaiting.size() > 0) {
-            return false;
-        }
-        Route route = choose(exchange, queue);
+        Route route = choose(exchange, queue(exchange.service()));
         return route instanceof Route.Local || route instanceof Route.Forward;
     }
 
