--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -117,7 +117,7 @@
         return mStopped;
     }
 
-    /** Closes all resources without draining requests; for use in tests. */
+    /** Closes all resources without draining requests. */
     public CompletableFuture<Void> close() {
         return mCloser.close();
     }
