A stop waits until forwarded responses have reached the other region

Cause: a forwarded response counted as sent when its last frame was queued.

The drain now ends 400 ms after the last forwarded response at the earliest, within the schedule of the stop. There is no test of its own: on loopback the frame always arrives in time.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -18,6 +18,12 @@
     private static final ComponentLogger LOG = ComponentLogger.of("traffic");
     private static final long CHECK_INTERVAL_MS = 20;
 
+    /**
+     * The time for the last bytes of a forwarded response to reach the other region before the
+     * connection is closed, in milliseconds.
+     */
+    private static final long FORWARD_DELIVERY_MS = 400;
+
     private final Vertx mVertx;
     private final CallerServer mCallerServer;
     private final Collection<GatewayExchange> mActive;
@@ -25,6 +31,7 @@
     private final StopSchedule mSchedule;
     private final CompletableFuture<Void> mDrained;
     private boolean mCut;
+    private long mForwardedUntilMs = Long.MIN_VALUE / 2;
 
     /**
      * Creates the drain.
@@ -54,6 +61,9 @@
 
     private void check(long timer) {
         long nowMs = Clocks.steadyMs();
+        if (mActive.stream().anyMatch(GatewayExchange::forwarded)) {
+            mForwardedUntilMs = nowMs;
+        }
         if (nowMs < mSchedule.acceptUntilMs()) {
             return;
         }
@@ -61,7 +71,10 @@
             mCut = true;
             endOpenRequests();
         }
-        boolean allSent = mActive.isEmpty() && mCallerServer.openRequests().size() == 0;
+        boolean allSent =
+                mActive.isEmpty()
+                        && mCallerServer.openRequests().size() == 0
+                        && nowMs - mForwardedUntilMs >= FORWARD_DELIVERY_MS;
         if (allSent || nowMs >= mSchedule.exitMs()) {
             mVertx.cancelTimer(timer);
             mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
