Read the body of a response before it can have arrived

Callers of the store's client and tests saw a whole response as one without a body.

Cause: the step that reads the body was added to the chain outside the step that sends the request. On a thread that is no event loop the response can arrive between the two; Vert.x then returns an empty body and no error. The store's client was used like that from tests only; its other callers are event loops, on which nothing can arrive in between.

With the body read in the step that sends, no event can come between. Ruled out: the stand-in (its methods are synchronized) and tests in parallel (the classes run in parallel, not the methods of one).

The same order is mended in InternalErrorTest and the load generator. The pollers of the own interface send and read on one event loop and stay as they are.

No test fails before and passes after for certain: the delay cannot be put between the two steps from outside.

--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/InternalErrorTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/InternalErrorTest.java
@@ -75,8 +75,7 @@
     private String responseBody(int port) throws Exception {
         return mVertx.createHttpClient()
                 .request(HttpMethod.GET, port, "127.0.0.1", "/")
-                .compose(request -> request.send())
-                .compose(response -> response.body())
+                .compose(request -> request.send().compose(response -> response.body()))
                 .map(Buffer::toString)
                 .toCompletionStage()
                 .toCompletableFuture()
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
@@ -6,9 +6,11 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -45,20 +47,25 @@
 
     private CompletableFuture<Response> send(String method, String uri, String body) {
         return mClient.request(HttpMethod.valueOf(method), mPort, "127.0.0.1", uri)
-                .compose(request -> request.send(Buffer.buffer(body)))
                 .compose(
-                        response ->
-                                response.body()
-                                        .map(
-                                                content ->
-                                                        new Response(
-                                                                response.statusCode(),
-                                                                response.getHeader("Store-Era"),
-                                                                content.toString())))
+                        request ->
+                                request.send(Buffer.buffer(body))
+                                        .compose(KvStoreStandInTest::readResponse))
                 .toCompletionStage()
                 .toCompletableFuture();
     }
 
+    /** Reads a response; a body that arrives before this is called reads as empty. */
+    private static Future<Response> readResponse(HttpClientResponse response) {
+        return response.body()
+                .map(
+                        content ->
+                                new Response(
+                                        response.statusCode(),
+                                        response.getHeader("Store-Era"),
+                                        content.toString()));
+    }
+
     private Response call(String method, String uri, String body) {
         return send(method, uri, body).join();
     }
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/LoadGenerator.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/LoadGenerator.java
@@ -1,8 +1,10 @@
 package org.filbertrudder.standins;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
@@ -91,8 +93,7 @@
         }
         long startNs = System.nanoTime();
         mClient.request(mRequestOptions)
-                .compose(request -> request.send(mRequestBody))
-                .compose(response -> response.body().map(body -> response.statusCode()))
+                .compose(request -> request.send(mRequestBody).compose(LoadGenerator::readStatus))
                 .onComplete(
                         result -> {
                             recordResult(
@@ -101,6 +102,11 @@
                         });
     }
 
+    /** Returns the status once the body is read; one that arrives before the call is not seen. */
+    private static Future<Integer> readStatus(HttpClientResponse response) {
+        return response.body().map(body -> response.statusCode());
+    }
+
     private synchronized void recordResult(long startNs, boolean succeeded) {
         mLatencyUs.recordValue((System.nanoTime() - startNs) / 1_000);
         if (!succeeded) {
