Bound the last steps of a planned stop by the grace period

Cause: the drain ends at 11/12 of the grace period, but each step after it has a time limit of its own and none counts from the signal: the announcement (100 ms), the close of the sockets (up to 200 ms) and the log (100 ms without progress, up to 500 ms in all). Together they exceed the 333 ms that are left of a grace period of 4 s. A step that fails ended the shutdown thread before the halt.

StopDeadline bounds all steps together at 23/24 of the grace period, and logs a step that fails.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -71,10 +71,17 @@
     }
 
     private static void shutDown(Gateway gateway) {
-        gateway.shutDown().join();
         // While the virtual machine halts, open sockets would accept requests that nobody answers.
-        gateway.close().completeOnTimeout(null, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
-        LogSetup.flush();
+        StopDeadline.await(
+                gateway.shutDown()
+                        .thenCompose(
+                                done ->
+                                        gateway.close()
+                                                .completeOnTimeout(
+                                                        null,
+                                                        CLOSE_TIMEOUT_MS,
+                                                        TimeUnit.MILLISECONDS)),
+                gateway.graceMs());
         Runtime.getRuntime().halt(ExitCode.OK);
     }
 
--- /dev/null
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
@@ -0,0 +1,35 @@
+package org.filbertrudder.app;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.entry.log.LogSetup;
+
+/** Bounds the time of all steps of a planned stop, from the signal to the last log line. */
+final class StopDeadline {
+
+    private static final ComponentLogger LOG = ComponentLogger.of("stop");
+
+    private StopDeadline() {}
+
+    /**
+     * Waits until the instance has stopped and its log lines are written, or until the process must
+     * end as its grace period is about to pass.
+     *
+     * @param stopped completes when the instance has stopped
+     * @param graceMs the time until the process is killed, in milliseconds
+     */
+    static void await(CompletableFuture<?> stopped, long graceMs) {
+        CompletableFuture<Void> flushed =
+                stopped.handle(StopDeadline::logFailure).thenRunAsync(LogSetup::flush);
+        flushed.completeOnTimeout(null, graceMs * 23 / 24, TimeUnit.MILLISECONDS).join();
+    }
+
+    private static Object logFailure(Object result, Throwable failure) {
+        if (failure != null) {
+            LOG.warn("A step of the stop has failed.", LogField.of("error", failure));
+        }
+        return result;
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -112,6 +112,11 @@
         return mStopped;
     }
 
+    /** Returns the time from the signal of a shutdown until the process is killed, in ms. */
+    public long graceMs() {
+        return mControl.bounds().graceMs();
+    }
+
     /** Completes when the instance has shut down. */
     public CompletableFuture<Void> stopped() {
         return mStopped;
