A stop waits until forwarded responses have been read

An instance that forwards a request lost the last events of the response, or the whole of it, when the instance that ran it stopped and its answers were read more than 400 ms late.

Cause: the drain waited a fixed 400 ms after the last forwarded request and then closed the connections. Bytes that still waited in the socket were dropped as soon as the other instance sent anything on the closed connection, for instance a credit.

Now the drain ends the output of each connection on which requests were forwarded, after its last write, goes on reading, and ends when the other instances have closed these connections, or at the exit time of its schedule. An instance that reads the end of the input closes the connection by itself; no message is new.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
@@ -18,25 +19,22 @@
     private static final ComponentLogger LOG = ComponentLogger.of("traffic");
     private static final long CHECK_INTERVAL_MS = 20;
 
-    /**
-     * The time for the last bytes of a forwarded response to reach the other region before the
-     * connection is closed, in milliseconds.
-     */
-    private static final long FORWARD_DELIVERY_MS = 400;
-
     private final Vertx mVertx;
     private final CallerServer mCallerServer;
     private final Collection<GatewayExchange> mActive;
     private final GatewayExchangeFinisher mFinisher;
     private final StopSchedule mSchedule;
     private final CompletableFuture<Void> mDrained;
+    private final Supplier<CompletableFuture<Void>> mEndForwards;
     private boolean mCut;
-    private long mForwardedUntilMs = Long.MIN_VALUE / 2;
+    private CompletableFuture<Void> mForwardsEnded;
 
     /**
      * Creates the drain.
      *
      * @param active the admitted requests that have not ended, those of other instances included
+     * @param endForwards closes the connections for forwarded requests; its result completes when
+     *     their responses have been received
      * @param drained completes when the drain has ended
      */
     GatewayDrain(
@@ -45,12 +43,14 @@
             Collection<GatewayExchange> active,
             GatewayExchangeFinisher finisher,
             StopSchedule schedule,
+            Supplier<CompletableFuture<Void>> endForwards,
             CompletableFuture<Void> drained) {
         mVertx = vertx;
         mCallerServer = callerServer;
         mActive = active;
         mFinisher = finisher;
         mSchedule = schedule;
+        mEndForwards = endForwards;
         mDrained = drained;
     }
 
@@ -61,9 +61,6 @@
 
     private void check(long timer) {
         long nowMs = Clocks.steadyMs();
-        if (mActive.stream().anyMatch(GatewayExchange::forwarded)) {
-            mForwardedUntilMs = nowMs;
-        }
         if (nowMs < mSchedule.acceptUntilMs()) {
             return;
         }
@@ -71,10 +68,11 @@
             mCut = true;
             endOpenRequests();
         }
-        boolean allSent =
-                mActive.isEmpty()
-                        && mCallerServer.openRequests().size() == 0
-                        && nowMs - mForwardedUntilMs >= FORWARD_DELIVERY_MS;
+        boolean allAnswered = mActive.isEmpty() && mCallerServer.openRequests().size() == 0;
+        if (allAnswered && mForwardsEnded == null) {
+            mForwardsEnded = mEndForwards.get();
+        }
+        boolean allSent = allAnswered && mForwardsEnded.isDone();
         if (allSent || nowMs >= mSchedule.exitMs()) {
             mVertx.cancelTimer(timer);
             mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
@@ -32,6 +33,7 @@
     private final RequestAcceptor mRequestAcceptor;
     private final Consumer<GatewayExchange> mOnCancel;
     private final Map<StreamKey, ForwardSink> mSinks = new HashMap<>();
+    private final Set<PeerConnection> mConnections = new HashSet<>();
     private long mNextKeepAliveMs;
 
     GatewayForwardServer(RequestAcceptor requestAcceptor, Consumer<GatewayExchange> onCancel) {
@@ -67,7 +69,22 @@
         connectionsInUse.forEach(connection -> connection.send(new PeerMessage.ForwardKeepAlive()));
     }
 
+    /**
+     * Ends the output of the connections on which requests were forwarded.
+     *
+     * @return completes when the other instances have read the responses and closed the connections
+     */
+    CompletableFuture<Void> endConnections() {
+        return CompletableFuture.allOf(
+                mConnections.stream()
+                        .map(PeerConnection::endOutput)
+                        .toArray(CompletableFuture<?>[]::new));
+    }
+
     private void receive(PeerConnection from, PeerMessage.ForwardStart start) {
+        if (mConnections.add(from)) {
+            from.onClose(() -> mConnections.remove(from));
+        }
         StreamKey key = new StreamKey(from, start.stream());
         ForwardSink sink = new ForwardSink(key);
         mSinks.put(key, sink);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -509,7 +509,15 @@
 
     private void beginDrain(long signalMs, CompletableFuture<Void> drained) {
         mStop = Optional.of(StopSchedule.of(signalMs, mControl.bounds().graceMs()));
-        new GatewayDrain(vertx, mCallerServer, mActive, mFinisher, mStop.get(), drained).begin();
+        new GatewayDrain(
+                        vertx,
+                        mCallerServer,
+                        mActive,
+                        mFinisher,
+                        mStop.get(),
+                        mForwardServer::endConnections,
+                        drained)
+                .begin();
     }
 
     @Override
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -1,11 +1,16 @@
 package org.filbertrudder.peer;
 
+import io.netty.channel.Channel;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.ssl.SslHandler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import io.vertx.core.net.impl.NetSocketInternal;
 import io.vertx.core.parsetools.RecordParser;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
@@ -23,6 +28,7 @@
     private boolean mHeaderExpected = true;
     private boolean mHandshakeDone;
     private Member mPeerMember;
+    private boolean mOutputEnded;
     private boolean mClosed;
 
     PeerConnection(
@@ -96,9 +102,9 @@
         mSocket.close();
     }
 
-    /** Sends a message; drops the message if the connection is closed. */
+    /** Sends a message; drops the message if the connection is closed or its output has ended. */
     public void send(PeerMessage message) {
-        if (mClosed) {
+        if (mClosed || mOutputEnded) {
             return;
         }
         Buffer frame = MessageCodec.encode(message);
@@ -149,6 +155,37 @@
         mSocket.close();
     }
 
+    /**
+     * Ends the output after the messages that have been sent. The peer reads them and then closes
+     * the connection; until then its messages are still received.
+     *
+     * @return completes when the connection has closed
+     */
+    public CompletableFuture<Void> endOutput() {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        onClose(() -> closed.complete(null));
+        if (!mClosed && !mOutputEnded) {
+            mOutputEnded = true;
+            // Ending the output of a channel drops what it has not written yet.
+            mSocket.write(Buffer.buffer())
+                    .onSuccess(ignored -> shutDownOutput())
+                    .onFailure(ignored -> mSocket.close());
+        }
+        return closed;
+    }
+
+    private void shutDownOutput() {
+        Channel channel = ((NetSocketInternal) mSocket).channelHandlerContext().channel();
+        SslHandler tls = channel.pipeline().get(SslHandler.class);
+        if (!(channel instanceof DuplexChannel duplex)) {
+            mSocket.close();
+        } else if (tls == null) {
+            duplex.shutdownOutput();
+        } else {
+            tls.closeOutbound().addListener(ignored -> duplex.shutdownOutput());
+        }
+    }
+
     private void onSocketClosed() {
         mClosed = true;
         List<CloseAction> actions = List.copyOf(mCloseActions);
--- /dev/null
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
@@ -0,0 +1,167 @@
+package org.filbertrudder.scenarios.platform;
+
+import static org.testng.Assert.assertTrue;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.filbertrudder.gateway.config.KeyDigests;
+import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.FailureDomainId;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.model.message.ProtocolVersions;
+import org.filbertrudder.peer.MessageCodec;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests what an instance of another region gets for the requests that it forwards. */
+public class ForwardedRequestTest {
+
+    private static final String REPLICA = "desk-mtl-1";
+    private static final int TIMEOUT_MS = 20_000;
+
+    /** The number of forwarded requests, whose responses are longer than the receive buffer. */
+    private static final int STREAMS = 60;
+
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
+
+    /** When a stop accepts no request any more, and 2 s more, in milliseconds. */
+    private static final long UNREAD_MS = 4_500;
+
+    private PlatformFleet mFleet;
+    private Socket mPeer;
+
+    @BeforeMethod
+    public void startInstance() throws IOException {
+        mFleet = new PlatformFleet("mtl", "sag");
+        mFleet.writeConfiguration(true);
+        mFleet.startReplica(REPLICA, PlatformFleet.BOOKING_SERVICE, "mtl", STREAMS);
+        mFleet.startGateway("mtl-1", "mtl");
+        mPeer = new Socket();
+        mPeer.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        mPeer.connect(new InetSocketAddress("127.0.0.1", mFleet.settings("mtl-1").forwardPort()));
+        mPeer.setSoTimeout(TIMEOUT_MS);
+        Member sender =
+                new Member(
+                        InstanceId.of("sag-1"),
+                        1,
+                        RegionId.of("sag"),
+                        FailureDomainId.of("sag-a"),
+                        "127.0.0.1",
+                        1,
+                        1,
+                        1,
+                        MemberState.LIVE);
+        send(new PeerMessage.Hello(ProtocolVersions.NEWEST_SUPPORTED, sender));
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopInstance() throws IOException {
+        mPeer.close();
+        mFleet.close();
+    }
+
+    private void send(PeerMessage message) throws IOException {
+        mPeer.getOutputStream().write(MessageCodec.encode(message).getBytes());
+    }
+
+    private void forward(long stream, String id, Map<String, String> addedHeaders)
+            throws IOException {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("host", PlatformFleet.HOST);
+        headers.put("filbertrudder-attempt-id", id);
+        headers.putAll(addedHeaders);
+        send(
+                new PeerMessage.ForwardStart(
+                        stream,
+                        id,
+                        AccountId.of("club"),
+                        KeyDigests.of("key-club"),
+                        1,
+                        RegionId.of("sag"),
+                        "GET",
+                        "/stock/x",
+                        headers,
+                        new byte[0],
+                        4_000));
+    }
+
+    /** Returns the next message that is no keep-alive. */
+    private PeerMessage receive() throws IOException {
+        DataInputStream input = new DataInputStream(mPeer.getInputStream());
+        PeerMessage message;
+        do {
+            message = MessageCodec.decode(Buffer.buffer(input.readNBytes(input.readInt())));
+        } while (message instanceof PeerMessage.ForwardKeepAlive);
+        return message;
+    }
+
+    private List<PeerMessage> receiveToEnd() throws IOException {
+        List<PeerMessage> received = new ArrayList<>();
+        try {
+            while (true) {
+                received.add(receive());
+            }
+        } catch (EOFException e) {
+            return received;
+        }
+    }
+
+    @Test
+    public void stopLosesForwardedResponsesThatAreReadLate() throws Exception {
+        for (int stream = 1; stream <= STREAMS; stream++) {
+            forward(stream, "late-reader-" + stream, Map.of());
+        }
+        awaitExecuted("late-reader-", STREAMS);
+
+        CompletableFuture<Void> stopped = mFleet.stopGateway("mtl-1");
+        long readNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(UNREAD_MS);
+        PlatformFleet.await(
+                "the instance has stopped or the peer reads",
+                () -> stopped.isDone() || System.nanoTime() >= readNs);
+        send(new PeerMessage.ForwardCredit(1, 0));
+        List<PeerMessage> received = receiveToEnd();
+
+        for (int stream = 1; stream <= STREAMS; stream++) {
+            assertTrue(
+                    received.contains(new PeerMessage.ForwardEnd(stream, true)),
+                    "stream " + stream);
+        }
+        mPeer.close();
+        stopped.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void awaitExecuted(String idPrefix, int requests) {
+        PlatformFleet.await(
+                "the requests have run",
+                () ->
+                        IntStream.rangeClosed(1, requests)
+                                .allMatch(
+                                        i ->
+                                                mFleet.replica(REPLICA).executionCount(idPrefix + i)
+                                                        == 1));
+    }
+
+    @Test
+    public void stopOutlastsItsGraceForAPeerThatDoesNotRead() throws Exception {
+        forward(1, "no-reader-1", Map.of());
+        awaitExecuted("no-reader-", 1);
+
+        mFleet.stopGateway("mtl-1").get(8, TimeUnit.SECONDS);
+    }
+}
