Refuse a forwarded request with a malformed header

An instance that forwarded a request with a header that the other one could not read got no response to it: the other one closed the connection, and with it all other requests that were forwarded on it. By reading, they then count as interrupted, and those that may not be repeated are lost.

Cause: the exception that a malformed head raises, or an id to resume after that is no number, left the handler of the message, which PeerConnection takes for an error of the protocol. Such an id below 0 was accepted.

Now the request is refused as malformed, with the header that says that it was not run, and a log line with its id, its origin and the reason. The connection stays open.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -81,6 +82,24 @@
                         .toArray(CompletableFuture<?>[]::new));
     }
 
+    /**
+     * Removes and returns the id of the event after which the response is resumed.
+     *
+     * @throws MalformedRequestException if the id is not a non-negative number
+     */
+    static OptionalLong removeResumeAfter(MultiMap headers) {
+        String text = headers.get(RESUME_AFTER);
+        headers.remove(RESUME_AFTER);
+        if (text == null) {
+            return OptionalLong.empty();
+        }
+        if (!text.matches("[0-9]{1,18}")) {
+            throw new MalformedRequestException(
+                    "The header " + RESUME_AFTER + " must be a non-negative number.");
+        }
+        return OptionalLong.of(Long.parseLong(text));
+    }
+
     private void receive(PeerConnection from, PeerMessage.ForwardStart start) {
         if (mConnections.add(from)) {
             from.onClose(() -> mConnections.remove(from));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -335,9 +336,20 @@
                     configuration == null ? GatewayRefusal.notReady() : GatewayRefusal.stopping());
             return Optional.empty();
         }
-        String resumeAfter = headers.get(GatewayForwardServer.RESUME_AFTER);
-        headers.remove(GatewayForwardServer.RESUME_AFTER);
-        RequestHead head = mProtocol.readRequest(headers);
+        OptionalLong resumeAfter;
+        RequestHead head;
+        try {
+            resumeAfter = GatewayForwardServer.removeResumeAfter(headers);
+            head = mProtocol.readRequest(headers);
+        } catch (MalformedRequestException e) {
+            LOG.warn(
+                    "A malformed forwarded request is refused.",
+                    LogField.of("id", start.requestId()),
+                    LogField.of("origin", start.origin()),
+                    LogField.of("why", e.getMessage()));
+            sink.refuse(GatewayRefusal.malformed(e.getMessage()));
+            return Optional.empty();
+        }
         String path = start.uri().split("\\?", 2)[0];
         Optional<RouteRule> route = configuration.route(head.host(), path);
         Optional<AccountRule> account =
@@ -361,9 +373,7 @@
                         true,
                         sink,
                         nowMs);
-        if (resumeAfter != null) {
-            exchange.setRelay(new StreamRelay(sink, Long.parseLong(resumeAfter)));
-        }
+        resumeAfter.ifPresent(id -> exchange.setRelay(new StreamRelay(sink, id)));
         begin(exchange);
         mAdmission.admitForwarded(exchange);
         return Optional.of(exchange);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.scenarios.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.vertx.core.buffer.Buffer;
@@ -27,6 +28,7 @@
 import org.filbertrudder.peer.MessageCodec;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests what an instance of another region gets for the requests that it forwards. */
@@ -164,4 +166,31 @@
 
         mFleet.stopGateway("mtl-1").get(8, TimeUnit.SECONDS);
     }
+
+    /** Lists headers that make a forwarded request malformed. */
+    @DataProvider
+    public Object[][] malformedHeaders() {
+        return new Object[][] {
+            {"host", ""},
+            {"filbertrudder-token-usage", "many"},
+            {"last-event-id", "-1"},
+            {"x-resume-after", "x"},
+            {"x-resume-after", "-1"},
+        };
+    }
+
+    @Test(dataProvider = "malformedHeaders")
+    public void malformedHeaderClosesTheConnection(String name, String value) throws Exception {
+        forward(1, "malformed", Map.of(name, value));
+
+        PeerMessage.ForwardHead refusal = (PeerMessage.ForwardHead) receive();
+        assertEquals(refusal.stream(), 1);
+        assertEquals(refusal.status(), 400);
+        assertEquals(refusal.headers().get("x-not-run"), "1");
+        assertEquals(receive(), new PeerMessage.ForwardEnd(1, true));
+        assertEquals(mFleet.replica(REPLICA).executionCount("malformed"), 0);
+
+        forward(2, "well-formed", Map.of());
+        assertEquals(((PeerMessage.ForwardHead) receive()).status(), 200);
+    }
 }
