--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -6,7 +6,9 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
@@ -32,6 +34,7 @@
     private final RequestAcceptor mRequestAcceptor;
     private final Consumer<GatewayExchange> mOnCancel;
     private final Map<StreamKey, ForwardSink> mSinks = new HashMap<>();
+    private final Set<PeerConnection> mConnections = new HashSet<>();
     private long mNextKeepAliveMs;
 
     GatewayForwardServer(RequestAcceptor requestAcceptor, Consumer<GatewayExchange> onCancel) {
@@ -67,7 +70,40 @@
         connectionsInUse.forEach(connection -> connection.send(new PeerMessage.ForwardKeepAlive()));
     }
 
+    /**
+     * Ends the output of the connections on which requests were forwarded.
+     *
+     * @return completes when the other instances have read the responses and closed the connections
+     */
+    CompletableFuture<Void> endConnections() {
+        return CompletableFuture.allOf(
+                mConnections.stream()
+                        .map(PeerConnection::endOutput)
+                        .toArray(CompletableFuture<?>[]::new));
+    }
+
+    /**
+     * Removes and returns the id of the event after which the response is resumed.
+     *
+     * @throws MalformedRequestException if the id is not a non-negative number
+     */
+    static OptionalLong removeResumeAfter(MultiMap headers) {
+        String text = headers.get(RESUME_AFTER);
+        headers.remove(RESUME_AFTER);
+        if (text == null) {
+            return OptionalLong.empty();
+        }
+        if (!text.matches("[0-9]{1,18}")) {
+            throw new MalformedRequestException(
+                    "The header " + RESUME_AFTER + " must be a non-negative number.");
+        }
+        return OptionalLong.of(Long.parseLong(text));
+    }
+
     private void receive(PeerConnection from, PeerMessage.ForwardStart start) {
+        if (mConnections.add(from)) {
+            from.onClose(() -> mConnections.remove(from));
+        }
         StreamKey key = new StreamKey(from, start.stream());
         ForwardSink sink = new ForwardSink(key);
         mSinks.put(key, sink);
