The own interface's stop waits until forwarded responses have arrived

A caller whose request had been forwarded got a cut response when the instance that served it stopped: the responses had ended there, but had not all been received by the other region.

Cause: a forwarded response counted as sent when its last frame was queued. With no other request open the instance closed its connections at once, and the credit that the other region sends for what it reads then met a closed socket, so the connection was reset and the rest of the responses was lost.

The instance that forwarded a request now acknowledges the end of the response with one byte of credit more than the response has, including the credit that it withholds while its caller reads slowly. A stopping instance closes its connections once all its responses are acknowledged, at the latest after the delivery period of ShutdownSchedule and at its deadline; it logs a warning if it does not wait any longer. Instances of older versions do not acknowledge the end, so a stop waits for the delivery period for them, and ignore the additional credit.

PlannedStopTest.forwardedResponsesAreCutThatAnotherRegionHasNotReceived forwards a booking and ten echoes of 1 MB and reads only when all have ended. On the code before it failed, with 3 of 11 responses complete (connection reset), and with 1 of 11 with a smaller receive buffer. With this change it passes.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -147,6 +147,9 @@
         }
 
         void end(boolean complete) {
+            mConnection.send(
+                    new PeerMessage.ForwardCredit(
+                            mStreamId, mBytesToCredit + ForwardServer.END_CREDIT_BYTES));
             if (!complete) {
                 fail(UpstreamListener.Failure.BROKEN);
             } else if (!mDone) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -17,6 +17,10 @@
 /** Serves requests that instances in other regions forward; never forwards them again. */
 final class ForwardServer {
 
+    /** The credit with which the receiver of a response acknowledges its end. */
+    static final long END_CREDIT_BYTES = 1;
+
+    private static final long MAX_DELIVERY_WAIT_MS = 10_000;
     private static final long MAX_CATCH_UP_WAIT_MS = 1_000;
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 50;
     private static final String SERVICES_PREFIX = "/services/";
@@ -26,6 +30,7 @@
     private final Consumer<Exchange> mServe;
     private final Consumer<Exchange> mCancel;
     private final Map<StreamKey, ForwardedResponseSink> mOpenStreams = new HashMap<>();
+    private final Map<StreamKey, ForwardedResponseSink> mUndelivered = new LinkedHashMap<>();
     private int mWaitingRequests;
 
     ForwardServer(
@@ -43,20 +48,47 @@
         if (message instanceof PeerMessage.ForwardStart start) {
             serveWhenUpToDate(connection, start, mContext.nowMs() + MAX_CATCH_UP_WAIT_MS);
         } else if (message instanceof PeerMessage.ForwardCancel cancel) {
-            ForwardedResponseSink sink =
-                    mOpenStreams.get(new StreamKey(connection, cancel.stream()));
+            StreamKey key = new StreamKey(connection, cancel.stream());
+            ForwardedResponseSink sink = mOpenStreams.get(key);
             if (sink != null) {
                 sink.cancel();
             }
+            stopWaitingForDelivery(key);
         } else if (message instanceof PeerMessage.ForwardCredit credit) {
-            ForwardedResponseSink sink =
-                    mOpenStreams.get(new StreamKey(connection, credit.stream()));
+            StreamKey key = new StreamKey(connection, credit.stream());
+            ForwardedResponseSink sink = mOpenStreams.getOrDefault(key, mUndelivered.get(key));
             if (sink != null) {
                 sink.credit(credit.bytes());
             }
         }
     }
 
+    /**
+     * Returns whether a response that has ended may not have reached the instance that forwarded
+     * the request.
+     */
+    boolean hasUndeliveredResponses() {
+        removeOverdueDeliveries();
+        return !mUndelivered.isEmpty();
+    }
+
+    /** Gives up waiting for acknowledgements, which instances of older versions do not send. */
+    private void removeOverdueDeliveries() {
+        long endedBeforeMs = mContext.nowMs() - MAX_DELIVERY_WAIT_MS;
+        mUndelivered.entrySet().stream()
+                .takeWhile(entry -> entry.getValue().mEndedMs < endedBeforeMs)
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::stopWaitingForDelivery);
+    }
+
+    private void stopWaitingForDelivery(StreamKey key) {
+        ForwardedResponseSink sink = mUndelivered.remove(key);
+        if (sink != null) {
+            sink.mDeliveryCloseAction.unregister();
+        }
+    }
+
     /** Returns whether a request waits for the configuration that its sender has. */
     boolean hasWaitingRequests() {
         return mWaitingRequests > 0;
@@ -160,6 +192,8 @@
         private Exchange mExchange;
         private boolean mHeadSent;
         private long mUncreditedBytes;
+        private long mEndedMs;
+        private PeerConnection.CloseAction mDeliveryCloseAction;
         private Runnable mDrainAction;
 
         ForwardedResponseSink(PeerConnection connection, long stream) {
@@ -175,6 +209,9 @@
 
         void credit(long bytes) {
             mUncreditedBytes -= bytes;
+            if (mUncreditedBytes <= 0) {
+                stopWaitingForDelivery(new StreamKey(mConnection, mStream));
+            }
             if (!writeQueueFull() && mDrainAction != null) {
                 Runnable action = mDrainAction;
                 mDrainAction = null;
@@ -212,12 +249,23 @@
 
         @Override
         public void end() {
-            mConnection.send(new PeerMessage.ForwardEnd(mStream, true));
+            sendEnd(true);
         }
 
         @Override
         public void abort() {
-            mConnection.send(new PeerMessage.ForwardEnd(mStream, false));
+            sendEnd(false);
+        }
+
+        private void sendEnd(boolean complete) {
+            removeOverdueDeliveries();
+            StreamKey key = new StreamKey(mConnection, mStream);
+            mDrainAction = null;
+            mUncreditedBytes += END_CREDIT_BYTES;
+            mEndedMs = mContext.nowMs();
+            mUndelivered.put(key, this);
+            mDeliveryCloseAction = mConnection.onClose(() -> mUndelivered.remove(key));
+            mConnection.send(new PeerMessage.ForwardEnd(mStream, complete));
         }
     }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ShutdownSchedule.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ShutdownSchedule.java
@@ -27,7 +27,12 @@
 
     /** Returns when the remaining requests are ended with a refusal or an error. */
     public long endRequestsMs() {
-        return deadlineMs() - Math.min(MAX_DELIVERY_PERIOD_MS, graceMs / 8);
+        return deadlineMs() - deliveryPeriodMs();
+    }
+
+    /** Returns how long the last answers may take to be delivered, in milliseconds. */
+    public long deliveryPeriodMs() {
+        return Math.min(MAX_DELIVERY_PERIOD_MS, graceMs / 8);
     }
 
     /** Returns when the process must have ended. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -55,6 +55,7 @@
     private IdempotencyClaims mIdempotencyClaims;
     private LoadPoller mLoadPoller;
     private CacheEventPoller mCacheEventPoller;
+    private long mIdleSinceMs;
 
     /** Creates a verticle; a port of 0 is replaced by the free port bound at deployment. */
     public TrafficVerticle(
@@ -361,8 +362,8 @@
     }
 
     /**
-     * Closes the server for callers as soon as no request is open and all responses have been sent,
-     * at the latest at the deadline.
+     * Closes the server for callers as soon as no request is open, all responses have been sent and
+     * other regions have received theirs, at the latest at the deadline.
      */
     public CompletableFuture<Void> closeWhenIdle(ShutdownSchedule schedule) {
         CompletableFuture<Void> closed = new CompletableFuture<>();
@@ -387,12 +388,31 @@
                         && !mForwardServer.hasWaitingRequests();
         if (idle) {
             mAdmission.close();
+        } else {
+            mIdleSinceMs = 0;
         }
         if (mAdmission.isClosed()) {
             mCallerConnections.closeIdle();
         }
         boolean deadlineReached = mTrafficContext.nowMs() >= schedule.deadlineMs();
-        return deadlineReached || (idle && mCallerConnections.isEmpty());
+        return deadlineReached
+                || (idle && mCallerConnections.isEmpty() && forwardedResponsesDelivered(schedule));
+    }
+
+    /** Returns whether other regions have received their responses or had enough time for it. */
+    private boolean forwardedResponsesDelivered(ShutdownSchedule schedule) {
+        if (!mForwardServer.hasUndeliveredResponses()) {
+            return true;
+        }
+        long nowMs = mTrafficContext.nowMs();
+        if (mIdleSinceMs == 0) {
+            mIdleSinceMs = nowMs;
+        }
+        boolean overdue = nowMs - mIdleSinceMs >= schedule.deliveryPeriodMs();
+        if (overdue) {
+            LOG.warn("Forwarded responses have not been acknowledged; closing their connections.");
+        }
+        return overdue;
     }
 
     @Override
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PlannedStopTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PlannedStopTest.java
@@ -301,6 +301,36 @@
         return mFleet.dump(mInstance).path("metrics").path("requests.completed").asLong();
     }
 
+    @Test
+    public void forwardedResponsesAreCutThatAnotherRegionHasNotReceived() throws Exception {
+        mFleet.endpoints().setBookingBehaviour("{\"delayMs\":2500}");
+        try (RawForwardConnection region = RawForwardConnection.open(forwardPort())) {
+            region.forward("/services/bookings/bookings", slotBody("forwarded"));
+            awaitBookingExecution("forwarded");
+            terminateInstance();
+            for (int i = 0; i < ECHOES; i++) {
+                region.forward("/services/bookings/echo", "x".repeat(ECHO_BYTES));
+            }
+            Fleet.await("running requests", 10_000, () -> mFleet.runningRequestsAt(mInstance) > 0);
+            Fleet.await(
+                    "the end of all requests",
+                    10_000,
+                    () -> mFleet.runningRequestsAt(mInstance) == 0);
+
+            assertEquals(region.readResponses(), ECHOES + 1);
+            assertInstanceExits();
+        }
+    }
+
+    private int forwardPort() {
+        for (JsonNode member : mFleet.dump(mInstance).path("control").path("members")) {
+            if (member.path("id").asText().equals(mInstance)) {
+                return member.path("forwardPort").asInt();
+            }
+        }
+        throw new AssertionError("not a member: " + mInstance);
+    }
+
     @Test
     public void pipelinedRequestIsCutWhenTheOneBeforeItEnds() {
         mFleet.endpoints().setBookingBehaviour("{\"delayMs\":2500}");
