Close the callers' sockets when the drain of a stop has ended

Cause: the drain closed idle connections only. The server went on to accept connections and requests while the instance announced its end, closed its resources and wrote its log; once the verticles were closing, nobody answered them.

The drain now closes the server with its connections before it reports its end, when every request has its answer. A later attempt to connect is refused by the system, so the caller knows that the request has not run.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -78,7 +78,8 @@
             mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
             mCallerServer.closeIdle(true);
             log("The drain has ended.");
-            mDrained.complete(null);
+            // An open socket would accept requests that nobody answers until the process ends.
+            mCallerServer.close().onComplete(ignored -> mDrained.complete(null));
         }
     }
 
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -233,6 +233,11 @@
         return gateway.shutDown().thenCompose(ignored -> gateway.close());
     }
 
+    /** Shuts down an instance as {@link #stopGateway}, without the close of its resources. */
+    public CompletableFuture<Void> shutDownGateway(String id) {
+        return mGateways.get(id).shutDown();
+    }
+
     /**
      * Writes the next version of the configuration to the store, with or without the booking route,
      * and returns the version.
