Handle SIGHUP from the beginning of a start

Cause: the handler was installed only when the instance had started. It is now installed first; settings that change meanwhile are applied as soon as the instance runs. The start of the virtual machine itself stays open. No test of its own: a signal cannot be timed between the two from outside for certain; the soak sends them.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -38,6 +39,13 @@
             return ExitCode.USAGE;
         }
         LogSetup.applyNonBlocking(Level.INFO);
+        CompletableFuture<Gateway> started = new CompletableFuture<>();
+        // SIGHUP would end a process that starts; settings that change meanwhile apply afterwards.
+        new SettingsReloader(
+                        Path.of(environment.get(SettingsFile.PATH_VARIABLE)),
+                        settings.get(),
+                        changed -> started.thenAccept(gateway -> gateway.reload(changed)))
+                .start();
         setNettyMachineId(settings.get());
         try {
             Gateway gateway =
@@ -46,13 +54,8 @@
                                     vertx -> new PlatformStateSource(vertx, settings.get()),
                                     new PlatformProtocol())
                             .join();
+            started.complete(gateway);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(gateway), "shutdown"));
-            SettingsReloader reloader =
-                    new SettingsReloader(
-                            Path.of(environment.get(SettingsFile.PATH_VARIABLE)),
-                            settings.get(),
-                            gateway::reload);
-            reloader.start();
             gateway.stopped().join();
             return ExitCode.OK;
         } catch (CompletionException e) {
