Stop instances as planned in the soak, with callers on open connections

The soak restarted instances by SIGTERM, but waited 20 s for their end, used no connection that stayed open until the process was gone, and checked neither the answers nor the end of the grace.

StopLoad stops instances from a series of its own, so the other faults of a seed stay as they were: SIGTERM, the grace period, kill, start. The failure message of LimitSoakTest now has the violations, and the test also requires a response beside a stop.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
@@ -177,6 +177,16 @@
         }
     }
 
+    /** Waits until the process has ended, for a time; returns whether it has. */
+    public boolean awaitExit(long timeoutMs) {
+        try {
+            return mProcess.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
     @Override
     public void close() {
         if (mProcess != null) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.filbertrudder.standins.platform.ArrivalLog;
 import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.filbertrudder.standins.platform.ReplicaStandIn;
@@ -28,8 +29,8 @@
  * Runs gateway processes of one region under load, while replicas state, change and lift limits, a
  * part of prompts crashes replicas, the configuration changes, and a seeded series of signals,
  * restarts and outages disturbs the processes, the replicas and the store, which may return from a
- * copy. Checks what the replicas and the callers see against the platform's rules LIMIT, BUDGET,
- * LOST, CONFIG and DENIED.
+ * copy, and instances are stopped as planned. Checks what the replicas and the callers see against
+ * the platform's rules LIMIT, BUDGET, LOST, REFUSED, CONFIG and DENIED.
  */
 public final class LimitSoak {
 
@@ -52,6 +53,14 @@
     /** The time in which a replica whose limit has ended gets requests beyond it again. */
     private static final long RETURN_MS = 12_000;
 
+    private static final long FIRST_STOP_MS = 2_000;
+    private static final int MIN_STOP_INTERVAL_MS = 8_000;
+
+    /** How long a planned stop and the start after it usually take, in milliseconds. */
+    private static final long STOP_MS = 6_000;
+
+    private static final long STOPS_END_TIMEOUT_MS = 30_000;
+
     private static final String CRASHING_PART = "deadly";
     private static final String CRASHING_MARK = "/bad";
     private static final double CRASHING_SHARE = 0.1;
@@ -73,6 +82,8 @@
     private final Map<String, Long> mLiftedMs = new ConcurrentHashMap<>();
     private final ConfigurationLoad mConfiguration =
             new ConfigurationLoad(mFleet, API_KEY, this::isExcused);
+    private final StopLoad mStops = new StopLoad(mFleet, API_KEY, this::nextBreakMs, this::note);
+    private final Map<ReplicaStandIn, List<Long>> mReplicaRestartsMs = new ConcurrentHashMap<>();
     private CrashingPartChecker mCrashingPart;
     private long mStartedMs;
     private volatile long mCrashingFromMs = Long.MAX_VALUE;
@@ -93,10 +104,14 @@
      *
      * @param violations descriptions of what broke a rule
      * @param statuses the number of responses by status; 0 stands for a broken connection
+     * @param stops the number of planned stops, and of requests beside them by their ends
      * @param events the disturbances with their times, in seconds since the start
      */
     public record Report(
-            List<String> violations, Map<Integer, Integer> statuses, List<String> events) {}
+            List<String> violations,
+            Map<Integer, Integer> statuses,
+            Map<String, Integer> stops,
+            List<String> events) {}
 
     /** A time in which an instance was stopped, restarted or frozen. */
     private record Disturbance(long fromMs, AtomicLong endMs) {}
@@ -127,17 +142,37 @@
         mProcesses.values().forEach(process -> startCallers(process, callers));
         ScheduledExecutorService faults = Executors.newScheduledThreadPool(8);
         scheduleFaults(faults);
+        ScheduledExecutorService stops = Executors.newScheduledThreadPool(8);
+        scheduleStops(stops);
         sleepUntil(mStartedMs + TimeUnit.SECONDS.toMillis(mOptions.seconds()));
         faults.shutdownNow();
+        stops.shutdown();
         loseChangesInAQuietTime();
+        awaitEnd(stops);
         mStopped = true;
         callers.shutdown();
         mCheckers.forEach((name, checker) -> mViolations.addAll(checker.violations(name)));
         mViolations.addAll(mCrashingPart.violations(mCrashingFromMs, ArrivalLog.nowMs()));
         mViolations.addAll(mConfiguration.violations());
+        mViolations.addAll(mStops.violations());
         checkReturns();
         checkExecutions();
-        return new Report(List.copyOf(mViolations), new TreeMap<>(mStatuses), List.copyOf(mEvents));
+        return new Report(
+                List.copyOf(mViolations),
+                new TreeMap<>(mStatuses),
+                mStops.counts(),
+                List.copyOf(mEvents));
+    }
+
+    private void awaitEnd(ExecutorService stops) {
+        try {
+            if (!stops.awaitTermination(STOPS_END_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
+                mViolations.add("A planned stop or the start after it does not end.");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
     }
 
     /**
@@ -299,6 +334,24 @@
         }
     }
 
+    /**
+     * Draws stops from a series of their own, which leaves the other faults of a seed as they are.
+     */
+    private void scheduleStops(ScheduledExecutorService stops) {
+        Random random = new Random(~mOptions.seed());
+        List<GatewayProcess> processes = new ArrayList<>(mProcesses.values());
+        long endMs = TimeUnit.SECONDS.toMillis(seconds()) - STOP_MS;
+        for (long atMs = FIRST_STOP_MS; atMs < endMs; atMs += nextStopMs(random)) {
+            GatewayProcess process = processes.get(random.nextInt(processes.size()));
+            StopLoad.Plan plan = StopLoad.Plan.draw(random);
+            schedule(stops, atMs, () -> stopAsPlanned(process, plan));
+        }
+    }
+
+    private long nextStopMs(Random random) {
+        return (MIN_STOP_INTERVAL_MS + random.nextInt(MIN_STOP_INTERVAL_MS)) / mProcesses.size();
+    }
+
     private int seconds() {
         return mOptions.seconds();
     }
@@ -366,6 +419,24 @@
         }
     }
 
+    private void stopAsPlanned(GatewayProcess process, StopLoad.Plan plan) {
+        synchronized (process) {
+            if (!process.isReady()) {
+                note(process.id() + " is not ready and is not stopped as planned");
+                return;
+            }
+            Disturbance disturbance = beginDisturbance(process);
+            try {
+                mStops.stop(process, plan);
+                process.start();
+                PlatformFleet.await(process.id() + " is ready again", process::isReady);
+            } catch (IllegalStateException | AssertionError e) {
+                mViolations.add("The planned stop of " + process.id() + " failed: " + e);
+            }
+            disturbance.endMs().set(ArrivalLog.nowMs());
+        }
+    }
+
     private void freeze(GatewayProcess process, long durationMs) {
         synchronized (process) {
             Disturbance disturbance = beginDisturbance(process);
@@ -405,6 +476,9 @@
         synchronized (mCheckers.get(id)) {
             note(id + " restarts");
             ReplicaStandIn replica = mCheckers.get(id).replica();
+            mReplicaRestartsMs
+                    .computeIfAbsent(replica, key -> new CopyOnWriteArrayList<>())
+                    .add(ArrivalLog.nowMs());
             replica.crash();
             setLimit(id, null);
             sleepUntil(ArrivalLog.nowMs() + durationMs);
@@ -412,6 +486,16 @@
         }
     }
 
+    /** Returns when a replica crashed or was restarted first, at or after a time. */
+    private long nextBreakMs(ReplicaStandIn replica, long fromMs) {
+        return Stream.concat(
+                        replica.crashes().all().stream().map(ArrivalLog.Arrival::atMs),
+                        mReplicaRestartsMs.getOrDefault(replica, List.of()).stream())
+                .filter(atMs -> atMs >= fromMs)
+                .min(Long::compare)
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** Checks that replicas whose limit ended get requests again. */
     private void checkReturns() {
         long nowMs = ArrivalLog.nowMs();
@@ -451,6 +535,7 @@
 
     private void close() {
         mStopped = true;
+        mStops.close();
         endProcesses();
         mFleet.close();
     }
@@ -480,7 +565,14 @@
             Files.write(directory.resolve("events.txt"), report.events());
             Files.write(directory.resolve("violations.txt"), report.violations());
             System.out.println(
-                    "seed " + seed + " " + report.statuses() + " " + report.violations());
+                    "seed "
+                            + seed
+                            + " "
+                            + report.statuses()
+                            + " "
+                            + report.stops()
+                            + " "
+                            + report.violations());
             failed += report.violations().isEmpty() ? 0 : 1;
         }
         System.out.println(failed + " of " + arguments[1] + " seeds failed");
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/LimitSoakTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/LimitSoakTest.java
@@ -28,7 +28,8 @@
                         new LimitSoak.Options(
                                 seed, INSTANCES, SECONDS, Files.createTempDirectory("soak")));
 
-        assertEquals(report.violations(), List.of(), report.events().toString());
+        assertEquals(report.violations(), List.of(), report.toString());
         assertTrue(report.statuses().getOrDefault(200, 0) > 0, report.statuses().toString());
+        assertTrue(report.stops().containsKey("WHOLE 200"), report.stops().toString());
     }
 }
