Leave half of the last delivery period for the close of the own interface

Found by review, not observed: a forwarded request that is cut at the end of a stop, and whose region does not acknowledge it, would make the instance close only at its deadline and so outlast its grace. The wait now ends half a delivery period before. Responses that wait for their acknowledgement no longer hold the body of their request. The test counts successful responses only; a refusal would have passed for one.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -261,6 +261,7 @@
             removeOverdueDeliveries();
             StreamKey key = new StreamKey(mConnection, mStream);
             mDrainAction = null;
+            mExchange = null;
             mUncreditedBytes += END_CREDIT_BYTES;
             mEndedMs = mContext.nowMs();
             mUndelivered.put(key, this);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -55,7 +55,7 @@
     private IdempotencyClaims mIdempotencyClaims;
     private LoadPoller mLoadPoller;
     private CacheEventPoller mCacheEventPoller;
-    private long mIdleSinceMs;
+    private long mDeliveryWaitStartMs;
 
     /** Creates a verticle; a port of 0 is replaced by the free port bound at deployment. */
     public TrafficVerticle(
@@ -389,7 +389,7 @@
         if (idle) {
             mAdmission.close();
         } else {
-            mIdleSinceMs = 0;
+            mDeliveryWaitStartMs = 0;
         }
         if (mAdmission.isClosed()) {
             mCallerConnections.closeIdle();
@@ -405,10 +405,13 @@
             return true;
         }
         long nowMs = mTrafficContext.nowMs();
-        if (mIdleSinceMs == 0) {
-            mIdleSinceMs = nowMs;
+        if (mDeliveryWaitStartMs == 0) {
+            mDeliveryWaitStartMs = nowMs;
         }
-        boolean overdue = nowMs - mIdleSinceMs >= schedule.deliveryPeriodMs();
+        // The other half of the last delivery period is for the close of the instance.
+        long latestMs = schedule.deadlineMs() - schedule.deliveryPeriodMs() / 2;
+        boolean overdue =
+                nowMs >= latestMs || nowMs - mDeliveryWaitStartMs >= schedule.deliveryPeriodMs();
         if (overdue) {
             LOG.warn("Forwarded responses have not been acknowledged; closing their connections.");
         }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RawForwardConnection.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RawForwardConnection.java
@@ -9,7 +9,9 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
@@ -91,21 +93,24 @@
 
     /**
      * Reads and acknowledges responses until those to all requests have ended or the connection is
-     * closed; returns the number of complete ones.
+     * closed; returns the number of complete successful ones.
      */
     int readResponses() throws IOException {
         DataInputStream input = new DataInputStream(mSocket.getInputStream());
+        Set<Long> answered = new HashSet<>();
         int complete = 0;
         try {
             for (int ended = 0; ended < mStreams; ) {
                 byte[] frame = new byte[input.readInt()];
                 input.readFully(frame);
                 PeerMessage message = MessageCodec.decode(Buffer.buffer(frame));
-                if (message instanceof PeerMessage.ForwardData data) {
+                if (message instanceof PeerMessage.ForwardHead head && head.status() < 300) {
+                    answered.add(head.stream());
+                } else if (message instanceof PeerMessage.ForwardData data) {
                     send(new PeerMessage.ForwardCredit(data.stream(), data.data().length));
                 } else if (message instanceof PeerMessage.ForwardEnd end) {
                     ended++;
-                    complete += end.complete() ? 1 : 0;
+                    complete += end.complete() && answered.contains(end.stream()) ? 1 : 0;
                     send(new PeerMessage.ForwardCredit(end.stream(), 1));
                 }
             }
