Apply the newest of the settings that change during a start

Found by review, not observed: of two changes during a slow start the older one would have been applied last, as the dependents of a future run in reverse order.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.filbertrudder.entry.log.LogSetup;
@@ -40,11 +41,15 @@
         }
         LogSetup.applyNonBlocking(Level.INFO);
         CompletableFuture<Gateway> started = new CompletableFuture<>();
+        AtomicReference<GatewaySettings> newest = new AtomicReference<>(settings.get());
         // SIGHUP would end a process that starts; settings that change meanwhile apply afterwards.
         new SettingsReloader(
                         Path.of(environment.get(SettingsFile.PATH_VARIABLE)),
                         settings.get(),
-                        changed -> started.thenAccept(gateway -> gateway.reload(changed)))
+                        changed -> {
+                            newest.set(changed);
+                            started.thenAccept(gateway -> gateway.reload(newest.get()));
+                        })
                 .start();
         setNettyMachineId(settings.get());
         try {
@@ -74,20 +79,16 @@
     }
 
     private static void shutDown(Gateway gateway) {
-        // While the virtual machine halts, open sockets would accept requests that nobody answers.
         StopDeadline.await(
-                gateway.shutDown()
-                        .thenCompose(
-                                done ->
-                                        gateway.close()
-                                                .completeOnTimeout(
-                                                        null,
-                                                        CLOSE_TIMEOUT_MS,
-                                                        TimeUnit.MILLISECONDS)),
-                gateway.graceMs());
+                gateway.shutDown().thenCompose(done -> close(gateway)), gateway.graceMs());
         Runtime.getRuntime().halt(ExitCode.OK);
     }
 
+    /** Closes all sockets, which would stay open without a reader while the JVM halts. */
+    private static CompletableFuture<Void> close(Gateway gateway) {
+        return gateway.close().completeOnTimeout(null, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     static int check(Namespace arguments, Map<String, String> environment) {
         if (settings(environment).isEmpty()) {
             return ExitCode.USAGE;
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
@@ -6,7 +6,7 @@
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.entry.log.LogSetup;
 
-/** Bounds the time of all steps of a planned stop, from the signal to the last log line. */
+/** Bounds the time of all steps of a planned stop, the last log lines included. */
 final class StopDeadline {
 
     private static final ComponentLogger LOG = ComponentLogger.of("stop");
@@ -18,7 +18,7 @@
      * end as its grace period is about to pass.
      *
      * @param stopped completes when the instance has stopped
-     * @param graceMs the time until the process is killed, in milliseconds
+     * @param graceMs the time from this call until the process is killed, in milliseconds
      */
     static void await(CompletableFuture<?> stopped, long graceMs) {
         CompletableFuture<Void> flushed =
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -93,11 +93,16 @@
         if (text == null) {
             return OptionalLong.empty();
         }
-        if (!text.matches("[0-9]{1,18}")) {
-            throw new MalformedRequestException(
-                    "The header " + RESUME_AFTER + " must be a non-negative number.");
+        try {
+            long id = Long.parseLong(text);
+            if (id >= 0) {
+                return OptionalLong.of(id);
+            }
+        } catch (NumberFormatException e) {
+            // Reported below, like a negative number.
         }
-        return OptionalLong.of(Long.parseLong(text));
+        throw new MalformedRequestException(
+                "The header " + RESUME_AFTER + " must be a non-negative number.");
     }
 
     private void receive(PeerConnection from, PeerMessage.ForwardStart start) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
@@ -55,7 +55,7 @@
                 .toCompletableFuture();
     }
 
-    /** Reads a response; a body that arrives before this is called reads as empty. */
+    /** Reads a response; to be called in the step that sends, as an earlier body is lost. */
     private static Future<Response> readResponse(HttpClientResponse response) {
         return response.body()
                 .map(
