Refuse requests for a moment after the last open one of a stop

Callers in the middle of a series of requests got a closed connection instead of a refusal when the drain of a stop ended between two of them.

Cause: since "Close the callers' sockets when the drain of a stop has ended" the server is closed 20 ms after the last response at the earliest; before, it went on refusing until the process ended.

The drain now ends when no request has been open for 200 ms, bounded by the schedule as before. The next request of such a caller is refused as stopping, with the end of the connection, and has not run.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -19,6 +19,12 @@
     private static final ComponentLogger LOG = ComponentLogger.of("traffic");
     private static final long CHECK_INTERVAL_MS = 20;
 
+    /**
+     * How long new requests are refused after the last open one has ended, in milliseconds. A
+     * caller that sends its next request meanwhile gets a refusal instead of a closed connection.
+     */
+    private static final long REFUSAL_PERIOD_MS = 200;
+
     private final Vertx mVertx;
     private final CallerServer mCallerServer;
     private final Collection<GatewayExchange> mActive;
@@ -27,6 +33,7 @@
     private final CompletableFuture<Void> mDrained;
     private final Supplier<CompletableFuture<Void>> mEndForwards;
     private boolean mCut;
+    private long mLastOpenMs;
     private CompletableFuture<Void> mForwardsEnded;
 
     /**
@@ -50,6 +57,7 @@
         mActive = active;
         mFinisher = finisher;
         mSchedule = schedule;
+        mLastOpenMs = schedule.acceptUntilMs();
         mEndForwards = endForwards;
         mDrained = drained;
     }
@@ -72,7 +80,11 @@
         if (allAnswered && mForwardsEnded == null) {
             mForwardsEnded = mEndForwards.get();
         }
-        boolean allSent = allAnswered && mForwardsEnded.isDone();
+        if (!allAnswered) {
+            mLastOpenMs = nowMs;
+        }
+        boolean allSent =
+                allAnswered && nowMs - mLastOpenMs >= REFUSAL_PERIOD_MS && mForwardsEnded.isDone();
         if (allSent || nowMs >= mSchedule.exitMs()) {
             mVertx.cancelTimer(timer);
             mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
