Leave time for the exit of the JVM at the end of a planned stop

Cause: halting takes time of its own. The JVM waits up to 300 ms for threads in native code before it exits; a thread that writes log lines into a full pipe is there until the end. 23/24 of a grace period of 4 s and these 300 ms are 4133 ms.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
@@ -11,6 +11,12 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("stop");
 
+    /**
+     * How long the JVM waits before it exits for threads in native code, such as one that writes to
+     * an output which nobody reads, in milliseconds.
+     */
+    private static final long HALT_MS = 300;
+
     private StopDeadline() {}
 
     /**
@@ -23,7 +29,8 @@
     static void await(CompletableFuture<?> stopped, long graceMs) {
         CompletableFuture<Void> flushed =
                 stopped.handle(StopDeadline::logFailure).thenRunAsync(LogSetup::flush);
-        flushed.completeOnTimeout(null, graceMs * 23 / 24, TimeUnit.MILLISECONDS).join();
+        long timeoutMs = Math.max(0, graceMs * 23 / 24 - HALT_MS);
+        flushed.completeOnTimeout(null, timeoutMs, TimeUnit.MILLISECONDS).join();
     }
 
     private static Object logFailure(Object result, Throwable failure) {
