Ask for the retry budget and note a stall in one place each

Two copies of the question whether the retry budget allows a retry are one method of the attempt runner, and the check whether a stall was noted already stands in one method. The drain no longer closes idle connections right before the server, which closes all connections. No behaviour changes.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -119,10 +119,7 @@
 
     /** Goes on waiting, as ending the attempt would only lose a response that may still come. */
     private void awaitLateResponse() {
-        if (!mStallNoted) {
-            mStallNoted = true;
-            noteStall();
-        }
+        noteStallOnce();
         if (mExchange.mayRunAgain()) {
             scheduleStallCheck(STALL_RECHECK_MS);
         }
@@ -132,10 +129,15 @@
         mExchange.trace("stalled");
         finish(false);
         abort();
+        noteStallOnce();
+        mRunner.dispatcher().submitFirst(mExchange);
+    }
+
+    private void noteStallOnce() {
         if (!mStallNoted) {
+            mStallNoted = true;
             noteStall();
         }
-        mRunner.dispatcher().submitFirst(mExchange);
     }
 
     void finish(boolean answered) {
@@ -398,11 +400,7 @@
         return !mPassingThrough
                 && !mExchange.sink().headSent()
                 && mExchange.mayRunAgain()
-                && mDependencies
-                        .retryBudgets()
-                        .allowsRetry(
-                                mExchange.service(),
-                                mDependencies.control().snapshot().runningCount());
+                && mRunner.budgetAllowsRetry(mExchange);
     }
 
     @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -156,14 +156,17 @@
     boolean mayRetryAtOnce(GatewayExchange exchange) {
         return maySendAgain(exchange)
                 && refusalOfStart(exchange).isEmpty()
-                && mDependencies
-                        .retryBudgets()
-                        .allowsRetry(
-                                exchange.service(),
-                                mDependencies.control().snapshot().runningCount())
+                && budgetAllowsRetry(exchange)
                 && mDispatcher.canStartNow(exchange);
     }
 
+    /** Returns whether the retry budget of the request's service allows a retry now. */
+    boolean budgetAllowsRetry(GatewayExchange exchange) {
+        return mDependencies
+                .retryBudgets()
+                .allowsRetry(exchange.service(), mDependencies.control().snapshot().runningCount());
+    }
+
     /**
      * Submits the request for another attempt if it may run again; otherwise ends it with the held
      * error response, if any, or with the given refusal.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -88,7 +88,6 @@
         if (allSent || nowMs >= mSchedule.exitMs()) {
             mVertx.cancelTimer(timer);
             mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
-            mCallerServer.closeIdle(true);
             log("The drain has ended.");
             // An open socket would accept requests that nobody answers until the process ends.
             mCallerServer.close().onComplete(ignored -> mDrained.complete(null));
