Record the class archive while requests are served

A start loaded some 630 classes from the jar that the archive lacked, and linked their lambdas, as the training run of the build saw no store, no peer and no caller.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
@@ -118,12 +118,26 @@
         start(ProcessBuilder.Redirect.PIPE);
     }
 
+    /**
+     * Starts the process from a jar other than the packaged one; its output goes to the log file.
+     *
+     * @param jar the path of the jar as it is passed to the JVM
+     * @param javaOptions options of the JVM beside the usual ones
+     */
+    public void start(String jar, List<String> javaOptions) {
+        start(jar, javaOptions, ProcessBuilder.Redirect.appendTo(mLogFile.toFile()));
+    }
+
     private void start(ProcessBuilder.Redirect output) {
+        start(Fleet.jar("app", Fleet.PRODUCT_JAR).toString(), List.of(), output);
+    }
+
+    private void start(String jar, List<String> javaOptions, ProcessBuilder.Redirect output) {
         ProcessBuilder builder =
                 new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString());
         builder.command().addAll(JAVA_OPTIONS);
-        builder.command()
-                .addAll(List.of("-jar", Fleet.jar("app", Fleet.PRODUCT_JAR).toString(), "gateway"));
+        builder.command().addAll(javaOptions);
+        builder.command().addAll(List.of("-jar", jar, "gateway"));
         builder.environment().put("FILBERTRUDDER_NODE_FILE", mSettingsFile.toString());
         builder.redirectErrorStream(true).redirectOutput(output);
         try {
