Start an instance without the command-line parser

The parser defines the options of all commands and starts a child process that asks for the width of the terminal, at every start of an instance. The lone word "gateway" now runs the command at once; all other command lines are parsed as before.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -34,7 +34,7 @@
 
     private GatewayCommand() {}
 
-    static int run(Namespace arguments, Map<String, String> environment) {
+    static int run(Map<String, String> environment) {
         Optional<GatewaySettings> settings = settings(environment);
         if (settings.isEmpty()) {
             return ExitCode.USAGE;
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
@@ -17,6 +17,7 @@
     private static final String VERSION = "0.1.0";
     private static final String LOG_MANAGER = "org.filbertrudder.app.NonResettingLogManager";
     private static final String VERSION_FLAG = "--version";
+    private static final String GATEWAY_COMMAND = "gateway";
 
     private Main() {}
 
@@ -36,6 +37,10 @@
             System.out.println("filbertrudder " + VERSION);
             return ExitCode.OK;
         }
+        if (List.of(arguments).equals(List.of(GATEWAY_COMMAND))) {
+            // An instance starts without the parser, whose creation takes long.
+            return GatewayCommand.run(environment);
+        }
         ArgumentParser parser = parser();
         try {
             Namespace parsed = parser.parseArgs(arguments);
@@ -61,9 +66,10 @@
         Subparser entry = commands.addParser("entry").help("run an entry instance");
         EntryOptions.addTo(entry);
         entry.setDefault("run", (Command) EntryCommand::run);
-        commands.addParser("gateway")
+        commands.addParser(GATEWAY_COMMAND)
                 .help("run a gateway instance on the users' platform")
-                .setDefault("run", (Command) GatewayCommand::run);
+                .setDefault(
+                        "run", (Command) (parsed, environment) -> GatewayCommand.run(environment));
         commands.addParser("check-platform-settings")
                 .help("check the settings file of a gateway instance")
                 .setDefault("run", (Command) GatewayCommand::check);
