Write JSON log lines without a document tree

Each log line was built as a Jackson tree and then written; 11 of 29 samples of the log thread were in Jackson.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/JsonLineFormatter.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/JsonLineFormatter.java
@@ -1,28 +1,40 @@
 package org.filbertrudder.entry.log;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
-import org.filbertrudder.model.Json;
 
 /** Formats a log record as one line of JSON. */
 final class JsonLineFormatter extends Formatter {
 
+    private static final JsonStringEncoder ENCODER = JsonStringEncoder.getInstance();
+
     @Override
     public String format(LogRecord record) {
-        ObjectNode line = Json.MAPPER.createObjectNode();
-        line.put("time", record.getInstant().toString());
-        line.put("level", record.getLevel().getName());
-        line.put("message", record.getMessage());
+        StringBuilder line = new StringBuilder();
+        line.append("{\"time\":\"").append(record.getInstant()).append('"');
+        append(line, "level", record.getLevel().getName());
+        append(line, "message", record.getMessage());
         Object[] parameters = record.getParameters();
         for (int i = 0; parameters != null && i < parameters.length; i++) {
             if (parameters[i] instanceof LogField field) {
-                line.put(field.name(), String.valueOf(field.value()));
+                append(line, field.name(), String.valueOf(field.value()));
             }
         }
         if (record.getThrown() != null) {
-            line.put("error", record.getThrown().toString());
+            append(line, "error", record.getThrown().toString());
+        }
+        return line.append("}\n").toString();
+    }
+
+    private static void append(StringBuilder line, String name, String value) {
+        line.append(",\"").append(name).append("\":");
+        if (value == null) {
+            line.append("null");
+            return;
         }
-        return line + "\n";
+        line.append('"');
+        ENCODER.quoteAsString(value, line);
+        line.append('"');
     }
 }
