Leave out unused protocol handlers of callers' connections

Each connection of a caller had handlers for HTTP/2 upgrades and for the compression of web sockets, though callers speak plain HTTP/1.1 and no web socket is served; each read and each response passes them.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -80,7 +80,11 @@
                 new HttpServerOptions()
                         .setMaxHeaderSize(PARSER_MAX_HEAD_BYTES)
                         .setMaxInitialLineLength(PARSER_MAX_LINE_BYTES)
-                        .setTcpNoDelay(true);
+                        .setTcpNoDelay(true)
+                        // Callers use plain HTTP/1.1; these would add handlers to each connection.
+                        .setHttp2ClearTextEnabled(false)
+                        .setPerFrameWebSocketCompressionSupported(false)
+                        .setPerMessageWebSocketCompressionSupported(false);
         mServer = mVertx.createHttpServer(options);
         mServer.requestHandler(this::receive);
         mServer.invalidRequestHandler(this::refuseInvalid);
