--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelPipeline;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -18,10 +20,10 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
-import io.vertx.core.net.impl.NetSocketInternal;
+import io.vertx.core.impl.ContextInternal;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.filbertrudder.gateway.control.Clocks;
 
 /**
@@ -63,10 +65,11 @@
     /** The number of refused requests after which a connection is not used again. */
     private static final int MAX_REFUSED_REQUESTS = 16;
 
-    private final NetSocketInternal mSocket;
+    private final Channel mChannel;
+    private final ContextInternal mContext;
     private final EndpointResponseDecoder mDecoder;
     private final HttpProtocol mProtocol;
-    private final Runnable mOnIdleClosed;
+    private final Consumer<EndpointConnection> mOnIdleClosed;
     private AttemptListener mListener;
     private String mRequestId;
     private boolean mInResponse;
@@ -83,18 +86,18 @@
     private long mKeepAliveMs = DEFAULT_KEEP_ALIVE_MS;
     private Runnable mOnRelease = () -> {};
 
-    EndpointConnection(NetSocket socket, HttpProtocol protocol, Runnable onIdleClosed) {
-        mSocket = (NetSocketInternal) socket;
+    EndpointConnection(
+            Channel channel,
+            ContextInternal context,
+            HttpProtocol protocol,
+            Consumer<EndpointConnection> onIdleClosed) {
+        mChannel = channel;
+        mContext = context;
         mProtocol = protocol;
         mOnIdleClosed = onIdleClosed;
         mIdleSinceMs = Clocks.steadyMs();
         mDecoder = new EndpointResponseDecoder(this::close);
-        ChannelPipeline pipeline = mSocket.channelHandlerContext().pipeline();
-        pipeline.addBefore("handler", "encoder", new HttpRequestEncoder());
-        pipeline.addBefore("handler", "decoder", mDecoder);
-        mSocket.messageHandler(this::receive);
-        mSocket.exceptionHandler(failure -> connectionLost());
-        mSocket.closeHandler(ignored -> connectionLost());
+        channel.pipeline().addLast(new HttpRequestEncoder(), mDecoder, new InboundHandler());
     }
 
     /** Sends a request; the action runs when the request no longer uses the connection. */
@@ -124,7 +127,13 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length());
         }
         // A failed write closes the connection like the endpoint's regular end does.
-        mSocket.writeMessage(request).onFailure(failure -> connectionLost());
+        mChannel.writeAndFlush(request)
+                .addListener(
+                        written -> {
+                            if (!written.isSuccess()) {
+                                mContext.dispatch(this::connectionLost);
+                            }
+                        });
     }
 
     /** Returns an empty set of headers for a request. */
@@ -253,7 +262,7 @@
             mOnRelease.run();
             listener.failed(AttemptListener.Failure.INTERRUPTED);
         } else {
-            mOnIdleClosed.run();
+            mOnIdleClosed.accept(this);
         }
     }
 
@@ -269,7 +278,7 @@
     void close() {
         mClosed = true;
         mReusable = false;
-        mSocket.close();
+        mChannel.close();
     }
 
     /**
@@ -304,10 +313,30 @@
     }
 
     void pause() {
-        mSocket.channelHandlerContext().channel().config().setAutoRead(false);
+        mChannel.config().setAutoRead(false);
     }
 
     void resume() {
-        mSocket.channelHandlerContext().channel().config().setAutoRead(true);
+        mChannel.config().setAutoRead(true);
+    }
+
+    /** Passes what happens on the channel to the connection, on its context. */
+    private final class InboundHandler extends ChannelInboundHandlerAdapter {
+
+        @Override
+        public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+            mContext.dispatch(message, EndpointConnection.this::receive);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable failure) {
+            mContext.dispatch(EndpointConnection.this::connectionLost);
+            handlerContext.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext handlerContext) {
+            mContext.dispatch(EndpointConnection.this::connectionLost);
+        }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnectionPools.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnectionPools.java
@@ -1,8 +1,5 @@
 package org.filbertrudder.gateway.traffic;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -21,9 +18,6 @@
 /** Pools idle connections to each endpoint and opens new ones. */
 final class EndpointConnectionPools {
 
-    /** The connect timeout, in milliseconds; it allows for several round trips within a region. */
-    private static final int CONNECT_TIMEOUT_MS = 400;
-
     /**
      * The longest idle time of a connection that may carry a request that must not run twice, in
      * milliseconds. On a connection that the endpoint is just closing, the outcome of the request
@@ -31,8 +25,7 @@
      */
     private static final long MAX_IDLE_UNREPEATABLE_MS = 1_000;
 
-    private final NetClient mClient;
-    private final HttpProtocol mProtocol;
+    private final EndpointConnector mConnector;
     private final ToIntFunction<Endpoint> mMaxIdle;
     private final Map<EndpointId, Pool> mPools = new HashMap<>();
     private long mOpenAttempts;
@@ -42,14 +35,9 @@
      *
      * @param maxIdle returns the maximum number of idle connections to keep for an endpoint
      */
-    EndpointConnectionPools(Vertx vertx, HttpProtocol protocol, ToIntFunction<Endpoint> maxIdle) {
+    EndpointConnectionPools(EndpointConnector connector, ToIntFunction<Endpoint> maxIdle) {
+        mConnector = connector;
         mMaxIdle = maxIdle;
-        mClient =
-                vertx.createNetClient(
-                        new NetClientOptions()
-                                .setTcpNoDelay(true)
-                                .setConnectTimeout(CONNECT_TIMEOUT_MS));
-        mProtocol = protocol;
     }
 
     /**
@@ -92,21 +80,7 @@
 
     private void open(Pool pool, Endpoint endpoint, Consumer<EndpointConnection> action) {
         mOpenAttempts++;
-        mClient.connect(endpoint.port(), endpoint.host())
-                .onComplete(
-                        result -> {
-                            if (result.failed()) {
-                                action.accept(null);
-                                return;
-                            }
-                            EndpointConnection[] connection = new EndpointConnection[1];
-                            connection[0] =
-                                    new EndpointConnection(
-                                            result.result(),
-                                            mProtocol,
-                                            () -> pool.mIdle.remove(connection[0]));
-                            action.accept(connection[0]);
-                        });
+        mConnector.connect(endpoint.host(), endpoint.port(), pool.mIdle::remove, action);
     }
 
     /** Returns a connection to its pool, or closes it if it is not reusable or the pool is full. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -110,7 +110,9 @@
         EndpointLimitTracker limits = createLoadAndLimitExchange();
         mCrashingParts = createCrashingParts();
         mForwardClient = new GatewayForwardClient(mNetwork);
-        mConnections = new EndpointConnectionPools(vertx, mProtocol, this::maxIdleConnections);
+        mConnections =
+                new EndpointConnectionPools(
+                        new EndpointConnector(context, mProtocol), this::maxIdleConnections);
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
         mRunner =
                 new GatewayAttemptRunner(createDependencies(limits), mRandom, this::endsBeforeStop);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/CutResponseTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/CutResponseTest.java
@@ -4,10 +4,10 @@
 import static org.testng.Assert.assertTrue;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
@@ -37,7 +37,6 @@
     private static final int LONG_BODY_BYTES = 16 * 1024 * 1024;
 
     private Vertx mVertx;
-    private NetClient mClient;
     private NetServer mClosingServer;
     private NetServer mResettingServer;
     private volatile String mResponse;
@@ -47,7 +46,6 @@
     @BeforeClass
     public void start() {
         mVertx = Vertx.vertx();
-        mClient = mVertx.createNetClient();
         mClosingServer = listen(new NetServerOptions());
         // Without lingering, a close resets the connection.
         mResettingServer = listen(new NetServerOptions().setSoLinger(0));
@@ -164,34 +162,16 @@
     private Outcome exchange(boolean reset, boolean connectionUsed, Buffer requestBody) {
         NetServer server = reset ? mResettingServer : mClosingServer;
         CompletableFuture<Outcome> result = new CompletableFuture<>();
-        mVertx.runOnContext(
+        Context context = mVertx.getOrCreateContext();
+        EndpointConnector connector = new EndpointConnector(context, new IdHeaderProtocol());
+        context.runOnContext(
                 ignored ->
-                        mClient.connect(server.actualPort(), "127.0.0.1")
-                                .onSuccess(
-                                        socket -> {
-                                            EndpointConnection connection =
-                                                    new EndpointConnection(
-                                                            socket,
-                                                            new IdHeaderProtocol(),
-                                                            () -> {});
-                                            Recorder last = new Recorder(result::complete);
-                                            if (connectionUsed) {
-                                                send(
-                                                        connection,
-                                                        FIRST_REQUEST,
-                                                        Buffer.buffer(),
-                                                        new Recorder(
-                                                                first ->
-                                                                        send(
-                                                                                connection,
-                                                                                REQUEST,
-                                                                                requestBody,
-                                                                                last)));
-                                            } else {
-                                                send(connection, REQUEST, requestBody, last);
-                                            }
-                                        })
-                                .onFailure(result::completeExceptionally));
+                        connector.connect(
+                                "127.0.0.1",
+                                server.actualPort(),
+                                closed -> {},
+                                connection ->
+                                        send(connection, connectionUsed, requestBody, result)));
         try {
             return result.get(10, TimeUnit.SECONDS);
         } catch (Exception e) {
@@ -199,6 +179,23 @@
         }
     }
 
+    private void send(
+            EndpointConnection connection,
+            boolean connectionUsed,
+            Buffer requestBody,
+            CompletableFuture<Outcome> result) {
+        Recorder last = new Recorder(result::complete);
+        if (connectionUsed) {
+            send(
+                    connection,
+                    FIRST_REQUEST,
+                    Buffer.buffer(),
+                    new Recorder(first -> send(connection, REQUEST, requestBody, last)));
+        } else {
+            send(connection, REQUEST, requestBody, last);
+        }
+    }
+
     private void send(
             EndpointConnection connection, String id, Buffer body, AttemptListener listener) {
         HttpHeaders headers = EndpointConnection.newHeaders();
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndpointConnectionTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
@@ -44,12 +45,15 @@
         server.connectHandler(socket -> socket.handler(bytes -> serverAction.accept(socket)));
         server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
         CompletableFuture<Outcome> result = new CompletableFuture<>();
-        mVertx.runOnContext(
+        Context context = mVertx.getOrCreateContext();
+        EndpointConnector connector = new EndpointConnector(context, new IdHeaderProtocol());
+        context.runOnContext(
                 ignored ->
-                        mVertx.createNetClient()
-                                .connect(server.actualPort(), "127.0.0.1")
-                                .onSuccess(socket -> send(socket, result))
-                                .onFailure(result::completeExceptionally));
+                        connector.connect(
+                                "127.0.0.1",
+                                server.actualPort(),
+                                closed -> {},
+                                connection -> send(connection, result)));
         try {
             return result.get(10, TimeUnit.SECONDS);
         } catch (Exception e) {
@@ -59,9 +63,7 @@
         }
     }
 
-    private static void send(NetSocket socket, CompletableFuture<Outcome> result) {
-        EndpointConnection connection =
-                new EndpointConnection(socket, new IdHeaderProtocol(), () -> {});
+    private static void send(EndpointConnection connection, CompletableFuture<Outcome> result) {
         Buffer body = Buffer.buffer();
         connection.send(
                 "a1",
