Reject frames whose values are longer than the frame

Cause: data binding allocates what the header of a string, byte array or extension says before it finds that the bytes are missing. A frame of 23 bytes could so ask for 2 GB; the OutOfMemoryError passed the handlers of decode.

Found by comparing random damaged frames with data binding.

The check walks over the frame without reading its values.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageCodec.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageCodec.java
@@ -5,6 +5,8 @@
 import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import org.filbertrudder.model.message.PeerMessage;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -43,7 +45,9 @@
      */
     public static PeerMessage decode(Buffer body) {
         try {
-            PeerMessage message = MESSAGE_PACK.readValue(body.getBytes(), PeerMessage.class);
+            byte[] bytes = body.getBytes();
+            requireWhole(bytes);
+            PeerMessage message = MESSAGE_PACK.readValue(bytes, PeerMessage.class);
             if (message == null) {
                 throw new MalformedFrameException("a frame without a message", null);
             }
@@ -52,4 +56,16 @@
             throw new MalformedFrameException("a frame that is not a message of a known type", e);
         }
     }
+
+    /** Fails if a value ends after the frame; data binding would first allocate its length. */
+    private static void requireWhole(byte[] body) throws IOException {
+        MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body);
+        for (long values = 1; values > 0; values--) {
+            switch (unpacker.getNextFormat().getValueType()) {
+                case ARRAY -> values += unpacker.unpackArrayHeader();
+                case MAP -> values += 2L * unpacker.unpackMapHeader();
+                default -> unpacker.skipValue();
+            }
+        }
+    }
 }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -3,9 +3,13 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.management.ThreadMXBean;
 import io.vertx.core.buffer.Buffer;
+import java.lang.management.ManagementFactory;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -134,6 +138,34 @@
         assertThrows(MalformedFrameException.class, () -> MessageCodec.decode(Buffer.buffer()));
     }
 
+    /** Lists the start of a message and the header of a value that is longer than the frame. */
+    @DataProvider
+    public Object[][] lengthsBeyondTheFrame() {
+        String start = "83a174a26664a673747265616d01a464617461";
+        return new Object[][] {
+            {start + "c67fffffff"},
+            {start + "db7fffffff"},
+            {start + "c97fffffff01"},
+            {start + "dd7fffffff"},
+            {start + "df7fffffff"},
+            {"c67fffffff"},
+            {"df7fffffffc67fffffff"},
+        };
+    }
+
+    @Test(dataProvider = "lengthsBeyondTheFrame")
+    public void lengthsBeyondTheFrameAreMalformedAndAllocateNothing(String encoding) {
+        Buffer body = Buffer.buffer(HexFormat.of().parseHex(encoding));
+        var threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long allocatedBytes = threads.getCurrentThreadAllocatedBytes();
+
+        assertThrows(MalformedFrameException.class, () -> MessageCodec.decode(body));
+
+        assertTrue(
+                threads.getCurrentThreadAllocatedBytes() - allocatedBytes
+                        < MessageCodec.MAX_FRAME_BYTES);
+    }
+
     @Test
     public void ignoresUnknownFieldsOfANewerRelease() throws Exception {
         ObjectMapper mapper = new ObjectMapper(new MessagePackFactory());
