Encode a message to several peers once

Cause: floods, heartbeats to the neighbours, load sums, region reports and crash evidence were encoded again for each receiver.

PeerNetwork.send takes several addresses, and sendAll encodes successive equal messages of a list once. A message that waits for its connection now waits in its encoded form. The new test sends over plain text and mutual TLS.

Not measured with whole instances.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -241,13 +241,11 @@
     }
 
     private void flood(PeerMessage message, InstanceId from) {
-        mMembership
-                .floodTargets(from, mClockMs.getAsLong())
-                .forEach(to -> mPeerNetwork.send(to, message));
+        mPeerNetwork.send(mMembership.floodTargets(from, mClockMs.getAsLong()), message);
     }
 
     private void send(List<OutboundMessage> messages) {
-        messages.forEach(outbound -> mPeerNetwork.send(outbound.to(), outbound.message()));
+        mPeerNetwork.sendAll(messages);
     }
 
     private void receive(PeerConnection connection, PeerMessage message) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -347,11 +347,11 @@
     }
 
     private void flood(PeerMessage message, InstanceId from) {
-        mMembership.floodTargets(from, Clocks.steadyMs()).forEach(to -> mNetwork.send(to, message));
+        mNetwork.send(mMembership.floodTargets(from, Clocks.steadyMs()), message);
     }
 
     private void send(List<OutboundMessage> sends) {
-        sends.forEach(each -> mNetwork.send(each.to(), each.message()));
+        mNetwork.sendAll(sends);
     }
 
     private void sendTo(InstanceId to, PeerMessage message) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CrashingPartService.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.gateway.traffic;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +26,7 @@
 import org.filbertrudder.policy.crashes.CrashingParts;
 import org.filbertrudder.policy.crashes.EvidenceGossip;
 import org.filbertrudder.policy.crashes.SentParts;
+import org.filbertrudder.policy.membership.OutboundMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.policy.routing.PromptDemand;
 
@@ -154,9 +156,12 @@
     /** Sends what is due to the other instances. */
     void tick(long nowMs) {
         Map<InstanceId, Member> others = others();
+        List<OutboundMessage> messages = new ArrayList<>();
         for (EvidenceGossip.Send send : mGossip.tick(others.keySet(), nowMs)) {
-            mNetwork.send(PeerAddress.ofForwards(others.get(send.to())), send.message());
+            PeerAddress to = PeerAddress.ofForwards(others.get(send.to()));
+            messages.add(new OutboundMessage(to, send.message()));
         }
+        mNetwork.sendAll(messages);
     }
 
     /** Drops old evidence, and writes blocked parts to the store that it does not have yet. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
@@ -239,10 +239,13 @@
     }
 
     private void sendTo(Set<InstanceId> reporters, PeerMessage message, GatewaySnapshot snapshot) {
-        snapshot.members().stream()
-                .filter(member -> reporters.contains(member.id()))
-                .filter(member -> !isSelf(member, snapshot))
-                .forEach(member -> mNetwork.send(PeerAddress.ofForwards(member), message));
+        List<PeerAddress> addresses = new ArrayList<>();
+        for (Member member : snapshot.members()) {
+            if (reporters.contains(member.id()) && !isSelf(member, snapshot)) {
+                addresses.add(PeerAddress.ofForwards(member));
+            }
+        }
+        mNetwork.send(addresses, message);
     }
 
     private void reportToRegions(GatewaySnapshot snapshot, long nowMs) {
@@ -265,12 +268,15 @@
                         delaysByName,
                         regionLoads(snapshot, nowMs),
                         mLimits.reports(snapshot.self().region()));
-        snapshot.members().stream()
-                .map(Member::region)
-                .distinct()
-                .filter(region -> !region.equals(snapshot.self().region()))
-                .flatMap(region -> relayCandidates(snapshot, region).stream().limit(1))
-                .forEach(member -> mNetwork.send(PeerAddress.ofForwards(member), report));
+        List<PeerAddress> relays =
+                snapshot.members().stream()
+                        .map(Member::region)
+                        .distinct()
+                        .filter(region -> !region.equals(snapshot.self().region()))
+                        .flatMap(region -> relayCandidates(snapshot, region).stream().limit(1))
+                        .map(PeerAddress::ofForwards)
+                        .toList();
+        mNetwork.send(relays, report);
     }
 
     private List<PeerMessage.EndpointLoad> regionLoads(GatewaySnapshot snapshot, long nowMs) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -104,10 +104,16 @@
 
     /** Sends a message; drops the message if the connection is closed or its output has ended. */
     public void send(PeerMessage message) {
+        if (!mClosed && !mOutputEnded) {
+            sendFrame(MessageCodec.encode(message));
+        }
+    }
+
+    /** Sends an encoded message like {@link #send}. */
+    void sendFrame(Buffer frame) {
         if (mClosed || mOutputEnded) {
             return;
         }
-        Buffer frame = MessageCodec.encode(message);
         mCounters.countSent(frame.length());
         mSocket.write(frame);
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -3,10 +3,12 @@
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +20,7 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.ProtocolVersions;
+import org.filbertrudder.policy.membership.OutboundMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
 
 /**
@@ -80,6 +83,33 @@
         mOutgoing.computeIfAbsent(address, this::connect).send(message);
     }
 
+    /** Sends a message to several addresses like {@link #send(PeerAddress, PeerMessage)}. */
+    public void send(Collection<PeerAddress> addresses, PeerMessage message) {
+        if (addresses.isEmpty()) {
+            return;
+        }
+        Buffer frame = MessageCodec.encode(message);
+        for (PeerAddress address : addresses) {
+            mOutgoing.computeIfAbsent(address, this::connect).sendFrame(frame);
+        }
+    }
+
+    /**
+     * Sends each message like {@link #send(PeerAddress, PeerMessage)}; encodes a message only once
+     * for successive addresses.
+     */
+    public void sendAll(Collection<OutboundMessage> messages) {
+        PeerMessage encoded = null;
+        Buffer frame = null;
+        for (OutboundMessage outbound : messages) {
+            if (outbound.message() != encoded) {
+                encoded = outbound.message();
+                frame = MessageCodec.encode(encoded);
+            }
+            mOutgoing.computeIfAbsent(outbound.to(), this::connect).sendFrame(frame);
+        }
+    }
+
     /**
      * Runs the action with an open connection, or with null if connecting fails or too many actions
      * already wait for the connection.
@@ -154,6 +184,15 @@
                     });
         }
 
+        void sendFrame(Buffer frame) {
+            whenOpen(
+                    connection -> {
+                        if (connection != null) {
+                            connection.sendFrame(frame);
+                        }
+                    });
+        }
+
         void whenOpen(Consumer<PeerConnection> action) {
             if (mConnection != null) {
                 action.accept(mConnection);
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
@@ -6,6 +6,9 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -15,6 +18,7 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.membership.OutboundMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -84,6 +88,48 @@
         assertEquals(mReceived.poll(RECEIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS), MESSAGE);
     }
 
+    /** Lists the kinds of transport security. */
+    @DataProvider
+    public Object[][] securities() throws Exception {
+        Certificates trusted = Certificates.create("trusted");
+        return new Object[][] {
+            {PeerSecurity.plainText()},
+            {PeerSecurity.mutualTls(trusted.certificate(), trusted.key(), trusted.certificate())},
+        };
+    }
+
+    @Test(dataProvider = "securities")
+    public void deliversAMessageToEachOfSeveralPeers(PeerSecurity security) throws Exception {
+        PeerAddress first = listen(security);
+        PeerAddress second = listen(security);
+        PeerNetwork client = createNetwork("client", security);
+        PeerMessage other = new PeerMessage.ForwardCancel(43);
+
+        client.send(List.of(), MESSAGE);
+        client.send(List.of(first, second), MESSAGE);
+        List<PeerMessage> received = receive(2);
+        assertEquals(received, List.of(MESSAGE, MESSAGE));
+
+        client.sendAll(
+                List.of(
+                        new OutboundMessage(first, MESSAGE),
+                        new OutboundMessage(second, MESSAGE),
+                        new OutboundMessage(first, other),
+                        new OutboundMessage(first, MESSAGE)));
+        received = receive(4);
+        assertEquals(Collections.frequency(received, MESSAGE), 3);
+        assertEquals(Collections.frequency(received, other), 1);
+        assertEquals(client.counters().messagesSent(), 2 + 6);
+    }
+
+    private List<PeerMessage> receive(int count) throws InterruptedException {
+        List<PeerMessage> messages = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            messages.add(mReceived.poll(RECEIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        }
+        return messages;
+    }
+
     @Test
     public void deliversMessagesOverMutualTls() throws Exception {
         Certificates trusted = Certificates.create("trusted");
