Refuse a malformed forward alone, not with its connection

Seen by callers: when one forwarded request has an invalid id (service, account, key, region) or lacks a field, the connection between the two instances closes. All other requests that are forwarded on it are cut, and callers of those that may not be repeated read "outcome unknown". On the own interface a request that waited for the configuration and then failed left its sender waiting until its deadline.

Cause: an invalid field of one request was treated as an error of the connection, as the handler's exception or the decoder's reached PeerConnection.

The receiver now answers the stream: 403 for a service id that is not valid (as for an unknown one), 500 after an exception, 400 for a message whose fields cannot be decoded, each with "not run". An exception after the exchange has begun ends it by what has run so far. The frame's length is right in all these cases, so the connection stays in step; a frame that starts no forwarded request still closes it.

A sender of the same version cannot write such an id, as ids are checked when they are made; the case needs another version or a fault.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -7,8 +7,11 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.filbertrudder.entry.control.ControlSnapshot;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Configuration;
+import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.model.Service;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.PeerMessage;
@@ -17,6 +20,8 @@
 /** Serves requests that instances in other regions forward; never forwards them again. */
 final class ForwardServer {
 
+    private static final ComponentLogger LOG = ComponentLogger.of("forwards");
+
     /** The credit with which the receiver of a response acknowledges its end. */
     static final long END_CREDIT_BYTES = 1;
 
@@ -29,6 +34,7 @@
     private final RequestFactory mRequestFactory;
     private final Consumer<Exchange> mServe;
     private final Consumer<Exchange> mCancel;
+    private final Consumer<Exchange> mFail;
     private final Map<StreamKey, ForwardedResponseSink> mOpenStreams = new HashMap<>();
     private final Map<StreamKey, ForwardedResponseSink> mUndelivered = new LinkedHashMap<>();
     private int mWaitingRequests;
@@ -37,11 +43,13 @@
             TrafficContext context,
             RequestFactory requestFactory,
             Consumer<Exchange> serve,
-            Consumer<Exchange> cancel) {
+            Consumer<Exchange> cancel,
+            Consumer<Exchange> fail) {
         mContext = context;
         mRequestFactory = requestFactory;
         mServe = serve;
         mCancel = cancel;
+        mFail = fail;
     }
 
     void handle(PeerConnection connection, PeerMessage message) {
@@ -126,9 +134,34 @@
             serve(connection, start, sink, snapshot.configuration());
         } catch (RefusedException e) {
             ExchangeFinisher.send(sink, start.requestId(), e.refusal());
+        } catch (RuntimeException e) {
+            // An exception that the connection sees would close it, with all other forwards.
+            LOG.warn(
+                    "Handling a forwarded request has failed.",
+                    LogField.of("request", start.requestId()),
+                    LogField.of("error", e));
+            refuseAfterException(start, sink);
         }
     }
 
+    private void refuseAfterException(PeerMessage.ForwardStart start, ForwardedResponseSink sink) {
+        if (sink.mExchange == null) {
+            ExchangeFinisher.send(sink, start.requestId(), Refusal.internalError(true));
+        } else {
+            mFail.accept(sink.mExchange);
+        }
+    }
+
+    /** Refuses a request whose message has invalid fields. */
+    void refuseUnreadable(PeerConnection connection, long stream) {
+        LOG.warn("A malformed forwarded request is refused.", LogField.of("stream", stream));
+        ExchangeFinisher.send(
+                new ForwardedResponseSink(connection, stream),
+                "none",
+                Refusal.badRequest(
+                        "malformed_request", "The forwarded request has an invalid field."));
+    }
+
     private void serve(
             PeerConnection connection,
             PeerMessage.ForwardStart start,
@@ -157,9 +190,14 @@
         if (serviceEnd < 0) {
             throw new RefusedException(Refusal.noRegionAllowed());
         }
-        return configuration
-                .service(ServiceId.of(start.uri().substring(SERVICES_PREFIX.length(), serviceEnd)))
-                .orElseThrow(() -> new RefusedException(Refusal.noRegionAllowed()));
+        try {
+            String id = start.uri().substring(SERVICES_PREFIX.length(), serviceEnd);
+            return configuration
+                    .service(ServiceId.of(id))
+                    .orElseThrow(() -> new RefusedException(Refusal.noRegionAllowed()));
+        } catch (InvalidValueException e) {
+            throw new RefusedException(Refusal.noRegionAllowed());
+        }
     }
 
     /** Checks key and account again, as this instance may have a newer configuration. */
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -23,6 +23,7 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerHandler;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.policy.retry.RequestCopyTracker;
 import org.filbertrudder.policy.routing.EndpointState;
@@ -113,8 +114,12 @@
         RequestFactory requestFactory = new RequestFactory(mTrafficContext);
         mForwardServer =
                 new ForwardServer(
-                        mTrafficContext, requestFactory, this::serveForwarded, this::cancel);
-        mPeerNetwork = createPeerNetwork(forwardClient, mForwardServer);
+                        mTrafficContext,
+                        requestFactory,
+                        this::serveForwarded,
+                        this::cancel,
+                        mFinisher::fail);
+        mPeerNetwork = createPeerNetwork(forwardClient);
         forwardClient.setPeerNetwork(mPeerNetwork);
         mCallerApi = createCallerApi(requestFactory);
         mTrafficContext
@@ -155,27 +160,16 @@
         return owner.id().equals(mSettings.id());
     }
 
-    private PeerNetwork createPeerNetwork(ForwardClient forwardClient, ForwardServer server) {
+    private PeerNetwork createPeerNetwork(ForwardClient forwardClient) {
         return new PeerNetwork(
                 vertx,
                 context,
                 mSettings.peerSecurity(),
                 () -> mTrafficContext.snapshot().self(),
-                (connection, message) ->
-                        handlePeerMessage(forwardClient, server, connection, message),
+                new TrafficPeerHandler(forwardClient),
                 violation -> LOG.warn("A peer was rejected.", LogField.of("why", violation)));
     }
 
-    private void handlePeerMessage(
-            ForwardClient forwardClient,
-            ForwardServer server,
-            PeerConnection connection,
-            PeerMessage message) {
-        if (mTrafficContext.snapshot() != null && !forwardClient.handle(connection, message)) {
-            server.handle(connection, message);
-        }
-    }
-
     private void startListening(Promise<Void> started) {
         mServer = vertx.createHttpServer(mCallerApi.serverOptions());
         mServer.connectionHandler(mCallerConnections::add);
@@ -424,4 +418,27 @@
                 .compose(done -> Future.fromCompletionStage(mPeerNetwork.close(), context))
                 .onComplete(stopped);
     }
+
+    /** Passes messages of other instances to the client and the server of forwards. */
+    private final class TrafficPeerHandler implements PeerHandler {
+
+        private final ForwardClient mForwardClient;
+
+        TrafficPeerHandler(ForwardClient forwardClient) {
+            mForwardClient = forwardClient;
+        }
+
+        @Override
+        public void handle(PeerConnection connection, PeerMessage message) {
+            if (mTrafficContext.snapshot() != null && !mForwardClient.handle(connection, message)) {
+                mForwardServer.handle(connection, message);
+            }
+        }
+
+        @Override
+        public boolean refuseUnreadableForward(PeerConnection connection, long stream) {
+            mForwardServer.refuseUnreadable(connection, stream);
+            return true;
+        }
+    }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
@@ -57,6 +57,15 @@
         refuse(exchange, GatewayRefusal.incompleteResponse());
     }
 
+    /** Ends an exchange whose handling has raised an exception. */
+    void failAfterException(GatewayExchange exchange, RuntimeException failure) {
+        LOG.warn(
+                "Handling a request has failed.",
+                LogField.of("id", exchange.head().requestId()),
+                LogField.of("error", failure));
+        refuse(exchange, GatewayRefusal.internalError(exchange.runs() == 0));
+    }
+
     /** Ends an exchange whose caller has closed the connection. */
     void callerDisconnected(GatewayExchange exchange) {
         finish(exchange, STATUS_CLIENT_CLOSED_REQUEST, "caller-left");
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -10,12 +10,16 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
 
 /** Receives requests that other instances forward and sends the responses back. */
 final class GatewayForwardServer {
 
+    private static final ComponentLogger LOG = ComponentLogger.of("forwards");
+
     /** The header with the id of the last event that the caller received of this response. */
     static final String RESUME_AFTER = "x-resume-after";
 
@@ -105,6 +109,13 @@
                 "The header " + RESUME_AFTER + " must be a non-negative number.");
     }
 
+    /** Refuses a request whose message has invalid fields. */
+    void refuseUnreadable(PeerConnection from, long stream) {
+        LOG.warn("A malformed forwarded request is refused.", LogField.of("stream", stream));
+        new ForwardSink(new StreamKey(from, stream))
+                .refuse(GatewayRefusal.malformed("The forwarded request has an invalid field."));
+    }
+
     private void receive(PeerConnection from, PeerMessage.ForwardStart start) {
         if (mConnections.add(from)) {
             from.onClose(() -> mConnections.remove(from));
@@ -113,9 +124,18 @@
         ForwardSink sink = new ForwardSink(key);
         mSinks.put(key, sink);
         sink.mCloseAction = from.onClose(sink::cancel);
-        MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-        start.headers().forEach(headers::add);
-        mRequestAcceptor.accept(start, headers, sink).ifPresent(sink::attach);
+        try {
+            MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+            start.headers().forEach(headers::add);
+            mRequestAcceptor.accept(start, headers, sink).ifPresent(sink::attach);
+        } catch (RuntimeException e) {
+            // An exception that the connection sees would close it, with all other forwards.
+            LOG.warn(
+                    "Handling a forwarded request has failed.",
+                    LogField.of("id", start.requestId()),
+                    LogField.of("error", e));
+            sink.refuse(GatewayRefusal.internalError(true));
+        }
     }
 
     private record StreamKey(PeerConnection connection, long stream) {}
@@ -124,7 +144,10 @@
     @FunctionalInterface
     interface RequestAcceptor {
 
-        /** Returns the exchange; empty if the request was refused. */
+        /**
+         * Returns the exchange; empty if the request was refused. Raises an exception only before
+         * the request may run.
+         */
         Optional<GatewayExchange> accept(
                 PeerMessage.ForwardStart start, MultiMap headers, GatewayResponseSink sink);
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
@@ -56,6 +56,16 @@
                 0);
     }
 
+    /** Ends a request whose handling has raised an exception. */
+    static GatewayRefusal internalError(boolean notRun) {
+        return new GatewayRefusal(
+                500,
+                "internal_error",
+                "An internal error occurred while handling the request. Retry.",
+                notRun,
+                0);
+    }
+
     static GatewayRefusal notReady() {
         return new GatewayRefusal(
                 503,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -35,6 +35,7 @@
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.PeerHandler;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.limits.SchedulerSelection;
@@ -104,7 +105,7 @@
                         context,
                         PeerSecurity.plainText(),
                         () -> mControl.snapshot().self(),
-                        this::receive,
+                        new ForwardPeerHandler(),
                         violation ->
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
         EndpointLimitTracker limits = createLoadAndLimitExchange();
@@ -278,20 +279,6 @@
         return mStop.map(stop -> Clocks.steadyMs() >= stop.acceptUntilMs()).orElse(false);
     }
 
-    private void receive(PeerConnection connection, PeerMessage message) {
-        // Responses arrive on connections that this instance opened, on which the peer does not
-        // identify itself.
-        if (mForwardClient.handle(connection, message) || connection.peerMember() == null) {
-            return;
-        }
-        Member from = connection.peerMember();
-        if (!mLoadReporting.handle(from, message)
-                && !mSendPermits.handle(from, message)
-                && !mCrashingParts.handle(from, message)) {
-            mForwardServer.handle(connection, message);
-        }
-    }
-
     private void begin(GatewayExchange exchange) {
         mMetrics.counter(exchange.forwarded() ? "requests_forwarded_here" : "requests_received")
                 .inc();
@@ -374,8 +361,12 @@
                         sink,
                         nowMs);
         resumeAfter.ifPresent(id -> exchange.setRelay(new StreamRelay(sink, id)));
-        begin(exchange);
-        mAdmission.admitForwarded(exchange);
+        try {
+            begin(exchange);
+            mAdmission.admitForwarded(exchange);
+        } catch (RuntimeException e) {
+            mFinisher.failAfterException(exchange, e);
+        }
         return Optional.of(exchange);
     }
 
@@ -538,6 +529,31 @@
                 .onComplete(stopped);
     }
 
+    /** Passes messages of other instances to the parts that handle them. */
+    private final class ForwardPeerHandler implements PeerHandler {
+
+        @Override
+        public void handle(PeerConnection connection, PeerMessage message) {
+            // Responses arrive on connections that this instance opened, on which the peer does not
+            // identify itself.
+            if (mForwardClient.handle(connection, message) || connection.peerMember() == null) {
+                return;
+            }
+            Member from = connection.peerMember();
+            if (!mLoadReporting.handle(from, message)
+                    && !mSendPermits.handle(from, message)
+                    && !mCrashingParts.handle(from, message)) {
+                mForwardServer.handle(connection, message);
+            }
+        }
+
+        @Override
+        public boolean refuseUnreadableForward(PeerConnection connection, long stream) {
+            mForwardServer.refuseUnreadable(connection, stream);
+            return true;
+        }
+    }
+
     /** Passes exchanges of the callers' server to this verticle. */
     private final class CallerExchanges implements CallerServer.ExchangeLifecycle {
 
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -9,6 +9,7 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -73,12 +74,22 @@
         try {
             dispatch(MessageCodec.decode(body));
         } catch (MalformedFrameException e) {
-            closeOnProtocolError(e.getMessage());
+            if (!refuseUnreadableForward(body)) {
+                closeOnProtocolError(e.getMessage());
+            }
         } catch (RuntimeException e) {
             closeOnProtocolError("a message whose handler failed: " + e);
         }
     }
 
+    /** Refuses only the request, as the frame's length is right and others share the connection. */
+    private boolean refuseUnreadableForward(Buffer body) {
+        OptionalLong stream = UnreadableForward.streamIn(body);
+        return mHandshakeDone
+                && stream.isPresent()
+                && mHandler.refuseUnreadableForward(this, stream.getAsLong());
+    }
+
     private void dispatch(PeerMessage message) {
         if (message instanceof PeerMessage.Hello hello) {
             if (hello.version() < ProtocolVersions.OLDEST_SUPPORTED || hello.sender() == null) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PeerPortTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PeerPortTest.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.scenarios;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -114,6 +115,43 @@
         throw new AssertionError("not a member: " + id);
     }
 
+    /** Lists URIs and altered fields of forwarded requests, and the status of the refusal. */
+    @DataProvider
+    public Object[][] malformedForwards() {
+        return new Object[][] {
+            {"/services/b okings/x", "", "", 403},
+            {"/services//x", "", "", 403},
+            {"/services/bookings", "", "", 403},
+            {null, "", "", 500},
+            {"/services/bookings/bookings", "open", "o en", 400},
+            {"/services/bookings/bookings", "gas", "g s", 400},
+        };
+    }
+
+    @Test(dataProvider = "malformedForwards")
+    public void malformedForwardClosesTheConnectionWithAllOthers(
+            String uri, String text, String replacement, int status) throws Exception {
+        mFleet.endpoints().setBookingBehaviour("{\"delayMs\":1000}");
+        try (RawForwardConnection region = RawForwardConnection.open(portOf("mtl-1", "forwards"))) {
+            String slot = "malformed-" + System.nanoTime();
+            region.forward("/services/bookings/bookings", "{\"slot\":\"" + slot + "\"}");
+            region.forwardAltered(uri, "{\"slot\":\"refused-" + slot + "\"}", text, replacement);
+
+            PeerMessage.ForwardHead refusal = region.readHead();
+            assertNotNull(refusal, "The connection was closed.");
+            assertEquals(refusal.stream(), 2);
+            assertEquals(refusal.status(), status);
+            assertEquals(refusal.headers().get("x-not-run"), "true");
+            PeerMessage.ForwardHead response = region.readHead();
+            assertNotNull(response, "The connection was closed.");
+            assertEquals(response.stream(), 1);
+            assertEquals(response.status(), 201);
+            assertEquals(mFleet.endpoints().bookingExecutions("refused-" + slot), 0);
+        } finally {
+            mFleet.endpoints().setBookingBehaviour("{}");
+        }
+    }
+
     @Test
     public void forgedForwardResponsesDoNotReachCallers() {
         String key = mFleet.apiKeyOf("youth");
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RawForwardConnection.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/RawForwardConnection.java
@@ -71,39 +71,70 @@
 
     /** Forwards a request to a plain service. */
     void forward(String uri, String body) {
-        long stream = ++mStreams;
         try {
-            send(
-                    new PeerMessage.ForwardStart(
-                            stream,
-                            "forwarded-" + stream,
-                            AccountId.of("open"),
-                            null,
-                            0,
-                            REGION,
-                            "POST",
-                            uri,
-                            Map.of("content-type", "application/json"),
-                            body.getBytes(StandardCharsets.UTF_8),
-                            REQUEST_TIMEOUT_MS));
+            send(start(uri, body));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    /** Forwards a request with one text of its message replaced by another of the same length. */
+    void forwardAltered(String uri, String body, String text, String replacement) {
+        byte[] frame = MessageCodec.encode(start(uri, body)).getBytes();
+        String altered = new String(frame, StandardCharsets.ISO_8859_1).replace(text, replacement);
+        try {
+            mSocket.getOutputStream().write(altered.getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private PeerMessage.ForwardStart start(String uri, String body) {
+        long stream = ++mStreams;
+        return new PeerMessage.ForwardStart(
+                stream,
+                "forwarded-" + stream,
+                AccountId.of("open"),
+                null,
+                0,
+                REGION,
+                "POST",
+                uri,
+                Map.of("content-type", "application/json"),
+                body.getBytes(StandardCharsets.UTF_8),
+                REQUEST_TIMEOUT_MS);
+    }
+
+    /** Returns the next head of a response; null if the connection is closed. */
+    PeerMessage.ForwardHead readHead() throws IOException {
+        try {
+            while (true) {
+                if (readMessage() instanceof PeerMessage.ForwardHead head) {
+                    return head;
+                }
+            }
+        } catch (EOFException | SocketException e) {
+            return null;
+        }
+    }
+
+    private PeerMessage readMessage() throws IOException {
+        DataInputStream input = new DataInputStream(mSocket.getInputStream());
+        byte[] frame = new byte[input.readInt()];
+        input.readFully(frame);
+        return MessageCodec.decode(Buffer.buffer(frame));
+    }
+
     /**
      * Reads and acknowledges responses until those to all requests have ended or the connection is
      * closed; returns the number of complete successful ones.
      */
     int readResponses() throws IOException {
-        DataInputStream input = new DataInputStream(mSocket.getInputStream());
         Set<Long> answered = new HashSet<>();
         int complete = 0;
         try {
             for (int ended = 0; ended < mStreams; ) {
-                byte[] frame = new byte[input.readInt()];
-                input.readFully(frame);
-                PeerMessage message = MessageCodec.decode(Buffer.buffer(frame));
+                PeerMessage message = readMessage();
                 if (message instanceof PeerMessage.ForwardHead head && head.status() < 300) {
                     answered.add(head.stream());
                 } else if (message instanceof PeerMessage.ForwardData data) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.scenarios.platform;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -84,23 +85,27 @@
 
     private void forward(long stream, String id, Map<String, String> addedHeaders)
             throws IOException {
+        send(start(stream, id, "/stock/x", addedHeaders));
+    }
+
+    private static PeerMessage.ForwardStart start(
+            long stream, String id, String uri, Map<String, String> addedHeaders) {
         Map<String, String> headers = new HashMap<>();
         headers.put("host", PlatformFleet.HOST);
         headers.put("filbertrudder-attempt-id", id);
         headers.putAll(addedHeaders);
-        send(
-                new PeerMessage.ForwardStart(
-                        stream,
-                        id,
-                        AccountId.of("club"),
-                        KeyDigests.of("key-club"),
-                        1,
-                        RegionId.of("sag"),
-                        "GET",
-                        "/stock/x",
-                        headers,
-                        new byte[0],
-                        4_000));
+        return new PeerMessage.ForwardStart(
+                stream,
+                id,
+                AccountId.of("club"),
+                KeyDigests.of("key-club"),
+                1,
+                RegionId.of("sag"),
+                "GET",
+                uri,
+                headers,
+                new byte[0],
+                4_000);
     }
 
     /** Returns the next message that is no keep-alive. */
@@ -193,4 +198,30 @@
         forward(2, "well-formed", Map.of());
         assertEquals(((PeerMessage.ForwardHead) receive()).status(), 200);
     }
+
+    /** Lists URIs and altered fields of forwarded requests, and the status of the refusal. */
+    @DataProvider
+    public Object[][] malformedFields() {
+        return new Object[][] {
+            {null, "", "", 500}, {"/stock/x", "club", "c ub", 400}, {"/stock/x", "sag", "s g", 400},
+        };
+    }
+
+    @Test(dataProvider = "malformedFields")
+    public void malformedFieldClosesTheConnection(
+            String uri, String text, String replacement, int status) throws Exception {
+        byte[] frame = MessageCodec.encode(start(1, "malformed", uri, Map.of())).getBytes();
+        String altered = new String(frame, ISO_8859_1).replace(text, replacement);
+        mPeer.getOutputStream().write(altered.getBytes(ISO_8859_1));
+
+        PeerMessage.ForwardHead refusal = (PeerMessage.ForwardHead) receive();
+        assertEquals(refusal.stream(), 1);
+        assertEquals(refusal.status(), status);
+        assertEquals(refusal.headers().get("x-not-run"), "1");
+        assertEquals(receive(), new PeerMessage.ForwardEnd(1, true));
+        assertEquals(mFleet.replica(REPLICA).executionCount("malformed"), 0);
+
+        forward(2, "well-formed", Map.of());
+        assertEquals(((PeerMessage.ForwardHead) receive()).status(), 200);
+    }
 }
