Tell senders that a stopping instance has not run their forwards

Seen by callers: a booking or chat that is forwarded just as the other instance ends the output of its connections in a planned stop is not refused there, as nothing can be sent any more. Its sender sees the connection close, must assume that the request may have run, and answers "answer lost" for a request that could have gone to another region.

Cause: GatewayForwardServer refuses such a request into an output that has ended; the refusal is dropped (PeerConnection.send). A connection that closes does not say which requests it has begun.

The last message before the end of the output is now ForwardsEnd: what has no response on this connection so far has not run and will not run. It is true because the output ends only when no request is running and none is accepted any more (GatewayDrain). The sender counts the requests without a response as not sent and tries them elsewhere, also those that it starts on this connection before it closes. Without the message (a killed instance) they stay "may have run".

Evidence: EndedForwardsTest, two of four cases failed on the code before ("expected [NOT_SENT] but found [INTERRUPTED]"); the cases of a lost and of a new connection passed before and after. The client and the server run on one event loop, so the order does not depend on time. After it: EndedForwardsTest 4 of 4, and WireFormatTest (new line "fx"), MessageCodecTest, ForwardedRequestTest, PeerPortTest, StoppedInstanceTest (mvn verify with the linter, no failure).

Open: the sockets that remain at the close of the instance, and the own interface, which closes its connections without this message.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptListener.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AttemptListener.java
@@ -24,7 +24,7 @@
 
     /** States whether a failed attempt may have run the request. */
     enum Failure {
-        /** No byte of the request has been sent. */
+        /** No byte of the request has been sent, or its receiver has not run it. */
         NOT_SENT,
         /** The request may have run. */
         INTERRUPTED
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -31,6 +31,7 @@
     private final PeerNetwork mNetwork;
     private final Map<Long, ForwardAttempt> mAttempts = new HashMap<>();
     private final Map<PeerConnection, Long> mLastReceivedMs = new HashMap<>();
+    private final Set<PeerConnection> mEndedConnections = new HashSet<>();
     private long mNextStream = 1;
 
     GatewayForwardClient(PeerNetwork network) {
@@ -85,12 +86,22 @@
             findAttempt(from, data.stream()).ifPresent(attempt -> attempt.receive(data.data()));
         } else if (message instanceof PeerMessage.ForwardEnd end) {
             findAttempt(from, end.stream()).ifPresent(attempt -> attempt.end(end.complete()));
+        } else if (message instanceof PeerMessage.ForwardsEnd) {
+            endForwards(from);
         } else {
             return false;
         }
         return true;
     }
 
+    private void endForwards(PeerConnection connection) {
+        mEndedConnections.add(connection);
+        connection.onClose(() -> mEndedConnections.remove(connection));
+        List.copyOf(mAttempts.values()).stream()
+                .filter(attempt -> attempt.mConnection == connection && !attempt.mAnswered)
+                .forEach(attempt -> attempt.fail(AttemptListener.Failure.NOT_SENT));
+    }
+
     private Optional<ForwardAttempt> findAttempt(PeerConnection from, long stream) {
         return Optional.ofNullable(mAttempts.get(stream))
                 .filter(attempt -> attempt.mConnection == from);
@@ -134,6 +145,7 @@
         private final AttemptListener mListener;
         private PeerConnection mConnection;
         private PeerConnection.CloseAction mCloseAction;
+        private boolean mAnswered;
         private boolean mDone;
         private boolean mPaused;
         private long mUncreditedBytes;
@@ -149,7 +161,7 @@
             if (mDone) {
                 return;
             }
-            if (connection == null) {
+            if (connection == null || mEndedConnections.contains(connection)) {
                 fail(AttemptListener.Failure.NOT_SENT);
                 return;
             }
@@ -167,6 +179,7 @@
         }
 
         void receive(PeerMessage.ForwardHead head) {
+            mAnswered = true;
             mListener.head(ForwardHeaders.readResponse(mRequestId, head.status(), head.headers()));
         }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -75,17 +75,23 @@
     }
 
     /**
-     * Ends the output of the connections on which requests were forwarded.
+     * Ends the output of the connections on which requests were forwarded, once no request runs.
      *
      * @return completes when the other instances have read the responses and closed the connections
      */
     CompletableFuture<Void> endConnections() {
         return CompletableFuture.allOf(
                 mConnections.stream()
-                        .map(PeerConnection::endOutput)
+                        .map(GatewayForwardServer::endConnection)
                         .toArray(CompletableFuture<?>[]::new));
     }
 
+    /** Requests that arrive from now on cannot be refused, so their sender is told in advance. */
+    private static CompletableFuture<Void> endConnection(PeerConnection connection) {
+        connection.send(new PeerMessage.ForwardsEnd());
+        return connection.endOutput();
+    }
+
     /**
      * Removes and returns the id of the event after which the response is resumed.
      *
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -39,6 +39,7 @@
     @JsonSubTypes.Type(value = PeerMessage.ForwardCancel.class, name = "fc"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardCredit.class, name = "fw"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardKeepAlive.class, name = "fa"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardsEnd.class, name = "fx"),
     @JsonSubTypes.Type(value = PeerMessage.OperatorStateRequest.class, name = "tr"),
     @JsonSubTypes.Type(value = PeerMessage.OperatorStateReply.class, name = "ts"),
     @JsonSubTypes.Type(value = PeerMessage.InstanceLoadReport.class, name = "lo"),
@@ -274,6 +275,12 @@
     /** Shows that the connection is alive while forwarded requests wait for their responses. */
     record ForwardKeepAlive() implements PeerMessage {}
 
+    /**
+     * Ends the responses on this connection: forwarded requests without a response so far have not
+     * run and will not run.
+     */
+    record ForwardsEnd() implements PeerMessage {}
+
     /**
      * Requests the operators' state and the registered endpoints from another instance.
      *
