Refuse a request at once when its handling fails early

Seen by callers: nothing. A request whose handling raises an exception before it has an exchange gets no answer until its connection is closed; in a stop the instance waits for it until the end of its grace.

Cause: only an exchange has a deadline and an end. Before there is one, an exception goes to the event loop, which logs it without the request.

CallerServer runs each step up to the exchange (head, body, the lookup after a confirmation) so that an exception or error refuses the request with 500 and a true "not run", and is logged with the request's id; if the exchange exists by then, it is ended by what has run so far. The id is read within the step, as reading it may fail as well, and a refusal takes it from OpenRequests instead of reading it again.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -100,31 +100,57 @@
     }
 
     private void receive(HttpServerRequest request) {
-        long arrivedMs = Clocks.steadyMs();
-        OpenRequests.OpenRequest open =
-                mOpenRequests.open(request, mProtocol.readRequestId(request.headers()), arrivedMs);
+        OpenRequests.OpenRequest open = mOpenRequests.open(request, Clocks.steadyMs());
         request.endHandler(ignored -> open.bodyRead());
         CallerResponseSink sink =
                 new CallerResponseSink(request.response(), mProtocol, mStopping, open);
-        open.onRefuse(refusal -> refuse(request, sink, refusal));
+        open.onRefuse(refusal -> refuse(request, sink, open, refusal));
+        refuseOnException(request, sink, open, () -> receive(request, sink, open));
+    }
+
+    /** Runs a step of a request; refuses the request at once if the step raises an exception. */
+    private void refuseOnException(
+            HttpServerRequest request,
+            CallerResponseSink sink,
+            OpenRequests.OpenRequest open,
+            Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            LOG.warn(
+                    "Handling a request has failed.",
+                    LogField.of("id", open.id()),
+                    LogField.of("error", e));
+            if (open.exchange() == null) {
+                refuse(request, sink, open, GatewayRefusal.internalError(true));
+            } else {
+                mLifecycle.fail(open.exchange());
+            }
+        }
+    }
+
+    private void receive(
+            HttpServerRequest request, CallerResponseSink sink, OpenRequests.OpenRequest open) {
+        open.setId(mProtocol.readRequestId(request.headers()));
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         if (configuration == null || mRefusing.getAsBoolean()) {
             refuse(
                     request,
                     sink,
+                    open,
                     configuration == null ? GatewayRefusal.notReady() : GatewayRefusal.stopping());
             return;
         }
         Optional<GatewayRefusal> refusal = checkHead(request, configuration.limits());
         if (refusal.isPresent()) {
-            refuse(request, sink, refusal.get());
+            refuse(request, sink, open, refusal.get());
             return;
         }
         RequestHead head;
         try {
             head = mProtocol.readRequest(request.headers());
         } catch (MalformedRequestException e) {
-            refuse(request, sink, GatewayRefusal.malformed(e.getMessage()));
+            refuse(request, sink, open, GatewayRefusal.malformed(e.getMessage()));
             return;
         }
         readBody(
@@ -135,11 +161,14 @@
                 body -> admitOrAwaitState(request, head, body, sink, open));
     }
 
-    private void refuse(
-            HttpServerRequest request, CallerResponseSink sink, GatewayRefusal refusal) {
+    private static void refuse(
+            HttpServerRequest request,
+            CallerResponseSink sink,
+            OpenRequests.OpenRequest open,
+            GatewayRefusal refusal) {
         LOG.info(
                 "A request is refused before admission.",
-                LogField.of("id", mProtocol.readRequestId(request.headers()).orElse(null)),
+                LogField.of("id", open.id()),
                 LogField.of("outcome", refusal.code()),
                 LogField.of("status", refusal.status()),
                 LogField.of("uri", request.uri()));
@@ -188,14 +217,14 @@
                     body.appendBuffer(part);
                     if (body.length() > maxBytes) {
                         refused[0] = true;
-                        refuse(request, sink, GatewayRefusal.bodyTooLong(maxBytes));
+                        refuse(request, sink, open, GatewayRefusal.bodyTooLong(maxBytes));
                     }
                 });
         request.endHandler(
                 ignored -> {
                     open.bodyRead();
                     if (!refused[0]) {
-                        onBody.accept(body);
+                        refuseOnException(request, sink, open, () -> onBody.accept(body));
                     }
                 });
     }
@@ -217,19 +246,31 @@
         open.lookupStarted();
         mAdmission.onConfirmation(
                 LOOKUP_WAIT_MS,
-                () -> {
-                    if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
-                        return;
-                    }
-                    boolean stateConfirmed =
-                            mControl.stateFreshness().isConfirmedSince(lookupStart, Clocks.now());
-                    refuse(
-                            request,
-                            sink,
-                            stateConfirmed
-                                    ? unknownRouteOrKey(request, head)
-                                    : GatewayRefusal.stateOutdated());
-                });
+                () ->
+                        refuseOnException(
+                                request,
+                                sink,
+                                open,
+                                () -> admitOrRefuse(request, head, body, sink, open, lookupStart)));
+    }
+
+    private void admitOrRefuse(
+            HttpServerRequest request,
+            RequestHead head,
+            Buffer body,
+            CallerResponseSink sink,
+            OpenRequests.OpenRequest open,
+            ClockReading lookupStart) {
+        if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
+            return;
+        }
+        boolean stateConfirmed =
+                mControl.stateFreshness().isConfirmedSince(lookupStart, Clocks.now());
+        refuse(
+                request,
+                sink,
+                open,
+                stateConfirmed ? unknownRouteOrKey(request, head) : GatewayRefusal.stateOutdated());
     }
 
     private GatewayRefusal unknownRouteOrKey(HttpServerRequest request, RequestHead head) {
@@ -313,5 +354,8 @@
 
         /** Handles the disconnection of an exchange's caller. */
         void callerDisconnected(GatewayExchange exchange);
+
+        /** Ends an exchange whose handling has raised an exception. */
+        void fail(GatewayExchange exchange);
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
@@ -58,11 +58,7 @@
     }
 
     /** Ends an exchange whose handling has raised an exception. */
-    void failAfterException(GatewayExchange exchange, RuntimeException failure) {
-        LOG.warn(
-                "Handling a request has failed.",
-                LogField.of("id", exchange.head().requestId()),
-                LogField.of("error", failure));
+    void failAfterException(GatewayExchange exchange) {
         refuse(exchange, GatewayRefusal.internalError(exchange.runs() == 0));
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -365,7 +365,11 @@
             begin(exchange);
             mAdmission.admitForwarded(exchange);
         } catch (RuntimeException e) {
-            mFinisher.failAfterException(exchange, e);
+            LOG.warn(
+                    "Handling a forwarded request has failed.",
+                    LogField.of("id", start.requestId()),
+                    LogField.of("error", e));
+            mFinisher.failAfterException(exchange);
         }
         return Optional.of(exchange);
     }
@@ -566,5 +570,10 @@
         public void callerDisconnected(GatewayExchange exchange) {
             GatewayTrafficVerticle.this.callerDisconnected(exchange);
         }
+
+        @Override
+        public void fail(GatewayExchange exchange) {
+            mFinisher.failAfterException(exchange);
+        }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -37,12 +37,12 @@
     }
 
     /** Opens a request whose head has arrived. */
-    OpenRequest open(HttpServerRequest request, Optional<String> id, long arrivedMs) {
+    OpenRequest open(HttpServerRequest request, long arrivedMs) {
         if (!mConnections.containsKey(request.connection())) {
             connectionOpened(request.connection());
         }
         CallerConnection connection = mConnections.get(request.connection());
-        OpenRequest open = new OpenRequest(connection, id.orElse(null), arrivedMs);
+        OpenRequest open = new OpenRequest(connection, arrivedMs);
         mOpen.add(open);
         connection.mOpen.add(open);
         request.response().closeHandler(ignored -> open.closed());
@@ -91,8 +91,8 @@
     final class OpenRequest {
 
         private final CallerConnection mConnection;
-        private final String mId;
         private final long mArrivedMs;
+        private String mId;
         private RequestStep mStep = RequestStep.READING;
         private GatewayExchange mExchange;
         private Runnable mOnClosed = () -> {};
@@ -100,12 +100,15 @@
         private boolean mBodyRead;
         private boolean mResponseSent;
 
-        private OpenRequest(CallerConnection connection, String id, long arrivedMs) {
+        private OpenRequest(CallerConnection connection, long arrivedMs) {
             mConnection = connection;
-            mId = id;
             mArrivedMs = arrivedMs;
         }
 
+        void setId(Optional<String> id) {
+            mId = id.orElse(null);
+        }
+
         String id() {
             return mId;
         }
@@ -155,6 +158,11 @@
             mExchange = exchange;
         }
 
+        /** Returns the exchange of the request; null if it has not been admitted. */
+        GatewayExchange exchange() {
+            return mExchange;
+        }
+
         /** Waits until the response, which has ended, has been sent. */
         void flushing(Future<Void> sent) {
             mStep = RequestStep.FLUSHING;
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -20,6 +20,7 @@
 import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.Gateway;
 import org.filbertrudder.gateway.GatewaySettings;
+import org.filbertrudder.gateway.traffic.HttpProtocol;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.Json;
@@ -143,6 +144,11 @@
 
     /** Starts an instance in a region and waits until it is ready. */
     public void startGateway(String id, String region) {
+        startGateway(id, region, new PlatformProtocol());
+    }
+
+    /** Starts an instance as {@link #startGateway(String, String)}, with a protocol of its own. */
+    public void startGateway(String id, String region, HttpProtocol protocol) {
         List<Integer> ports = findFreePorts();
         List<PeerAddress> seeds =
                 mSettings.values().stream().map(GatewaySettings::peerAddress).toList();
@@ -164,10 +170,7 @@
         mSettings.put(id, settings);
         mGateways.put(
                 id,
-                Gateway.start(
-                                settings,
-                                vertx -> new PlatformStateSource(vertx, settings),
-                                new PlatformProtocol())
+                Gateway.start(settings, vertx -> new PlatformStateSource(vertx, settings), protocol)
                         .join());
         PlatformClient readiness = new PlatformClient(settings.readinessAddress());
         await("instance " + id + " is ready", () -> readiness.get("/readyz").status() == 200);
