--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
@@ -42,6 +42,7 @@
     static final MessageLayout FORWARD_CANCEL = message("fc", "stream");
     static final MessageLayout FORWARD_CREDIT = message("fw", "stream", "bytes");
     static final MessageLayout FORWARD_KEEP_ALIVE = message("fa");
+    static final MessageLayout FORWARDS_END = message("fx");
     static final MessageLayout OPERATOR_STATE_REQUEST =
             message("tr", "id", "revision", "endpointsDigest", "version");
     static final MessageLayout OPERATOR_STATE_REPLY =
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
@@ -99,6 +99,9 @@
             case 'f' << Byte.SIZE | 'a':
                 begin(MessageLayout.FORWARD_KEEP_ALIVE);
                 return new PeerMessage.ForwardKeepAlive();
+            case 'f' << Byte.SIZE | 'x':
+                begin(MessageLayout.FORWARDS_END);
+                return new PeerMessage.ForwardsEnd();
             default:
                 return null;
         }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
@@ -80,6 +80,8 @@
             field().number(cancel.stream());
         } else if (message instanceof PeerMessage.ForwardKeepAlive) {
             begin(MessageLayout.FORWARD_KEEP_ALIVE);
+        } else if (message instanceof PeerMessage.ForwardsEnd) {
+            begin(MessageLayout.FORWARDS_END);
         } else {
             return false;
         }
