Read what a connection has received before it is closed as idle

What callers saw: beside a change of the idle limit, a whole request on a kept connection got neither an answer nor a refusal; its connection closed.

When the process was held up (frozen, or starved), timers may run before the sockets are read. A connection whose request waits in the socket then counts as idle since the last response; a shorter limit makes all kept connections pass it at once.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -1,8 +1,11 @@
 package org.filbertrudder.gateway.traffic;
 
+import io.netty.channel.Channel;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -56,13 +59,28 @@
         for (Map.Entry<HttpConnection, CallerConnection> entry :
                 List.copyOf(mConnections.entrySet())) {
             CallerConnection state = entry.getValue();
-            if (state.mOpen.isEmpty() && nowMs - state.mIdleSinceMs > limitMs) {
+            if (!state.isIdleLongerThan(limitMs, nowMs)) {
+                continue;
+            }
+            readReceivedBytes(entry.getKey());
+            if (state.isIdleLongerThan(limitMs, nowMs)) {
                 state.mCloseCause = cause;
                 entry.getKey().close();
             }
         }
     }
 
+    /**
+     * Reads what the system has received on the connection. After the process was held up, timers
+     * may run before the event loop has read the connections.
+     */
+    private static void readReceivedBytes(HttpConnection connection) {
+        Channel channel = ((ConnectionBase) connection).channelHandlerContext().channel();
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe reader) {
+            reader.read();
+        }
+    }
+
     /** Returns the open requests in the order of their arrival. */
     List<OpenRequest> all() {
         return List.copyOf(mOpen);
@@ -85,6 +103,10 @@
         private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
         private CloseCause mCloseCause = CloseCause.CALLER;
         private long mIdleSinceMs = Clocks.steadyMs();
+
+        boolean isIdleLongerThan(long limitMs, long nowMs) {
+            return mOpen.isEmpty() && nowMs - mIdleSinceMs > limitMs;
+        }
     }
 
     /** Holds the state of one open request. */
