Split received bytes into frames without RecordParser

Cause: the parser raises two events a frame, each with a change of mode and a copied buffer, although most frames arrive whole in one buffer.

FrameSplitter takes the frames from the received buffer and keeps only the rest. A frame longer than MAX_FRAME_BYTES is still refused by its header, and no more is held than was received. Errors keep their texts.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageCodec.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageCodec.java
@@ -49,7 +49,11 @@
      * @throws MalformedFrameException if the bytes are not a message of a known type
      */
     public static PeerMessage decode(Buffer body) {
-        byte[] bytes = body.getBytes();
+        return decode(body.getBytes());
+    }
+
+    /** Returns the message in a frame body like {@link #decode(Buffer)}. */
+    static PeerMessage decode(byte[] bytes) {
         PeerMessage frequent = MessageReader.read(bytes);
         if (frequent != null) {
             return frequent;
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -6,7 +6,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.impl.NetSocketInternal;
-import io.vertx.core.parsetools.RecordParser;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -23,9 +22,8 @@
     private final PeerHandler mHandler;
     private final PeerCounters mCounters;
     private final Consumer<String> mProtocolErrorListener;
-    private final RecordParser mFrameParser = RecordParser.newFixed(MessageCodec.HEADER_BYTES);
+    private final FrameSplitter mFrames = new FrameSplitter();
     private final Set<CloseAction> mCloseActions = new LinkedHashSet<>();
-    private boolean mHeaderExpected = true;
     private boolean mHandshakeDone;
     private Member mPeerMember;
     private boolean mOutputEnded;
@@ -40,36 +38,29 @@
         mHandler = handler;
         mCounters = counters;
         mProtocolErrorListener = protocolErrorListener;
-        mFrameParser.setOutput(this::onBytes);
-        socket.handler(mFrameParser);
+        socket.handler(this::onBytes);
         socket.exceptionHandler(failure -> socket.close());
         socket.closeHandler(ignored -> onSocketClosed());
     }
 
-    private void onBytes(Buffer buffer) {
+    private void onBytes(Buffer bytes) {
         if (mClosed) {
             return;
         }
-        if (mHeaderExpected) {
-            onFrameHeader(buffer.getInt(0));
-        } else {
-            mFrameParser.fixedSizeMode(MessageCodec.HEADER_BYTES);
-            mHeaderExpected = true;
-            onFrameBody(buffer);
-        }
-    }
-
-    private void onFrameHeader(int length) {
-        if (length <= 0 || length > MessageCodec.MAX_FRAME_BYTES) {
-            closeOnProtocolError("a frame with a length of " + length + " bytes");
-            return;
+        mFrames.add(bytes);
+        try {
+            byte[] body = mFrames.next();
+            while (body != null) {
+                onFrameBody(body);
+                body = mClosed ? null : mFrames.next();
+            }
+        } catch (MalformedFrameException e) {
+            closeOnProtocolError(e.getMessage());
         }
-        mFrameParser.fixedSizeMode(length);
-        mHeaderExpected = false;
     }
 
-    private void onFrameBody(Buffer body) {
-        mCounters.countReceived(MessageCodec.HEADER_BYTES + body.length());
+    private void onFrameBody(byte[] body) {
+        mCounters.countReceived(MessageCodec.HEADER_BYTES + body.length);
         try {
             dispatch(MessageCodec.decode(body));
         } catch (MalformedFrameException e) {
