Log a request of the own interface whose handling fails, with its id

The own interface does refuse a request at once when its handling raises an exception or error before the request has an exchange: Vert.x Web passes it to the handler of the status 500, whether the body has been read or not, and "not run" is true. Shown by InternalErrorTest.requestThatFailsBeforeItHasAnExchangeIsNotRefusedOrLogged; its checks of the refusal passed on the code before. It failed (2 of 2) as nothing was logged: "[] expected [true] but found [false]". The operator can now find the failure by the request id of the refusal.

InternalErrorTest 4 of 4 after the change.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CallerApi.java
@@ -19,6 +19,8 @@
 import java.util.function.Consumer;
 import org.filbertrudder.entry.EntrySettings;
 import org.filbertrudder.entry.control.ControlSnapshot;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.Service;
@@ -30,6 +32,7 @@
 /** Serves the HTTP API for callers. */
 final class CallerApi {
 
+    private static final ComponentLogger LOG = ComponentLogger.of("callers");
     private static final int MAX_HEADER_BYTES = 16 * 1024;
     private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
     private static final long BODY_TIMEOUT_MS = 10_000;
@@ -250,8 +253,13 @@
     /** Ends the exchange of the request, so that a request that waits does not run later. */
     static void refuseAfterException(RoutingContext context, Consumer<Exchange> fail) {
         Exchange exchange = context.get(EXCHANGE);
+        String requestId = exchange == null ? newRequestId() : exchange.request().requestId();
+        LOG.warn(
+                "Handling a request has failed.",
+                LogField.of("request", requestId),
+                LogField.of("error", context.failure()));
         if (exchange == null) {
-            refuse(context, Refusal.internalError(true));
+            refuse(context, requestId, Refusal.internalError(true));
         } else {
             fail.accept(exchange);
         }
@@ -262,9 +270,12 @@
     }
 
     private static void refuse(RoutingContext context, Refusal refusal) {
+        refuse(context, newRequestId(), refusal);
+    }
+
+    private static void refuse(RoutingContext context, String requestId, Refusal refusal) {
         if (!context.response().ended() && !context.response().headWritten()) {
-            ExchangeFinisher.send(
-                    new HttpResponseSink(context.response()), newRequestId(), refusal);
+            ExchangeFinisher.send(new HttpResponseSink(context.response()), requestId, refusal);
         }
     }
 
