Close the requests of each connection that closes, also pipelined ones

Seen by operators: a planned stop waits until the end of its grace for a request that nobody waits for any more, and by callers the rest of it: when a connection with two pipelined requests closes, the first one is not ended, so what it runs goes on, or the second one stays open for good.

Cause: OpenRequests relied on the close handlers of the library. 1. If the next request is incomplete when the connection closes, Vert.x raises a NullPointerException while it reports the close (Http1xServerRequest.handleException) and calls no handler at all. 2. If the next request is complete, Vert.x passes it on after the close of its connection; OpenRequests registered the connection a second time, and no further event ever removed the request.

OpenRequests now follows the close of the channel, which always comes, and before the library's own steps. A request that is read only after its connection has closed is never open and not admitted.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,7 +29,11 @@
     void connectionOpened(HttpConnection connection) {
         CallerConnection state = new CallerConnection();
         mConnections.put(connection, state);
-        connection.closeHandler(ignored -> connectionClosed(connection, state));
+        // The library may skip the close handlers of a connection whose next request is incomplete.
+        ((ConnectionBase) connection)
+                .channel()
+                .closeFuture()
+                .addListener(ignored -> connectionClosed(connection, state));
     }
 
     private void connectionClosed(HttpConnection connection, CallerConnection state) {
@@ -36,13 +41,16 @@
         List.copyOf(state.mOpen).forEach(OpenRequest::closed);
     }
 
-    /** Opens a request whose head has arrived. */
+    /**
+     * Opens a request whose head has arrived. A request that is read only after its connection has
+     * closed, behind another one, is never open.
+     */
     OpenRequest open(HttpServerRequest request, long arrivedMs) {
-        if (!mConnections.containsKey(request.connection())) {
-            connectionOpened(request.connection());
-        }
         CallerConnection connection = mConnections.get(request.connection());
-        OpenRequest open = new OpenRequest(connection, arrivedMs);
+        if (connection == null) {
+            return new OpenRequest(new CallerConnection(), arrivedMs, true);
+        }
+        OpenRequest open = new OpenRequest(connection, arrivedMs, false);
         mOpen.add(open);
         connection.mOpen.add(open);
         request.response().closeHandler(ignored -> open.closed());
@@ -92,6 +100,7 @@
 
         private final CallerConnection mConnection;
         private final long mArrivedMs;
+        private final boolean mCallerLeft;
         private String mId;
         private RequestStep mStep = RequestStep.READING;
         private GatewayExchange mExchange;
@@ -100,9 +109,10 @@
         private boolean mBodyRead;
         private boolean mResponseSent;
 
-        private OpenRequest(CallerConnection connection, long arrivedMs) {
+        private OpenRequest(CallerConnection connection, long arrivedMs, boolean callerLeft) {
             mConnection = connection;
             mArrivedMs = arrivedMs;
+            mCallerLeft = callerLeft;
         }
 
         void setId(Optional<String> id) {
@@ -139,9 +149,9 @@
             }
         }
 
-        /** Returns whether the request has neither been admitted nor answered. */
+        /** Returns whether the request has neither been admitted nor answered, and may be. */
         boolean awaitsAdmission() {
-            return mStep == RequestStep.READING || mStep == RequestStep.LOOKUP;
+            return !mCallerLeft && (mStep == RequestStep.READING || mStep == RequestStep.LOOKUP);
         }
 
         void bodyRead() {
