--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -31,7 +31,11 @@
     void connectionOpened(HttpConnection connection) {
         CallerConnection state = new CallerConnection();
         mConnections.put(connection, state);
-        connection.closeHandler(ignored -> connectionClosed(connection, state));
+        // The library may skip the close handlers of a connection whose next request is incomplete.
+        ((ConnectionBase) connection)
+                .channel()
+                .closeFuture()
+                .addListener(ignored -> connectionClosed(connection, state));
     }
 
     private void connectionClosed(HttpConnection connection, CallerConnection state) {
@@ -39,13 +43,16 @@
         List.copyOf(state.mOpen).forEach(OpenRequest::closed);
     }
 
-    /** Opens a request whose head has arrived. */
+    /**
+     * Opens a request whose head has arrived. A request that is read only after its connection has
+     * closed, behind another one, is never open.
+     */
     OpenRequest open(HttpServerRequest request, long arrivedMs) {
-        if (!mConnections.containsKey(request.connection())) {
-            connectionOpened(request.connection());
-        }
         CallerConnection connection = mConnections.get(request.connection());
-        OpenRequest open = new OpenRequest(connection, arrivedMs);
+        if (connection == null) {
+            return new OpenRequest(new CallerConnection(), arrivedMs, true);
+        }
+        OpenRequest open = new OpenRequest(connection, arrivedMs, false);
         mOpen.add(open);
         connection.mOpen.add(open);
         request.response().closeHandler(ignored -> open.closed());
@@ -114,6 +121,7 @@
 
         private final CallerConnection mConnection;
         private final long mArrivedMs;
+        private final boolean mCallerLeft;
         private String mId;
         private RequestStep mStep = RequestStep.READING;
         private GatewayExchange mExchange;
@@ -122,9 +130,10 @@
         private boolean mBodyRead;
         private boolean mResponseSent;
 
-        private OpenRequest(CallerConnection connection, long arrivedMs) {
+        private OpenRequest(CallerConnection connection, long arrivedMs, boolean callerLeft) {
             mConnection = connection;
             mArrivedMs = arrivedMs;
+            mCallerLeft = callerLeft;
         }
 
         void setId(Optional<String> id) {
@@ -161,9 +170,9 @@
             }
         }
 
-        /** Returns whether the request has neither been admitted nor answered. */
+        /** Returns whether the request has neither been admitted nor answered, and may be. */
         boolean awaitsAdmission() {
-            return mStep == RequestStep.READING || mStep == RequestStep.LOOKUP;
+            return !mCallerLeft && (mStep == RequestStep.READING || mStep == RequestStep.LOOKUP);
         }
 
         void bodyRead() {
