Check the lengths in an unreadable forward before it is read

The merge of the refusals of malformed forwards with the codec left one place that still bound a frame with a claimed length of 2 GB: the search for the stream of a forward that could not be read. It checks the lengths first, like the codec; the test of such frames covers both, and the merge compiles again.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageCodec.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageCodec.java
@@ -71,7 +71,7 @@
     }
 
     /** Fails if a value ends after the frame; data binding would first allocate its length. */
-    private static void requireWhole(byte[] body) throws IOException {
+    static void requireWhole(byte[] body) throws IOException {
         MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body);
         for (long values = 1; values > 0; values--) {
             switch (unpacker.getNextFormat().getValueType()) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -74,7 +74,7 @@
     }
 
     /** Refuses only the request, as the frame's length is right and others share the connection. */
-    private boolean refuseUnreadableForward(Buffer body) {
+    private boolean refuseUnreadableForward(byte[] body) {
         OptionalLong stream = UnreadableForward.streamIn(body);
         return mHandshakeDone
                 && stream.isPresent()
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/UnreadableForward.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/UnreadableForward.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.vertx.core.buffer.Buffer;
 import java.io.IOException;
 import java.util.OptionalLong;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -18,9 +17,10 @@
     private UnreadableForward() {}
 
     /** Returns the stream; empty if the frame body does not start a forwarded request. */
-    static OptionalLong streamIn(Buffer body) {
+    static OptionalLong streamIn(byte[] body) {
         try {
-            JsonNode message = MESSAGE_PACK.readTree(body.getBytes());
+            MessageCodec.requireWhole(body);
+            JsonNode message = MESSAGE_PACK.readTree(body);
             JsonNode stream = message.path(STREAM_FIELD);
             return message.path(TYPE_FIELD).asText().equals(FORWARD_START)
                             && stream.isIntegralNumber()
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -155,11 +155,13 @@
 
     @Test(dataProvider = "lengthsBeyondTheFrame")
     public void lengthsBeyondTheFrameAreMalformedAndAllocateNothing(String encoding) {
-        Buffer body = Buffer.buffer(HexFormat.of().parseHex(encoding));
+        byte[] body = HexFormat.of().parseHex(encoding);
         var threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         long allocatedBytes = threads.getCurrentThreadAllocatedBytes();
 
-        assertThrows(MalformedFrameException.class, () -> MessageCodec.decode(body));
+        assertThrows(
+                MalformedFrameException.class, () -> MessageCodec.decode(Buffer.buffer(body)));
+        assertTrue(UnreadableForward.streamIn(body).isEmpty());
 
         assertTrue(
                 threads.getCurrentThreadAllocatedBytes() - allocatedBytes
