--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -159,8 +159,7 @@
         var threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
         long allocatedBytes = threads.getCurrentThreadAllocatedBytes();
 
-        assertThrows(
-                MalformedFrameException.class, () -> MessageCodec.decode(Buffer.buffer(body)));
+        assertThrows(MalformedFrameException.class, () -> MessageCodec.decode(Buffer.buffer(body)));
         assertTrue(UnreadableForward.streamIn(body).isEmpty());
 
         assertTrue(
