Stop as planned when SIGTERM arrives during a start

Seen by callers: requests that an instance accepts between the listen of its caller port and the end of its start are cut when SIGTERM arrives in that time; the process ends at once with exit code 143 and stays registered until its lease ends.

Cause: GatewayCommand added the shutdown hook only when the start had completed; until then the JVM's own handling of the signal applied.

The hook is now added before the start. It waits for the start within the same common deadline and then stops as planned; all times count from the signal, not from the end of the start. A start that fails ends the process as before, also when the signal came before it.

Evidence: GatewayProcessTest.sigtermDuringTheStartCutsWhatWasAccepted (signal at the first log line of the start) failed on the code before, "expected [0] but found [143]"; that accepted requests are cut follows from the exit, it was not sent a request.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -16,10 +16,12 @@
 import java.util.logging.Level;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.filbertrudder.entry.log.LogSetup;
+import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.Gateway;
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.ConfigurationCheck;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.InvalidValueException;
 import org.filbertrudder.platform.ConfigurationFile;
 import org.filbertrudder.platform.PlatformProtocol;
@@ -51,6 +53,10 @@
                             started.thenAccept(gateway -> gateway.reload(newest.get()));
                         })
                 .start();
+        // A signal during the start must not end the process, which may accept requests already.
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(() -> shutDown(started, newest.get().bounds()), "shutdown"));
         setNettyMachineId(settings.get());
         try {
             Gateway gateway =
@@ -60,10 +66,10 @@
                                     new PlatformProtocol())
                             .join();
             started.complete(gateway);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(gateway), "shutdown"));
             gateway.stopped().join();
             return ExitCode.OK;
         } catch (CompletionException e) {
+            started.completeExceptionally(e);
             System.err.println("The instance cannot start: " + e.getCause());
             return ExitCode.FAILED;
         }
@@ -78,9 +84,15 @@
         System.setProperty("io.netty.machineId", HexFormat.ofDelimiter(":").formatHex(id));
     }
 
-    private static void shutDown(Gateway gateway) {
+    private static void shutDown(CompletableFuture<Gateway> started, BoundSettings bounds) {
+        if (started.isCompletedExceptionally()) {
+            return;
+        }
+        long signalMs = Clocks.steadyMs();
         StopDeadline.await(
-                gateway.shutDown().thenCompose(done -> close(gateway)), gateway.graceMs());
+                started.thenCompose(
+                        gateway -> gateway.shutDown(signalMs).thenCompose(done -> close(gateway))),
+                bounds.graceMs());
         Runtime.getRuntime().halt(ExitCode.OK);
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/Gateway.java
@@ -95,10 +95,18 @@
     }
 
     /** Stops the instance; requests that can complete within the grace period are not aborted. */
-    public synchronized CompletableFuture<Void> shutDown() {
+    public CompletableFuture<Void> shutDown() {
+        return shutDown(Clocks.steadyMs());
+    }
+
+    /**
+     * Stops the instance as {@link #shutDown()}.
+     *
+     * @param signalMs when the stop was requested, on the steady clock
+     */
+    public synchronized CompletableFuture<Void> shutDown(long signalMs) {
         if (!mStopping) {
             mStopping = true;
-            long signalMs = Clocks.steadyMs();
             LOG.info("Stopping.", LogField.of("instance", mSettings.id()));
             mControl.announceLeaving();
             mTraffic.drain(signalMs)
@@ -112,11 +120,6 @@
         return mStopped;
     }
 
-    /** Returns the time from the signal of a shutdown until the process is killed, in ms. */
-    public long graceMs() {
-        return mControl.bounds().graceMs();
-    }
-
     /** Completes when the instance has shut down. */
     public CompletableFuture<Void> stopped() {
         return mStopped;
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
@@ -25,6 +25,7 @@
 public class GatewayProcessTest {
 
     private static final long EXIT_TIMEOUT_MS = 20_000;
+    private static final int EXIT_CODE_FAILED = 1;
     private static final int EXIT_CODE_INVALID_USAGE = 2;
 
     private Vertx mVertx;
@@ -170,4 +171,27 @@
         assertEquals(awaitExit(), 0);
         assertTrue(logContains("gateway: Stopped."));
     }
+
+    @Test
+    public void failedStartEndsAsAStop() throws Exception {
+        List<Integer> ports = findFreePorts(5);
+        try (ServerSocket taken =
+                new ServerSocket(ports.get(1), 1, InetAddress.getByName("127.0.0.1"))) {
+            start(settingsFile(ports, 8));
+
+            assertEquals(awaitExit(), EXIT_CODE_FAILED, taken.toString());
+        }
+        assertTrue(logContains("The instance cannot start: "));
+    }
+
+    @Test
+    public void sigtermDuringTheStartCutsWhatWasAccepted() throws Exception {
+        start(settingsFile(findFreePorts(5), 8));
+        PlatformFleet.await("the instance starts", () -> logContains("gateway: Starting."));
+
+        mProcess.toHandle().destroy();
+
+        assertEquals(awaitExit(), 0);
+        assertTrue(logContains("gateway: Stopped."));
+    }
 }
