End the requests of closed connections on the context of their connection

The close is now handled on the context of its connection. Failed before: OpenRequestsTest .closedRequestIsEndedOutsideTheContextOfItsConnection, 5 of 8 cases.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.impl.ContextInternal;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -31,11 +32,14 @@
     void connectionOpened(HttpConnection connection) {
         CallerConnection state = new CallerConnection();
         mConnections.put(connection, state);
+        ConnectionBase base = (ConnectionBase) connection;
+        ContextInternal context = base.getContext();
         // The library may skip the close handlers of a connection whose next request is incomplete.
-        ((ConnectionBase) connection)
-                .channel()
+        // Timers that are set outside the context could run on another event loop.
+        base.channel()
                 .closeFuture()
-                .addListener(ignored -> connectionClosed(connection, state));
+                .addListener(
+                        ignored -> context.dispatch(() -> connectionClosed(connection, state)));
     }
 
     private void connectionClosed(HttpConnection connection, CallerConnection state) {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/OpenRequestsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/OpenRequestsTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -29,7 +30,7 @@
 
     private final BlockingQueue<HttpServerRequest> mArrived = new LinkedBlockingQueue<>();
     private final BlockingQueue<OpenRequests.OpenRequest> mOpened = new LinkedBlockingQueue<>();
-    private final BlockingQueue<String> mClosed = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Optional<Context>> mClosed = new LinkedBlockingQueue<>();
     private Vertx mVertx;
     private Context mContext;
     private OpenRequests mOpenRequests;
@@ -64,7 +65,7 @@
     private void receive(HttpServerRequest request) {
         OpenRequests.OpenRequest open = mOpenRequests.open(request, Clocks.steadyMs());
         request.endHandler(ignored -> open.bodyRead());
-        open.onClosed(() -> mClosed.add("closed"));
+        open.onClosed(() -> mClosed.add(Optional.ofNullable(Vertx.currentContext())));
         if (mAnswerAtHead) {
             open.flushing(request.response().end("x"));
         }
@@ -136,6 +137,17 @@
         assertEquals(openCount(), 0);
     }
 
+    /** Timers set outside the context would run on another event loop. */
+    @Test(dataProvider = "closedRequests")
+    public void closedRequestIsEndedOutsideTheContextOfItsConnection(String bytes, boolean reset)
+            throws Exception {
+        Socket socket = connectAndSend(bytes);
+        take(mArrived);
+        close(socket, reset);
+
+        assertTrue(take(mClosed).isPresent());
+    }
+
     @Test(dataProvider = "closedRequests")
     public void requestStaysOpenWhenItsConnectionClosesAfterAnEarlyAnswer(
             String bytes, boolean reset) throws Exception {
