End a stop at once when the start has failed for any reason

Only one kind of failure of a start told the shutdown hook that nothing has to be stopped; after another one it would wait for most of the grace period and report success.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -57,8 +57,8 @@
         Runtime.getRuntime()
                 .addShutdownHook(
                         new Thread(() -> shutDown(started, newest.get().bounds()), "shutdown"));
-        setNettyMachineId(settings.get());
         try {
+            setNettyMachineId(settings.get());
             Gateway gateway =
                     Gateway.start(
                                     settings.get(),
@@ -69,9 +69,10 @@
             gateway.stopped().join();
             return ExitCode.OK;
         } catch (CompletionException e) {
-            started.completeExceptionally(e);
             System.err.println("The instance cannot start: " + e.getCause());
             return ExitCode.FAILED;
+        } finally {
+            started.completeExceptionally(new IllegalStateException("The start has failed."));
         }
     }
 
