--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Replicas that come back cold under their ids are sent their full load."""
+"""A machine in touch uses a replica that has left, as its relay was cut from the store before."""
 
 import asyncio
 import pathlib
@@ -10,105 +10,90 @@
 from fleet import TROUBLE, now, request, route, run_case, service, tenant, desired_state
 
 KEY = "hh2b9wu3fexd9dnn2ctn"
-STREAMS_PER_S = 80
-EVENTS, EVENT_GAP_S = 8, 0.1
-WARMUP_S, WARMUP_PER_S, WARMUP_FACTOR, WARMUP_EXTRA = 3.0, 2.9, 1.5, 3
-BOUND = WARMUP_PER_S * WARMUP_FACTOR + WARMUP_EXTRA
-RETURNS, RETURN_GAP_S, DOWN_S = 4, 11.3, 2.0
-END_S = (RETURNS + 1) * RETURN_GAP_S
+BOOKINGS_PER_S = 120
+DRAIN_S = 4.0
+SERVES_ON_S = 6
+CUT_S, LEAVE_BEFORE_END_S = 5.5, (1.3, 0.7)
+ROUNDS, ROUND_S = 6, 13
 
 
-async def engine(replica, headers, target, body, writer, base):
-    base = {**base, "Filbertrudder-Server-Stamp": replica.id, "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked"}
-    head = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in base.items()]
-    writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
-    for number in range(1, EVENTS + 1):
-        await asyncio.sleep(EVENT_GAP_S)
-        if writer.is_closing():
-            return False
-        event = f"id: {number}\ndata: piece {number}\n\n".encode()
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-    writer.write(b"0\r\n\r\n")
-    return True
-
-
-async def chat(fleet, begin, number, sent_at, outcomes):
-    gateway = random.choice(fleet.gateways)
+async def book(fleet, begin, number, gateway, sent_at, outcomes):
     attempt = f"{number:016x}"
-    sent_at[attempt] = now()
+    sent_at[attempt] = (now(), gateway)
     reply = await request(
-        gateway.host, 8501, "POST", "/chat/stones",
-        {"Filbertrudder-Attempt-Id": attempt, "Filbertrudder-Deadline-Ms": "10000",
-         "Authorization": f"Bearer {KEY}", "Filbertrudder-Model": "m",
-         "Filbertrudder-Token-Usage": "628,300",
-         "Filbertrudder-Prompt-Prefix":
-             f"ab{number % 40:02x}:119,cd{number % 139:02x}:79,e{number:06x}:430"},
-        f"question {number} ".encode() * 40, 11)
+        gateway.host, 8501, "POST", "/book/drum",
+        {"Filbertrudder-Attempt-Id": attempt, "Filbertrudder-Deadline-Ms": "5000",
+         "Authorization": f"Bearer {KEY}"}, b"one drum", 6)
     outcomes[reply.status or reply.why] += 1
-    fleet.record.line(f"client {attempt} to {gateway.name}, sent {sent_at[attempt] - begin:.3f}: "
-                      f"{reply.status or reply.why}, {len(reply.body)} B")
+    fleet.record.line(f"client {attempt} to {gateway.name}, sent {sent_at[attempt][0] - begin:.3f}: "
+                      f"{reply.status or reply.why}")
 
 
-async def come_back_cold(fleet, begin, returns):
-    """All replicas of the zone are down for a time and come back together, as cold_return says."""
-    for turn in range(RETURNS):
-        await asyncio.sleep(max(0, begin + (turn + 1) * RETURN_GAP_S - now()))
-        ids = [replica.id for replica in fleet.replicas]
-        for replica in fleet.replicas:
-            await replica.crash(keep_entry=True)
-        await asyncio.sleep(DOWN_S)
-        for replica, own_id in zip(fleet.replicas, ids):
-            await replica.start(warmup_ms=WARMUP_S * 1000, id=own_id)
-            returns.append((now(), replica))
+async def leave_in_turn(fleet, begin, cut, left):
+    for turn in range(ROUNDS):
+        await asyncio.sleep(max(0, begin + 2 + turn * ROUND_S - now()))
+        fleet.record.line(f"gateway {cut.name} is cut from the store")
+        ending = asyncio.create_task(fleet.store.cut(cut.store_port, CUT_S)) if TROUBLE else None
+        cut_at = now()
+        leaving = []
+        for before_end_s in LEAVE_BEFORE_END_S:
+            await asyncio.sleep(max(0, cut_at + CUT_S - before_end_s - now()))
+            replica = fleet.replicas[len(left) % len(fleet.replicas)]
+            replica.leave()
+            left[replica.id] = now()
+            leaving.append(replica)
+        if ending:
+            await ending
+            fleet.record.line(f"gateway {cut.name} reaches the store again")
+        await asyncio.sleep(SERVES_ON_S)
+        for replica in leaving:
+            await replica.server.close(reset=False)
+            await replica.start()
 
 
 async def case(fleet):
-    pool = {**service("pool", 64), "warmupS": WARMUP_S, "warmupPerS": WARMUP_PER_S}
     fleet.store.put("op/config", desired_state(
-        7, [route("/chat/", "stream", "pool", timeoutMs=10000, goalMs=1500, gapTargetMs=400,
-                  resumable=False, attempts=1, affinity=True)],
-        [pool], [tenant("club", KEY)]))
-    for _ in range(2):
+        7, [route("/book/", "unsafe", "desk")], [service("desk")], [tenant("club", KEY)]))
+    for _ in range(3):
         await fleet.add_gateway("mtl")
     runs, sent_at, outcomes = [], {}, Counter()
 
     def on_run(replica, headers, target, body):
         attempt = headers["filbertrudder-attempt-id"]
-        runs.append((now(), replica, attempt))
+        runs.append((now(), attempt, replica.id))
         fleet.record.line(f"replica {replica.id} runs {attempt}")
 
-    for _ in range(4):
-        replica = await fleet.add_replica("pool", "mtl", 64, 0)
-        replica.work, replica.on_run = engine, on_run
+    for _ in range(12):
+        replica = await fleet.add_replica("desk", "mtl", 6, 0.043)
+        replica.on_run = on_run
     await fleet.start_gateways()
     await asyncio.sleep(4)
+    # The relay is the gateway that reads the list all the time.
+    reads = Counter({gateway: fleet.store.reads[gateway.store_port] for gateway in fleet.gateways})
+    await asyncio.sleep(6)
+    for gateway in fleet.gateways:
+        reads[gateway] = fleet.store.reads[gateway.store_port] - reads[gateway]
+    cut = reads.most_common(1)[0][0]
+    others = [gateway for gateway in fleet.gateways if gateway is not cut]
     begin = now()
-    fleet.record.say(f"traffic starts; cold returns: {TROUBLE}")
-    returns = []
-    trouble = asyncio.create_task(come_back_cold(fleet, begin, returns)) if TROUBLE else None
-    tasks, number, next_chat = [], 0, begin
-    while now() < begin + END_S:
-        if now() >= next_chat:
-            next_chat += 1 / STREAMS_PER_S
+    fleet.record.say(f"traffic starts, to all but {cut.name}, which is cut off: {TROUBLE}")
+    left = {}
+    trouble = asyncio.create_task(leave_in_turn(fleet, begin, cut, left))
+    tasks, number, next_booking = [], 0, begin
+    while not trouble.done():
+        if now() >= next_booking:
+            next_booking += 1 / BOOKINGS_PER_S
             number += 1
-            tasks.append(asyncio.create_task(chat(fleet, begin, number, sent_at, outcomes)))
+            tasks.append(asyncio.create_task(
+                book(fleet, begin, number, random.choice(others), sent_at, outcomes)))
         await asyncio.sleep(0.002)
-    await asyncio.gather(*tasks)
-    if trouble:
-        await trouble
-    worst = 0
-    for back, replica in returns:
-        cold = [(at, sent_at[attempt]) for at, r, attempt in runs
-                if r is replica and back <= at < back + WARMUP_S]
-        # Only requests that were sent and arrived inside the second count.
-        most = max((sum(1 for at, sent in cold if sent >= start and at < start + 1)
-                    for _, start in cold), default=0)
-        fleet.record.say(f"{replica.id} is back at {back - begin:.2f}: {len(cold)} requests in "
-                         f"{WARMUP_S} s, {most} in one second; bound {BOUND:.2f}")
-        worst = max(worst, most)
-    fleet.record.say(f"answers: {dict(outcomes)}")
-    return worst > BOUND
+    await asyncio.gather(trouble, *tasks)
+    late = [(at - left[own_id], attempt) for at, attempt, own_id in runs
+            if own_id in left and at > left[own_id] + DRAIN_S]
+    fleet.record.say(f"answers: {dict(outcomes)}; replicas left: {len(left)}")
+    fleet.record.say(f"{len(late)} bookings have reached a replica later than {DRAIN_S} s after the "
+                     f"ack of its leaving, up to {max(late, default=(0, ''))[0]:.2f} s after")
+    return bool(late)
 
 
 run_case(pathlib.Path(__file__).resolve().parent, ["mtl"], case)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -141,7 +141,8 @@
         self.next_lease = 100
         self.refused_ports = set()
         self.delays_s = {}
-        self.servers = []
+        self.servers = {}
+        self.reads = {}
 
     async def listen(self):
         holder = {}
@@ -151,9 +152,17 @@
 
         server = HttpServer(handle)
         holder["port"] = await server.listen("127.0.0.1")
-        self.servers.append(server)
+        self.servers[holder["port"]] = server
+        self.reads[holder["port"]] = 0
         return holder["port"]
 
+    async def cut(self, port, for_s):
+        """Refuses the channels of the gateway with this port for a time, as a cut does."""
+        server = self.servers[port]
+        await server.close(reset=True)
+        await asyncio.sleep(for_s)
+        await server.listen("127.0.0.1", port)
+
     def put(self, key, value, lease=0):
         self.revision += 1
         before = self.items.get(key)
@@ -182,6 +191,8 @@
             writer.write(response_bytes(503, {}, b""))
             return True
         self._expire()
+        if target.startswith("/kv-range?pathPrefix=servers"):
+            self.reads[port] = self.reads.get(port, 0) + 1
         status, answer = self._apply(method, target, json.loads(body) if body else {})
         data = json.dumps(answer).encode()
         writer.write(response_bytes(status, {"Content-Type": "application/json"}, data))
@@ -270,6 +281,12 @@
                 "born": self.born})
             await asyncio.sleep(HEARTBEAT_S)
 
+    def leave(self):
+        """Leaves without a word: its entry is removed, and it serves on."""
+        self.record.line(f"replica {self.id} leaves: its entry is removed")
+        self.heart.cancel()
+        self.store.delete(f"servers/{self.id}")
+
     async def crash(self, keep_entry=False):
         """Ends like a killed process: channels are reset, the entry goes after three beats.
 
