A machine that reaches the store keeps departed endpoints on the word of its cut relay

Cause: a relay whose reads fail says so in its replies, and the receivers kept endpoints that its list lacked for 2.5 s more, though they had lists of 1.8 s before. Second: an instance took its own first failed read for an outage, waited 1.8 s to repeat it, and dropped endpoints only with the next list.

No registration expires in a gap of 1.8 s. Ruled out: heartbeats of other endpoints as evidence.

Change: ReregistrationWindow decides from complete lists and the instance's own reads. Lists that peers have read count as proof that the store was available; what they say of an outage does not. One failed read never keeps an endpoint beyond the bound. The first read of an instance whose relay is silent is repeated after 500 ms, and it asks peers at once. Endpoints are dropped at the tick, not at a list. The same schedule now serves the operators' state (evacuations, keys).

Tests: StateFollowerTest.endpointThatHasLeftIsKeptAsItsRelayWasCutFromTheStore failed before (expected [1] but found [2]); ...RegistersAgainAfterAnOutage... passes before and after. EndpointRegistryTest: an outage is now several failed reads, as one alone is no longer taken for one; the case for a peer's outage became one for a past outage, the peer's word being gone.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
@@ -3,12 +3,16 @@
 import io.vertx.core.Context;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.freshness.EndpointListCopy;
+import org.filbertrudder.policy.freshness.RefreshSchedule;
+import org.filbertrudder.policy.freshness.ReregistrationWindow;
 
 /**
  * Keeps the registered endpoints up to date: relays read them from the store, the other instances
@@ -18,86 +22,96 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("state");
 
-    /**
-     * The interval at which the endpoints are read, in milliseconds; short enough to stop using a
-     * leaving endpoint within 4 s.
-     */
-    private static final long READ_INTERVAL_MS = 1_200;
-
-    /** The number of reads that may be pending at the same time. */
-    private static final int MAX_PENDING_READS = 3;
-
-    /** The age above which a list is not sent to or accepted from peers, in milliseconds. */
-    private static final long MAX_SHARED_AGE_MS = 2 * READ_INTERVAL_MS;
-
     private final Context mContext;
     private final StateSource mSource;
+    private final ReregistrationWindow mWindow;
+    private final EndpointListCopy mCopy;
     private final EndpointRegistry mRegistry;
     private final Runnable mOnChange;
     private EndpointListing mListing = new EndpointListing(StoreEra.UNREPORTED, Map.of());
-    private long mReadMs = Long.MIN_VALUE / 2;
-    private long mNextReadMs;
-    private int mPendingReads;
+    private Set<EndpointId> mLoggedMissing = Set.of();
 
     /** Creates a follower that runs the action on the context when the endpoints have changed. */
     EndpointFollower(
-            Context context, StateSource source, EndpointRegistry registry, Runnable onChange) {
+            Context context,
+            StateSource source,
+            RefreshSchedule schedule,
+            ReregistrationWindow window,
+            EndpointRegistry registry,
+            Runnable onChange) {
         mContext = context;
         mSource = source;
+        mWindow = window;
+        mCopy = new EndpointListCopy(schedule, window);
         mRegistry = registry;
         mOnChange = onChange;
     }
 
     /** Returns the age of the endpoint list, in milliseconds. */
     long ageMs(long nowMs) {
-        return nowMs - mReadMs;
+        return mCopy.ageMs(nowMs);
     }
 
-    /**
-     * Reads the endpoints if that is due.
-     *
-     * @param intervalMs the interval to the next read; a relay uses its own
-     * @param retryDelayMs the interval to the next read after a failed one
-     */
-    void readIfDue(boolean asRelay, long intervalMs, long retryDelayMs, long nowMs) {
-        if (nowMs >= mNextReadMs && mPendingReads < MAX_PENDING_READS) {
-            mNextReadMs = nowMs + (asRelay ? READ_INTERVAL_MS : intervalMs);
-            read(nowMs, retryDelayMs);
+    /** Drops endpoints whose time to register again is over, and reads the list if that is due. */
+    void tick(boolean asRelay, long nowMs) {
+        if (mRegistry.expireMissing(nowMs)) {
+            logMissing();
+            mOnChange.run();
         }
+        mCopy.beginReadIfDue(asRelay, nowMs).ifPresent(this::read);
     }
 
-    private void read(long requestedMs, long retryDelayMs) {
-        mPendingReads++;
+    private void read(EndpointListCopy.Read read) {
         mSource.readEndpoints()
                 .subscribe()
                 .with(
-                        listing -> runOnContext(() -> handleListing(listing, requestedMs)),
-                        failure -> runOnContext(() -> handleFailure(retryDelayMs)));
+                        listing -> runOnContext(() -> handleListing(listing, read)),
+                        failure -> runOnContext(() -> handleFailure(failure, read)));
     }
 
     private void runOnContext(Runnable action) {
         mContext.runOnContext(ignored -> action.run());
     }
 
-    private void handleListing(EndpointListing listing, long requestedMs) {
-        mPendingReads--;
-        if (requestedMs > mReadMs) {
-            apply(listing, requestedMs);
+    private void handleListing(EndpointListing listing, EndpointListCopy.Read read) {
+        if (mCopy.noteAnswer(read)) {
+            apply(listing, read.requestedMs(), "store");
         }
     }
 
-    private void handleFailure(long retryDelayMs) {
-        mPendingReads--;
-        mRegistry.noteOutage();
-        mNextReadMs = Math.min(mNextReadMs, Clocks.steadyMs() + retryDelayMs);
+    private void handleFailure(Throwable failure, EndpointListCopy.Read read) {
+        long nowMs = Clocks.steadyMs();
+        LOG.debug(
+                "The endpoints could not be read.",
+                LogField.of("error", failure.getMessage()),
+                LogField.of("tookMs", nowMs - read.requestedMs()));
+        mCopy.noteFailure(read, nowMs);
     }
 
-    private void apply(EndpointListing listing, long readMs) {
+    /** Returns whether the store has not answered this instance since the list was complete. */
+    boolean hasFailedReads() {
+        return mWindow.hasFailedReads();
+    }
+
+    /** Records that the list is complete as of a time. */
+    private void noteComplete(long asOfMs, String source) {
+        long nowMs = Clocks.steadyMs();
+        long gapMs = ageMs(nowMs) - (nowMs - asOfMs);
+        if (mCopy.noteComplete(asOfMs, nowMs)) {
+            LOG.info(
+                    "Endpoints without a registration are kept after an outage of the store.",
+                    LogField.of("from", source),
+                    LogField.of("gapMs", gapMs),
+                    LogField.of("forMs", mWindow.remainingMs(nowMs)));
+        }
+    }
+
+    private void apply(EndpointListing listing, long readMs, String source) {
         if (mListing.era().isAfter(listing.era())) {
             return;
         }
         mListing = listing;
-        mReadMs = readMs;
+        noteComplete(readMs, source);
         Map<EndpointId, EndpointRegistration> registrations = new HashMap<>();
         listing.registrations()
                 .forEach(
@@ -113,14 +127,28 @@
                     "The endpoints have changed.",
                     LogField.of("era", listing.era()),
                     LogField.of("registered", listing.registrations().size()),
-                    LogField.of("understood", registrations.size()));
+                    LogField.of("understood", registrations.size()),
+                    LogField.of("from", source),
+                    LogField.of("ageMs", ageMs(Clocks.steadyMs())));
             mOnChange.run();
         }
+        logMissing();
+    }
+
+    /** Logs which endpoints are kept without a registration, when they change. */
+    private void logMissing() {
+        Set<EndpointId> missing = mRegistry.missing();
+        if (!missing.equals(mLoggedMissing)) {
+            mLoggedMissing = missing;
+            LOG.info(
+                    "The endpoints kept without a registration have changed.",
+                    LogField.of("kept", missing));
+        }
     }
 
     /** Returns the registrations for a peer that has a list with the given digest. */
     Map<String, String> registrationsFor(long digest, long nowMs) {
-        boolean isShared = ageMs(nowMs) < MAX_SHARED_AGE_MS && digest != mRegistry.digest();
+        boolean isShared = mCopy.isShared(nowMs) && digest != mRegistry.digest();
         return isShared ? mListing.registrations() : Map.of();
     }
 
@@ -132,26 +160,16 @@
     /** Applies the list in the reply of a peer, unless the local list is at least as new. */
     void apply(PeerMessage.OperatorStateReply reply, long requestedMs) {
         long readMs = requestedMs - reply.endpointsAgeMs();
-        boolean isUsable =
-                reply.endpointsAgeMs() >= 0
-                        && reply.endpointsAgeMs() < MAX_SHARED_AGE_MS
-                        && readMs > mReadMs;
-        if (!isUsable) {
+        if (!mCopy.isNewer(reply.endpointsAgeMs(), requestedMs)) {
             return;
         }
         // An instance of an earlier release states no era.
         StoreEra era =
                 reply.endpointsEra() > 0 ? new StoreEra(reply.endpointsEra()) : mListing.era();
-        if (reply.afterOutage()) {
-            mRegistry.notePeerOutage(Clocks.steadyMs());
-        }
         if (!reply.endpoints().isEmpty()) {
-            apply(new EndpointListing(era, reply.endpoints()), readMs);
+            apply(new EndpointListing(era, reply.endpoints()), readMs, "peer");
         } else if (reply.endpointsDigest() == mRegistry.digest() && era.equals(mListing.era())) {
-            mReadMs = readMs;
-            if (mRegistry.confirm(Clocks.steadyMs())) {
-                mOnChange.run();
-            }
+            noteComplete(readMs, "peer");
         }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointRegistry.java
@@ -14,6 +14,7 @@
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.policy.RendezvousHashing;
+import org.filbertrudder.policy.freshness.ReregistrationWindow;
 
 /**
  * Tracks the registered endpoints: which are leaving, no longer registered, evacuated or still
@@ -21,12 +22,6 @@
  */
 final class EndpointRegistry {
 
-    /**
-     * How long a missing endpoint is kept after a store outage, in milliseconds; the platform
-     * promises that endpoints register again within about two seconds.
-     */
-    private static final long REREGISTRATION_MS = 2_500;
-
     /**
      * How long an endpoint that is no longer registered is remembered, in milliseconds, as a store
      * that returns from a copy may bring its registration back.
@@ -37,59 +32,42 @@
     private final Map<EndpointId, TrackedEndpoint> mTracked = new HashMap<>();
     private final Map<EndpointId, DepartedEndpoint> mDeparted = new HashMap<>();
     private StoreEra mEra = StoreEra.UNREPORTED;
-    private Set<EndpointId> mLastReadIds = Set.of();
+    private Set<EndpointId> mMissing = Set.of();
     private long mDigest;
     private Set<FailureDomainId> mEvacuated = Set.of();
     private boolean mHasRead;
-    private boolean mStoreUnavailable;
-    private long mKeepMissingUntilMs = Long.MIN_VALUE / 2;
-
-    /** Creates a registry; the function returns the warm-up time of a service in milliseconds. */
-    EndpointRegistry(ToLongFunction<ServiceId> warmupMs) {
-        mWarmupMs = warmupMs;
-    }
-
-    /** Records that reading the endpoints from the store failed. */
-    void noteOutage() {
-        mStoreUnavailable = true;
-    }
+    private final ReregistrationWindow mWindow;
 
     /**
-     * Records that the peer whose endpoint list is being applied still keeps missing endpoints
-     * after a store outage.
+     * Creates a registry.
+     *
+     * @param warmupMs returns the warm-up time of a service in milliseconds
+     * @param window decides for how long endpoints without a registration are kept
      */
-    void notePeerOutage(long nowMs) {
-        if (nowMs > mKeepMissingUntilMs + REREGISTRATION_MS) {
-            mKeepMissingUntilMs = nowMs + REREGISTRATION_MS;
-        }
-    }
-
-    /** Returns whether endpoints that are missing after a store outage are still kept. */
-    boolean isAwaitingReregistration(long nowMs) {
-        return mStoreUnavailable || nowMs < mKeepMissingUntilMs;
+    EndpointRegistry(ToLongFunction<ServiceId> warmupMs, ReregistrationWindow window) {
+        mWarmupMs = warmupMs;
+        mWindow = window;
     }
 
     /**
-     * Records that the last endpoint list is still current, and drops missing endpoints whose time
-     * to register again is over; returns whether any was dropped.
+     * Drops the endpoints without a registration once the time to register again is over; returns
+     * whether there were any.
      */
-    boolean confirm(long nowMs) {
-        if (mStoreUnavailable) {
-            mStoreUnavailable = false;
-            mKeepMissingUntilMs = nowMs + REREGISTRATION_MS;
+    boolean expireMissing(long nowMs) {
+        if (mMissing.isEmpty() || mWindow.isOpen(nowMs)) {
+            return false;
+        }
+        for (EndpointId id : mMissing) {
+            EndpointRegistration registration = mTracked.remove(id).registration();
+            mDeparted.put(id, new DepartedEndpoint(registration, mEra, nowMs));
         }
-        return nowMs >= mKeepMissingUntilMs && dropMissing(nowMs);
+        mMissing = Set.of();
+        return true;
     }
 
-    private boolean dropMissing(long nowMs) {
-        mDeparted.values().removeIf(departed -> nowMs - departed.atMs() > DEPARTED_MEMORY_MS);
-        for (TrackedEndpoint tracked : mTracked.values()) {
-            EndpointId id = tracked.registration().endpoint().id();
-            if (!mLastReadIds.contains(id)) {
-                mDeparted.put(id, new DepartedEndpoint(tracked.registration(), mEra, nowMs));
-            }
-        }
-        return mTracked.keySet().retainAll(mLastReadIds);
+    /** Returns the tracked endpoints that the last endpoint list lacks. */
+    Set<EndpointId> missing() {
+        return mMissing;
     }
 
     /** Returns a digest of the last endpoint list. */
@@ -128,17 +106,20 @@
      */
     boolean update(Map<EndpointId, EndpointRegistration> found, StoreEra era, long nowMs) {
         if (era.isAfter(mEra) && mHasRead) {
-            noteOutage();
+            mWindow.open(nowMs);
         }
         mEra = era;
-        mLastReadIds = Set.copyOf(found.keySet());
         mDigest = digest(found);
         boolean changed = false;
         for (EndpointRegistration registration : found.values()) {
             changed |= update(registration, nowMs);
         }
         mHasRead = true;
-        return changed | confirm(nowMs);
+        mDeparted.values().removeIf(departed -> nowMs - departed.atMs() > DEPARTED_MEMORY_MS);
+        Set<EndpointId> missing = new HashSet<>(mTracked.keySet());
+        missing.removeAll(found.keySet());
+        mMissing = Set.copyOf(missing);
+        return changed | expireMissing(nowMs);
     }
 
     private boolean update(EndpointRegistration registration, long nowMs) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -33,6 +33,7 @@
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
 import org.filbertrudder.policy.freshness.ClockReading;
+import org.filbertrudder.policy.freshness.RefreshSchedule;
 import org.filbertrudder.policy.freshness.StateFreshness;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.MembershipSettings;
@@ -49,7 +50,7 @@
 public final class GatewayControl {
 
     private static final ComponentLogger LOG = ComponentLogger.of("control");
-    private static final long TICK_MS = 100;
+    private static final long TICK_MS = RefreshSchedule.TICK_MS;
 
     /**
      * Subtracted from the time in which a withdrawn key must stop working, for network delays, in
@@ -137,7 +138,9 @@
         mSource = source;
         mBounds = settings.bounds();
         mStateFreshness = new StateFreshness(keyTrustMs(mBounds), MAX_CLOCK_GAP_MS);
-        mFollower = new StateFollower(context, source, mStateFreshness, new FollowerListener());
+        mFollower =
+                new StateFollower(
+                        context, source, mBounds, mStateFreshness, new FollowerListener());
         mCrashReports =
                 CrashReportRegistry.withMaxCrashes(
                         MAX_CRASHES_PER_REQUEST, context, Clocks::steadyMs, this::flood);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.model.FailureDomainId;
@@ -19,6 +20,9 @@
 import org.filbertrudder.policy.freshness.OperatorStateTracker;
 import org.filbertrudder.policy.freshness.OperatorStateTracker.Verdict;
 import org.filbertrudder.policy.freshness.PeerConsultation;
+import org.filbertrudder.policy.freshness.ReadTimer;
+import org.filbertrudder.policy.freshness.RefreshSchedule;
+import org.filbertrudder.policy.freshness.ReregistrationWindow;
 import org.filbertrudder.policy.freshness.StateFreshness;
 import org.filbertrudder.policy.freshness.StorePosition;
 
@@ -61,15 +65,10 @@
     private static final long ASK_PEERS_AFTER_MS = 2_500;
 
     /**
-     * The age of the relay's data above which this instance reads from the store itself, in
-     * milliseconds: the relay's interval, this instance's interval, and a round trip to the store.
+     * The time from the end of the doubt about an outage to the last request to an endpoint that
+     * was kept for it, in milliseconds.
      */
-    private static final long RELAY_TIMEOUT_MS = 2_400;
-
-    /**
-     * The interval at which an instance that is not a relay reads from the store, in milliseconds.
-     */
-    private static final long FALLBACK_INTERVAL_MS = 1_800;
+    private static final long DOUBT_MARGIN_MS = 500;
 
     private static final int ASKED_PEERS = 2;
     private static final long NOT_CONFIRMED = -1;
@@ -78,6 +77,9 @@
     private final StateSource mSource;
     private final StateFreshness mStateFreshness;
     private final Listener mListener;
+    private final RefreshSchedule mSchedule;
+    private final ReadTimer mStateTimer;
+    private final ReregistrationWindow mWindow;
     private final EndpointRegistry mRegistry;
     private final EndpointFollower mEndpoints;
     private final StateDecisionLog mDecisions = new StateDecisionLog();
@@ -92,7 +94,6 @@
 
     private String mDocument = "";
     private GatewayConfiguration mConfiguration;
-    private long mNextStateReadMs;
     private long mLastStateReadMs;
     private long mNextPeerRequestMs;
     private long mNextRelayRequestMs;
@@ -103,14 +104,27 @@
     private ClockReading mPendingConfirmation;
 
     StateFollower(
-            Context context, StateSource source, StateFreshness stateFreshness, Listener listener) {
+            Context context,
+            StateSource source,
+            BoundSettings bounds,
+            StateFreshness stateFreshness,
+            Listener listener) {
         mContext = context;
         mSource = source;
         mDecoder = new CachedConfigurationDecoder(source);
         mStateFreshness = stateFreshness;
         mListener = listener;
-        mRegistry = new EndpointRegistry(this::warmupMs);
-        mEndpoints = new EndpointFollower(context, source, mRegistry, listener::endpointsChanged);
+        mSchedule = RefreshSchedule.forBound(bounds.endpointLeaveMs());
+        mStateTimer = new ReadTimer(STATE_INTERVAL_MS, mSchedule.retryMs());
+        mWindow =
+                new ReregistrationWindow(
+                        mSchedule,
+                        bounds.endpointHeartbeatMs(),
+                        bounds.endpointLeaveMs() - DOUBT_MARGIN_MS);
+        mRegistry = new EndpointRegistry(this::warmupMs, mWindow);
+        mEndpoints =
+                new EndpointFollower(
+                        context, source, mSchedule, mWindow, mRegistry, listener::endpointsChanged);
     }
 
     private long warmupMs(ServiceId service) {
@@ -127,24 +141,23 @@
             handleNewEra(nowMs);
         }
         boolean asRelay = mListener.isRelay() || !isReady();
-        boolean stateOutdated = mStateFreshness.ageMs(now) > RELAY_TIMEOUT_MS;
+        boolean stateOutdated = mStateFreshness.ageMs(now) > mSchedule.relayTimeoutMs();
         if (nowMs >= mNextRelayRequestMs && !asRelay) {
-            mNextRelayRequestMs = nowMs + STATE_INTERVAL_MS;
+            mNextRelayRequestMs = nowMs + mSchedule.followerIntervalMs();
             mListener.sendToRelay(newStateRequest(now));
         }
-        boolean stateDue = nowMs >= mNextStateReadMs && mPendingStateCalls < MAX_PENDING_CALLS;
+        boolean stateDue = mStateTimer.isDue(nowMs) && mPendingStateCalls < MAX_PENDING_CALLS;
         if (stateDue && (asRelay || stateOutdated || mConfirmationRequested)) {
             mConfirmationRequested = false;
-            mNextStateReadMs = nowMs + (asRelay ? STATE_INTERVAL_MS : FALLBACK_INTERVAL_MS);
+            mStateTimer.noteRead(asRelay, stateOutdated, nowMs);
             readState(now);
         }
-        if (asRelay || mEndpoints.ageMs(nowMs) > RELAY_TIMEOUT_MS) {
-            mEndpoints.readIfDue(asRelay, FALLBACK_INTERVAL_MS, retryDelayMs(), nowMs);
-        }
+        mEndpoints.tick(asRelay, nowMs);
         if (!mConsultation.hasEnded()) {
             consultPeers(now);
         } else if (nowMs >= mNextPeerRequestMs
                 && (mStateFreshness.ageMs(now) > ASK_PEERS_AFTER_MS
+                        || mEndpoints.hasFailedReads()
                         || mTracker.isSettling(nowMs))) {
             mNextPeerRequestMs = nowMs + RETRY_DELAY_MS;
             mListener.sendToPeers(newStateRequest(now), ASKED_PEERS);
@@ -184,7 +197,7 @@
                 LogField.of("knownEra", mTracker.position().era()),
                 LogField.of("knownRevision", mTracker.position().revision()),
                 LogField.of("knownVersion", mTracker.position().version()));
-        mNextStateReadMs = Math.min(mNextStateReadMs, mLastStateReadMs + MIN_STATE_INTERVAL_MS);
+        mStateTimer.readBy(mLastStateReadMs + MIN_STATE_INTERVAL_MS);
         mNextPeerRequestMs = nowMs;
     }
 
@@ -216,18 +229,13 @@
 
     private void handleStateFailure(Throwable failure) {
         mPendingStateCalls--;
-        mNextStateReadMs = Math.min(mNextStateReadMs, Clocks.steadyMs() + retryDelayMs());
+        mStateTimer.noteFailure(mListener.isRelay(), Clocks.steadyMs());
         if (!mStoreUnavailable) {
             mStoreUnavailable = true;
             LOG.warn("The store does not answer.", LogField.of("error", failure.getMessage()));
         }
     }
 
-    /** Returns the delay after a failed call; the platform charges for calls, also refused ones. */
-    private long retryDelayMs() {
-        return mListener.isRelay() ? RETRY_DELAY_MS : FALLBACK_INTERVAL_MS;
-    }
-
     /** Applies a response of the store, which was complete at the time of its request. */
     private void applyFromStore(OperatorState state, ClockReading requestedAt) {
         Optional<GatewayConfiguration> configuration = mDecoder.decode(state.configuration());
@@ -247,7 +255,7 @@
         if (confirms) {
             confirm(requestedAt);
         } else if (verdict != Verdict.OLDER) {
-            mNextStateReadMs = Math.min(mNextStateReadMs, mTracker.confirmsFromMs());
+            mStateTimer.readBy(mTracker.confirmsFromMs());
         }
         mConsultation.noteStoreRead(nowMs);
         endConsultationIfOver(nowMs);
@@ -260,6 +268,7 @@
     private void confirm(ClockReading asOf) {
         if (mConsultation.hasEnded()) {
             mStateFreshness.confirm(asOf, Clocks.now());
+            mStateTimer.noteCurrent();
             releaseWaiters();
         } else {
             mPendingConfirmation = asOf;
@@ -343,7 +352,7 @@
                 mEndpoints.registrationsFor(request.endpointsDigest(), now.steadyMs()),
                 mRegistry.digest(),
                 mEndpoints.ageMs(now.steadyMs()),
-                mRegistry.isAwaitingReregistration(now.steadyMs()),
+                mWindow.isOpen(now.steadyMs()),
                 known.version(),
                 known.era().number(),
                 mTracker.era().number(),
@@ -432,7 +441,7 @@
     void onNextConfirmation(Runnable action) {
         mConfirmationWaiters.add(action);
         mConfirmationRequested = true;
-        mNextStateReadMs = Math.min(mNextStateReadMs, mLastStateReadMs + MIN_STATE_INTERVAL_MS);
+        mStateTimer.readBy(mLastStateReadMs + MIN_STATE_INTERVAL_MS);
     }
 
     private void releaseWaiters() {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/EndpointRegistryTest.java
@@ -15,6 +15,8 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.StoreEra;
+import org.filbertrudder.policy.freshness.RefreshSchedule;
+import org.filbertrudder.policy.freshness.ReregistrationWindow;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -24,11 +26,13 @@
 
     private static final long WARMUP_MS = 3_000;
 
+    private ReregistrationWindow mWindow;
     private EndpointRegistry mRegistry;
 
     @BeforeMethod
     public void createRegistry() {
-        mRegistry = new EndpointRegistry(service -> WARMUP_MS);
+        mWindow = new ReregistrationWindow(RefreshSchedule.forBound(4_000), 1_200, 3_500);
+        mRegistry = new EndpointRegistry(service -> WARMUP_MS, mWindow);
     }
 
     private static EndpointRegistration registration(
@@ -60,10 +64,18 @@
     }
 
     private boolean update(Map<EndpointId, EndpointRegistration> found, long nowMs) {
+        mWindow.noteList(nowMs, 0, nowMs);
         return mRegistry.update(found, new StoreEra(1), nowMs);
     }
 
+    private void failReads(long fromMs, long toMs) {
+        for (long atMs = fromMs; atMs < toMs; atMs += 500) {
+            mWindow.noteFailedRead(atMs);
+        }
+    }
+
     private boolean updateAfterRestore(Map<EndpointId, EndpointRegistration> found, long nowMs) {
+        mWindow.noteList(nowMs, 0, nowMs);
         return mRegistry.update(found, new StoreEra(2), nowMs);
     }
 
@@ -93,7 +105,7 @@
     public void keepsMissingEndpointDuringReregistrationTimeAfterStoreOutage(
             long elapsedMs, boolean kept) {
         update(registrations(registration("e", false, 0, 1)), 0);
-        mRegistry.noteOutage();
+        failReads(1_200, 10_000);
         update(registrations(), 10_000);
         update(registrations(), 10_000 + elapsedMs);
 
@@ -101,25 +113,25 @@
     }
 
     @Test
-    public void confirmRemovesMissingEndpointsAfterTimeToReregister() {
+    public void removesMissingEndpointsAfterTimeToReregister() {
         update(registrations(registration("e", false, 0, 1)), 0);
-        mRegistry.noteOutage();
+        failReads(1_200, 10_000);
         update(registrations(), 10_000);
 
-        assertFalse(mRegistry.confirm(12_000));
-        assertTrue(mRegistry.confirm(12_600));
+        assertFalse(mRegistry.expireMissing(12_000));
+        mWindow.noteList(12_600, 0, 12_600);
+        assertTrue(mRegistry.expireMissing(12_600));
         assertTrue(mRegistry.availabilities().isEmpty());
     }
 
     @Test
     public void pastOutageDoesNotDelayLaterRemoval() {
         update(registrations(registration("e", false, 0, 1)), 0);
-        mRegistry.noteOutage();
-        mRegistry.confirm(10_000);
-        mRegistry.notePeerOutage(10_500);
-        mRegistry.notePeerOutage(12_000);
+        failReads(1_200, 10_000);
+        update(registrations(registration("e", false, 0, 1)), 10_000);
+        mWindow.noteList(13_000, 0, 13_000);
 
-        update(registrations(), 20_000);
+        update(registrations(), 14_200);
 
         assertTrue(mRegistry.availabilities().isEmpty());
     }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -10,10 +10,16 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.config.CallerLimits;
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.model.Endpoint;
+import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InvalidValueException;
+import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.StoreEra;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
@@ -28,6 +34,8 @@
 /** Tests which responses of the store and of the relay an instance applies. */
 public class StateFollowerTest {
 
+    private static final Map<String, String> REGISTERED = Map.of("leaving", "", "staying", "");
+
     private final List<CompletableFuture<OperatorState>> mStoreResponses = new ArrayList<>();
     private final List<Long> mAppliedVersions = new ArrayList<>();
     private final List<PeerMessage.OperatorStateRequest> mRelayRequests = new ArrayList<>();
@@ -35,6 +43,7 @@
     private StateFreshness mStateFreshness;
     private int mEndpointReads;
     private final List<PeerMessage.OperatorStateRequest> mPeerRequests = new ArrayList<>();
+    private boolean mStoreFails;
     private boolean mIsRelay;
     private boolean mMayHavePeers;
     private Vertx mVertx;
@@ -48,12 +57,16 @@
         mRelayRequests.clear();
         mPeerRequests.clear();
         mMayHavePeers = false;
+        mStoreFails = false;
+        mEndpointReads = 0;
         mRegistrations = Optional.empty();
         mIsRelay = true;
         mStateFreshness = new StateFreshness(5_000, 250);
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
-        mFollower = new StateFollower(mContext, new Source(), mStateFreshness, new Listener());
+        BoundSettings bounds = new BoundSettings(5_000, 4_000, 1_200, 8_000, 0.2, 50);
+        mFollower =
+                new StateFollower(mContext, new Source(), bounds, mStateFreshness, new Listener());
         onContext(() -> mFollower.tick(new ClockReading(1_000, 1_000)));
         onContext(() -> mFollower.tick(new ClockReading(2_000, 2_000)));
     }
@@ -110,7 +123,7 @@
      * Makes the follower ready as an instance that is not a relay; returns the time of the reads.
      */
     private ClockReading becomeReadyAsNonRelay() {
-        mRegistrations = Optional.of(new EndpointListing(StoreEra.UNREPORTED, Map.of()));
+        mRegistrations = Optional.of(new EndpointListing(StoreEra.UNREPORTED, REGISTERED));
         ClockReading now = Clocks.now();
         onContext(() -> mFollower.tick(now));
         onContext(() -> {});
@@ -186,18 +199,77 @@
         assertEquals(mStateFreshness.isFresh(Clocks.now()), false, "nothing confirms it");
     }
 
+    private List<String> endpointIds() {
+        return mFollower.endpoints().stream()
+                .map(each -> each.endpoint().id().value())
+                .sorted()
+                .toList();
+    }
+
+    /** Guards against the use of a departed endpoint on the word of a relay that was cut off. */
+    @Test
+    public void endpointThatHasLeftIsKeptAsItsRelayWasCutFromTheStore() {
+        ClockReading readyAt = becomeReadyAsNonRelay();
+        onContext(() -> mFollower.tick(later(readyAt, 950)));
+        PeerMessage.OperatorStateRequest request = mRelayRequests.get(0);
+        assertEquals(endpointIds(), List.of("leaving", "staying"));
+
+        onContext(() -> mFollower.handle(replyAfterOutage(request.id(), Map.of("staying", ""))));
+
+        assertEquals(endpointIds(), List.of("staying"));
+    }
+
+    /** Guards against the loss of endpoints whose registrations expire while the store is out. */
+    @Test
+    public void endpointIsLostThatRegistersAgainAfterAnOutageOfTheStore() {
+        mRegistrations = Optional.of(new EndpointListing(StoreEra.UNREPORTED, REGISTERED));
+        ClockReading beforeOutage = later(Clocks.now(), -10_000);
+        onContext(() -> mFollower.tick(beforeOutage));
+        onContext(() -> {});
+        mStoreFails = true;
+        for (long elapsedMs = 1_200; elapsedMs < 9_000; elapsedMs += 1_200) {
+            ClockReading now = later(beforeOutage, elapsedMs);
+            onContext(() -> mFollower.tick(now));
+            onContext(() -> {});
+        }
+        mStoreFails = false;
+        mRegistrations =
+                Optional.of(new EndpointListing(StoreEra.UNREPORTED, Map.of("staying", "")));
+
+        onContext(() -> mFollower.tick(later(beforeOutage, 9_900)));
+        onContext(() -> {});
+
+        assertEquals(mEndpointReads, 10);
+        assertEquals(endpointIds(), List.of("leaving", "staying"));
+    }
+
     private static PeerMessage.OperatorStateReply reply(
             long id, long ageMs, long revision, String configuration) {
+        return reply(id, ageMs, revision, configuration, Map.of(), false);
+    }
+
+    private static PeerMessage.OperatorStateReply replyAfterOutage(
+            long id, Map<String, String> endpoints) {
+        return reply(id, 400, 3, "30", endpoints, true);
+    }
+
+    private static PeerMessage.OperatorStateReply reply(
+            long id,
+            long ageMs,
+            long revision,
+            String configuration,
+            Map<String, String> endpoints,
+            boolean afterOutage) {
         return new PeerMessage.OperatorStateReply(
                 id,
                 ageMs,
                 revision,
                 configuration,
                 Map.of(),
-                Map.of(),
+                endpoints,
                 0,
                 0,
-                false,
+                afterOutage,
                 Long.parseLong(configuration),
                 0,
                 0,
@@ -266,6 +338,9 @@
         @Override
         public Uni<EndpointListing> readEndpoints() {
             mEndpointReads++;
+            if (mStoreFails) {
+                return Uni.createFrom().failure(new IllegalStateException("refused"));
+            }
             return mRegistrations
                     .map(found -> Uni.createFrom().item(found))
                     .orElseGet(() -> Uni.createFrom().nothing());
@@ -273,7 +348,16 @@
 
         @Override
         public Optional<EndpointRegistration> decodeEndpoint(String id, String registration) {
-            return Optional.empty();
+            Endpoint endpoint =
+                    Endpoint.of(
+                            EndpointId.of(id),
+                            ServiceId.of("pool"),
+                            RegionId.of("mtl"),
+                            FailureDomainId.of("mtl-a"),
+                            "10.0.0.1",
+                            80,
+                            8);
+            return Optional.of(new EndpointRegistration(endpoint, false, 0, 1, 1));
         }
 
         @Override
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -46,6 +46,8 @@
     public static final String BOOKING_SERVICE = "desk";
 
     private static final long MAX_KEY_WITHDRAWAL_MS = 5_000;
+    private static final long ENDPOINT_LEAVE_MS = 4_000;
+    private static final long ENDPOINT_HEARTBEAT_MS = 1_200;
     private static final long SHUTDOWN_GRACE_MS = 8_000;
     private static final long AWAIT_TIMEOUT_MS = 20_000;
     private static final int PORTS_PER_INSTANCE = 6;
@@ -165,7 +167,13 @@
                         ports.get(5),
                         address(mStorePort),
                         seeds,
-                        new BoundSettings(MAX_KEY_WITHDRAWAL_MS, SHUTDOWN_GRACE_MS, 0.2, 50),
+                        new BoundSettings(
+                                MAX_KEY_WITHDRAWAL_MS,
+                                ENDPOINT_LEAVE_MS,
+                                ENDPOINT_HEARTBEAT_MS,
+                                SHUTDOWN_GRACE_MS,
+                                0.2,
+                                50),
                         Member.STANDARD_STRENGTH);
         mSettings.put(id, settings);
         mGateways.put(
