Own interface: an endpoint whose report does not end fills the memory

Operators: a faulty endpoint that sends bytes without end to the poll of its load or of its cache events makes the instance keep them all; each second adds one more such response. At the end of the heap all its requests end with it.

Cause: three pollers (load, cache events, engine setup) aggregated the whole body with no limit; their idle timeout never fires while bytes flow, and it does not cover a body that stops.

Evidence and test: EndpointReportsTest.endlessReportIsKeptInMemory, four shapes (chunks, until close, a huge length of an error, a body that stops). With the old call in its place all four were still open after 10 s.

Change: EndpointReports bounds a report to 1 MiB and to its time in all, resets the connection beyond that, takes status 200 only and logs what it gives up. After: the four cases fail within 0.9 s and close their connection.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/EngineReconciler.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/EngineReconciler.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.entry.control;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
@@ -37,6 +38,7 @@
     private static final int STATUS_OK = 200;
 
     private final HttpClient mHttpClient;
+    private final EndpointReports mEndpointReports;
     private final RegionId mRegion;
     private final LongSupplier mClockMs;
     private final WeightFetchLimiter mWeightFetchLimiter = new WeightFetchLimiter();
@@ -44,8 +46,9 @@
     private final Map<EndpointId, EngineReport> mReports = new HashMap<>();
     private long mNextReportRequestMs;
 
-    EngineReconciler(HttpClient httpClient, RegionId region, LongSupplier clockMs) {
+    EngineReconciler(Vertx vertx, HttpClient httpClient, RegionId region, LongSupplier clockMs) {
         mHttpClient = httpClient;
+        mEndpointReports = new EndpointReports(vertx, httpClient, REQUEST_IDLE_TIMEOUT_MS);
         mRegion = region;
         mClockMs = clockMs;
     }
@@ -147,11 +150,7 @@
     }
 
     private void requestReport(Endpoint endpoint) {
-        mHttpClient
-                .request(HttpMethod.GET, endpoint.port(), endpoint.host(), "/load")
-                .compose(request -> request.idleTimeout(REQUEST_IDLE_TIMEOUT_MS).send())
-                .compose(response -> response.body())
-                .onSuccess(body -> storeReport(endpoint, body));
+        mEndpointReports.request(endpoint, "/load").onSuccess(body -> storeReport(endpoint, body));
     }
 
     private void storeReport(Endpoint endpoint, Buffer body) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderCoordinator.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/OrderCoordinator.java
@@ -29,6 +29,7 @@
     private final WatchableStore mStore;
     private final Membership mMembership;
     private final LongSupplier mClockMs;
+    private final Vertx mVertx;
     private final HttpClient mHttpClient;
     private final Map<ServiceId, ServiceOrders> mServiceOrders = new HashMap<>();
 
@@ -38,6 +39,7 @@
             WatchableStore store,
             Membership membership,
             LongSupplier clockMs) {
+        mVertx = vertx;
         mContext = context;
         mStore = store;
         mMembership = membership;
@@ -124,7 +126,7 @@
 
         ServiceOrders(ServiceId service) {
             Member self = mMembership.self();
-            mReconciler = new EngineReconciler(mHttpClient, self.region(), mClockMs);
+            mReconciler = new EngineReconciler(mVertx, mHttpClient, self.region(), mClockMs);
             mLeaseManager =
                     new OrderLeaseManager(
                             mContext,
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CacheEventPoller.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/CacheEventPoller.java
@@ -3,12 +3,12 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.filbertrudder.entry.control.EndpointReports;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.policy.routing.EndpointState;
@@ -18,11 +18,10 @@
 final class CacheEventPoller {
 
     private static final long POLL_INTERVAL_MS = 2_000;
-    private static final long IDLE_TIMEOUT_MS = 1_000;
-    private static final int STATUS_OK = 200;
+    private static final long REPORT_TIMEOUT_MS = 1_000;
 
     private final TrafficContext mContext;
-    private final HttpClient mClient;
+    private final EndpointReports mReports;
     private final EndpointTable mEndpointTable;
     private final Map<EndpointId, Long> mLastEventNumbers = new HashMap<>();
     private final Set<EndpointId> mUsedEndpoints = new HashSet<>();
@@ -30,7 +29,7 @@
 
     CacheEventPoller(TrafficContext context, HttpClient client, EndpointTable endpointTable) {
         mContext = context;
-        mClient = client;
+        mReports = new EndpointReports(context.vertx(), client, REPORT_TIMEOUT_MS);
         mEndpointTable = endpointTable;
     }
 
@@ -52,17 +51,7 @@
 
     private void poll(EndpointState state) {
         String uri = "/cache/events?after=" + mLastEventNumbers.getOrDefault(state.id(), 0L);
-        mClient.request(HttpMethod.GET, state.endpoint().port(), state.endpoint().host(), uri)
-                .compose(request -> request.idleTimeout(IDLE_TIMEOUT_MS).send())
-                .compose(
-                        response ->
-                                response.body()
-                                        .map(
-                                                body ->
-                                                        response.statusCode() == STATUS_OK
-                                                                ? body
-                                                                : Buffer.buffer("{}")))
-                .onSuccess(body -> applyEvents(state, body));
+        mReports.request(state.endpoint(), uri).onSuccess(body -> applyEvents(state, body));
     }
 
     private void applyEvents(EndpointState state, Buffer body) {
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/LoadPoller.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/LoadPoller.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
+import org.filbertrudder.entry.control.EndpointReports;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.policy.routing.EndpointState;
@@ -16,10 +16,10 @@
 final class LoadPoller {
 
     private static final long POLL_INTERVAL_MS = 1_000;
-    private static final long IDLE_TIMEOUT_MS = 900;
+    private static final long REPORT_TIMEOUT_MS = 900;
 
     private final TrafficContext mContext;
-    private final HttpClient mClient;
+    private final EndpointReports mReports;
     private final EndpointTable mEndpointTable;
     private final Runnable mOnLeavingChanged;
     private final Set<EndpointId> mLeavingEndpoints = new HashSet<>();
@@ -31,7 +31,7 @@
             EndpointTable endpointTable,
             Runnable onLeavingChanged) {
         mContext = context;
-        mClient = client;
+        mReports = new EndpointReports(context.vertx(), client, REPORT_TIMEOUT_MS);
         mEndpointTable = endpointTable;
         mOnLeavingChanged = onLeavingChanged;
     }
@@ -50,10 +50,7 @@
     }
 
     private void poll(EndpointState state) {
-        mClient.request(HttpMethod.GET, state.endpoint().port(), state.endpoint().host(), "/load")
-                .compose(request -> request.idleTimeout(IDLE_TIMEOUT_MS).send())
-                .compose(response -> response.body())
-                .onSuccess(body -> applyReport(state, body));
+        mReports.request(state.endpoint(), "/load").onSuccess(body -> applyReport(state, body));
     }
 
     private void applyReport(EndpointState state, Buffer body) {
