Own interface: an event that does not end fills the memory

Callers: a faulty engine that begins an event and never ends it makes the instance keep all its bytes until the request's deadline; with some engines at once the process runs out of memory, and all other requests end with it.

Cause: the parser of server-sent events had no limit on an event. Interim responses were dropped without a limit on their number.

Test: ResponseRelayTest.endlessEventIsKeptInMemory; before: 16,779,000 bytes kept, the test's end. longEventsAreRelayedWhole holds before and after.

Change: an event is awaited up to 256 KiB; beyond that the attempt ends as a broken one and the stream continues elsewhere, where it may. More than eight interim responses close the connection, as in the gateway.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
@@ -359,6 +359,14 @@
         }
     }
 
+    /** Continues a stream elsewhere, as an event of it does not end. */
+    private void continueAfterLongEvent(Exchange exchange) {
+        LOG.warn(
+                "An event of a stream is too long.",
+                LogField.of("request", exchange.request().requestId()));
+        retryOrEnd(exchange, true);
+    }
+
     /** Relays status and headers; refuses a response that does not continue a broken stream. */
     private void relayHead(Exchange exchange, int status, Map<String, String> headers) {
         if (!continuesStream(exchange, status, headers)) {
@@ -439,7 +447,13 @@
 
         @Override
         public void onData(Buffer data) {
-            mExchange.relay().data(data);
+            if (mExchange.relay().data(data)) {
+                return;
+            }
+            mExchange.upstream().cancel();
+            markReleased();
+            mEndpoint.requestFailed(mContext.nowMs());
+            continueAfterLongEvent(mExchange);
         }
 
         @Override
@@ -498,7 +512,10 @@
 
         @Override
         public void onData(Buffer data) {
-            mExchange.relay().data(data);
+            if (!mExchange.relay().data(data)) {
+                mExchange.upstream().cancel();
+                continueAfterLongEvent(mExchange);
+            }
         }
 
         @Override
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/InterimResponseFilter.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/InterimResponseFilter.java
@@ -13,11 +13,15 @@
 
 /**
  * Drops interim responses (1xx), which Vert.x takes for final ones except for those with status 100
- * and 103.
+ * and 103, and closes a connection on which they do not end.
  */
 final class InterimResponseFilter extends ChannelInboundHandlerAdapter {
 
+    /** The interim responses before a final one that are allowed. */
+    static final int MAX_INTERIM_RESPONSES = 8;
+
     private boolean mDropping;
+    private int mDropped;
 
     private InterimResponseFilter() {}
 
@@ -37,6 +41,12 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpResponse response) {
             mDropping = isDropped(response);
+            mDropped = mDropping ? mDropped + 1 : 0;
+        }
+        if (mDropped > MAX_INTERIM_RESPONSES) {
+            ReferenceCountUtil.release(message);
+            context.close();
+            return;
         }
         if (!mDropping) {
             context.fireChannelRead(message);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ResponseRelay.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ResponseRelay.java
@@ -20,6 +20,10 @@
     private static final String ERROR_EVENT_START = "event: error";
     private static final int STATUS_OK = 200;
     private static final int MAX_BUFFERED_BYTES = 1024 * 1024;
+
+    /** The longest event that is awaited to its end, in bytes. */
+    static final int MAX_EVENT_BYTES = 256 * 1024;
+
     private static final Set<String> HEADERS_NOT_RELAYED =
             Set.of(
                     "connection",
@@ -40,6 +44,7 @@
     private Map<String, String> mHeaders = Map.of();
     private long mEventCount;
     private boolean mLastEventRelayed;
+    private boolean mEventTooLong;
 
     /** Creates a relay; the action runs when the write queue of the receiver is full. */
     ResponseRelay(Exchange exchange, Runnable onQueueFull) {
@@ -97,8 +102,12 @@
 
     private void startEventStream() {
         mMode = Mode.EVENT_STREAM;
+        mEventTooLong = false;
         mHeaders.remove("content-length");
-        mEventParser = RecordParser.newDelimited("\n\n", this::relayEvent);
+        mEventParser =
+                RecordParser.newDelimited("\n\n", this::relayEvent)
+                        .maxRecordSize(MAX_EVENT_BYTES)
+                        .exceptionHandler(ignored -> mEventTooLong = true);
         if (!mExchange.sink().headSent()) {
             mExchange.sink().sendHead(mStatus, mHeaders);
         }
@@ -116,7 +125,8 @@
         pauseIfQueueFull();
     }
 
-    void data(Buffer data) {
+    /** Relays or buffers data; returns false if it belongs to an event that is too long. */
+    boolean data(Buffer data) {
         switch (mMode) {
             case EVENT_STREAM -> mEventParser.handle(data);
             case PASS_THROUGH -> {
@@ -125,6 +135,7 @@
             }
             default -> buffer(data);
         }
+        return !mEventTooLong;
     }
 
     private void buffer(Buffer data) {
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ResponseRelayTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ResponseRelayTest.java
@@ -1,18 +1,103 @@
 package org.filbertrudder.entry.traffic;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.buffer.Buffer;
 import java.util.Map;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests which responses may follow the events of a stream that has broken off. */
+/** Tests which responses may continue a broken stream, and how long events may be. */
 public class ResponseRelayTest {
 
     private static final String TYPE = "content-type";
     private static final String STREAM = "text/event-stream";
     private static final String OFFSET = Exchange.RESUME_OFFSET_HEADER;
 
+    /** Guards against an instance that runs out of memory as it waits for the end of an event. */
+    @Test
+    public void endlessEventIsKeptInMemory() {
+        ResponseRelay relay = new ResponseRelay(new Exchange(request(), new Sink(), 0), () -> {});
+        relay.head(200, Map.of(TYPE, STREAM));
+        Buffer data = Buffer.buffer("data: x".repeat(1_000));
+
+        long received = 0;
+        while (relay.data(data) && received < 64L * ResponseRelay.MAX_EVENT_BYTES) {
+            received += data.length();
+        }
+
+        assertTrue(received <= ResponseRelay.MAX_EVENT_BYTES, "bytes kept: " + received);
+    }
+
+    @Test
+    public void longEventsAreRelayedWhole() {
+        Sink sink = new Sink();
+        ResponseRelay relay = new ResponseRelay(new Exchange(request(), sink, 0), () -> {});
+        relay.head(200, Map.of(TYPE, STREAM));
+        String event = "data: " + "x".repeat(ResponseRelay.MAX_EVENT_BYTES - 100) + "\n\n";
+
+        assertTrue(relay.data(Buffer.buffer(event + event)));
+
+        assertEquals(sink.mBytes, 2L * event.length());
+        assertEquals(relay.eventsSent(), 2);
+    }
+
+    private static Exchange.Request request() {
+        return new Exchange.Request(
+                "r1",
+                null,
+                null,
+                null,
+                "GET",
+                "/x",
+                Map.of(),
+                Buffer.buffer(),
+                false,
+                0,
+                0,
+                "",
+                false,
+                false,
+                0);
+    }
+
+    /** Counts the bytes that it gets. */
+    private static final class Sink implements ResponseSink {
+
+        private long mBytes;
+        private boolean mHeadSent;
+
+        @Override
+        public void sendHead(int status, Map<String, String> headers) {
+            mHeadSent = true;
+        }
+
+        @Override
+        public boolean headSent() {
+            return mHeadSent;
+        }
+
+        @Override
+        public void write(Buffer data) {
+            mBytes += data.length();
+        }
+
+        @Override
+        public boolean writeQueueFull() {
+            return false;
+        }
+
+        @Override
+        public void onDrain(Runnable action) {}
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void abort() {}
+    }
+
     /** Lists the status and headers of responses, and whether they continue after 3 events. */
     @DataProvider
     public Object[][] responses() {
