A stream that comes in short pieces without an end occupies the gateway

Callers: while some engines send an event without end in pieces of a few bytes, other lookups at the same gateway get 504 "timed_out" after 4 s.

Cause: StreamRelay joined each piece to a new copy of the pending bytes and copied the rest once more: up to 64 KiB for each piece of 5 bytes, about 0.8 GB a stream before the limit of an event ends it, on the thread of all requests. Bounded in memory, not in work.

StreamRelayTest.longEventsInShortPiecesOccupyTheInstance: 32 streams of 1-byte pieces were not done after 10 s.

Change: the pending bytes grow by factors and move only behind complete events.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StreamRelay.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StreamRelay.java
@@ -19,7 +19,11 @@
     private static final long NO_ID = -1;
 
     private final GatewayResponseSink mSink;
+
+    /** Holds the bytes received of the next event; grows by factors, as pieces may be short. */
     private byte[] mPending = {};
+
+    private int mPendingBytes;
     private int mScannedBytes;
     private long mLastId;
     private boolean mResumed;
@@ -42,7 +46,7 @@
 
     /** Prepares for the response of another attempt; a partially received event is dropped. */
     void restart() {
-        mPending = new byte[0];
+        mPendingBytes = 0;
         mScannedBytes = 0;
         mResumed = true;
     }
@@ -53,31 +57,40 @@
      * @return whether the data is a valid continuation of the stream
      */
     boolean receive(Buffer data) {
-        byte[] bytes = withPending(data.getBytes());
+        append(data);
         Buffer completeEvents = Buffer.buffer();
         boolean valid = true;
         int start = 0;
-        int end = eventEnd(bytes, mScannedBytes);
+        int end = eventEnd(mScannedBytes);
         while (end >= 0 && valid) {
-            valid = relayEvent(bytes, start, end, completeEvents);
+            valid = relayEvent(mPending, start, end, completeEvents);
             start = end;
-            end = eventEnd(bytes, start);
+            end = eventEnd(start);
         }
         if (completeEvents.length() > 0) {
             mSink.write(completeEvents);
         }
-        mPending = Arrays.copyOfRange(bytes, start, bytes.length);
-        mScannedBytes = Math.max(0, mPending.length - BLANK_LINE_OVERLAP_BYTES);
-        return valid && mPending.length <= MAX_EVENT_BYTES;
+        discard(start);
+        mScannedBytes = Math.max(0, mPendingBytes - BLANK_LINE_OVERLAP_BYTES);
+        return valid && mPendingBytes <= MAX_EVENT_BYTES;
+    }
+
+    private void append(Buffer data) {
+        int length = mPendingBytes + data.length();
+        if (length > mPending.length) {
+            mPending = Arrays.copyOf(mPending, Math.max(length, 2 * mPending.length));
+        }
+        data.getBytes(mPending, mPendingBytes);
+        mPendingBytes = length;
     }
 
-    private byte[] withPending(byte[] data) {
-        if (mPending.length == 0) {
-            return data;
+    private void discard(int bytes) {
+        mPendingBytes -= bytes;
+        if (mPendingBytes == 0) {
+            mPending = new byte[0];
+        } else if (bytes > 0) {
+            System.arraycopy(mPending, bytes, mPending, 0, mPendingBytes);
         }
-        byte[] joined = Arrays.copyOf(mPending, mPending.length + data.length);
-        System.arraycopy(data, 0, joined, mPending.length, data.length);
-        return joined;
     }
 
     private boolean relayEvent(byte[] bytes, int start, int end, Buffer completeEvents) {
@@ -117,15 +130,15 @@
     }
 
     /** Returns the index after the next blank line; -1 if there is none yet. */
-    private static int eventEnd(byte[] bytes, int from) {
-        for (int i = from; i + 1 < bytes.length; i++) {
-            if (bytes[i] != '\n') {
+    private int eventEnd(int from) {
+        for (int i = from; i + 1 < mPendingBytes; i++) {
+            if (mPending[i] != '\n') {
                 continue;
             }
-            if (bytes[i + 1] == '\n') {
+            if (mPending[i + 1] == '\n') {
                 return i + 2;
             }
-            if (i + 2 < bytes.length && bytes[i + 1] == '\r' && bytes[i + 2] == '\n') {
+            if (i + 2 < mPendingBytes && mPending[i + 1] == '\r' && mPending[i + 2] == '\n') {
                 return i + 3;
             }
         }
@@ -167,6 +180,6 @@
 
     /** Returns whether no partially received event is pending, so that the stream may end here. */
     boolean isAtEventBoundary() {
-        return mPending.length == 0;
+        return mPendingBytes == 0;
     }
 }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StreamRelayTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StreamRelayTest.java
@@ -94,6 +94,18 @@
         assertFalse(relay.isAtEventBoundary());
     }
 
+    /** Guards against an instance that is busy with copies of events that come in short pieces. */
+    @Test(timeOut = 10_000)
+    public void longEventsInShortPiecesOccupyTheInstance() {
+        Buffer piece = Buffer.buffer("x");
+        for (int stream = 0; stream < 32; stream++) {
+            StreamRelay relay = new StreamRelay(new RecordingSink(), 0);
+            while (relay.receive(piece)) {
+                assertFalse(relay.isAtEventBoundary());
+            }
+        }
+    }
+
     @Test
     public void acceptsCrLfLineEndings() {
         RecordingSink sink = new RecordingSink();
