--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -35,6 +35,7 @@
 import org.filbertrudder.policy.freshness.ClockReading;
 import org.filbertrudder.policy.freshness.RefreshSchedule;
 import org.filbertrudder.policy.freshness.StateFreshness;
+import org.filbertrudder.policy.membership.MemberChange;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.MembershipSettings;
 import org.filbertrudder.policy.membership.OutboundMessage;
@@ -217,6 +218,7 @@
         ClockReading now = Clocks.now();
         long nowMs = now.steadyMs();
         send(mMembership.tick(mFollower.revision(), nowMs));
+        mMembership.takeChanges().forEach(GatewayControl::log);
         mFollower.tick(now);
         checkEra(nowMs);
         mTokenReservations.tick(nowMs);
@@ -235,6 +237,17 @@
         }
     }
 
+    private static void log(MemberChange change) {
+        LOG.info(
+                "The state of a member has changed.",
+                LogField.of("member", change.member()),
+                LogField.of("before", change.before()),
+                LogField.of("after", change.after()),
+                LogField.of("incarnation", change.incarnation()),
+                LogField.of("reporter", change.reporter()),
+                LogField.of("unansweredMs", change.unansweredMs()));
+    }
+
     /**
      * Registers again and reads the instances when the store has returned from a copy, as it may
      * have lost both. The instances do so one after the other, as all of them notice it at once.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.config.KeyDigests;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
@@ -22,6 +24,8 @@
 /** Forwards requests to instances in other regions and receives the responses. */
 final class GatewayForwardClient {
 
+    private static final ComponentLogger LOG = ComponentLogger.of("forwards");
+
     /**
      * The longest time without a message before a connection is closed, in milliseconds; the peer
      * sends several keep-alives within it.
@@ -117,6 +121,11 @@
         for (PeerConnection connection : connectionsInUse) {
             long lastReceivedMs = mLastReceivedMs.computeIfAbsent(connection, key -> nowMs);
             if (nowMs - lastReceivedMs > RECEIVE_TIMEOUT_MS) {
+                List<ForwardAttempt> attempts =
+                        mAttempts.values().stream()
+                                .filter(attempt -> attempt.mConnection == connection)
+                                .toList();
+                logGivenUp("silent connection", attempts, nowMs);
                 mLastReceivedMs.remove(connection);
                 connection.close();
             }
@@ -129,13 +138,32 @@
             boolean unresponsive =
                     member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD;
             if (unresponsive) {
-                List.copyOf(mAttempts.values()).stream()
-                        .filter(attempt -> attempt.mMemberId.equals(member.id()))
-                        .forEach(ForwardAttempt::interrupt);
+                List<ForwardAttempt> attempts =
+                        mAttempts.values().stream()
+                                .filter(attempt -> attempt.mMemberId.equals(member.id()))
+                                .toList();
+                logGivenUp("member " + member.state(), attempts, Clocks.steadyMs());
+                attempts.forEach(ForwardAttempt::interrupt);
             }
         }
     }
 
+    private void logGivenUp(String reason, List<ForwardAttempt> attempts, long nowMs) {
+        if (attempts.isEmpty()) {
+            return;
+        }
+        ForwardAttempt first = attempts.get(0);
+        Long lastReceivedMs = mLastReceivedMs.get(first.mConnection);
+        LOG.info(
+                "Forwarded requests are given up.",
+                LogField.of("member", first.mMemberId),
+                LogField.of("reason", reason),
+                LogField.of("requests", attempts.size()),
+                LogField.of("answered", attempts.stream().filter(each -> each.mAnswered).count()),
+                LogField.of(
+                        "silentMs", lastReceivedMs == null ? "unknown" : nowMs - lastReceivedMs));
+    }
+
     /** Represents an attempt that forwards its request to a member. */
     private final class ForwardAttempt implements Attempt {
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -1,8 +1,10 @@
 package org.filbertrudder.policy.membership;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -31,6 +33,9 @@
     private static final int MAX_SUSPICION_BACKOFF_FACTOR = 16;
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
+    /** The number of changes of states that are kept until they are taken. */
+    private static final int MAX_KEPT_CHANGES = 256;
+
     /** More changes than this within the window count as an update storm. */
     private static final int MAX_CHANGES_IN_WINDOW = 8;
 
@@ -48,6 +53,7 @@
     private final Map<InstanceId, Observation> mObservations = new HashMap<>();
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
     private final Map<InstanceId, Member> mPendingUpdates = new TreeMap<>();
+    private final Deque<MemberChange> mChanges = new ArrayDeque<>();
     private long mLastFloodMs = NEVER_MS;
     private long mChangeWindowStartMs = NEVER_MS;
     private int mChangesInWindow;
@@ -128,6 +134,31 @@
         return mVersion;
     }
 
+    /** Returns the changes of members' states since the last call, without the oldest of many. */
+    public List<MemberChange> takeChanges() {
+        List<MemberChange> changes = List.copyOf(mChanges);
+        mChanges.clear();
+        return changes;
+    }
+
+    private void recordChange(Member before, Member after, InstanceId reporter, long nowMs) {
+        MemberState stateBefore = before == null ? null : before.state();
+        if (stateBefore == after.state()) {
+            return;
+        }
+        if (mChanges.size() == MAX_KEPT_CHANGES) {
+            mChanges.removeFirst();
+        }
+        mChanges.addLast(
+                new MemberChange(
+                        after.id(),
+                        stateBefore,
+                        after.state(),
+                        after.incarnation(),
+                        reporter,
+                        observation(after.id(), nowMs).unansweredForMs(nowMs)));
+    }
+
     /** Returns a digest of the members that are not dead and of the other shared state. */
     public int digest() {
         return mDigest ^ mSharedDigest;
@@ -211,7 +242,6 @@
                         Math.min(
                                 MAX_SUSPICION_BACKOFF_FACTOR,
                                 observation.mSuspicionBackoffFactor * 2);
-                observation.mUnansweredSinceMs = nowMs;
                 updates.add(neighbour.withState(MemberState.SUSPECT));
             }
             if (neighbour.state() == MemberState.LEAVING
@@ -220,7 +250,7 @@
             }
         }
         List<Member> changed = new ArrayList<>();
-        updates.stream().filter(member -> apply(member, nowMs)).forEach(changed::add);
+        updates.stream().filter(member -> apply(member, mSelf.id(), nowMs)).forEach(changed::add);
         expireMembers(nowMs);
         return changed.isEmpty() ? List.of() : forward(changed, null, nowMs);
     }
@@ -230,7 +260,7 @@
             long sinceMs = observation(member.id(), nowMs).mStateSinceMs;
             if (member.state() == MemberState.SUSPECT
                     && nowMs - sinceMs > mSettings.deadAfterMs()) {
-                apply(member.withState(MemberState.DEAD), nowMs);
+                apply(member.withState(MemberState.DEAD), mSelf.id(), nowMs);
             } else if (member.state() == MemberState.DEAD
                     && nowMs - sinceMs > mSettings.forgetDeadMs()) {
                 mMembers.remove(member.id());
@@ -318,7 +348,7 @@
         for (Member member : updates.members()) {
             if (member.id().equals(mSelf.id())) {
                 refute(member).ifPresent(changed::add);
-            } else if (apply(member, nowMs)) {
+            } else if (apply(member, from, nowMs)) {
                 changed.add(member);
             }
         }
@@ -352,7 +382,9 @@
                             PeerAddress.of(sender),
                             new PeerMessage.MemberUpdates(List.of(stored))));
         }
-        return apply(sender, nowMs) ? forward(List.of(sender), sender.id(), nowMs) : List.of();
+        return apply(sender, sender.id(), nowMs)
+                ? forward(List.of(sender), sender.id(), nowMs)
+                : List.of();
     }
 
     /**
@@ -382,7 +414,7 @@
         return Optional.of(mSelf);
     }
 
-    private boolean apply(Member member, long nowMs) {
+    private boolean apply(Member member, InstanceId reporter, long nowMs) {
         Member stored = mMembers.get(member.id());
         if (stored != null && !member.supersedes(stored)) {
             return false;
@@ -390,6 +422,7 @@
         if (stored == null && member.state() == MemberState.DEAD) {
             return false;
         }
+        recordChange(stored, member, reporter, nowMs);
         store(member);
         countChange(nowMs);
         Observation observation = observation(member.id(), nowMs);
