A suspicion cuts forwarded streams that their own connection still delivers

Cause: GatewayForwardClient interrupted every forward to a member as soon as it was suspected or declared dead, by whoever. The suspicion is a guess made on other connections; the forward's own connection is watched by itself.

Change: a sent forward ends by its own connection only: its close, or 2 s without any message on it (keep-alives come each 500 ms). A forward that still waits for a connection to such a member fails as not sent, as before.

Tests: forwardIsEndedBySuspicionAlthoughItsConnectionWorks[SUSPECT, DEAD] failed before (INTERRUPTED). forwardToAMemberThatIsGoneIsNotEnded (2 s) and forwardWaitsForAConnectionToAMemberThatIsGone pass before and after.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -132,7 +132,10 @@
         }
     }
 
-    /** Fails the attempts at members that are suspected or dead. */
+    /**
+     * Fails the attempts that wait for a connection to a member that is suspected or dead. Once an
+     * attempt is sent, only its own connection tells whether the member still answers.
+     */
     void membersChanged(List<Member> members) {
         for (Member member : members) {
             boolean unresponsive =
@@ -141,6 +144,7 @@
                 List<ForwardAttempt> attempts =
                         mAttempts.values().stream()
                                 .filter(attempt -> attempt.mMemberId.equals(member.id()))
+                                .filter(attempt -> attempt.mConnection == null)
                                 .toList();
                 logGivenUp("member " + member.state(), attempts, Clocks.steadyMs());
                 attempts.forEach(ForwardAttempt::interrupt);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
@@ -33,6 +33,7 @@
 import org.filbertrudder.peer.PeerSecurity;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests what the sender of a forwarded request learns when the other instance ends. */
@@ -41,6 +42,7 @@
     private static final long TIMEOUT_SECONDS = 10;
 
     private final AtomicReference<PeerConnection> mIncoming = new AtomicReference<>();
+    private CompletableFuture<GatewayResponseSink> mWaiting;
     private Vertx mVertx;
     private Context mContext;
     private GatewayForwardServer mServer;
@@ -53,10 +55,12 @@
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
         mIncoming.set(null);
+        mWaiting = new CompletableFuture<>();
         mServer =
                 new GatewayForwardServer(
                         (start, headers, sink) -> {
                             if (start.uri().equals("/waits")) {
+                                mWaiting.complete(sink);
                                 return Optional.of(exchange(start.uri(), sink));
                             }
                             sink.refuse(GatewayRefusal.stopping());
@@ -144,6 +148,10 @@
     }
 
     private Outcome forward(String uri) {
+        return forward(mServerMember, uri);
+    }
+
+    private Outcome forward(Member member, String uri) {
         GatewaySnapshot snapshot =
                 new GatewaySnapshot(
                         new GatewayConfiguration(
@@ -157,7 +165,7 @@
                         member("client", 1),
                         List.of());
         Outcome outcome = new Outcome();
-        mClient.start(mServerMember, exchange(uri, null), snapshot, 10_000, outcome);
+        mClient.start(member, exchange(uri, null), snapshot, 10_000, outcome);
         return outcome;
     }
 
@@ -216,6 +224,66 @@
         assertEquals(outcomeOf("/refused"), "head 503, end");
     }
 
+    /** Lists the states in which a member counts as unresponsive. */
+    @DataProvider
+    public Object[][] unresponsiveStates() {
+        return new Object[][] {{MemberState.SUSPECT}, {MemberState.DEAD}};
+    }
+
+    private Outcome forwardAndAwaitArrival() throws Exception {
+        CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        mContext.runOnContext(ignored -> outcome.complete(forward("/waits")));
+        mWaiting.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Guards against streams that are cut by a suspicion while their connection delivers them. */
+    @Test(dataProvider = "unresponsiveStates")
+    public void forwardIsEndedBySuspicionAlthoughItsConnectionWorks(MemberState state)
+            throws Exception {
+        Outcome outcome = forwardAndAwaitArrival();
+
+        mContext.runOnContext(
+                ignored -> {
+                    mClient.membersChanged(List.of(mServerMember.withState(state)));
+                    mWaiting.join().sendHead(200, Map.of());
+                    mWaiting.join().end();
+                });
+
+        assertEquals(outcome.mResult.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), "head 200, end");
+    }
+
+    /** A member that is gone is noticed by the silence of the connection. */
+    @Test(dataProvider = "unresponsiveStates")
+    public void forwardToAMemberThatIsGoneIsNotEnded(MemberState state) throws Exception {
+        Outcome outcome = forwardAndAwaitArrival();
+
+        mContext.runOnContext(
+                ignored -> {
+                    long nowMs = Clocks.steadyMs();
+                    mClient.tick(nowMs);
+                    mClient.membersChanged(List.of(mServerMember.withState(state)));
+                    mClient.tick(nowMs + 2_100);
+                });
+
+        assertEquals(outcome.mResult.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), "INTERRUPTED");
+    }
+
+    @Test(dataProvider = "unresponsiveStates")
+    public void forwardWaitsForAConnectionToAMemberThatIsGone(MemberState state) throws Exception {
+        Member gone = member("gone", 1);
+        CompletableFuture<String> result = new CompletableFuture<>();
+
+        mContext.runOnContext(
+                ignored -> {
+                    Outcome outcome = forward(gone, "/waits");
+                    mClient.membersChanged(List.of(gone.withState(state)));
+                    result.complete(outcome.mResult.getNow("none yet"));
+                });
+
+        assertEquals(result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), "NOT_SENT");
+    }
+
     /** Completes with a description of how an attempt has ended. */
     private static final class Outcome implements AttemptListener {
 
