Members that are well are suspected again and again over a silent connection

Callers: for 34 s after open connections fell silent, members that are well are suspected again every 1.5 to 6 s, get no forwarded requests meanwhile, and their relays, shares and answers to the other side are lost.

Cause: a message to a member went over the sender's own connection, and so did its answer over that of the member. A heartbeat is answered on a connection which the suspecting side cannot see or replace. It dropped its own connection after each suspicion; the silent one of the other side stayed, as nobody awaits anything on it.

Change: heartbeats and requests for members or state are answered on the connection on which they came; an accepting side says hello too, so that the other knows that it may await the answer there (peers of earlier releases say none, and are handled as before; they accept answers after a hello). An outgoing connection without an awaited answer for 700 ms is closed and the member is asked at once on a new one, before 1,500 ms make it a suspect. The time in which the instance itself was held up does not count.

Test: PeerNetworkTest.messagesOnASilentConnectionAreLostForGood; before, there was nothing to close such a connection, and the second message never arrived.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.filbertrudder.entry.control.CrashReportRegistry;
@@ -124,6 +125,7 @@
     private List<Member> mRegisteredInstances;
     private Set<InstanceId> mSuspected = Set.of();
     private StoreEra mEra = StoreEra.UNREPORTED;
+    private long mLastTickMs = Clocks.steadyMs();
     private long mNextRegistrationMs;
     private long mNextInstanceReadMs;
     private long mPublishedVersion = -1;
@@ -217,6 +219,7 @@
     private void tick() {
         ClockReading now = Clocks.now();
         long nowMs = now.steadyMs();
+        replaceSilentConnections(nowMs);
         send(mMembership.tick(mFollower.revision(), nowMs));
         mMembership.takeChanges().forEach(GatewayControl::log);
         mFollower.tick(now);
@@ -237,6 +240,16 @@
         }
     }
 
+    /** Asks members again on a new connection, before they are suspected for a silent one. */
+    private void replaceSilentConnections(long nowMs) {
+        List<PeerAddress> silent = mNetwork.closeSilent(nowMs, nowMs - mLastTickMs, TICK_MS);
+        mLastTickMs = nowMs;
+        for (PeerAddress address : silent) {
+            LOG.info("A silent connection is replaced.", LogField.of("address", address));
+            mNetwork.send(address, mMembership.heartbeat(mFollower.revision()));
+        }
+    }
+
     private static void log(MemberChange change) {
         LOG.info(
                 "The state of a member has changed.",
@@ -389,24 +402,52 @@
                         handler.accept(connection.peerMember().id(), type.cast(message)));
     }
 
+    /**
+     * Registers a handler whose messages to the sender are sent on the connection of the received
+     * message, so that their arrival shows that the connection works.
+     */
+    private <T extends PeerMessage> void registerAnswer(
+            Class<T> type, BiFunction<Member, T, List<OutboundMessage>> handler) {
+        mHandlers.put(
+                type,
+                (connection, message) -> {
+                    Member from = connection.peerMember();
+                    List<OutboundMessage> others = new ArrayList<>();
+                    for (OutboundMessage outbound : handler.apply(from, type.cast(message))) {
+                        if (outbound.to().equals(PeerAddress.of(from))) {
+                            connection.send(outbound.message());
+                        } else {
+                            others.add(outbound);
+                        }
+                    }
+                    send(others);
+                });
+    }
+
     private void registerHandlers() {
-        registerHandler(
+        registerAnswer(
                 PeerMessage.Heartbeat.class,
                 (from, message) ->
-                        send(mMembership.handle(message, mFollower.revision(), Clocks.steadyMs())));
+                        mMembership.handle(message, mFollower.revision(), Clocks.steadyMs()));
         registerHandler(
                 PeerMessage.HeartbeatAck.class,
                 (from, message) -> send(mMembership.handle(message, Clocks.steadyMs())));
         registerHandler(
                 PeerMessage.MemberUpdates.class,
                 (from, message) -> send(mMembership.handle(message, from, Clocks.steadyMs())));
-        registerHandler(
+        registerAnswer(
                 PeerMessage.MembersRequest.class,
                 (from, message) ->
-                        sendTo(from, new PeerMessage.MemberUpdates(mMembership.members())));
-        registerHandler(
+                        List.of(
+                                new OutboundMessage(
+                                        PeerAddress.of(from),
+                                        new PeerMessage.MemberUpdates(mMembership.members()))));
+        registerAnswer(
                 PeerMessage.OperatorStateRequest.class,
-                (from, message) -> sendTo(from, mFollower.answer(message)));
+                (from, message) ->
+                        List.of(
+                                new OutboundMessage(
+                                        PeerAddress.of(from), mFollower.answer(message))));
         registerHandler(
                 PeerMessage.OperatorStateReply.class, (from, message) -> mFollower.handle(message));
         registerHandler(
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -52,6 +52,11 @@
 })
 public sealed interface PeerMessage {
 
+    /** Returns whether the receiver answers the message at once. */
+    default boolean expectsAnswer() {
+        return false;
+    }
+
     /**
      * Identifies the sender as the first message on a connection.
      *
@@ -67,7 +72,13 @@
      * @param revision the configuration revision in force at the sender
      * @param members the digest of the sender's member table
      */
-    record Heartbeat(Member sender, long revision, int members) implements PeerMessage {}
+    record Heartbeat(Member sender, long revision, int members) implements PeerMessage {
+
+        @Override
+        public boolean expectsAnswer() {
+            return true;
+        }
+    }
 
     /**
      * Acknowledges a heartbeat.
@@ -290,7 +301,13 @@
      * @param version the version of the sender's configuration; 0 if it has none
      */
     record OperatorStateRequest(long id, long revision, long endpointsDigest, long version)
-            implements PeerMessage {}
+            implements PeerMessage {
+
+        @Override
+        public boolean expectsAnswer() {
+            return true;
+        }
+    }
 
     /**
      * Transfers the operators' state and its age.
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.ProtocolVersions;
@@ -23,10 +24,14 @@
     private final PeerHandler mHandler;
     private final PeerCounters mCounters;
     private final Consumer<String> mProtocolErrorListener;
+    private final Supplier<PeerMessage.Hello> mHello;
     private final FrameSplitter mFrames = new FrameSplitter();
     private final Set<CloseAction> mCloseActions = new LinkedHashSet<>();
     private boolean mHandshakeDone;
     private Member mPeerMember;
+    private boolean mHelloSent;
+    private boolean mAwaitsAnswer;
+    private long mAwaitedSinceMs;
     private boolean mOutputEnded;
     private boolean mClosed;
 
@@ -34,8 +39,10 @@
             NetSocket socket,
             PeerHandler handler,
             PeerCounters counters,
+            Supplier<PeerMessage.Hello> hello,
             Consumer<String> protocolErrorListener) {
         mSocket = socket;
+        mHello = hello;
         mHandler = handler;
         mCounters = counters;
         mProtocolErrorListener = protocolErrorListener;
@@ -48,6 +55,7 @@
         if (mClosed) {
             return;
         }
+        mAwaitsAnswer = false;
         mFrames.add(bytes);
         try {
             byte[] body = mFrames.next();
@@ -90,6 +98,7 @@
             }
             mPeerMember = hello.sender();
             mHandshakeDone = true;
+            sendHello();
         } else if (!mHandshakeDone) {
             closeOnProtocolError("a message before the hello message");
             return;
@@ -142,20 +151,41 @@
     }
 
     /**
-     * Returns the member that opened an incoming connection; null before its hello message and for
-     * outgoing connections.
+     * Returns the member at the other end; null before its hello message. A peer of an earlier
+     * release sends none on a connection that it has accepted.
      */
     public Member peerMember() {
         return mPeerMember;
     }
 
+    /** Sends the hello message, which comes first in both directions. */
+    void sendHello() {
+        if (!mHelloSent) {
+            mHelloSent = true;
+            mHandshakeDone = true;
+            send(mHello.get());
+        }
+    }
+
     /**
-     * Sends the hello message that must come first on an outgoing connection; the peer does not
-     * reply with one.
+     * Records that a message was sent that is answered at once. Only a peer that has sent a hello
+     * message answers on this connection.
      */
-    void sendHello(PeerMessage.Hello hello) {
-        mHandshakeDone = true;
-        send(hello);
+    void awaitAnswer(long nowMs) {
+        if (!mAwaitsAnswer && mPeerMember != null) {
+            mAwaitsAnswer = true;
+            mAwaitedSinceMs = nowMs;
+        }
+    }
+
+    /** Excludes a time in which this instance did not read from the wait for an answer. */
+    void excludeFromWait(long ms) {
+        mAwaitedSinceMs += ms;
+    }
+
+    /** Returns for how long an answer is awaited while nothing is received, in milliseconds. */
+    long awaitedForMs(long nowMs) {
+        return mAwaitsAnswer ? nowMs - mAwaitedSinceMs : 0;
     }
 
     /** Closes the connection. */
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.filbertrudder.model.message.Member;
@@ -32,6 +33,9 @@
 
     private static final int MAX_PENDING_ACTIONS = 1_000;
 
+    /** The time after which a connection without an awaited answer is closed, in milliseconds. */
+    private static final long ANSWER_TIMEOUT_MS = 700;
+
     private final Context mContext;
     private final NetServer mServer;
     private final NetClient mClient;
@@ -73,14 +77,19 @@
 
     private void accept(NetSocket socket) {
         PeerConnection connection =
-                new PeerConnection(socket, mHandler, mCounters, mProtocolErrorListener);
+                new PeerConnection(
+                        socket, mHandler, mCounters, this::hello, mProtocolErrorListener);
         mIncoming.add(connection);
         connection.onClose(() -> mIncoming.remove(connection));
     }
 
     /** Sends a message; connects first if necessary. Drops the message if the connection fails. */
     public void send(PeerAddress address, PeerMessage message) {
-        mOutgoing.computeIfAbsent(address, this::connect).send(message);
+        sendFrame(address, MessageCodec.encode(message), message.expectsAnswer());
+    }
+
+    private void sendFrame(PeerAddress address, Buffer frame, boolean expectsAnswer) {
+        mOutgoing.computeIfAbsent(address, this::connect).sendFrame(frame, expectsAnswer);
     }
 
     /** Sends a message to several addresses like {@link #send(PeerAddress, PeerMessage)}. */
@@ -90,7 +99,7 @@
         }
         Buffer frame = MessageCodec.encode(message);
         for (PeerAddress address : addresses) {
-            mOutgoing.computeIfAbsent(address, this::connect).sendFrame(frame);
+            sendFrame(address, frame, message.expectsAnswer());
         }
     }
 
@@ -106,7 +115,7 @@
                 encoded = outbound.message();
                 frame = MessageCodec.encode(encoded);
             }
-            mOutgoing.computeIfAbsent(outbound.to(), this::connect).sendFrame(frame);
+            sendFrame(outbound.to(), frame, encoded.expectsAnswer());
         }
     }
 
@@ -145,13 +154,45 @@
 
     private void onConnected(PeerAddress address, OutgoingConnection outgoing, NetSocket socket) {
         PeerConnection connection =
-                new PeerConnection(socket, mHandler, mCounters, mProtocolErrorListener);
+                new PeerConnection(
+                        socket, mHandler, mCounters, this::hello, mProtocolErrorListener);
         connection.onClose(() -> mOutgoing.remove(address, outgoing));
-        connection.sendHello(
-                new PeerMessage.Hello(ProtocolVersions.NEWEST_SUPPORTED, mLocalMember.get()));
+        connection.sendHello();
         outgoing.onConnected(connection);
     }
 
+    private PeerMessage.Hello hello() {
+        return new PeerMessage.Hello(ProtocolVersions.NEWEST_SUPPORTED, mLocalMember.get());
+    }
+
+    /**
+     * Closes the outgoing connections on which a message that is answered at once has got no answer
+     * in time, as a connection may fall silent while the peer is well; returns their addresses.
+     *
+     * @param sinceLastMs the time since the last call, in milliseconds
+     * @param intervalMs the interval at which this method is called, in milliseconds
+     */
+    public List<PeerAddress> closeSilent(long nowMs, long sinceLastMs, long intervalMs) {
+        List<PeerAddress> silent = new ArrayList<>();
+        // Messages that came while this instance was held up have not been read yet.
+        long heldUpMs = Math.max(0, sinceLastMs - intervalMs);
+        Map.copyOf(mOutgoing)
+                .forEach(
+                        (address, outgoing) -> {
+                            PeerConnection connection = outgoing.mConnection;
+                            if (connection == null) {
+                                return;
+                            }
+                            connection.excludeFromWait(heldUpMs);
+                            if (connection.awaitedForMs(nowMs) > ANSWER_TIMEOUT_MS) {
+                                mOutgoing.remove(address, outgoing);
+                                connection.close();
+                                silent.add(address);
+                            }
+                        });
+        return silent;
+    }
+
     /** Returns the traffic counters of all connections. */
     public PeerCounters counters() {
         return mCounters;
@@ -175,20 +216,16 @@
         private final List<Consumer<PeerConnection>> mPendingActions = new ArrayList<>();
         private PeerConnection mConnection;
 
-        void send(PeerMessage message) {
+        void sendFrame(Buffer frame, boolean expectsAnswer) {
             whenOpen(
                     connection -> {
-                        if (connection != null) {
-                            connection.send(message);
+                        if (connection == null) {
+                            return;
                         }
-                    });
-        }
-
-        void sendFrame(Buffer frame) {
-            whenOpen(
-                    connection -> {
-                        if (connection != null) {
-                            connection.sendFrame(frame);
+                        connection.sendFrame(frame);
+                        if (expectsAnswer) {
+                            connection.awaitAnswer(
+                                    TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
                         }
                     });
         }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
@@ -122,6 +123,44 @@
         assertEquals(client.counters().messagesSent(), 2 + 6);
     }
 
+    /** Guards against members that are suspected as an open connection to them fell silent. */
+    @Test
+    public void messagesOnASilentConnectionAreLostForGood() throws Exception {
+        PeerMessage request = new PeerMessage.Heartbeat(member("client"), 1, 1);
+        SilentProxy proxy = new SilentProxy(mVertx, listen(PeerSecurity.plainText()).port());
+        PeerAddress address = new PeerAddress("127.0.0.1", proxy.port());
+        BlockingQueue<PeerMessage> greetings = new LinkedBlockingQueue<>();
+        Context context = mVertx.getOrCreateContext();
+        PeerNetwork client =
+                new PeerNetwork(
+                        mVertx,
+                        context,
+                        PeerSecurity.plainText(),
+                        () -> member("client"),
+                        (connection, message) -> greetings.add(message),
+                        mProtocolErrors::add);
+        context.runOnContext(ignored -> client.send(address, MESSAGE));
+        assertEquals(receive(1), List.of(MESSAGE));
+        greetings.poll(RECEIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        proxy.silenceOpenConnections();
+        BlockingQueue<List<PeerAddress>> closed = new LinkedBlockingQueue<>();
+
+        context.runOnContext(
+                ignored -> {
+                    client.send(address, request);
+                    long nowMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+                    closed.add(client.closeSilent(nowMs + 500, 100, 100));
+                    closed.add(client.closeSilent(nowMs + 5_000, 4_500, 100));
+                    closed.add(client.closeSilent(nowMs + 5_800, 100, 100));
+                    client.send(address, request);
+                });
+
+        assertEquals(closed.poll(RECEIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS), List.of(), "early");
+        assertEquals(closed.poll(RECEIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS), List.of(), "held up");
+        assertEquals(closed.poll(RECEIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS), List.of(address));
+        assertEquals(receive(1), List.of(request));
+    }
+
     private List<PeerMessage> receive(int count) throws InterruptedException {
         List<PeerMessage> messages = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -213,8 +213,13 @@
         return messages;
     }
 
+    /** Returns a heartbeat, with which a member can be asked for an answer at any time. */
+    public PeerMessage heartbeat(long revision) {
+        return new PeerMessage.Heartbeat(mSelf, revision, digest());
+    }
+
     private List<OutboundMessage> heartbeats(long revision, long nowMs) {
-        PeerMessage heartbeat = new PeerMessage.Heartbeat(mSelf, revision, digest());
+        PeerMessage heartbeat = heartbeat(revision);
         List<OutboundMessage> messages = new ArrayList<>();
         for (Member neighbour : neighbours()) {
             observation(neighbour.id(), nowMs).recordHeartbeatSent(nowMs);
