Extract the watch over control connections and the record of member changes

Change: the classes ControlConnections and MemberChanges; PeerNetwork.answer replaces the loop in the handlers, for the own interface as well. No behaviour changes.

--- /dev/null
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
@@ -0,0 +1,71 @@
+package org.filbertrudder.gateway.control;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
+import org.filbertrudder.peer.PeerNetwork;
+import org.filbertrudder.policy.membership.MemberChange;
+import org.filbertrudder.policy.membership.Membership;
+import org.filbertrudder.policy.membership.PeerAddress;
+
+/** Replaces connections to members that may be broken, and logs what becomes of the members. */
+final class ControlConnections {
+
+    private static final ComponentLogger LOG = ComponentLogger.of("control");
+
+    private final Membership mMembership;
+    private final PeerNetwork mNetwork;
+    private final long mTickMs;
+    private Set<InstanceId> mSuspected = Set.of();
+    private long mLastTickMs = Clocks.steadyMs();
+
+    /** Creates an object that is called at an interval in milliseconds. */
+    ControlConnections(Membership membership, PeerNetwork network, long tickMs) {
+        mMembership = membership;
+        mNetwork = network;
+        mTickMs = tickMs;
+    }
+
+    /** Asks members again on a new connection, before they are suspected for a silent one. */
+    void replaceSilent(long revision, long nowMs) {
+        List<PeerAddress> silent = mNetwork.closeSilent(nowMs, nowMs - mLastTickMs, mTickMs);
+        mLastTickMs = nowMs;
+        for (PeerAddress address : silent) {
+            LOG.info("A silent connection is replaced.", LogField.of("address", address));
+            mNetwork.send(address, mMembership.heartbeat(revision));
+        }
+    }
+
+    /** Drops connections to newly suspected members, as the connection itself may be broken. */
+    void dropThoseToSuspects() {
+        Set<InstanceId> suspected = new HashSet<>();
+        for (Member member : mMembership.members()) {
+            if (member.state() == MemberState.SUSPECT) {
+                suspected.add(member.id());
+                if (!mSuspected.contains(member.id())) {
+                    mNetwork.disconnect(PeerAddress.of(member));
+                }
+            }
+        }
+        mSuspected = suspected;
+    }
+
+    /** Logs the changes of members' states since the last call. */
+    void logChanges() {
+        for (MemberChange change : mMembership.takeChanges()) {
+            LOG.info(
+                    "The state of a member has changed.",
+                    LogField.of("member", change.member()),
+                    LogField.of("before", change.before()),
+                    LogField.of("after", change.after()),
+                    LogField.of("incarnation", change.incarnation()),
+                    LogField.of("reporter", change.reporter()),
+                    LogField.of("unansweredMs", change.unansweredMs()));
+        }
+    }
+}
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -5,14 +5,12 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
-import java.util.function.BiFunction;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.filbertrudder.entry.control.CrashReportRegistry;
@@ -36,7 +34,6 @@
 import org.filbertrudder.policy.freshness.ClockReading;
 import org.filbertrudder.policy.freshness.RefreshSchedule;
 import org.filbertrudder.policy.freshness.StateFreshness;
-import org.filbertrudder.policy.membership.MemberChange;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.MembershipSettings;
 import org.filbertrudder.policy.membership.OutboundMessage;
@@ -120,12 +117,11 @@
     private Membership mMembership;
     private RelaySelection mRelaySelection;
     private PeerNetwork mNetwork;
+    private ControlConnections mConnections;
     private InstanceShares mShares;
     private GatewayTokenReservationService mTokenReservations;
     private List<Member> mRegisteredInstances;
-    private Set<InstanceId> mSuspected = Set.of();
     private StoreEra mEra = StoreEra.UNREPORTED;
-    private long mLastTickMs = Clocks.steadyMs();
     private long mNextRegistrationMs;
     private long mNextInstanceReadMs;
     private long mPublishedVersion = -1;
@@ -190,6 +186,7 @@
                         this::receive,
                         violation ->
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
+        mConnections = new ControlConnections(mMembership, mNetwork, TICK_MS);
         publish();
         return mNetwork.listen(mSettings.peerAddress().host(), mSettings.peerAddress().port())
                 .thenAccept(port -> mContext.runOnContext(ignored -> joinAndStartTimer()));
@@ -219,9 +216,9 @@
     private void tick() {
         ClockReading now = Clocks.now();
         long nowMs = now.steadyMs();
-        replaceSilentConnections(nowMs);
+        mConnections.replaceSilent(mFollower.revision(), nowMs);
         send(mMembership.tick(mFollower.revision(), nowMs));
-        mMembership.takeChanges().forEach(GatewayControl::log);
+        mConnections.logChanges();
         mFollower.tick(now);
         checkEra(nowMs);
         mTokenReservations.tick(nowMs);
@@ -229,7 +226,7 @@
         mBlockedParts.tick(nowMs);
         if (mMembership.version() != mPublishedVersion) {
             mPublishedVersion = mMembership.version();
-            dropConnectionsToSuspects();
+            mConnections.dropThoseToSuspects();
             updateShares(nowMs);
             publish();
         }
@@ -240,27 +237,6 @@
         }
     }
 
-    /** Asks members again on a new connection, before they are suspected for a silent one. */
-    private void replaceSilentConnections(long nowMs) {
-        List<PeerAddress> silent = mNetwork.closeSilent(nowMs, nowMs - mLastTickMs, TICK_MS);
-        mLastTickMs = nowMs;
-        for (PeerAddress address : silent) {
-            LOG.info("A silent connection is replaced.", LogField.of("address", address));
-            mNetwork.send(address, mMembership.heartbeat(mFollower.revision()));
-        }
-    }
-
-    private static void log(MemberChange change) {
-        LOG.info(
-                "The state of a member has changed.",
-                LogField.of("member", change.member()),
-                LogField.of("before", change.before()),
-                LogField.of("after", change.after()),
-                LogField.of("incarnation", change.incarnation()),
-                LogField.of("reporter", change.reporter()),
-                LogField.of("unansweredMs", change.unansweredMs()));
-    }
-
     /**
      * Registers again and reads the instances when the store has returned from a copy, as it may
      * have lost both. The instances do so one after the other, as all of them notice it at once.
@@ -280,20 +256,6 @@
         }
     }
 
-    /** Drops connections to newly suspected members, as the connection itself may be broken. */
-    private void dropConnectionsToSuspects() {
-        Set<InstanceId> suspected = new HashSet<>();
-        for (Member member : mMembership.members()) {
-            if (member.state() == MemberState.SUSPECT) {
-                suspected.add(member.id());
-                if (!mSuspected.contains(member.id())) {
-                    mNetwork.disconnect(PeerAddress.of(member));
-                }
-            }
-        }
-        mSuspected = suspected;
-    }
-
     private void registerAndReadInstances(long nowMs) {
         if (nowMs >= mNextRegistrationMs && mMembership.self().state() == MemberState.LIVE) {
             mNextRegistrationMs = nowMs + REGISTRATION_INTERVAL_MS;
@@ -402,52 +364,34 @@
                         handler.accept(connection.peerMember().id(), type.cast(message)));
     }
 
-    /**
-     * Registers a handler whose messages to the sender are sent on the connection of the received
-     * message, so that their arrival shows that the connection works.
-     */
     private <T extends PeerMessage> void registerAnswer(
-            Class<T> type, BiFunction<Member, T, List<OutboundMessage>> handler) {
+            Class<T> type, Function<T, List<OutboundMessage>> handler) {
         mHandlers.put(
                 type,
-                (connection, message) -> {
-                    Member from = connection.peerMember();
-                    List<OutboundMessage> others = new ArrayList<>();
-                    for (OutboundMessage outbound : handler.apply(from, type.cast(message))) {
-                        if (outbound.to().equals(PeerAddress.of(from))) {
-                            connection.send(outbound.message());
-                        } else {
-                            others.add(outbound);
-                        }
-                    }
-                    send(others);
-                });
+                (connection, message) ->
+                        mNetwork.answer(connection, handler.apply(type.cast(message))));
+    }
+
+    private <T extends PeerMessage> void registerReply(
+            Class<T> type, Function<T, PeerMessage> handler) {
+        mHandlers.put(
+                type, (connection, message) -> connection.send(handler.apply(type.cast(message))));
     }
 
     private void registerHandlers() {
         registerAnswer(
                 PeerMessage.Heartbeat.class,
-                (from, message) ->
-                        mMembership.handle(message, mFollower.revision(), Clocks.steadyMs()));
+                message -> mMembership.handle(message, mFollower.revision(), Clocks.steadyMs()));
         registerHandler(
                 PeerMessage.HeartbeatAck.class,
                 (from, message) -> send(mMembership.handle(message, Clocks.steadyMs())));
         registerHandler(
                 PeerMessage.MemberUpdates.class,
                 (from, message) -> send(mMembership.handle(message, from, Clocks.steadyMs())));
-        registerAnswer(
+        registerReply(
                 PeerMessage.MembersRequest.class,
-                (from, message) ->
-                        List.of(
-                                new OutboundMessage(
-                                        PeerAddress.of(from),
-                                        new PeerMessage.MemberUpdates(mMembership.members()))));
-        registerAnswer(
-                PeerMessage.OperatorStateRequest.class,
-                (from, message) ->
-                        List.of(
-                                new OutboundMessage(
-                                        PeerAddress.of(from), mFollower.answer(message))));
+                message -> new PeerMessage.MemberUpdates(mMembership.members()));
+        registerReply(PeerMessage.OperatorStateRequest.class, mFollower::answer);
         registerHandler(
                 PeerMessage.OperatorStateReply.class, (from, message) -> mFollower.handle(message));
         registerHandler(
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -119,6 +119,23 @@
         }
     }
 
+    /**
+     * Answers a message: what is meant for its sender is sent on the connection on which it came,
+     * so that the answer shows that the connection works.
+     */
+    public void answer(PeerConnection connection, Collection<OutboundMessage> messages) {
+        PeerAddress sender = PeerAddress.of(connection.peerMember());
+        List<OutboundMessage> others = new ArrayList<>();
+        for (OutboundMessage outbound : messages) {
+            if (outbound.to().equals(sender)) {
+                connection.send(outbound.message());
+            } else {
+                others.add(outbound);
+            }
+        }
+        sendAll(others);
+    }
+
     /**
      * Runs the action with an open connection, or with null if connecting fails or too many actions
      * already wait for the connection.
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -1,10 +1,8 @@
 package org.filbertrudder.policy.membership;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -33,9 +31,6 @@
     private static final int MAX_SUSPICION_BACKOFF_FACTOR = 16;
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
-    /** The number of changes of states that are kept until they are taken. */
-    private static final int MAX_KEPT_CHANGES = 256;
-
     /** More changes than this within the window count as an update storm. */
     private static final int MAX_CHANGES_IN_WINDOW = 8;
 
@@ -53,7 +48,7 @@
     private final Map<InstanceId, Observation> mObservations = new HashMap<>();
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
     private final Map<InstanceId, Member> mPendingUpdates = new TreeMap<>();
-    private final Deque<MemberChange> mChanges = new ArrayDeque<>();
+    private final MemberChanges mChanges = new MemberChanges();
     private long mLastFloodMs = NEVER_MS;
     private long mChangeWindowStartMs = NEVER_MS;
     private int mChangesInWindow;
@@ -136,27 +131,7 @@
 
     /** Returns the changes of members' states since the last call, without the oldest of many. */
     public List<MemberChange> takeChanges() {
-        List<MemberChange> changes = List.copyOf(mChanges);
-        mChanges.clear();
-        return changes;
-    }
-
-    private void recordChange(Member before, Member after, InstanceId reporter, long nowMs) {
-        MemberState stateBefore = before == null ? null : before.state();
-        if (stateBefore == after.state()) {
-            return;
-        }
-        if (mChanges.size() == MAX_KEPT_CHANGES) {
-            mChanges.removeFirst();
-        }
-        mChanges.addLast(
-                new MemberChange(
-                        after.id(),
-                        stateBefore,
-                        after.state(),
-                        after.incarnation(),
-                        reporter,
-                        observation(after.id(), nowMs).unansweredForMs(nowMs)));
+        return mChanges.take();
     }
 
     /** Returns a digest of the members that are not dead and of the other shared state. */
@@ -427,10 +402,10 @@
         if (stored == null && member.state() == MemberState.DEAD) {
             return false;
         }
-        recordChange(stored, member, reporter, nowMs);
+        Observation observation = observation(member.id(), nowMs);
+        mChanges.record(stored, member, reporter, observation.unansweredForMs(nowMs));
         store(member);
         countChange(nowMs);
-        Observation observation = observation(member.id(), nowMs);
         observation.mStateSinceMs = nowMs;
         observation.mLeaveAnnounced = hasAnnouncedLeave(member, observation);
         observation.clearUnanswered();
