Own interface: heartbeats are not answered on their own connection

Operators: as on the users' platform, an open connection that falls silent makes instances suspect members that are well, again and again.

No run on processes of the own interface with silent connections was made.

Change: ControlLoop answers on the connection of the request and replaces connections without an awaited answer, as ControlConnections does. Test: PeerNetworkTest.messagesOnASilentConnectionAreLostForGood (shared). Open: the own interface does not watch the connections of forwarded requests.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -71,6 +71,7 @@
     private OrderCoordinator mOrderCoordinator;
     private LiveListPoller mLiveListPoller;
     private long mStartedMs;
+    private long mLastTickMs;
     private long mNextSlowTickMs;
     private long mPublishedMembershipVersion = -1;
     private final CompletableFuture<Void> mReady = new CompletableFuture<>();
@@ -159,6 +160,7 @@
     private void tick() {
         long nowMs = mClockMs.getAsLong();
         mMembership.setSharedDigest(mShardDirectory.digest());
+        replaceSilentConnections(nowMs);
         send(mMembership.tick(mConfigurationSync.current().revision(), nowMs));
         mLiveListPoller.tick(mMembership.members().size(), nowMs);
         mConfigurationSync.tick(mRelaySelection.isRelay(), nowMs);
@@ -240,6 +242,18 @@
         return Map.copyOf(holders);
     }
 
+    /** Asks members again on a new connection, before they are suspected for a silent one. */
+    private void replaceSilentConnections(long nowMs) {
+        List<PeerAddress> silent =
+                mPeerNetwork.closeSilent(nowMs, nowMs - mLastTickMs, TICK_INTERVAL_MS);
+        mLastTickMs = nowMs;
+        for (PeerAddress address : silent) {
+            LOG.info("A silent connection is replaced.", LogField.of("address", address));
+            mPeerNetwork.send(
+                    address, mMembership.heartbeat(mConfigurationSync.current().revision()));
+        }
+    }
+
     private void flood(PeerMessage message, InstanceId from) {
         mPeerNetwork.send(mMembership.floodTargets(from, mClockMs.getAsLong()), message);
     }
@@ -265,7 +279,7 @@
     }
 
     private void registerHandlers() {
-        registerHandler(PeerMessage.Heartbeat.class, (from, message) -> handle(message));
+        registerHandler(PeerMessage.Heartbeat.class, this::handle);
         registerHandler(PeerMessage.HeartbeatAck.class, (from, message) -> handle(message));
         registerHandler(
                 PeerMessage.MemberUpdates.class,
@@ -323,9 +337,11 @@
         publishSnapshot();
     }
 
-    private void handle(PeerMessage.Heartbeat heartbeat) {
+    private void handle(PeerConnection from, PeerMessage.Heartbeat heartbeat) {
         recordRevision(heartbeat.sender(), heartbeat.revision());
-        send(mMembership.handle(heartbeat, mConfigurationSync.current().revision(), nowMs()));
+        mPeerNetwork.answer(
+                from,
+                mMembership.handle(heartbeat, mConfigurationSync.current().revision(), nowMs()));
     }
 
     private void handle(PeerMessage.HeartbeatAck ack) {
@@ -356,11 +372,9 @@
         reply(from, new PeerMessage.ShardUpdates(mShardDirectory.all()));
     }
 
-    /**
-     * Replies over a connection that this instance opens, so that the receiver knows the sender.
-     */
-    private void reply(PeerConnection to, PeerMessage message) {
-        mPeerNetwork.send(PeerAddress.of(to.peerMember()), message);
+    /** Replies on the connection of the request, which shows that the connection works. */
+    private static void reply(PeerConnection to, PeerMessage message) {
+        to.send(message);
     }
 
     private static InstanceId peerId(PeerConnection connection) {
