A burst of large bodies leaves a gateway without memory and without answers

Cause: each body is kept until its answer has ended, and nothing bounds the bytes of all requests together; a thread out of memory ends nothing.

What does not fit is refused at once by its declared length (503 overloaded, not run, Retry-After 1).

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -42,6 +42,9 @@
      */
     private static final long LOOKUP_WAIT_MS = 900;
 
+    /** When to come back after a refusal for the bodies that are held, in milliseconds. */
+    static final long BODIES_RETRY_AFTER_MS = 1_000;
+
     private final Vertx mVertx;
     private final GatewaySettings mSettings;
     private final GatewayControl mControl;
@@ -51,7 +54,7 @@
     private final BooleanSupplier mStopping;
     private final BooleanSupplier mRefusing;
     private final ExchangeLifecycle mLifecycle;
-    private final OpenRequests mOpenRequests = new OpenRequests();
+    private final OpenRequests mOpenRequests;
     private HttpServer mServer;
 
     CallerServer(
@@ -63,6 +66,7 @@
             RandomGenerator random,
             BooleanSupplier stopping,
             BooleanSupplier refusing,
+            HeldBodies bodies,
             ExchangeLifecycle lifecycle) {
         mVertx = vertx;
         mSettings = settings;
@@ -73,6 +77,7 @@
         mStopping = stopping;
         mRefusing = refusing;
         mLifecycle = lifecycle;
+        mOpenRequests = new OpenRequests(bodies);
     }
 
     Future<Void> listen() {
@@ -211,8 +216,13 @@
             CallerResponseSink sink,
             OpenRequests.OpenRequest open,
             Consumer<Buffer> onBody) {
-        Buffer body = Buffer.buffer();
-        boolean[] refused = new boolean[1];
+        String length = request.getHeader("content-length");
+        long declaredBytes = length == null ? 0 : Long.parseLong(length);
+        boolean[] refused = {!open.tryHold(declaredBytes)};
+        Buffer body = Buffer.buffer(refused[0] ? 0 : (int) declaredBytes);
+        if (refused[0]) {
+            refuse(request, sink, open, GatewayRefusal.overloaded(BODIES_RETRY_AFTER_MS));
+        }
         request.handler(
                 part -> {
                     if (refused[0]) {
@@ -222,6 +232,13 @@
                     if (body.length() > maxBytes) {
                         refused[0] = true;
                         refuse(request, sink, open, GatewayRefusal.bodyTooLong(maxBytes));
+                    } else if (declaredBytes == 0 && !open.tryHold(part.length())) {
+                        refused[0] = true;
+                        refuse(
+                                request,
+                                sink,
+                                open,
+                                GatewayRefusal.overloaded(BODIES_RETRY_AFTER_MS));
                     }
                 });
         request.endHandler(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -37,13 +37,18 @@
 
     private final RequestAcceptor mRequestAcceptor;
     private final Consumer<GatewayExchange> mOnCancel;
+    private final HeldBodies mBodies;
     private final Map<StreamKey, ForwardSink> mSinks = new HashMap<>();
     private final Set<PeerConnection> mConnections = new HashSet<>();
     private long mNextKeepAliveMs;
 
-    GatewayForwardServer(RequestAcceptor requestAcceptor, Consumer<GatewayExchange> onCancel) {
+    GatewayForwardServer(
+            RequestAcceptor requestAcceptor,
+            Consumer<GatewayExchange> onCancel,
+            HeldBodies bodies) {
         mRequestAcceptor = requestAcceptor;
         mOnCancel = onCancel;
+        mBodies = bodies;
     }
 
     /** Handles a message of another instance. */
@@ -130,6 +135,10 @@
         ForwardSink sink = new ForwardSink(key);
         mSinks.put(key, sink);
         sink.mCloseAction = from.onClose(sink::cancel);
+        if (!sink.tryHold(start.body().length)) {
+            sink.refuse(GatewayRefusal.overloaded(CallerServer.BODIES_RETRY_AFTER_MS));
+            return;
+        }
         try {
             MultiMap headers = MultiMap.caseInsensitiveMultiMap();
             start.headers().forEach(headers::add);
@@ -170,6 +179,7 @@
         private boolean mCancelled;
         private boolean mHeadSent;
         private long mUncreditedBytes;
+        private long mHeldBytes;
         private Runnable mOnDrain;
 
         ForwardSink(StreamKey key) {
@@ -191,7 +201,16 @@
             }
         }
 
+        /** Holds bytes of the body until the response ends; returns whether the bound allows it. */
+        boolean tryHold(long bytes) {
+            boolean held = mBodies.tryHold(bytes);
+            mHeldBytes += held ? bytes : 0;
+            return held;
+        }
+
         private void finish() {
+            mBodies.release(mHeldBytes);
+            mHeldBytes = 0;
             mSinks.remove(mKey);
             if (mCloseAction != null) {
                 mCloseAction.unregister();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -128,7 +128,9 @@
                         action -> vertx.setTimer(PUMP_DELAY_MS, ignored -> action.run()));
         mRunner.setDispatcher(mDispatcher);
         mAdmission = createAdmission();
-        mForwardServer = new GatewayForwardServer(this::acceptForwarded, this::callerDisconnected);
+        HeldBodies bodies = HeldBodies.forHeap();
+        mForwardServer =
+                new GatewayForwardServer(this::acceptForwarded, this::callerDisconnected, bodies);
         mCallerServer =
                 new CallerServer(
                         vertx,
@@ -139,6 +141,7 @@
                         mRandom,
                         this::isStopping,
                         this::isRefusing,
+                        bodies,
                         new CallerExchanges());
         addGauges();
         mControl.addSnapshotListener(() -> context.runOnContext(ignored -> snapshotChanged()));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -26,9 +26,15 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("callers");
 
+    private final HeldBodies mBodies;
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
     private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
 
+    /** Creates the register of requests whose bodies are held within a bound. */
+    OpenRequests(HeldBodies bodies) {
+        mBodies = bodies;
+    }
+
     void connectionOpened(HttpConnection connection) {
         CallerConnection state = new CallerConnection();
         mConnections.put(connection, state);
@@ -131,6 +137,7 @@
         private GatewayExchange mExchange;
         private Runnable mOnClosed = () -> {};
         private Consumer<GatewayRefusal> mRefuse = refusal -> {};
+        private long mHeldBytes;
         private boolean mBodyRead;
         private boolean mResponseSent;
 
@@ -179,6 +186,15 @@
             return !mCallerLeft && (mStep == RequestStep.READING || mStep == RequestStep.LOOKUP);
         }
 
+        /**
+         * Holds bytes of the body until the request is done; returns whether the bound allows it.
+         */
+        boolean tryHold(long bytes) {
+            boolean held = mBodies.tryHold(bytes);
+            mHeldBytes += held ? bytes : 0;
+            return held;
+        }
+
         void bodyRead() {
             mBodyRead = true;
             removeIfDone();
@@ -219,6 +235,8 @@
         }
 
         private boolean remove() {
+            mBodies.release(mHeldBytes);
+            mHeldBytes = 0;
             mConnection.mOpen.remove(this);
             mConnection.mIdleSinceMs = Clocks.steadyMs();
             return mOpen.remove(this);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
@@ -40,9 +40,11 @@
 public class EndedForwardsTest {
 
     private static final long TIMEOUT_SECONDS = 10;
+    private static final int MAX_HELD_BYTES = 1_000;
 
     private final AtomicReference<PeerConnection> mIncoming = new AtomicReference<>();
     private CompletableFuture<GatewayResponseSink> mWaiting;
+    private HeldBodies mBodies;
     private Vertx mVertx;
     private Context mContext;
     private GatewayForwardServer mServer;
@@ -55,18 +57,20 @@
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
         mIncoming.set(null);
+        mBodies = new HeldBodies(MAX_HELD_BYTES);
         mWaiting = new CompletableFuture<>();
         mServer =
                 new GatewayForwardServer(
                         (start, headers, sink) -> {
-                            if (start.uri().equals("/waits")) {
+                            if (start.uri().startsWith("/waits")) {
                                 mWaiting.complete(sink);
                                 return Optional.of(exchange(start.uri(), sink));
                             }
                             sink.refuse(GatewayRefusal.stopping());
                             return Optional.empty();
                         },
-                        exchange -> {});
+                        exchange -> {},
+                        mBodies);
         PeerNetwork serverNetwork = network((connection, message) -> receive(connection, message));
         int port = serverNetwork.listen("127.0.0.1", 0).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         mServerMember = member("server", port);
@@ -138,7 +142,7 @@
                 head,
                 "POST",
                 uri,
-                Buffer.buffer(),
+                Buffer.buffer(new byte[uri.equals("/waits/long") ? MAX_HELD_BYTES : 1]),
                 route,
                 Optional.empty(),
                 ServiceId.of("s"),
@@ -284,6 +288,18 @@
         assertEquals(result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), "NOT_SENT");
     }
 
+    /** Guards against an instance that runs out of memory by the bodies of many requests. */
+    @Test
+    public void bodiesOfForwardsAreHeldWithoutABound() throws Exception {
+        forwardAndAwaitArrival();
+
+        assertEquals(outcomeOf("/waits/long"), "head 503, end");
+        mWaiting.join().end();
+        CompletableFuture<Long> held = new CompletableFuture<>();
+        mContext.runOnContext(ignored -> held.complete(mBodies.heldBytes()));
+        assertEquals(held.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), 0L, "bytes are released");
+    }
+
     /** Completes with a description of how an attempt has ended. */
     private static final class Outcome implements AttemptListener {
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/OpenRequestsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/OpenRequestsTest.java
@@ -45,7 +45,7 @@
         mAnswerAtHead = false;
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
-        mOpenRequests = new OpenRequests();
+        mOpenRequests = new OpenRequests(new HeldBodies(1_000));
         CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         mContext.runOnContext(
                 ignored ->
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
@@ -36,7 +36,7 @@
     public void startServer() throws Exception {
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
-        mOpenRequests = new OpenRequests();
+        mOpenRequests = new OpenRequests(new HeldBodies(1_000));
         CompletableFuture<HttpServer> listening = new CompletableFuture<>();
         mContext.runOnContext(
                 ignored ->
