Lookups that are answered are refused after three unrelated crashes

Cause: SuspectRequests counts the crashes of a digest and never clears it by an answer. A report about a request, from others as well, beat what the instance had seen itself.

Change: a success clears the crashes of its digest, unless it ran alone in one; an instance that has seen such a success in the last ten minutes does not spread further reports of it. A request that crashes each endpoint is never answered.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
@@ -82,12 +82,25 @@
     public void report(PeerMessage.CrashReport report) {
         mContext.runOnContext(
                 ignored -> {
-                    mSuspectRequests.recordCrash(report, mClockMs.getAsLong());
+                    long nowMs = mClockMs.getAsLong();
+                    RequestDigest digest = new RequestDigest(report.account(), report.bodySha256());
+                    // Members that have not seen the answers could not tell it from a cause.
+                    boolean isExonerated =
+                            !report.alone() && mSuspectRequests.isExonerated(digest, nowMs);
+                    mSuspectRequests.recordCrash(report, nowMs);
                     mSize = mSuspectRequests.size();
-                    mFlood.accept(report, null);
+                    if (!isExonerated) {
+                        mFlood.accept(report, null);
+                    }
                 });
     }
 
+    /** Records that a request has been answered with success; may be called from any thread. */
+    public void recordAnswer(RequestDigest digest) {
+        mContext.runOnContext(
+                ignored -> mSuspectRequests.recordAnswer(digest, mClockMs.getAsLong()));
+    }
+
     /** Decides whether and where a request may run; may be called from any thread. */
     public CompletableFuture<SuspectRequests.Decision> decisionFor(RequestDigest digest) {
         CompletableFuture<SuspectRequests.Decision> result = new CompletableFuture<>();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -342,10 +342,16 @@
             return;
         }
         finish(true);
+        recordSuccess();
         mExchange.sink().end();
         mDependencies.finisher().answered(mExchange, mHead.status());
     }
 
+    /** Records that the request does not crash endpoints. */
+    private void recordSuccess() {
+        mExchange.lookedUpDigest().ifPresent(mDependencies.control().crashReports()::recordAnswer);
+    }
+
     private void endBuffered() {
         boolean authentic = mHead.signed() && !mHead.bodyEncoded();
         if (mHead.isSuccess() && !authentic) {
@@ -372,6 +378,7 @@
         finish(true);
         if (mHead.isSuccess()) {
             noteAnswerBegun();
+            recordSuccess();
         }
         if (impliesNotExecuted()) {
             mRunner.giveUp(mExchange, GatewayRefusal.incompleteResponse());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -246,6 +246,11 @@
         return mDigest;
     }
 
+    /** Returns the digest if the request was looked up by it, as there were crash reports. */
+    Optional<RequestDigest> lookedUpDigest() {
+        return Optional.ofNullable(mDigest);
+    }
+
     Attempt attempt() {
         return mAttempt;
     }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -11,13 +11,17 @@
  *
  * <p>A request that ran alone on the endpoint caused the crash and is refused. A request that
  * shared the endpoint with others is a suspect: it may run again only alone, so that another crash
- * implicates no other request. After the maximum number of crashes it is refused as well.
+ * implicates no other request. After the maximum number of crashes it is refused as well, unless it
+ * has been answered since.
  */
 public final class SuspectRequests {
 
     private static final int DEFAULT_MAX_CRASHES = 2;
     private static final long SAME_CRASH_WINDOW_MS = 3_000;
 
+    /** How long the success of a request speaks against its being the cause of crashes. */
+    private static final long EXONERATION_MS = 600_000;
+
     private final int mMaxRequests;
     private final long mRetentionMs;
     private final int mMaxCrashes;
@@ -55,13 +59,33 @@
         return isNew;
     }
 
+    /**
+     * Records that a request has been answered with success. It does not crash endpoints, so the
+     * crashes that it ran in count no longer, unless it ran alone in one.
+     */
+    public void recordAnswer(RequestDigest request, long nowMs) {
+        History history = mHistories.get(request);
+        if (history != null) {
+            history.recordAnswer(nowMs);
+        }
+    }
+
+    /** Returns whether the request has recently been answered after it had run in a crash. */
+    public boolean isExonerated(RequestDigest request, long nowMs) {
+        History history = mHistories.get(request);
+        return history != null && nowMs - history.mAnsweredMs < EXONERATION_MS;
+    }
+
     /** Returns whether and where the request may run. */
     public Decision decisionFor(RequestDigest request, long nowMs) {
         History history = mHistories.get(request);
         if (history == null || history.isExpired(nowMs, mRetentionMs)) {
             return Decision.UNRESTRICTED;
         }
-        return history.mRefused ? Decision.REFUSED : Decision.EXCLUSIVE;
+        if (history.mRefused) {
+            return Decision.REFUSED;
+        }
+        return history.mCrashes.isEmpty() ? Decision.UNRESTRICTED : Decision.EXCLUSIVE;
     }
 
     /** Returns the number of tracked requests. */
@@ -87,7 +111,9 @@
 
         private final List<Crash> mCrashes = new ArrayList<>();
         private boolean mRefused;
+        private boolean mRanAlone;
         private long mUpdatedMs;
+        private long mAnsweredMs = Long.MIN_VALUE / 2;
 
         /**
          * Records a crash report and returns whether it is new; copies may run in the same crash.
@@ -101,10 +127,19 @@
                 mCrashes.add(crash);
             }
             boolean provesCause = report.alone() && !mRefused;
-            mRefused |= report.alone() || mCrashes.size() >= maxCrashes;
+            mRanAlone |= report.alone();
+            mRefused |= mRanAlone || mCrashes.size() >= maxCrashes;
             return isNewCrash || provesCause;
         }
 
+        void recordAnswer(long nowMs) {
+            mAnsweredMs = nowMs;
+            if (!mRanAlone) {
+                mCrashes.clear();
+                mRefused = false;
+            }
+        }
+
         boolean isExpired(long nowMs, long retentionMs) {
             return nowMs - mUpdatedMs > retentionMs;
         }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
@@ -71,6 +71,8 @@
                         1,
                         MemberState.LIVE);
         send(new PeerMessage.Hello(ProtocolVersions.NEWEST_SUPPORTED, sender));
+        PeerMessage.Hello hello = (PeerMessage.Hello) receive();
+        assertEquals(hello.sender().id(), InstanceId.of("mtl-1"));
     }
 
     @AfterMethod(alwaysRun = true)
