A request that is passed on is routed by the older version of its receiver

Cause: the message names the sender's version, but the receiver chose the service by its own, older one.

Change: the sender names the service that it has chosen (header between instances); a receiver with an older version uses it, and refuses as not run (state_outdated) if it does not know that service.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -60,6 +60,7 @@
         if (exchange.relay() != null || exchange.lastEventId() > 0) {
             headers.put(GatewayForwardServer.RESUME_AFTER, Long.toString(exchange.lastEventId()));
         }
+        headers.put(GatewayForwardServer.SERVICE, exchange.service().value());
         PeerMessage.ForwardStart message =
                 new PeerMessage.ForwardStart(
                         stream,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -12,6 +12,8 @@
 import java.util.function.Consumer;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.model.InvalidValueException;
+import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerConnection;
 
@@ -23,6 +25,9 @@
     /** The header with the id of the last event that the caller received of this response. */
     static final String RESUME_AFTER = "x-resume-after";
 
+    /** The header with the service that the sender's configuration has chosen. */
+    static final String SERVICE = "x-forward-service";
+
     /**
      * The flow-control window: the bytes of a response that may be sent before the peer grants
      * credit.
@@ -120,6 +125,21 @@
                 "The header " + RESUME_AFTER + " must be a non-negative number.");
     }
 
+    /**
+     * Removes and returns the service that the sender has chosen; empty if it names none.
+     *
+     * @throws MalformedRequestException if it is not the name of a service
+     */
+    static Optional<ServiceId> removeService(MultiMap headers) {
+        String name = headers.get(SERVICE);
+        headers.remove(SERVICE);
+        try {
+            return Optional.ofNullable(name).map(ServiceId::of);
+        } catch (InvalidValueException e) {
+            throw new MalformedRequestException("The header " + SERVICE + " is invalid.");
+        }
+    }
+
     /** Refuses a request whose message has invalid fields. */
     void refuseUnreadable(PeerConnection from, long stream) {
         LOG.warn("A malformed forwarded request is refused.", LogField.of("stream", stream));
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -31,6 +31,7 @@
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.KeyId;
+import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
@@ -329,9 +330,11 @@
             return Optional.empty();
         }
         OptionalLong resumeAfter;
+        Optional<ServiceId> chosenService;
         RequestHead head;
         try {
             resumeAfter = GatewayForwardServer.removeResumeAfter(headers);
+            chosenService = GatewayForwardServer.removeService(headers);
             head = mProtocol.readRequest(headers);
         } catch (MalformedRequestException e) {
             LOG.warn(
@@ -346,8 +349,14 @@
         Optional<RouteRule> route = configuration.route(head.host(), path);
         Optional<AccountRule> account =
                 Optional.ofNullable(start.account()).flatMap(configuration::account);
+        // A newer configuration than the own one may have moved the route.
+        Optional<ServiceId> newerService =
+                chosenService.filter(ignored -> start.revision() > configuration.version());
         boolean verified =
-                route.isPresent() && keyMatchesAccount(configuration, start, route.get(), account);
+                route.isPresent()
+                        && keyMatchesAccount(configuration, start, route.get(), account)
+                        && newerService.map(configuration::service).stream()
+                                .allMatch(Optional::isPresent);
         if (!verified) {
             // The two instances may temporarily have different versions of the configuration.
             sink.refuse(GatewayRefusal.stateOutdated());
@@ -361,7 +370,8 @@
                         Buffer.buffer(start.body()),
                         route.get(),
                         account,
-                        route.get().chooseService(mRandom.nextDouble()),
+                        newerService.orElseGet(
+                                () -> route.get().chooseService(mRandom.nextDouble())),
                         true,
                         sink,
                         nowMs);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.filbertrudder.gateway.config.KeyDigests;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.FailureDomainId;
@@ -110,6 +111,57 @@
                 4_000);
     }
 
+    /** Lists the sender's version and its service, and where the request runs then. */
+    @DataProvider
+    public Object[][] chosenServices() {
+        return new Object[][] {
+            {99, PlatformFleet.MODEL_SERVICE, "pool-mtl-1"},
+            {99, PlatformFleet.BOOKING_SERVICE, REPLICA},
+            // The own configuration is as new as the sender's.
+            {1, PlatformFleet.MODEL_SERVICE, REPLICA},
+            {99, "unknown", "503"},
+        };
+    }
+
+    /** Guards against requests of a newer version that run where only an older one allows. */
+    @Test(dataProvider = "chosenServices")
+    public void requestOfANewerVersionIsRoutedByAnOlderOne(
+            long version, String service, String expected) throws IOException {
+        mFleet.startReplica("pool-mtl-1", PlatformFleet.MODEL_SERVICE, "mtl", STREAMS);
+        PlatformFleet.await(
+                "the new replica is used",
+                () ->
+                        mFleet.callerClient("mtl-1")
+                                        .sendStream("/digest/x", "key-club", "subject")
+                                        .status()
+                                == 200);
+        PeerMessage.ForwardStart like = start(7, "moved", "/stock/x", Map.of());
+        Map<String, String> headers = new HashMap<>(like.headers());
+        headers.put("x-forward-service", service);
+
+        send(
+                new PeerMessage.ForwardStart(
+                        like.stream(),
+                        like.requestId(),
+                        like.account(),
+                        like.key(),
+                        version,
+                        like.origin(),
+                        like.method(),
+                        like.uri(),
+                        headers,
+                        like.body(),
+                        like.deadlineMs()));
+
+        PeerMessage.ForwardHead head = (PeerMessage.ForwardHead) receive();
+        String ranAt =
+                Stream.of(REPLICA, "pool-mtl-1")
+                        .filter(replica -> mFleet.replica(replica).executionCount("moved") > 0)
+                        .findFirst()
+                        .orElse(Integer.toString(head.status()));
+        assertEquals(ranAt, expected);
+    }
+
     /** Returns the next message that is no keep-alive. */
     private PeerMessage receive() throws IOException {
         DataInputStream input = new DataInputStream(mPeer.getInputStream());
