--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -376,17 +376,21 @@
                         sink,
                         nowMs);
         resumeAfter.ifPresent(id -> exchange.setRelay(new StreamRelay(sink, id)));
+        admitForwarded(exchange);
+        return Optional.of(exchange);
+    }
+
+    private void admitForwarded(GatewayExchange exchange) {
         try {
             begin(exchange);
             mAdmission.admitForwarded(exchange);
         } catch (RuntimeException e) {
             LOG.warn(
                     "Handling a forwarded request has failed.",
-                    LogField.of("id", start.requestId()),
+                    LogField.of("id", exchange.head().requestId()),
                     LogField.of("error", e));
             mFinisher.failAfterException(exchange);
         }
-        return Optional.of(exchange);
     }
 
     private static boolean keyMatchesAccount(
