A crash report goes round without end once its request has been answered

Change: cleared crashes are remembered (16 a request), so that a report of one is neither new nor counted. Test: AnsweredSuspectsTest.reportOfAClearedCrashIsSentOnAgain failed before (expected [false] but found [true]); with RetryTest and CrashReportFloodTest 37 cases pass.

--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -19,6 +19,8 @@
     private static final int DEFAULT_MAX_CRASHES = 2;
     private static final long SAME_CRASH_WINDOW_MS = 3_000;
 
+    private static final int MAX_CLEARED_CRASHES = 16;
+
     /** How long the success of a request speaks against its being the cause of crashes. */
     private static final long EXONERATION_MS = 600_000;
 
@@ -110,6 +112,10 @@
     private static final class History {
 
         private final List<Crash> mCrashes = new ArrayList<>();
+
+        /** Crashes that no longer count; a report of one that is still under way is not new. */
+        private final List<Crash> mClearedCrashes = new ArrayList<>();
+
         private boolean mRefused;
         private boolean mRanAlone;
         private long mUpdatedMs;
@@ -122,7 +128,9 @@
             mUpdatedMs = nowMs;
             Crash crash = new Crash(report.endpoint(), report.atMs());
             boolean isNewCrash =
-                    mCrashes.size() < maxCrashes && mCrashes.stream().noneMatch(crash::isSameAs);
+                    mCrashes.size() < maxCrashes
+                            && mCrashes.stream().noneMatch(crash::isSameAs)
+                            && mClearedCrashes.stream().noneMatch(crash::isSameAs);
             if (isNewCrash) {
                 mCrashes.add(crash);
             }
@@ -135,6 +143,9 @@
         void recordAnswer(long nowMs) {
             mAnsweredMs = nowMs;
             if (!mRanAlone) {
+                mClearedCrashes.addAll(mCrashes);
+                int excess = Math.max(0, mClearedCrashes.size() - MAX_CLEARED_CRASHES);
+                mClearedCrashes.subList(0, excess).clear();
                 mCrashes.clear();
                 mRefused = false;
             }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/AnsweredSuspectsTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/retry/AnsweredSuspectsTest.java
@@ -25,8 +25,8 @@
         mSuspects = new SuspectRequests(10, 60 * MINUTE_MS, MAX_CRASHES);
     }
 
-    private void crash(String endpoint, boolean alone, long atMs) {
-        mSuspects.recordCrash(
+    private boolean crash(String endpoint, boolean alone, long atMs) {
+        return mSuspects.recordCrash(
                 new PeerMessage.CrashReport(
                         LOOKUP.account(),
                         LOOKUP.bodySha256(),
@@ -77,6 +77,17 @@
         assertEquals(mSuspects.decisionFor(LOOKUP, MINUTE_MS), Decision.REFUSED);
     }
 
+    /** Guards against reports that circulate without end, as answers make them new again. */
+    @Test
+    public void reportOfAClearedCrashIsSentOnAgain() {
+        assertTrue(crash("e1", false, 0));
+        mSuspects.recordAnswer(LOOKUP, 1);
+
+        assertFalse(crash("e1", false, 0));
+        assertTrue(crash("e2", false, MINUTE_MS), "another crash");
+        assertEquals(mSuspects.decisionFor(LOOKUP, MINUTE_MS), Decision.EXCLUSIVE);
+    }
+
     @Test
     public void successSpeaksForARequestForSomeMinutes() {
         crash("e1", false, 0);
