Tests: ports are chosen outside the range of outgoing connections

Cause: the fleet asked the system for free ports, released them and let the instances listen on them later. Such ports come from the range from which the system takes those of outgoing connections, so one that was opened in between could occupy one.

Change: FreePorts takes ports below that range, each only once, and checks that they are free; PlatformFleet and GatewayProcessTest use it. FreePortsTest opens 300 connections between the choice and the use of 300 ports.

The collision itself was not provoked again on the old code.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -3,11 +3,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Vertx;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -151,7 +146,7 @@
 
     /** Starts an instance as {@link #startGateway(String, String)}, with a protocol of its own. */
     public void startGateway(String id, String region, HttpProtocol protocol) {
-        List<Integer> ports = findFreePorts();
+        List<Integer> ports = FreePorts.find(PORTS_PER_INSTANCE);
         List<PeerAddress> seeds =
                 mSettings.values().stream().map(GatewaySettings::peerAddress).toList();
         GatewaySettings settings =
@@ -188,22 +183,6 @@
         return new PeerAddress("127.0.0.1", port);
     }
 
-    private static List<Integer> findFreePorts() {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < PORTS_PER_INSTANCE; i++) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-            }
-            List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-            return ports;
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     /** Returns a client for the caller port of an instance. */
     public PlatformClient callerClient(String gateway) {
         return new PlatformClient(mSettings.get(gateway).callerAddress());
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
@@ -9,7 +9,6 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.filbertrudder.policy.membership.PeerAddress;
@@ -60,18 +59,6 @@
         }
     }
 
-    private static List<Integer> findFreePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            sockets.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")));
-        }
-        List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
-
     private String settingsFile(List<Integer> ports, int graceSeconds) {
         return """
         nodeName = "edge-1"
@@ -154,7 +141,7 @@
     @Test
     public void reloadsSettingsOnSighupAndStopsOnSigterm()
             throws IOException, InterruptedException {
-        List<Integer> ports = findFreePorts(5);
+        List<Integer> ports = FreePorts.find(5);
         start(settingsFile(ports, 8));
         PlatformClient readiness = new PlatformClient(new PeerAddress("127.0.0.1", ports.get(2)));
         PlatformFleet.await(
@@ -174,7 +161,7 @@
 
     @Test
     public void failedStartEndsAsAStop() throws Exception {
-        List<Integer> ports = findFreePorts(5);
+        List<Integer> ports = FreePorts.find(5);
         try (ServerSocket taken =
                 new ServerSocket(ports.get(1), 1, InetAddress.getByName("127.0.0.1"))) {
             start(settingsFile(ports, 8));
@@ -186,7 +173,7 @@
 
     @Test
     public void sigtermDuringTheStartCutsWhatWasAccepted() throws Exception {
-        start(settingsFile(findFreePorts(5), 8));
+        start(settingsFile(FreePorts.find(5), 8));
         PlatformFleet.await("the instance starts", () -> logContains("gateway: Starting."));
 
         mProcess.toHandle().destroy();
