FAILBACK: an endpoint that refused connections counts as cold until its registration is read

Cause: a restart was known only from the list, which an instance has up to 2 s later. Refused and then accepted connections, which each instance sees itself, only ended a backoff of at most 1 s.

Change: an endpoint that refuses a connection gets no requests until a probe without a request is accepted, and then those of a cold one (RestartSuspicion), until a list shows its process, it answers a request sent before the refusal, or its warm-up time is over.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
@@ -30,6 +30,7 @@
     private final Runnable mOnChange;
     private EndpointListing mListing = new EndpointListing(StoreEra.UNREPORTED, Map.of());
     private Set<EndpointId> mLoggedMissing = Set.of();
+    private volatile long mPublishedAsOfMs = Long.MIN_VALUE;
 
     /** Creates a follower that runs the action on the context when the endpoints have changed. */
     EndpointFollower(
@@ -52,6 +53,14 @@
         return mCopy.ageMs(nowMs);
     }
 
+    /**
+     * Returns as of when the published endpoints are complete, as a reading of the steady clock in
+     * milliseconds; may be called from any thread.
+     */
+    long publishedAsOfMs() {
+        return mPublishedAsOfMs;
+    }
+
     /** Drops endpoints whose time to register again is over, and reads the list if that is due. */
     void tick(boolean asRelay, long nowMs) {
         if (mRegistry.expireMissing(nowMs)) {
@@ -132,6 +141,7 @@
                     LogField.of("ageMs", ageMs(Clocks.steadyMs())));
             mOnChange.run();
         }
+        mPublishedAsOfMs = readMs;
         logMissing();
     }
 
@@ -170,6 +180,7 @@
             apply(new EndpointListing(era, reply.endpoints()), readMs, "peer");
         } else if (reply.endpointsDigest() == mRegistry.digest() && era.equals(mListing.era())) {
             noteComplete(readMs, "peer");
+            mPublishedAsOfMs = readMs;
         }
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -426,6 +426,14 @@
         return mSnapshot;
     }
 
+    /**
+     * Returns as of when the endpoints of the latest snapshot are complete, as a reading of the
+     * steady clock in milliseconds; may be called from any thread.
+     */
+    public long endpointsAsOfMs() {
+        return mFollower.endpointsAsOfMs();
+    }
+
     /** Runs the listener on the control thread after each published snapshot. */
     public void addSnapshotListener(Runnable listener) {
         mListeners.add(listener);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewaySnapshot.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewaySnapshot.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
@@ -54,6 +56,13 @@
         return self.state() == MemberState.LEAVING;
     }
 
+    /** Returns a registered endpoint. */
+    public Optional<EndpointAvailability> endpoint(EndpointId id) {
+        return endpoints.stream()
+                .filter(availability -> availability.endpoint().id().equals(id))
+                .findFirst();
+    }
+
     /** Returns the instances of a region that accept work. */
     public List<Member> membersAcceptingWorkIn(RegionId region) {
         return acceptingByRegion.getOrDefault(region, List.of());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -477,6 +477,14 @@
         return mRegistry.availabilities();
     }
 
+    /**
+     * Returns as of when the published endpoints are complete, as a reading of the steady clock in
+     * milliseconds; may be called from any thread.
+     */
+    long endpointsAsOfMs() {
+        return mEndpoints.publishedAsOfMs();
+    }
+
     /** Returns whether the configuration and the endpoints have been read. */
     boolean isReady() {
         return configuration() != null && mRegistry.hasRead();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -23,7 +23,7 @@
  * Detects crashed, stalled and unreachable endpoints, and applies the announcements in responses.
  *
  * <p>After a connection was lost, the detector probes the endpoint with one new connection. If that
- * connection is refused, the endpoint gets no requests during its backoff, and the requests
+ * connection is refused, the endpoint gets no requests until it accepts one, and the requests
  * interrupted there at the same time are reported to the other instances.
  */
 final class EndpointFailureDetector {
@@ -43,20 +43,25 @@
     private final EndpointConnectionPools mConnections;
     private final GatewayControl mControl;
     private final EndpointTable mTable;
+    private final EndpointTableUpdater mTableUpdater;
     private final GatewayMetrics mMetrics;
     private final CrashingPartService mCrashingParts;
     private final Map<EndpointId, List<InterruptedRequest>> mInterruptedRequests = new HashMap<>();
     private final Set<EndpointId> mUnreachable = new HashSet<>();
+    private final Map<EndpointId, EndpointState> mSuspectedRestarts = new HashMap<>();
+    private final Set<EndpointId> mProbing = new HashSet<>();
 
     EndpointFailureDetector(
             EndpointConnectionPools connections,
             GatewayControl control,
             EndpointTable table,
+            EndpointTableUpdater tableUpdater,
             GatewayMetrics metrics,
             CrashingPartService crashingParts) {
         mConnections = connections;
         mControl = control;
         mTable = table;
+        mTableUpdater = tableUpdater;
         mMetrics = metrics;
         mCrashingParts = crashingParts;
     }
@@ -80,11 +85,10 @@
                     if (connection == null || interrupted.size() > 1) {
                         reportAmbiguousLosses(interrupted);
                     }
+                    noteProbe(endpoint, connection);
                     if (connection != null) {
-                        mConnections.release(endpoint.endpoint(), connection);
                         return;
                     }
-                    markUnreachable(endpoint);
                     interrupted.forEach(each -> reportCrash(endpoint.id(), each.digest()));
                 });
     }
@@ -121,11 +125,10 @@
 
     /** Returns the registered start of an endpoint's process; 0 if it is not registered. */
     private long startedMs(EndpointId endpoint) {
-        return mControl.snapshot().endpoints().stream()
-                .filter(availability -> availability.endpoint().id().equals(endpoint))
-                .mapToLong(EndpointAvailability::startedMs)
-                .findFirst()
-                .orElse(0);
+        return mControl.snapshot()
+                .endpoint(endpoint)
+                .map(EndpointAvailability::startedMs)
+                .orElse(0L);
     }
 
     /**
@@ -138,15 +141,46 @@
         LOG.info("An endpoint does not respond in time.", LogField.of("endpoint", endpoint.id()));
         mConnections.dropIdle(endpoint.id());
         endpoint.markUnreachable(Clocks.steadyMs());
-        mConnections.open(
-                endpoint.endpoint(),
-                connection -> {
-                    if (connection != null) {
-                        mConnections.release(endpoint.endpoint(), connection);
-                    } else {
-                        markUnreachable(endpoint);
-                    }
-                });
+        mConnections.open(endpoint.endpoint(), connection -> noteProbe(endpoint, connection));
+    }
+
+    private void noteProbe(EndpointState endpoint, EndpointConnection connection) {
+        if (connection == null) {
+            noteConnectionRefused(endpoint);
+            return;
+        }
+        if (endpoint.noteConnectionAccepted(Clocks.steadyMs())) {
+            LOG.info("An endpoint accepts connections.", LogField.of("endpoint", endpoint.id()));
+            mTableUpdater.updateCapacity(endpoint, mControl.snapshot());
+        }
+        mConnections.release(endpoint.endpoint(), connection);
+    }
+
+    /** Probes the endpoints that refuse connections, and checks whether the others restarted. */
+    void tick(long nowMs) {
+        long endpointsAsOfMs = mControl.endpointsAsOfMs();
+        for (EndpointState endpoint : List.copyOf(mSuspectedRestarts.values())) {
+            boolean known = mTable.findById(endpoint.id()).filter(endpoint::equals).isPresent();
+            if (startedMs(endpoint.id()) == endpoint.processStartedMs()) {
+                endpoint.noteUnchangedRegistration(endpointsAsOfMs);
+            }
+            if (!known || !endpoint.isRestartSuspected(nowMs)) {
+                mSuspectedRestarts.remove(endpoint.id());
+                LOG.info(
+                        "A suspected restart of an endpoint has been resolved.",
+                        LogField.of("endpoint", endpoint.id()),
+                        LogField.of("startedMs", endpoint.processStartedMs()),
+                        LogField.of("cold", endpoint.isCold(nowMs)),
+                        LogField.of("endpointsAgeMs", nowMs - endpointsAsOfMs));
+            } else if (endpoint.isConnectionProbeDue(nowMs) && mProbing.add(endpoint.id())) {
+                mConnections.open(
+                        endpoint.endpoint(),
+                        connection -> {
+                            mProbing.remove(endpoint.id());
+                            noteProbe(endpoint, connection);
+                        });
+            }
+        }
     }
 
     private void reportCrash(EndpointId endpoint, RequestDigest digest) {
@@ -161,11 +195,23 @@
     }
 
     /**
-     * Makes an endpoint that accepts no connection back off, and logs the first failure since its
-     * last response.
+     * Sends no requests to an endpoint that has refused a connection until it accepts one, and
+     * treats it as restarted until there is evidence of the contrary.
      */
-    void markUnreachable(EndpointState endpoint) {
+    void noteConnectionRefused(EndpointState endpoint) {
+        endpoint.connectionRefused(Clocks.steadyMs());
+        mSuspectedRestarts.put(endpoint.id(), endpoint);
+        logUnreachable(endpoint);
+    }
+
+    /** Makes an endpoint whose address belongs to another one back off. */
+    private void markUnreachable(EndpointState endpoint) {
         endpoint.markUnreachable(Clocks.steadyMs());
+        logUnreachable(endpoint);
+    }
+
+    /** Logs the first failure of an endpoint since its last response. */
+    private void logUnreachable(EndpointState endpoint) {
         if (mUnreachable.add(endpoint.id())) {
             LOG.info("An endpoint accepts no connection.", LogField.of("endpoint", endpoint.id()));
         }
@@ -184,8 +230,8 @@
      * Applies what a response states about the endpoint: that it is shutting down, or asks for a
      * pause.
      */
-    void noteResponse(EndpointState endpoint, ResponseHead head) {
-        noteResponding(endpoint);
+    void noteResponse(EndpointState endpoint, ResponseHead head, long sentMs) {
+        noteResponding(endpoint, sentMs);
         long nowMs = Clocks.steadyMs();
         if (head.leaving() && mTable.recordLeavingAnnouncement(endpoint, nowMs)) {
             LOG.info("An endpoint announces its shutdown.", LogField.of("endpoint", endpoint.id()));
@@ -199,8 +245,12 @@
         }
     }
 
-    /** Notes that the endpoint responds, and logs it after a failed connection. */
-    void noteResponding(EndpointState endpoint) {
+    /**
+     * Notes that the endpoint responds to a request that was sent at the given time, and logs it
+     * after a failed connection.
+     */
+    void noteResponding(EndpointState endpoint, long sentMs) {
+        endpoint.noteResponse(sentMs);
         if (mUnreachable.remove(endpoint.id())) {
             LOG.info("An endpoint responds again.", LogField.of("endpoint", endpoint.id()));
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -5,12 +5,9 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -25,7 +22,6 @@
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.gateway.control.Clocks;
-import org.filbertrudder.gateway.control.EndpointAvailability;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.Endpoint;
@@ -39,8 +35,6 @@
 import org.filbertrudder.peer.PeerHandler;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
-import org.filbertrudder.policy.limits.SchedulerSelection;
-import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
 
@@ -68,6 +62,8 @@
     private final HttpProtocol mProtocol;
     private final GatewayMetrics mMetrics;
     private final EndpointTable mEndpointTable = new EndpointTable();
+    private final EndpointTableUpdater mTableUpdater;
+    private EndpointFailureDetector mFailureDetector;
     private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
     private final RandomGenerator mRandom = new SplittableRandom();
     private final RunTimes mRunTimes = new RunTimes();
@@ -96,6 +92,7 @@
         mControl = control;
         mProtocol = protocol;
         mMetrics = metrics;
+        mTableUpdater = new EndpointTableUpdater(settings.id(), settings.region(), mEndpointTable);
     }
 
     @Override
@@ -116,6 +113,7 @@
                 new EndpointConnectionPools(
                         new EndpointConnector(context, mProtocol), this::maxIdleConnections);
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
+        mFailureDetector = createFailureDetector();
         mRunner =
                 new GatewayAttemptRunner(createDependencies(limits), mRandom, this::endsBeforeStop);
         UniformRegionGraph regions = new UniformRegionGraph(mSettings.domains().values());
@@ -165,7 +163,7 @@
                 mLoadReporting,
                 limits,
                 mCrashingParts,
-                createFailureDetector(),
+                mFailureDetector,
                 new RetryBudgets(mControl::bounds),
                 mFinisher);
     }
@@ -177,7 +175,7 @@
 
     private EndpointFailureDetector createFailureDetector() {
         return new EndpointFailureDetector(
-                mConnections, mControl, mEndpointTable, mMetrics, mCrashingParts);
+                mConnections, mControl, mEndpointTable, mTableUpdater, mMetrics, mCrashingParts);
     }
 
     private CrashingPartService createCrashingParts() {
@@ -415,6 +413,7 @@
         mCrashingParts.tick(nowMs);
         mForwardClient.tick(nowMs);
         mForwardServer.tick(nowMs);
+        mFailureDetector.tick(nowMs);
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
             Set<EndpointId> registered = registeredEndpoints();
@@ -439,67 +438,10 @@
         if (snapshot.configuration() == null) {
             return;
         }
-        updateTable(snapshot);
+        mTableUpdater.update(snapshot);
         refuseWithdrawnKeys(snapshot.configuration());
     }
 
-    private void updateTable(GatewaySnapshot snapshot) {
-        long nowMs = Clocks.steadyMs();
-        List<Endpoint> endpoints = new ArrayList<>();
-        Set<EndpointId> unusable = new HashSet<>();
-        Map<EndpointId, Long> startedMs = new HashMap<>();
-        for (EndpointAvailability availability : snapshot.endpoints()) {
-            endpoints.add(availability.endpoint());
-            startedMs.put(availability.endpoint().id(), availability.startedMs());
-            if (!availability.usable()) {
-                unusable.add(availability.endpoint().id());
-            }
-        }
-        mEndpointTable.setEndpoints(endpoints, nowMs);
-        mEndpointTable.setLeaving(unusable, startedMs, nowMs);
-        for (EndpointAvailability availability : snapshot.endpoints()) {
-            mEndpointTable
-                    .findById(availability.endpoint().id())
-                    .ifPresent(
-                            state ->
-                                    updateState(
-                                            state,
-                                            availability,
-                                            snapshot.configuration(),
-                                            snapshot.members()));
-        }
-    }
-
-    private void updateState(
-            EndpointState state,
-            EndpointAvailability availability,
-            GatewayConfiguration configuration,
-            List<Member> members) {
-        ServiceRule service = configuration.service(availability.endpoint().service()).orElse(null);
-        if (service == null) {
-            return;
-        }
-        service.engine().ifPresent(engine -> state.setEngineMemory(engine.memoryTokens()));
-        if (service.warmupRequestsPerSecond() > 0) {
-            boolean cold = availability.coldUntilMs() > Clocks.steadyMs();
-            boolean warmupOwner = cold && isWarmupOwner(availability.endpoint(), members);
-            state.setCold(
-                    availability.coldUntilMs(),
-                    warmupOwner ? (int) service.warmupRequestsPerSecond() : 0,
-                    Clocks.steadyMs());
-        }
-    }
-
-    /**
-     * Returns whether this instance is the only one of its region that sends requests to the
-     * endpoint while it is cold.
-     */
-    private boolean isWarmupOwner(Endpoint endpoint, List<Member> members) {
-        return SchedulerSelection.scheduler(endpoint.id(), mSettings.region(), members)
-                .map(member -> member.id().equals(mSettings.id()))
-                .orElse(true);
-    }
-
     /** Refuses the requests that have not run yet and whose API key has been withdrawn. */
     private void refuseWithdrawnKeys(GatewayConfiguration configuration) {
         for (GatewayExchange exchange : List.copyOf(mActive)) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -132,7 +132,7 @@
 
     @Override
     public void head(ResponseHead head) {
-        mDependencies.failureDetector().noteResponse(mEndpoint, head);
+        mDependencies.failureDetector().noteResponse(mEndpoint, head, mSentMs);
         mDependencies
                 .limits()
                 .noteResponse(mEndpoint.id(), head, mExchange.head().requestId(), mSentMs);
@@ -151,7 +151,7 @@
 
     @Override
     void noteStreamData() {
-        mDependencies.failureDetector().noteResponding(mEndpoint);
+        mDependencies.failureDetector().noteResponding(mEndpoint, mSentMs);
         if (!mFirstDataReceived) {
             mFirstDataReceived = true;
             mExchange.trace("first@" + (Clocks.steadyMs() - mExchange.arrivedMs()));
@@ -204,7 +204,7 @@
     void noteConnectionFailure(Failure failure) {
         mEndpoint.recordOutcome(true, Clocks.steadyMs());
         if (failure == Failure.NOT_SENT) {
-            mDependencies.failureDetector().markUnreachable(mEndpoint);
+            mDependencies.failureDetector().noteConnectionRefused(mEndpoint);
         } else {
             noteInterruption();
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -41,8 +41,10 @@
     private final PrefixCacheHints mPrefixHints = new PrefixCacheHints();
     private final EngineLoad mEngineLoad = new EngineLoad(mPrefixHints);
     private final WarmupRateLimiter mWarmupLimiter = new WarmupRateLimiter();
+    private final RestartSuspicion mRestartSuspicion = new RestartSuspicion();
     private final FailureRate mFailureRate = new FailureRate();
     private Endpoint mEndpoint;
+    private long mWarmupMs;
     private int mInFlight;
     private long mRequestsSent;
     private int mConsecutiveFailures;
@@ -86,6 +88,7 @@
         if (endpoint.port() != mEndpoint.port() || !endpoint.host().equals(mEndpoint.host())) {
             mSlowStartFromMs = nowMs;
             mConsecutiveFailures = 0;
+            mRestartSuspicion.clear();
         }
         mEndpoint = endpoint;
     }
@@ -96,10 +99,14 @@
 
     /** Sets when the endpoint's process started, in milliseconds since the epoch; 0 if unknown. */
     public void setProcessStartedMs(long startedMs) {
+        if (startedMs != mProcessStartedMs) {
+            mRestartSuspicion.clear();
+        }
         mProcessStartedMs = startedMs;
     }
 
-    long processStartedMs() {
+    /** Returns when the endpoint's process started, in milliseconds since the epoch. */
+    public long processStartedMs() {
         return mProcessStartedMs;
     }
 
@@ -208,9 +215,15 @@
         return isHealthy(nowMs) && (mPermits == null || mPermits.isExpectedBy(nowMs));
     }
 
-    /** Returns whether the endpoint is neither leaving, nor in backoff, nor paused. */
+    /**
+     * Returns whether the endpoint is neither leaving, nor in backoff, nor paused, and accepts
+     * connections.
+     */
     boolean isHealthy(long nowMs) {
-        return !mLeaving && nowMs >= mBackoffUntilMs && nowMs >= mPausedUntilMs;
+        return !mLeaving
+                && nowMs >= mBackoffUntilMs
+                && nowMs >= mPausedUntilMs
+                && !mRestartSuspicion.isRefusing();
     }
 
     /**
@@ -221,6 +234,7 @@
         return isUsable(nowMs)
                 && !mReservedExclusively
                 && mWarmupLimiter.allowsRequest(nowMs)
+                && (!isRestartSuspected(nowMs) || mWarmupLimiter.hasPermit(nowMs))
                 && (mPermits == null || mPermits.isAvailable(nowMs))
                 && load(nowMs) < slotLimit(nowMs) + maxOvercommittedRequests(nowMs);
     }
@@ -324,9 +338,41 @@
         mWarmupLimiter.setCold(untilMs, perSecond, nowMs);
     }
 
-    /** Returns whether the endpoint is still warming up. */
+    /** Returns whether the endpoint is, or may be after a restart, still warming up. */
     public boolean isCold(long nowMs) {
-        return mWarmupLimiter.isCold(nowMs);
+        return mWarmupLimiter.isCold(nowMs) || isRestartSuspected(nowMs);
+    }
+
+    /** Sets for how long the endpoint is cold after its start, in milliseconds. */
+    public void setWarmupMs(long warmupMs) {
+        mWarmupMs = warmupMs;
+    }
+
+    /** Returns whether the endpoint may have restarted without having registered since. */
+    public boolean isRestartSuspected(long nowMs) {
+        return mRestartSuspicion.isActive(mWarmupMs, nowMs);
+    }
+
+    /** Returns whether a connection should be opened to find out if the endpoint accepts it. */
+    public boolean isConnectionProbeDue(long nowMs) {
+        return mRestartSuspicion.isRefusing() && nowMs >= mBackoffUntilMs;
+    }
+
+    /** Records an accepted connection; returns whether the last one had been refused. */
+    public boolean noteConnectionAccepted(long nowMs) {
+        boolean wasRefusing = mRestartSuspicion.isRefusing();
+        mRestartSuspicion.noteAccepted(nowMs);
+        return wasRefusing;
+    }
+
+    /** Records that the endpoint responds to a request that was sent at the given time. */
+    public void noteResponse(long sentMs) {
+        mRestartSuspicion.noteResponse(sentMs);
+    }
+
+    /** Records that the registration read at the given time shows the same process. */
+    public void noteUnchangedRegistration(long asOfMs) {
+        mRestartSuspicion.noteUnchangedRegistration(asOfMs);
     }
 
     /**
@@ -420,6 +466,15 @@
         mSlowStartFromMs = mBackoffUntilMs;
     }
 
+    /**
+     * Sends no requests to an endpoint that has refused a connection until it accepts one, and
+     * limits the rate then, as the endpoint may have restarted.
+     */
+    public void connectionRefused(long nowMs) {
+        mRestartSuspicion.noteRefused(nowMs);
+        markUnreachable(nowMs);
+    }
+
     /**
      * Backs off from an endpoint that accepts no connections or has stopped responding, so it has
      * probably restarted or stopped.
--- /dev/null
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RestartSuspicion.java
@@ -0,0 +1,71 @@
+package org.filbertrudder.policy.routing;
+
+/**
+ * Decides whether an endpoint that has refused a connection may have restarted since.
+ *
+ * <p>A restarted endpoint is cold, but its registration shows this only after the next read. Until
+ * then it is treated as cold, unless there is evidence that the process is still the same one: it
+ * responds to a request that it received before, or its registration has not changed some time
+ * after it accepts connections again.
+ */
+final class RestartSuspicion {
+
+    /** The time within which a process that accepts connections has registered, in milliseconds. */
+    static final long REGISTRATION_MS = 500;
+
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private long mRefusedMs = NEVER;
+    private long mAcceptedMs = NEVER;
+
+    /** Records that the endpoint has refused a connection. */
+    void noteRefused(long nowMs) {
+        mRefusedMs = nowMs;
+        mAcceptedMs = NEVER;
+    }
+
+    /** Records that the endpoint has accepted a connection. */
+    void noteAccepted(long nowMs) {
+        if (isRefusing()) {
+            mAcceptedMs = nowMs;
+        }
+    }
+
+    /** Records a response to a request that was sent at the given time. */
+    void noteResponse(long sentMs) {
+        if (sentMs < mRefusedMs) {
+            clear();
+        }
+    }
+
+    /**
+     * Records that the registration shows the same process.
+     *
+     * @param asOfMs when the read of the registration began
+     */
+    void noteUnchangedRegistration(long asOfMs) {
+        if (mAcceptedMs != NEVER && asOfMs >= mAcceptedMs + REGISTRATION_MS) {
+            clear();
+        }
+    }
+
+    /** Ends the suspicion. */
+    void clear() {
+        mRefusedMs = NEVER;
+        mAcceptedMs = NEVER;
+    }
+
+    /** Returns whether the endpoint has not accepted a connection since it refused one. */
+    boolean isRefusing() {
+        return mRefusedMs != NEVER && mAcceptedMs == NEVER;
+    }
+
+    /**
+     * Returns whether the endpoint may have restarted and may still be cold.
+     *
+     * @param warmupMs the time for which an endpoint is cold after its start, in milliseconds
+     */
+    boolean isActive(long warmupMs, long nowMs) {
+        return mRefusedMs != NEVER && (mAcceptedMs == NEVER || nowMs - mAcceptedMs < warmupMs);
+    }
+}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/WarmupRateLimiter.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/WarmupRateLimiter.java
@@ -34,10 +34,14 @@
         return nowMs < mColdUntilMs;
     }
 
-    boolean allowsRequest(long nowMs) {
+    /** Returns whether the limit permits a request to a cold endpoint. */
+    boolean hasPermit(long nowMs) {
         dropExpiredStarts(nowMs);
-        boolean permitted = nowMs >= mFirstStartMs && mRecentStartsMs.size() < mMaxPerSecond;
-        return !isCold(nowMs) || permitted;
+        return nowMs >= mFirstStartMs && mRecentStartsMs.size() < mMaxPerSecond;
+    }
+
+    boolean allowsRequest(long nowMs) {
+        return !isCold(nowMs) || hasPermit(nowMs);
     }
 
     void recordStart(long nowMs) {
--- /dev/null
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -0,0 +1,94 @@
+package org.filbertrudder.scenarios.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.filbertrudder.standins.platform.ArrivalLog;
+import org.filbertrudder.standins.platform.ReplicaStandIn;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the load of a replica that returns under its id after it refused connections. */
+public class ColdReplicaTest {
+
+    private static final String API_KEY = "key-club";
+    private static final int CALLERS = 12;
+    private static final long SECOND_MS = 1_000;
+
+    /** What the platform allows for a service with two requests per second during the warm-up. */
+    private static final int MAX_IN_ONE_SECOND = (int) (2 * 1.5 + 3);
+
+    private PlatformFleet mFleet;
+    private ReplicaStandIn mReplica;
+    private PlatformClient mClient;
+
+    @BeforeMethod
+    public void startFleet() {
+        mFleet = new PlatformFleet("mtl");
+        mFleet.writeConfiguration(true);
+        mReplica = mFleet.startReplica("pool-mtl-1", PlatformFleet.MODEL_SERVICE, "mtl", 64);
+        mFleet.startGateway("mtl-1", "mtl");
+        mClient = mFleet.callerClient("mtl-1");
+        assertEquals(status(), 200);
+        mReplica.refuseConnections();
+        assertNotEquals(status(), 200);
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stopFleet() {
+        mFleet.close();
+    }
+
+    private int status() {
+        return mClient.sendStream("/chat/x", API_KEY, "s").status();
+    }
+
+    /** Guards against full load on a cold replica whose new registration has not been read yet. */
+    @Test
+    public void coldReplicaUnderItsFormerIdIsSentFewRequests() {
+        mReplica.acceptConnections();
+        long backMs = ArrivalLog.nowMs();
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        List<CompletableFuture<Void>> ended = new ArrayList<>();
+        for (int i = 0; i < CALLERS; i++) {
+            ended.add(CompletableFuture.runAsync(() -> sendUntil(backMs + SECOND_MS), callers));
+        }
+        ended.forEach(CompletableFuture::join);
+        callers.shutdown();
+
+        int most =
+                mReplica.arrivals()
+                        .maxWithin(
+                                SECOND_MS, backMs, arrival -> arrival.atMs() < backMs + SECOND_MS);
+        assertTrue(most <= MAX_IN_ONE_SECOND, most + " requests in one second");
+    }
+
+    private void sendUntil(long endMs) {
+        while (ArrivalLog.nowMs() < endMs) {
+            status();
+        }
+    }
+
+    @Test
+    public void replicaWithAnUnchangedRegistrationIsSentItsFullLoad() {
+        mReplica.acceptConnections();
+
+        PlatformFleet.await(
+                "the replica is sent more than the load of a cold one",
+                () -> {
+                    long fromMs = ArrivalLog.nowMs();
+                    for (int i = 0; i <= MAX_IN_ONE_SECOND; i++) {
+                        status();
+                    }
+                    return mReplica.arrivals().maxWithin(SECOND_MS, fromMs, arrival -> true)
+                            > MAX_IN_ONE_SECOND;
+                });
+    }
+}
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -167,6 +167,18 @@
         mStore.delete("servers/" + mId);
     }
 
+    /** Closes all connections and refuses new ones; the registration remains. */
+    public void refuseConnections() {
+        mStarts++;
+        mServer.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Listens again on the same port, as a process that has just started; does not register. */
+    public void acceptConnections() {
+        mServer = mVertx.createHttpServer().requestHandler(this::serve);
+        mServer.listen(mPort, mHost).toCompletionStage().toCompletableFuture().join();
+    }
+
     /** Sets the fault to inject. */
     public void setFault(Fault fault) {
         mFault = fault;
