FAILBACK: a reported crash of an endpoint is checked by an own connection

What callers saw: a cold replica under its former id also gets full load from an instance that sent it nothing while it was away, as that instance knows of the restart from the list only.

Change: an instance that receives a new crash report opens a connection to the endpoint, if it is in its region, at most once a second. If it is refused, its own suspicion begins; the report itself changes nothing. Connections that endpoints refuse are counted (`endpoint_connections_refused`).

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
@@ -1,12 +1,16 @@
 package org.filbertrudder.entry.control;
 
 import io.vertx.core.Context;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.retry.RequestDigest;
@@ -30,6 +34,7 @@
     private final LongSupplier mClockMs;
     private final BiConsumer<PeerMessage, InstanceId> mFlood;
     private final SuspectRequests mSuspectRequests;
+    private final List<Consumer<EndpointId>> mListeners = new CopyOnWriteArrayList<>();
     private final AtomicLong mReceived = new AtomicLong();
     private final AtomicLong mForwarded = new AtomicLong();
     private long mLoggedReceived;
@@ -95,6 +100,14 @@
                 });
     }
 
+    /**
+     * Runs the listener on the control thread with the endpoint of each new report of another
+     * instance.
+     */
+    public void addListener(Consumer<EndpointId> listener) {
+        mListeners.add(listener);
+    }
+
     /** Records that a request has been answered with success; may be called from any thread. */
     public void recordAnswer(RequestDigest digest) {
         mContext.runOnContext(
@@ -121,6 +134,7 @@
         if (isNew) {
             mForwarded.incrementAndGet();
             mFlood.accept(report, from);
+            mListeners.forEach(listener -> listener.accept(report.endpoint()));
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -14,6 +14,7 @@
 import org.filbertrudder.gateway.control.EndpointAvailability;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.retry.RequestDigest;
 import org.filbertrudder.policy.routing.EndpointState;
@@ -37,12 +38,16 @@
      */
     private static final int STATUS_MISDIRECTED = 421;
 
+    /** The minimum time between two probes of an endpoint after reports, in milliseconds. */
+    private static final long REPORT_PROBE_INTERVAL_MS = 1_000;
+
     /** The maximum number of interrupted requests that one log line names. */
     private static final int MAX_LOGGED_REQUESTS = 8;
 
     private final EndpointConnectionPools mConnections;
     private final GatewayControl mControl;
     private final EndpointTable mTable;
+    private final RegionId mRegion;
     private final EndpointTableUpdater mTableUpdater;
     private final GatewayMetrics mMetrics;
     private final CrashingPartService mCrashingParts;
@@ -50,17 +55,20 @@
     private final Set<EndpointId> mUnreachable = new HashSet<>();
     private final Map<EndpointId, EndpointState> mSuspectedRestarts = new HashMap<>();
     private final Set<EndpointId> mProbing = new HashSet<>();
+    private final Map<EndpointId, Long> mReportedMs = new HashMap<>();
 
     EndpointFailureDetector(
             EndpointConnectionPools connections,
             GatewayControl control,
             EndpointTable table,
+            RegionId region,
             EndpointTableUpdater tableUpdater,
             GatewayMetrics metrics,
             CrashingPartService crashingParts) {
         mConnections = connections;
         mControl = control;
         mTable = table;
+        mRegion = region;
         mTableUpdater = tableUpdater;
         mMetrics = metrics;
         mCrashingParts = crashingParts;
@@ -172,15 +180,34 @@
                         LogField.of("startedMs", endpoint.processStartedMs()),
                         LogField.of("cold", endpoint.isCold(nowMs)),
                         LogField.of("endpointsAgeMs", nowMs - endpointsAsOfMs));
-            } else if (endpoint.isConnectionProbeDue(nowMs) && mProbing.add(endpoint.id())) {
-                mConnections.open(
-                        endpoint.endpoint(),
-                        connection -> {
-                            mProbing.remove(endpoint.id());
-                            noteProbe(endpoint, connection);
-                        });
+            } else if (endpoint.isConnectionProbeDue(nowMs)) {
+                probe(endpoint);
             }
         }
+        mReportedMs.values().removeIf(reportedMs -> nowMs - reportedMs >= REPORT_PROBE_INTERVAL_MS);
+    }
+
+    private void probe(EndpointState endpoint) {
+        if (mProbing.add(endpoint.id())) {
+            mConnections.open(
+                    endpoint.endpoint(),
+                    connection -> {
+                        mProbing.remove(endpoint.id());
+                        noteProbe(endpoint, connection);
+                    });
+        }
+    }
+
+    /**
+     * Probes an endpoint of this region that another instance reports as crashed. The report itself
+     * changes nothing: this instance relies on what it has seen.
+     */
+    void probeAfterReport(EndpointId id) {
+        mTable.findById(id)
+                .filter(endpoint -> endpoint.endpoint().region().equals(mRegion))
+                .filter(endpoint -> !mSuspectedRestarts.containsKey(id))
+                .filter(endpoint -> mReportedMs.putIfAbsent(id, Clocks.steadyMs()) == null)
+                .ifPresent(this::probe);
     }
 
     private void reportCrash(EndpointId endpoint, RequestDigest digest) {
@@ -199,6 +226,7 @@
      * treats it as restarted until there is evidence of the contrary.
      */
     void noteConnectionRefused(EndpointState endpoint) {
+        mMetrics.counter("endpoint_connections_refused").inc();
         endpoint.connectionRefused(Clocks.steadyMs());
         mSuspectedRestarts.put(endpoint.id(), endpoint);
         logUnreachable(endpoint);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -174,8 +174,18 @@
     }
 
     private EndpointFailureDetector createFailureDetector() {
-        return new EndpointFailureDetector(
-                mConnections, mControl, mEndpointTable, mTableUpdater, mMetrics, mCrashingParts);
+        EndpointFailureDetector detector =
+                new EndpointFailureDetector(
+                        mConnections,
+                        mControl,
+                        mEndpointTable,
+                        mSettings.region(),
+                        mTableUpdater,
+                        mMetrics,
+                        mCrashingParts);
+        mControl.crashReports()
+                .addListener(id -> context.runOnContext(ignored -> detector.probeAfterReport(id)));
+        return detector;
     }
 
     private CrashingPartService createCrashingParts() {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -35,10 +35,23 @@
         mFleet.writeConfiguration(true);
         mReplica = mFleet.startReplica("pool-mtl-1", PlatformFleet.MODEL_SERVICE, "mtl", 64);
         mFleet.startGateway("mtl-1", "mtl");
+        mFleet.startGateway("mtl-2", "mtl");
         mClient = mFleet.callerClient("mtl-1");
-        assertEquals(status(), 200);
+        assertEquals(status(mClient), 200);
+    }
+
+    private void refuseConnections() {
         mReplica.refuseConnections();
-        assertNotEquals(status(), 200);
+        assertNotEquals(status(mClient), 200);
+        awaitRefusedConnection("mtl-1");
+    }
+
+    private void awaitRefusedConnection(String gateway) {
+        PlatformFleet.await(
+                gateway + " has tried to connect",
+                () ->
+                        mFleet.metrics(gateway)
+                                .contains("filbertrudder_endpoint_connections_refused"));
     }
 
     @AfterMethod(alwaysRun = true)
@@ -46,19 +59,40 @@
         mFleet.close();
     }
 
-    private int status() {
-        return mClient.sendStream("/chat/x", API_KEY, "s").status();
+    private static int status(PlatformClient client) {
+        return client.sendStream("/chat/x", API_KEY, "s").status();
     }
 
     /** Guards against full load on a cold replica whose new registration has not been read yet. */
     @Test
     public void coldReplicaUnderItsFormerIdIsSentFewRequests() {
+        refuseConnections();
+
+        assertFewRequestsAfterReturn(mClient);
+    }
+
+    /** Guards against full load from an instance that has sent nothing meanwhile. */
+    @Test
+    public void instanceThatNoticedNothingSendsAColdReplicaFewRequests() {
+        CompletableFuture<Integer> interrupted =
+                CompletableFuture.supplyAsync(() -> status(mClient));
+        PlatformFleet.await("a stream runs", () -> mReplica.running() > 0);
+        refuseConnections();
+        assertNotEquals(interrupted.join(), 200);
+        awaitRefusedConnection("mtl-2");
+
+        assertFewRequestsAfterReturn(mFleet.callerClient("mtl-2"));
+    }
+
+    private void assertFewRequestsAfterReturn(PlatformClient client) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
         ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         List<CompletableFuture<Void>> ended = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
-            ended.add(CompletableFuture.runAsync(() -> sendUntil(backMs + SECOND_MS), callers));
+            ended.add(
+                    CompletableFuture.runAsync(
+                            () -> sendUntil(client, backMs + SECOND_MS), callers));
         }
         ended.forEach(CompletableFuture::join);
         callers.shutdown();
@@ -70,14 +104,15 @@
         assertTrue(most <= MAX_IN_ONE_SECOND, most + " requests in one second");
     }
 
-    private void sendUntil(long endMs) {
+    private static void sendUntil(PlatformClient client, long endMs) {
         while (ArrivalLog.nowMs() < endMs) {
-            status();
+            status(client);
         }
     }
 
     @Test
     public void replicaWithAnUnchangedRegistrationIsSentItsFullLoad() {
+        refuseConnections();
         mReplica.acceptConnections();
 
         PlatformFleet.await(
@@ -85,7 +120,7 @@
                 () -> {
                     long fromMs = ArrivalLog.nowMs();
                     for (int i = 0; i <= MAX_IN_ONE_SECOND; i++) {
-                        status();
+                        status(mClient);
                     }
                     return mReplica.arrivals().maxWithin(SECOND_MS, fromMs, arrival -> true)
                             > MAX_IN_ONE_SECOND;
