Soak: replicas return cold under their ids

Cause: the soak did not cover the rule FAILBACK.

Change: replicas of the model service refuse connections for 0.4 to 3.4 s, in a series of their own, and return as new processes; ColdReturnChecker counts the requests of all instances while they are cold.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -1,7 +1,5 @@
 package org.filbertrudder.scenarios.platform;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -61,6 +59,12 @@
 
     private static final long STOPS_END_TIMEOUT_MS = 30_000;
 
+    private static final long COLD_RETURN_SERIES = 0x5eed;
+    private static final long FIRST_COLD_RETURN_MS = 2_000;
+    private static final int MAX_COLD_RETURN_INTERVAL_MS = 8_000;
+    private static final int MIN_DOWN_MS = 400;
+    private static final int MAX_DOWN_MS = 3_000;
+
     private static final String CRASHING_PART = "deadly";
     private static final String CRASHING_MARK = "/bad";
     private static final double CRASHING_SHARE = 0.1;
@@ -83,6 +87,7 @@
     private final ConfigurationLoad mConfiguration =
             new ConfigurationLoad(mFleet, API_KEY, this::isExcused);
     private final StopLoad mStops = new StopLoad(mFleet, API_KEY, this::nextBreakMs, this::note);
+    private final ColdReturnChecker mColdReturns = new ColdReturnChecker();
     private final Map<ReplicaStandIn, List<Long>> mReplicaRestartsMs = new ConcurrentHashMap<>();
     private CrashingPartChecker mCrashingPart;
     private long mStartedMs;
@@ -144,6 +149,7 @@
         scheduleFaults(faults);
         ScheduledExecutorService stops = Executors.newScheduledThreadPool(8);
         scheduleStops(stops);
+        scheduleColdReturns(faults);
         sleepUntil(mStartedMs + TimeUnit.SECONDS.toMillis(mOptions.seconds()));
         faults.shutdownNow();
         stops.shutdown();
@@ -155,6 +161,7 @@
         mViolations.addAll(mCrashingPart.violations(mCrashingFromMs, ArrivalLog.nowMs()));
         mViolations.addAll(mConfiguration.violations());
         mViolations.addAll(mStops.violations());
+        mViolations.addAll(mColdReturns.violations());
         checkReturns();
         checkExecutions();
         return new Report(
@@ -348,6 +355,19 @@
         }
     }
 
+    /** Draws cold returns from a series of their own. */
+    private void scheduleColdReturns(ScheduledExecutorService faults) {
+        Random random = new Random(mOptions.seed() ^ COLD_RETURN_SERIES);
+        long endMs = TimeUnit.SECONDS.toMillis(seconds());
+        long atMs = FIRST_COLD_RETURN_MS + random.nextInt(MAX_COLD_RETURN_INTERVAL_MS);
+        while (atMs < endMs) {
+            String replica = "pool-" + (1 + random.nextInt(REPLICAS_PER_SERVICE));
+            long durationMs = MIN_DOWN_MS + random.nextInt(MAX_DOWN_MS);
+            schedule(faults, atMs, () -> returnCold(replica, durationMs));
+            atMs += MAX_COLD_RETURN_INTERVAL_MS / 2 + random.nextInt(MAX_COLD_RETURN_INTERVAL_MS);
+        }
+    }
+
     private long nextStopMs(Random random) {
         return (MIN_STOP_INTERVAL_MS + random.nextInt(MIN_STOP_INTERVAL_MS)) / mProcesses.size();
     }
@@ -475,17 +495,32 @@
     private void restartReplica(String id, long durationMs) {
         synchronized (mCheckers.get(id)) {
             note(id + " restarts");
-            ReplicaStandIn replica = mCheckers.get(id).replica();
-            mReplicaRestartsMs
-                    .computeIfAbsent(replica, key -> new CopyOnWriteArrayList<>())
-                    .add(ArrivalLog.nowMs());
+            ReplicaStandIn replica = noteRestart(id);
             replica.crash();
-            setLimit(id, null);
             sleepUntil(ArrivalLog.nowMs() + durationMs);
             replica.start().register("ready", 0, System.currentTimeMillis());
         }
     }
 
+    /** Records that a replica stops; its next process states no limit. */
+    private ReplicaStandIn noteRestart(String id) {
+        ReplicaStandIn replica = mCheckers.get(id).replica();
+        mReplicaRestartsMs
+                .computeIfAbsent(replica, key -> new CopyOnWriteArrayList<>())
+                .add(ArrivalLog.nowMs());
+        setLimit(id, null);
+        return replica;
+    }
+
+    private void returnCold(String id, long durationMs) {
+        synchronized (mCheckers.get(id)) {
+            note(id + " refuses connections and returns cold");
+            ReplicaStandIn replica = noteRestart(id);
+            mColdReturns.returnCold(id, replica, () -> sleepUntil(ArrivalLog.nowMs() + durationMs));
+            note(id + " is back");
+        }
+    }
+
     /** Returns when a replica crashed or was restarted first, at or after a time. */
     private long nextBreakMs(ReplicaStandIn replica, long fromMs) {
         return Stream.concat(
@@ -543,39 +578,4 @@
     private void endProcesses() {
         mProcesses.values().forEach(GatewayProcess::close);
     }
-
-    /** Runs seeds one after another: {@code FIRST_SEED SEEDS INSTANCES SECONDS DIRECTORY}. */
-    public static void main(String[] arguments) throws IOException {
-        if (arguments.length != 5) {
-            System.err.println("Arguments: FIRST_SEED SEEDS INSTANCES SECONDS DIRECTORY");
-            System.exit(2);
-        }
-        long firstSeed = Long.parseLong(arguments[0]);
-        int failed = 0;
-        for (long seed = firstSeed; seed < firstSeed + Long.parseLong(arguments[1]); seed++) {
-            Path directory = Path.of(arguments[4]).resolve("seed-" + seed);
-            Files.createDirectories(directory);
-            Report report =
-                    run(
-                            new Options(
-                                    seed,
-                                    Integer.parseInt(arguments[2]),
-                                    Integer.parseInt(arguments[3]),
-                                    directory));
-            Files.write(directory.resolve("events.txt"), report.events());
-            Files.write(directory.resolve("violations.txt"), report.violations());
-            System.out.println(
-                    "seed "
-                            + seed
-                            + " "
-                            + report.statuses()
-                            + " "
-                            + report.stops()
-                            + " "
-                            + report.violations());
-            failed += report.violations().isEmpty() ? 0 : 1;
-        }
-        System.out.println(failed + " of " + arguments[1] + " seeds failed");
-        System.exit(failed == 0 ? 0 : 1);
-    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -40,6 +40,9 @@
     /** The name of the service that accepts bookings. */
     public static final String BOOKING_SERVICE = "desk";
 
+    /** The requests per second that a cold replica of the model service can take. */
+    public static final double WARMUP_PER_SECOND = 2.0;
+
     private static final long MAX_KEY_WITHDRAWAL_MS = 5_000;
     private static final long ENDPOINT_LEAVE_MS = 4_000;
     private static final long ENDPOINT_HEARTBEAT_MS = 1_200;
@@ -255,7 +258,7 @@
                 .put("healthPath", "/healthz")
                 .put("maxConns", 100)
                 .put("warmupS", 3.0)
-                .put("warmupPerS", 2.0)
+                .put("warmupPerS", WARMUP_PER_SECOND)
                 .putObject("engine")
                 .put("slots", 64)
                 .put("kvCapacity", 400_000);
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -177,6 +177,7 @@
     public void acceptConnections() {
         mServer = mVertx.createHttpServer().requestHandler(this::serve);
         mServer.listen(mPort, mHost).toCompletionStage().toCompletableFuture().join();
+        mDown = false;
     }
 
     /** Sets the fault to inject. */
