FAILBACK: an endpoint that closes idle connections early is checked by a new one

What callers saw: a cold replica under its former id got full load from instances that had sent it nothing while it was away, for example as it had stated a limit.

ColdReplicaTest.instanceWithIdleConnectionsSendsAColdReplicaFewRequests failed on: the instance never tried to connect.

Change: an idle connection that the endpoint closes before half of its idle time leads to a new connection, at most once a second for an endpoint. If it is refused, the suspicion begins. Connections of such probes are closed and not pooled, so that they cause no further ones.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -312,6 +312,11 @@
         return idleMs(nowMs) >= mKeepAliveMs;
     }
 
+    /** Returns whether the connection has been idle for so long that its peer may close it. */
+    boolean isIdleCloseExpected(long nowMs) {
+        return 2 * idleMs(nowMs) >= mKeepAliveMs;
+    }
+
     void pause() {
         mChannel.config().setAutoRead(false);
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnectionPools.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnectionPools.java
@@ -27,6 +27,7 @@
 
     private final EndpointConnector mConnector;
     private final ToIntFunction<Endpoint> mMaxIdle;
+    private final Consumer<EndpointId> mOnIdleLost;
     private final Map<EndpointId, Pool> mPools = new HashMap<>();
     private long mOpenAttempts;
 
@@ -34,10 +35,16 @@
      * Creates the pools without any connection.
      *
      * @param maxIdle returns the maximum number of idle connections to keep for an endpoint
+     * @param onIdleLost is called with an endpoint that has closed an idle connection before its
+     *     idle time was over
      */
-    EndpointConnectionPools(EndpointConnector connector, ToIntFunction<Endpoint> maxIdle) {
+    EndpointConnectionPools(
+            EndpointConnector connector,
+            ToIntFunction<Endpoint> maxIdle,
+            Consumer<EndpointId> onIdleLost) {
         mConnector = connector;
         mMaxIdle = maxIdle;
+        mOnIdleLost = onIdleLost;
     }
 
     /**
@@ -80,7 +87,18 @@
 
     private void open(Pool pool, Endpoint endpoint, Consumer<EndpointConnection> action) {
         mOpenAttempts++;
-        mConnector.connect(endpoint.host(), endpoint.port(), pool.mIdle::remove, action);
+        mConnector.connect(
+                endpoint.host(),
+                endpoint.port(),
+                connection -> handleIdleClosed(pool, endpoint, connection),
+                action);
+    }
+
+    private void handleIdleClosed(Pool pool, Endpoint endpoint, EndpointConnection connection) {
+        boolean wasPooled = pool.mIdle.remove(connection);
+        if (wasPooled && !connection.isIdleCloseExpected(Clocks.steadyMs())) {
+            mOnIdleLost.accept(endpoint.id());
+        }
     }
 
     /** Returns a connection to its pool, or closes it if it is not reusable or the pool is full. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -38,8 +38,8 @@
      */
     private static final int STATUS_MISDIRECTED = 421;
 
-    /** The minimum time between two probes of an endpoint after reports, in milliseconds. */
-    private static final long REPORT_PROBE_INTERVAL_MS = 1_000;
+    /** The minimum time between two probes of an unsuspected endpoint, in milliseconds. */
+    private static final long PROBE_INTERVAL_MS = 1_000;
 
     /** The maximum number of interrupted requests that one log line names. */
     private static final int MAX_LOGGED_REQUESTS = 8;
@@ -55,7 +55,7 @@
     private final Set<EndpointId> mUnreachable = new HashSet<>();
     private final Map<EndpointId, EndpointState> mSuspectedRestarts = new HashMap<>();
     private final Set<EndpointId> mProbing = new HashSet<>();
-    private final Map<EndpointId, Long> mReportedMs = new HashMap<>();
+    private final Map<EndpointId, Long> mLastProbeMs = new HashMap<>();
 
     EndpointFailureDetector(
             EndpointConnectionPools connections,
@@ -93,7 +93,7 @@
                     if (connection == null || interrupted.size() > 1) {
                         reportAmbiguousLosses(interrupted);
                     }
-                    noteProbe(endpoint, connection);
+                    noteProbeAndRelease(endpoint, connection);
                     if (connection != null) {
                         return;
                     }
@@ -149,19 +149,24 @@
         LOG.info("An endpoint does not respond in time.", LogField.of("endpoint", endpoint.id()));
         mConnections.dropIdle(endpoint.id());
         endpoint.markUnreachable(Clocks.steadyMs());
-        mConnections.open(endpoint.endpoint(), connection -> noteProbe(endpoint, connection));
+        mConnections.open(
+                endpoint.endpoint(), connection -> noteProbeAndRelease(endpoint, connection));
     }
 
     private void noteProbe(EndpointState endpoint, EndpointConnection connection) {
         if (connection == null) {
             noteConnectionRefused(endpoint);
-            return;
-        }
-        if (endpoint.noteConnectionAccepted(Clocks.steadyMs())) {
+        } else if (endpoint.noteConnectionAccepted(Clocks.steadyMs())) {
             LOG.info("An endpoint accepts connections.", LogField.of("endpoint", endpoint.id()));
             mTableUpdater.updateCapacity(endpoint, mControl.snapshot());
         }
-        mConnections.release(endpoint.endpoint(), connection);
+    }
+
+    private void noteProbeAndRelease(EndpointState endpoint, EndpointConnection connection) {
+        noteProbe(endpoint, connection);
+        if (connection != null) {
+            mConnections.release(endpoint.endpoint(), connection);
+        }
     }
 
     /** Probes the endpoints that refuse connections, and checks whether the others restarted. */
@@ -184,7 +189,7 @@
                 probe(endpoint);
             }
         }
-        mReportedMs.values().removeIf(reportedMs -> nowMs - reportedMs >= REPORT_PROBE_INTERVAL_MS);
+        mLastProbeMs.values().removeIf(probedMs -> nowMs - probedMs >= PROBE_INTERVAL_MS);
     }
 
     private void probe(EndpointState endpoint) {
@@ -194,19 +199,22 @@
                     connection -> {
                         mProbing.remove(endpoint.id());
                         noteProbe(endpoint, connection);
+                        if (connection != null) {
+                            connection.close();
+                        }
                     });
         }
     }
 
     /**
-     * Probes an endpoint of this region that another instance reports as crashed. The report itself
-     * changes nothing: this instance relies on what it has seen.
+     * Probes an endpoint of this region that may have stopped: another instance reports its crash,
+     * or it has closed an idle connection. This alone changes nothing: the result decides.
      */
-    void probeAfterReport(EndpointId id) {
+    void probeUnlessSuspected(EndpointId id) {
         mTable.findById(id)
                 .filter(endpoint -> endpoint.endpoint().region().equals(mRegion))
                 .filter(endpoint -> !mSuspectedRestarts.containsKey(id))
-                .filter(endpoint -> mReportedMs.putIfAbsent(id, Clocks.steadyMs()) == null)
+                .filter(endpoint -> mLastProbeMs.putIfAbsent(id, Clocks.steadyMs()) == null)
                 .ifPresent(this::probe);
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -111,7 +111,9 @@
         mForwardClient = new GatewayForwardClient(mNetwork);
         mConnections =
                 new EndpointConnectionPools(
-                        new EndpointConnector(context, mProtocol), this::maxIdleConnections);
+                        new EndpointConnector(context, mProtocol),
+                        this::maxIdleConnections,
+                        id -> mFailureDetector.probeUnlessSuspected(id));
         mFinisher = new GatewayExchangeFinisher(mControl, mMetrics);
         mFailureDetector = createFailureDetector();
         mRunner =
@@ -184,7 +186,8 @@
                         mMetrics,
                         mCrashingParts);
         mControl.crashReports()
-                .addListener(id -> context.runOnContext(ignored -> detector.probeAfterReport(id)));
+                .addListener(
+                        id -> context.runOnContext(ignored -> detector.probeUnlessSuspected(id)));
         return detector;
     }
 
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -84,6 +84,15 @@
         assertFewRequestsAfterReturn(mFleet.callerClient("mtl-2"));
     }
 
+    /** Guards against full load from an instance that only loses its idle connections. */
+    @Test
+    public void instanceWithIdleConnectionsSendsAColdReplicaFewRequests() {
+        mReplica.refuseConnections();
+        awaitRefusedConnection("mtl-1");
+
+        assertFewRequestsAfterReturn(mClient);
+    }
+
     private void assertFewRequestsAfterReturn(PlatformClient client) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
