--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ColdReturnChecker.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ColdReturnChecker.java
@@ -26,8 +26,12 @@
     void returnCold(String id, ReplicaStandIn replica, Runnable pause) {
         replica.refuseConnections();
         pause.run();
+        // At the end of the load the pause is interrupted, so the replica was never away.
+        boolean wasAway = !Thread.currentThread().isInterrupted();
         replica.acceptConnections();
-        mReturns.add(new ColdReturn(id, replica, ArrivalLog.nowMs()));
+        if (wasAway) {
+            mReturns.add(new ColdReturn(id, replica, ArrivalLog.nowMs()));
+        }
         replica.register("ready", WARMUP_MS, System.currentTimeMillis());
     }
 
