Tests: the two probes of ColdReplicaTest do not depend on the order in which the stand-in closes

Cause: the stand-in closes its connections before it refuses new ones. A process that dies does both at once.

Change: both tests let the replica stop again until the instance has seen what the test is about. The bound and what is counted stay.

--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -74,25 +74,66 @@
     /** Guards against full load from an instance that has sent nothing meanwhile. */
     @Test
     public void instanceThatNoticedNothingSendsAColdReplicaFewRequests() {
-        CompletableFuture<Integer> interrupted =
-                CompletableFuture.supplyAsync(() -> status(mClient));
-        PlatformFleet.await("a stream runs", () -> mReplica.running() > 0);
-        refuseConnections();
-        assertNotEquals(interrupted.join(), 200);
+        PlatformFleet.await("mtl-1 has seen a crash", this::crashDuringAStream);
         awaitRefusedConnection("mtl-2");
 
         assertFewRequestsAfterReturn(mFleet.callerClient("mtl-2"));
     }
 
+    /**
+     * Makes the replica refuse connections while it runs a stream; returns whether this is seen as
+     * a crash. The replica closes its connections before it refuses new ones, so an instance that
+     * connects at once sees a reset.
+     */
+    private boolean crashDuringAStream() {
+        CompletableFuture<Integer> stream = CompletableFuture.supplyAsync(() -> status(mClient));
+        PlatformFleet.await(
+                "a stream runs or is refused", () -> mReplica.running() > 0 || stream.isDone());
+        mReplica.refuseConnections();
+        stream.join();
+        if (mFleet.metrics("mtl-1").contains("filbertrudder_endpoint_crashes_seen")) {
+            return true;
+        }
+        mReplica.acceptConnections();
+        return false;
+    }
+
     /** Guards against full load from an instance that only loses its idle connections. */
     @Test
     public void instanceWithIdleConnectionsSendsAColdReplicaFewRequests() {
-        mReplica.refuseConnections();
-        awaitRefusedConnection("mtl-1");
+        PlatformFleet.await("mtl-1 has lost idle connections", this::loseIdleConnections);
 
         assertFewRequestsAfterReturn(mClient);
     }
 
+    /**
+     * Makes the replica refuse connections while none carries a request; returns whether the
+     * instance has noticed it. As above, it may connect before the replica refuses.
+     */
+    private boolean loseIdleConnections() {
+        long probes = connectionsOpened();
+        mReplica.refuseConnections();
+        PlatformFleet.await("mtl-1 has connected", () -> connectionsOpened() > probes);
+        if (mFleet.metrics("mtl-1").contains("filbertrudder_endpoint_connections_refused")) {
+            return true;
+        }
+        mReplica.acceptConnections();
+        long probedMs = ArrivalLog.nowMs();
+        PlatformFleet.await(
+                "another probe is allowed and a connection idle",
+                () -> status(mClient) == 200 && ArrivalLog.nowMs() - probedMs > SECOND_MS);
+        return false;
+    }
+
+    private long connectionsOpened() {
+        return mFleet.metrics("mtl-1")
+                .lines()
+                .filter(line -> line.startsWith("filbertrudder_endpoint_connections_opened "))
+                .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1).trim()))
+                .findFirst()
+                .orElse(0);
+    }
+
     private void assertFewRequestsAfterReturn(PlatformClient client) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
