--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/control/EndpointReportsTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/control/EndpointReportsTest.java
@@ -13,11 +13,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.filbertrudder.entry.TestEndpoints;
 import org.filbertrudder.model.Endpoint;
-import org.filbertrudder.model.EndpointId;
-import org.filbertrudder.model.FailureDomainId;
-import org.filbertrudder.model.RegionId;
-import org.filbertrudder.model.ServiceId;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -72,15 +69,7 @@
 
     private Buffer request() throws Exception {
         HttpClient client = mVertx.createHttpClient();
-        Endpoint endpoint =
-                Endpoint.of(
-                        EndpointId.of("e"),
-                        ServiceId.of("pool"),
-                        RegionId.of("mtl"),
-                        FailureDomainId.of("mtl-a"),
-                        "127.0.0.1",
-                        mServer.actualPort(),
-                        4);
+        Endpoint endpoint = TestEndpoints.onPort(mServer.actualPort());
         CompletableFuture<Buffer> report = new CompletableFuture<>();
         mVertx.runOnContext(
                 ignored ->
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/CutEndpointResponseTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/CutEndpointResponseTest.java
@@ -16,11 +16,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.filbertrudder.entry.TestEndpoints;
 import org.filbertrudder.model.Endpoint;
-import org.filbertrudder.model.EndpointId;
-import org.filbertrudder.model.FailureDomainId;
-import org.filbertrudder.model.RegionId;
-import org.filbertrudder.model.ServiceId;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.BeforeMethod;
@@ -183,19 +180,8 @@
 
     private Outcome call(HttpClient client, int port, String requestId, Buffer body) {
         CompletableFuture<Outcome> result = new CompletableFuture<>();
-        Endpoint endpoint =
-                Endpoint.of(
-                        EndpointId.of("e"),
-                        ServiceId.of("pool"),
-                        RegionId.of("mtl"),
-                        FailureDomainId.of("mtl-a"),
-                        "127.0.0.1",
-                        port,
-                        4);
-        Exchange.Request request =
-                new Exchange.Request(
-                        requestId, null, null, null, "POST", "/x", Map.of(), body, false, 0, 0, "",
-                        false, false, 0);
+        Endpoint endpoint = TestEndpoints.onPort(port);
+        Exchange.Request request = TestRequests.of(requestId, "POST", body);
         mVertx.runOnContext(
                 ignored ->
                         EndpointCall.start(
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/EndpointCallTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/EndpointCallTest.java
@@ -12,11 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.filbertrudder.entry.TestEndpoints;
 import org.filbertrudder.model.Endpoint;
-import org.filbertrudder.model.EndpointId;
-import org.filbertrudder.model.FailureDomainId;
-import org.filbertrudder.model.RegionId;
-import org.filbertrudder.model.ServiceId;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -114,32 +111,8 @@
 
     private String call(HttpClient client, int port, String requestId) throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
-        Endpoint endpoint =
-                Endpoint.of(
-                        EndpointId.of("e"),
-                        ServiceId.of("pool"),
-                        RegionId.of("mtl"),
-                        FailureDomainId.of("mtl-a"),
-                        "127.0.0.1",
-                        port,
-                        4);
-        Exchange.Request request =
-                new Exchange.Request(
-                        requestId,
-                        null,
-                        null,
-                        null,
-                        "GET",
-                        "/x",
-                        Map.of(),
-                        Buffer.buffer(),
-                        false,
-                        0,
-                        0,
-                        "",
-                        false,
-                        false,
-                        0);
+        Endpoint endpoint = TestEndpoints.onPort(port);
+        Exchange.Request request = TestRequests.get(requestId);
         mVertx.runOnContext(
                 ignored ->
                         EndpointCall.start(
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/InternalErrorTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/InternalErrorTest.java
@@ -12,7 +12,6 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -59,7 +58,7 @@
                 .handler(
                         context -> {
                             HttpResponseSink sink = new HttpResponseSink(context.response());
-                            exchange.set(new Exchange(request(), sink, 0));
+                            exchange.set(new Exchange(TestRequests.get("r1"), sink, 0));
                             exchange.get().setMayHaveRun(attemptSent);
                             CallerApi.bindExchange(context, exchange.get());
                             throw new IllegalStateException("Raised by the test.");
@@ -157,23 +156,4 @@
                 .toCompletableFuture()
                 .get(10, TimeUnit.SECONDS);
     }
-
-    private static Exchange.Request request() {
-        return new Exchange.Request(
-                "r1",
-                null,
-                null,
-                null,
-                "GET",
-                "/x",
-                Map.of(),
-                Buffer.buffer(),
-                false,
-                0,
-                0,
-                "",
-                false,
-                false,
-                0);
-    }
 }
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ResponseRelayTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ResponseRelayTest.java
@@ -18,7 +18,8 @@
     /** Guards against an instance that runs out of memory as it waits for the end of an event. */
     @Test
     public void endlessEventIsKeptInMemory() {
-        ResponseRelay relay = new ResponseRelay(new Exchange(request(), new Sink(), 0), () -> {});
+        ResponseRelay relay =
+                new ResponseRelay(new Exchange(TestRequests.get("r1"), new Sink(), 0), () -> {});
         relay.head(200, Map.of(TYPE, STREAM));
         Buffer data = Buffer.buffer("data: x".repeat(1_000));
 
@@ -33,7 +34,8 @@
     @Test
     public void longEventsAreRelayedWhole() {
         Sink sink = new Sink();
-        ResponseRelay relay = new ResponseRelay(new Exchange(request(), sink, 0), () -> {});
+        ResponseRelay relay =
+                new ResponseRelay(new Exchange(TestRequests.get("r1"), sink, 0), () -> {});
         relay.head(200, Map.of(TYPE, STREAM));
         String event = "data: " + "x".repeat(ResponseRelay.MAX_EVENT_BYTES - 100) + "\n\n";
 
@@ -43,25 +45,6 @@
         assertEquals(relay.eventsSent(), 2);
     }
 
-    private static Exchange.Request request() {
-        return new Exchange.Request(
-                "r1",
-                null,
-                null,
-                null,
-                "GET",
-                "/x",
-                Map.of(),
-                Buffer.buffer(),
-                false,
-                0,
-                0,
-                "",
-                false,
-                false,
-                0);
-    }
-
     /** Counts the bytes that it gets. */
     private static final class Sink implements ResponseSink {
 
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ColdReturnChecker.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ColdReturnChecker.java
@@ -56,9 +56,4 @@
         }
         return violations;
     }
-
-    /** Returns the number of returns. */
-    int count() {
-        return mReturns.size();
-    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -28,7 +28,7 @@
  * part of prompts crashes replicas, the configuration changes, and a seeded series of signals,
  * restarts and outages disturbs the processes, the replicas and the store, which may return from a
  * copy, and instances are stopped as planned. Checks what the replicas and the callers see against
- * the platform's rules LIMIT, BUDGET, LOST, REFUSED, CONFIG and DENIED.
+ * the platform's rules LIMIT, BUDGET, LOST, REFUSED, CONFIG, DENIED and FAILBACK.
  */
 public final class LimitSoak {
 
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -1,5 +1,6 @@
 package org.filbertrudder.standins.platform;
 
+import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
@@ -129,8 +130,7 @@
 
     /** Starts to listen and registers the replica as ready. */
     public ReplicaStandIn start() {
-        mServer = mVertx.createHttpServer().requestHandler(this::serve);
-        mServer.listen(0, mHost).toCompletionStage().toCompletableFuture().join();
+        listen(0).toCompletionStage().toCompletableFuture().join();
         mPort = mServer.actualPort();
         mDown = false;
         mStarts++;
@@ -175,11 +175,15 @@
 
     /** Listens again on the same port, as a process that has just started; does not register. */
     public void acceptConnections() {
-        mServer = mVertx.createHttpServer().requestHandler(this::serve);
-        mServer.listen(mPort, mHost).toCompletionStage().toCompletableFuture().join();
+        listen(mPort).toCompletionStage().toCompletableFuture().join();
         mDown = false;
     }
 
+    private Future<HttpServer> listen(int port) {
+        mServer = mVertx.createHttpServer().requestHandler(this::serve);
+        return mServer.listen(port, mHost);
+    }
+
     /** Sets the fault to inject. */
     public void setFault(Fault fault) {
         mFault = fault;
@@ -369,8 +373,7 @@
                     if (starts != mStarts) {
                         return;
                     }
-                    mServer = mVertx.createHttpServer().requestHandler(this::serve);
-                    mServer.listen(mPort, mHost)
+                    listen(mPort)
                             .onSuccess(
                                     server -> {
                                         mDown = false;
