Entry, gateway: one place replaces silent connections, one counts the bytes that a request holds

In the own interface the time of the last tick began at 0, so the first hold-up counted as one since the start of the machine.

Change: SilentConnections is used by both interfaces and begins with the time of its start; HeldBodies.Hold keeps what one request holds. HeldBodiesTest asks the same of a Hold.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/ControlLoop.java
@@ -71,7 +71,7 @@
     private OrderCoordinator mOrderCoordinator;
     private LiveListPoller mLiveListPoller;
     private long mStartedMs;
-    private long mLastTickMs;
+    private SilentConnections mSilentConnections;
     private long mNextSlowTickMs;
     private long mPublishedMembershipVersion = -1;
     private final CompletableFuture<Void> mReady = new CompletableFuture<>();
@@ -154,13 +154,15 @@
                         mContext, self.id(), mPlatform, mClockMs, this::handleLiveListChange);
         publishSnapshot();
         send(mMembership.join(0));
+        mSilentConnections = new SilentConnections(mPeerNetwork, TICK_INTERVAL_MS, nowMs());
         mVertx.setPeriodic(TICK_INTERVAL_MS, timer -> tick());
     }
 
     private void tick() {
         long nowMs = mClockMs.getAsLong();
         mMembership.setSharedDigest(mShardDirectory.digest());
-        replaceSilentConnections(nowMs);
+        mSilentConnections.replace(
+                () -> mMembership.heartbeat(mConfigurationSync.current().revision()), nowMs);
         send(mMembership.tick(mConfigurationSync.current().revision(), nowMs));
         mLiveListPoller.tick(mMembership.members().size(), nowMs);
         mConfigurationSync.tick(mRelaySelection.isRelay(), nowMs);
@@ -242,18 +244,6 @@
         return Map.copyOf(holders);
     }
 
-    /** Asks members again on a new connection, before they are suspected for a silent one. */
-    private void replaceSilentConnections(long nowMs) {
-        List<PeerAddress> silent =
-                mPeerNetwork.closeSilent(nowMs, nowMs - mLastTickMs, TICK_INTERVAL_MS);
-        mLastTickMs = nowMs;
-        for (PeerAddress address : silent) {
-            LOG.info("A silent connection is replaced.", LogField.of("address", address));
-            mPeerNetwork.send(
-                    address, mMembership.heartbeat(mConfigurationSync.current().revision()));
-        }
-    }
-
     private void flood(PeerMessage message, InstanceId from) {
         mPeerNetwork.send(mMembership.floodTargets(from, mClockMs.getAsLong()), message);
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
@@ -1,8 +1,8 @@
 package org.filbertrudder.gateway.control;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
+import org.filbertrudder.entry.control.SilentConnections;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.InstanceId;
@@ -20,25 +20,19 @@
 
     private final Membership mMembership;
     private final PeerNetwork mNetwork;
-    private final long mTickMs;
+    private final SilentConnections mSilent;
     private Set<InstanceId> mSuspected = Set.of();
-    private long mLastTickMs = Clocks.steadyMs();
 
     /** Creates an object that is called at an interval in milliseconds. */
     ControlConnections(Membership membership, PeerNetwork network, long tickMs) {
         mMembership = membership;
         mNetwork = network;
-        mTickMs = tickMs;
+        mSilent = new SilentConnections(network, tickMs, Clocks.steadyMs());
     }
 
     /** Asks members again on a new connection, before they are suspected for a silent one. */
     void replaceSilent(long revision, long nowMs) {
-        List<PeerAddress> silent = mNetwork.closeSilent(nowMs, nowMs - mLastTickMs, mTickMs);
-        mLastTickMs = nowMs;
-        for (PeerAddress address : silent) {
-            LOG.info("A silent connection is replaced.", LogField.of("address", address));
-            mNetwork.send(address, mMembership.heartbeat(revision));
-        }
+        mSilent.replace(() -> mMembership.heartbeat(revision), nowMs);
     }
 
     /** Drops connections to newly suspected members, as the connection itself may be broken. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -155,7 +155,7 @@
         ForwardSink sink = new ForwardSink(key);
         mSinks.put(key, sink);
         sink.mCloseAction = from.onClose(sink::cancel);
-        if (!sink.tryHold(start.body().length)) {
+        if (!sink.mHold.tryAdd(start.body().length)) {
             sink.refuse(GatewayRefusal.overloaded(CallerServer.BODIES_RETRY_AFTER_MS));
             return;
         }
@@ -199,7 +199,7 @@
         private boolean mCancelled;
         private boolean mHeadSent;
         private long mUncreditedBytes;
-        private long mHeldBytes;
+        private final HeldBodies.Hold mHold = mBodies.newHold();
         private Runnable mOnDrain;
 
         ForwardSink(StreamKey key) {
@@ -221,16 +221,8 @@
             }
         }
 
-        /** Holds bytes of the body until the response ends; returns whether the bound allows it. */
-        boolean tryHold(long bytes) {
-            boolean held = mBodies.tryHold(bytes);
-            mHeldBytes += held ? bytes : 0;
-            return held;
-        }
-
         private void finish() {
-            mBodies.release(mHeldBytes);
-            mHeldBytes = 0;
+            mHold.release();
             mSinks.remove(mKey);
             if (mCloseAction != null) {
                 mCloseAction.unregister();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/HeldBodies.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/HeldBodies.java
@@ -22,18 +22,31 @@
         return new HeldBodies(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
     }
 
-    /** Holds further bytes; returns false, and holds none of them, if that exceeds the bound. */
-    boolean tryHold(long bytes) {
-        if (bytes > mMaxBytes - mHeldBytes) {
-            return false;
-        }
-        mHeldBytes += bytes;
-        return true;
+    /** Returns a hold for the body of a request, which has no bytes yet. */
+    Hold newHold() {
+        return new Hold();
     }
 
-    /** Releases bytes that were held. */
-    void release(long bytes) {
-        mHeldBytes -= bytes;
+    /** The bytes that are held for one request. */
+    final class Hold {
+
+        private long mBytes;
+
+        /** Holds further bytes; returns false, and holds none of them, if they exceed the bound. */
+        boolean tryAdd(long bytes) {
+            if (bytes > mMaxBytes - mHeldBytes) {
+                return false;
+            }
+            mHeldBytes += bytes;
+            mBytes += bytes;
+            return true;
+        }
+
+        /** Releases all bytes. */
+        void release() {
+            mHeldBytes -= mBytes;
+            mBytes = 0;
+        }
     }
 
     /** Returns the number of bytes held. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -137,7 +137,7 @@
         private GatewayExchange mExchange;
         private Runnable mOnClosed = () -> {};
         private Consumer<GatewayRefusal> mRefuse = refusal -> {};
-        private long mHeldBytes;
+        private final HeldBodies.Hold mHold = mBodies.newHold();
         private boolean mBodyRead;
         private boolean mResponseSent;
 
@@ -190,9 +190,7 @@
          * Holds bytes of the body until the request is done; returns whether the bound allows it.
          */
         boolean tryHold(long bytes) {
-            boolean held = mBodies.tryHold(bytes);
-            mHeldBytes += held ? bytes : 0;
-            return held;
+            return mHold.tryAdd(bytes);
         }
 
         void bodyRead() {
@@ -235,8 +233,7 @@
         }
 
         private boolean remove() {
-            mBodies.release(mHeldBytes);
-            mHeldBytes = 0;
+            mHold.release();
             mConnection.mOpen.remove(this);
             mConnection.mIdleSinceMs = Clocks.steadyMs();
             return mOpen.remove(this);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/HeldBodiesTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/HeldBodiesTest.java
@@ -13,16 +13,19 @@
     public void bodiesAreHeldUpToTheBoundAndAgainAfterARelease() {
         HeldBodies bodies = new HeldBodies(100);
 
-        assertTrue(bodies.tryHold(60));
-        assertFalse(bodies.tryHold(41));
-        assertTrue(bodies.tryHold(40));
-        bodies.release(60);
-        assertTrue(bodies.tryHold(60));
+        HeldBodies.Hold first = bodies.newHold();
+        HeldBodies.Hold second = bodies.newHold();
+
+        assertTrue(first.tryAdd(60));
+        assertFalse(second.tryAdd(41));
+        assertTrue(second.tryAdd(40));
+        first.release();
+        assertTrue(first.tryAdd(60));
         assertEquals(bodies.heldBytes(), 100);
     }
 
     @Test
     public void boundOfTheHeapIsAFractionOfIt() {
-        assertFalse(HeldBodies.forHeap().tryHold(Runtime.getRuntime().maxMemory() / 2));
+        assertFalse(HeldBodies.forHeap().newHold().tryAdd(Runtime.getRuntime().maxMemory() / 2));
     }
 }
