--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ColdReturnChecker.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/ColdReturnChecker.java
@@ -48,12 +48,23 @@
                 violations.add(
                         String.format(
                                 Locale.ROOT,
-                                "FAILBACK: %s got %d requests in one second while cold; %d allowed",
+                                "FAILBACK: %s got %d requests in one second while cold; %d allowed;"
+                                        + " arrivals after its return at %d ms: %s; crashes: %s",
                                 each.id(),
                                 most,
-                                ALLOWED));
+                                ALLOWED,
+                                each.atMs(),
+                                describe(each.replica().arrivals(), each.atMs(), warmMs),
+                                describe(each.replica().crashes(), each.atMs(), warmMs)));
             }
         }
         return violations;
     }
+
+    private static List<String> describe(ArrivalLog log, long fromMs, long untilMs) {
+        return log.all().stream()
+                .filter(each -> each.atMs() >= fromMs && each.atMs() < untilMs)
+                .map(each -> (each.atMs() - fromMs) + " " + each.requestId())
+                .toList();
+    }
 }
