Gateway: an endpoint is probed once more a second after the last hint that it may have stopped

The test of idle connections needed several tries (4 of 12 and 2 of 8 runs), and timed out in 2 of 6 runs on this machine.

Cause: a process that ends closes its connections before it stops to listen. A probe in between is accepted by the kernel, so nothing was suspected, and hints within a second after a probe were dropped.

Change: ProbeSchedule decides when to probe: at once after the first hint, and again until a probe came a second or more after the last hint. A connection that is accepted after interrupted requests counts as a probe.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -21,6 +21,7 @@
 import org.filbertrudder.policy.retry.RequestDigest;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
+import org.filbertrudder.policy.routing.ProbeSchedule;
 
 /**
  * Detects crashed, stalled and unreachable endpoints, and applies the announcements in responses.
@@ -57,7 +58,7 @@
     private final Set<EndpointId> mUnreachable = new HashSet<>();
     private final Map<EndpointId, EndpointState> mSuspectedRestarts = new HashMap<>();
     private final Set<EndpointId> mProbing = new HashSet<>();
-    private final Map<EndpointId, Long> mLastProbeMs = new HashMap<>();
+    private final ProbeSchedule mProbes = new ProbeSchedule(PROBE_INTERVAL_MS);
 
     EndpointFailureDetector(
             EndpointConnectionPools connections,
@@ -97,6 +98,7 @@
                     }
                     noteProbeAndRelease(endpoint, connection);
                     if (connection != null) {
+                        mProbes.noteHint(endpoint.id(), Clocks.steadyMs());
                         return;
                     }
                     interrupted.forEach(each -> reportCrash(endpoint.id(), each.digest()));
@@ -191,7 +193,7 @@
                 probe(endpoint);
             }
         }
-        mLastProbeMs.values().removeIf(probedMs -> nowMs - probedMs >= PROBE_INTERVAL_MS);
+        mProbes.takeDue(nowMs).forEach(id -> findUnsuspected(id).ifPresent(this::probe));
     }
 
     /** Returns the endpoints of the region that may have restarted, as a report to an instance. */
@@ -218,8 +220,7 @@
      *
      * @return whether the endpoint is known
      */
-    boolean adoptSuspicion(
-            InstanceId from, PeerMessage.SuspectedRestart report, long receivedMs) {
+    boolean adoptSuspicion(InstanceId from, PeerMessage.SuspectedRestart report, long receivedMs) {
         Optional<EndpointState> known = mTable.findById(report.endpoint());
         known.filter(endpoint -> endpoint.processStartedMs() == report.startedMs())
                 .filter(endpoint -> endpoint.connectionRefusedMs().isEmpty())
@@ -269,13 +270,17 @@
      * or it has closed an idle connection. This alone changes nothing: the result decides.
      */
     void probeUnlessSuspected(EndpointId id) {
-        mTable.findById(id)
-                .filter(endpoint -> endpoint.endpoint().region().equals(mRegion))
-                .filter(endpoint -> !mSuspectedRestarts.containsKey(id))
-                .filter(endpoint -> mLastProbeMs.putIfAbsent(id, Clocks.steadyMs()) == null)
+        findUnsuspected(id)
+                .filter(endpoint -> mProbes.noteHint(id, Clocks.steadyMs()))
                 .ifPresent(this::probe);
     }
 
+    private Optional<EndpointState> findUnsuspected(EndpointId id) {
+        return mTable.findById(id)
+                .filter(endpoint -> endpoint.endpoint().region().equals(mRegion))
+                .filter(endpoint -> !mSuspectedRestarts.containsKey(id));
+    }
+
     private void reportCrash(EndpointId endpoint, RequestDigest digest) {
         mControl.crashReports()
                 .report(
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -114,30 +114,12 @@
     /** Guards against full load from an instance that only loses its idle connections. */
     @Test
     public void instanceWithIdleConnectionsSendsAColdReplicaFewRequests() {
-        PlatformFleet.await("mtl-1 has lost idle connections", this::loseIdleConnections);
+        mReplica.refuseConnections();
+        awaitRefusedConnection("mtl-1");
 
         assertFewRequestsAfterReturn(mClient);
     }
 
-    /**
-     * Makes the replica refuse connections while none carries a request; returns whether the
-     * instance has noticed it. As above, it may connect before the replica refuses.
-     */
-    private boolean loseIdleConnections() {
-        long probes = connectionsOpened();
-        mReplica.refuseConnections();
-        PlatformFleet.await("mtl-1 has connected", () -> connectionsOpened() > probes);
-        if (mFleet.metrics("mtl-1").contains("filbertrudder_endpoint_connections_refused")) {
-            return true;
-        }
-        mReplica.acceptConnections();
-        long probedMs = ArrivalLog.nowMs();
-        PlatformFleet.await(
-                "another probe is allowed and a connection idle",
-                () -> status(mClient) == 200 && ArrivalLog.nowMs() - probedMs > SECOND_MS);
-        return false;
-    }
-
     /** Guards against full load from an instance that starts while the others know of a restart. */
     @Test
     public void instanceThatStartsMeanwhileSendsAColdReplicaFewRequests() {
@@ -147,15 +129,6 @@
         assertFewRequestsAfterReturn(mFleet.callerClient("mtl-3"));
     }
 
-    private long connectionsOpened() {
-        return mFleet.metrics("mtl-1")
-                .lines()
-                .filter(line -> line.startsWith("filbertrudder_endpoint_connections_opened "))
-                .mapToLong(line -> Long.parseLong(line.substring(line.indexOf(' ') + 1).trim()))
-                .findFirst()
-                .orElse(0);
-    }
-
     private void assertFewRequestsAfterReturn(PlatformClient client) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
