Gateway, entry: the listening socket closes before the server, once no connection waits at it

Cause: when the server is closed, the library first takes away the event loop that serves new connections and closes the listening socket later, on another thread. It closes unread what it accepts in between ("Failed to register an accepted channel"); what still waits in the system's queue is reset.

Evidence: in the traces these lines follow "The drain has ended." by 50 to 110 ms, and the lost requests were never logged by the instance.

Change: ListeningSocket closes the socket on its own event loop after a pass that accepted nothing, at most 50 ms later. The requests on the connections accepted last are refused as all others, for at most 200 ms, then the server closes. The own interface does the same for 50 ms; this path has no test beyond ListeningSocketTest.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.filbertrudder.entry.EntrySettings;
 import org.filbertrudder.entry.control.ControlSnapshot;
 import org.filbertrudder.entry.control.TokensRefusedException;
@@ -35,6 +36,10 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("traffic");
     private static final long TICK_INTERVAL_MS = 20;
+
+    /** How long requests on the last accepted connections are refused, in milliseconds. */
+    private static final long LAST_REFUSALS_MS = 50;
+
     private static final int MAX_CONNECTIONS_PER_ENDPOINT = 10_000;
     private static final int MAX_TRACKED_REQUEST_OUTCOMES = 10_000;
 
@@ -44,6 +49,7 @@
     private final EndpointTable mEndpointTable = new EndpointTable();
     private final Set<Exchange> mActiveExchanges = new LinkedHashSet<>();
     private final CallerConnections mCallerConnections = new CallerConnections();
+    private final ListeningSocket mListeningSocket = new ListeningSocket();
     private final RequestAdmission mAdmission;
     private ControlSnapshot mAppliedSnapshot;
     private CallerApi mCallerApi;
@@ -172,7 +178,11 @@
 
     private void startListening(Promise<Void> started) {
         mServer = vertx.createHttpServer(mCallerApi.serverOptions());
-        mServer.connectionHandler(mCallerConnections::add);
+        mServer.connectionHandler(
+                connection -> {
+                    mListeningSocket.connectionOpened(connection);
+                    mCallerConnections.add(connection);
+                });
         mServer.requestHandler(mCallerApi.router(vertx));
         mServer.invalidRequestHandler(mCallerApi::refuseInvalid);
         mServer.listen(mPorts.callerPort(), mSettings.host())
@@ -368,12 +378,20 @@
                                 timer -> {
                                     if (isClosed(schedule)) {
                                         vertx.cancelTimer(timer);
-                                        mServer.close().onComplete(done -> closed.complete(null));
+                                        closeServer().onComplete(done -> closed.complete(null));
                                     }
                                 }));
         return closed;
     }
 
+    /** Closes the server once requests on connections that waited to be accepted are refused. */
+    private Future<Void> closeServer() {
+        return mListeningSocket
+                .close(context)
+                .compose(done -> vertx.timer(LAST_REFUSALS_MS, TimeUnit.MILLISECONDS))
+                .compose(done -> mServer.close());
+    }
+
     /** Closes idle connections if no request is open; returns whether none is left to wait for. */
     private boolean isClosed(ShutdownSchedule schedule) {
         boolean idle =
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
+import org.filbertrudder.entry.traffic.ListeningSocket;
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.CallerLimits;
@@ -55,6 +56,7 @@
     private final BooleanSupplier mRefusing;
     private final ExchangeLifecycle mLifecycle;
     private final OpenRequests mOpenRequests;
+    private final ListeningSocket mListeningSocket = new ListeningSocket();
     private HttpServer mServer;
 
     CallerServer(
@@ -93,7 +95,11 @@
         mServer = mVertx.createHttpServer(options);
         mServer.requestHandler(this::receive);
         mServer.invalidRequestHandler(this::refuseInvalid);
-        mServer.connectionHandler(mOpenRequests::connectionOpened);
+        mServer.connectionHandler(
+                connection -> {
+                    mListeningSocket.connectionOpened(connection);
+                    mOpenRequests.connectionOpened(connection);
+                });
         return mServer.listen(mSettings.callerAddress().port(), mSettings.callerAddress().host())
                 .mapEmpty();
     }
@@ -363,6 +369,11 @@
         return mOpenRequests;
     }
 
+    /** Refuses new connections; those that wait to be accepted are accepted before. */
+    Future<Void> stopListening() {
+        return mListeningSocket.close(mVertx.getOrCreateContext());
+    }
+
     Future<Void> close() {
         return mServer.close();
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayDrain.java
@@ -89,11 +89,34 @@
             mVertx.cancelTimer(timer);
             mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
             log("The drain has ended.");
-            // An open socket would accept requests that nobody answers until the process ends.
-            mCallerServer.close().onComplete(ignored -> mDrained.complete(null));
+            mCallerServer.stopListening().onComplete(ignored -> refuseLastRequests());
         }
     }
 
+    /**
+     * Refuses the requests on the last accepted connections, and closes the server when none is
+     * left. An open socket would accept requests that nobody answers until the process ends.
+     */
+    private void refuseLastRequests() {
+        long nowMs = Clocks.steadyMs();
+        long untilMs =
+                Math.max(
+                        nowMs + CHECK_INTERVAL_MS,
+                        Math.min(nowMs + REFUSAL_PERIOD_MS, mSchedule.exitMs()));
+        mVertx.setPeriodic(
+                CHECK_INTERVAL_MS,
+                timer -> {
+                    boolean ends = Clocks.steadyMs() >= untilMs;
+                    OpenRequests requests = mCallerServer.openRequests();
+                    requests.closeIdleLongerThan(
+                            ends ? -1 : REFUSAL_PERIOD_MS, OpenRequests.CloseCause.DRAIN);
+                    if (ends || requests.connections() == 0) {
+                        mVertx.cancelTimer(timer);
+                        mCallerServer.close().onComplete(ignored -> mDrained.complete(null));
+                    }
+                });
+    }
+
     private void endOpenRequests() {
         log("The drain ends the remaining requests.");
         mCallerServer.openRequests().all().forEach(GatewayDrain::logUnfinished);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -107,6 +107,11 @@
         return mOpen.size();
     }
 
+    /** Returns the number of open connections, with and without open requests. */
+    int connections() {
+        return mConnections.size();
+    }
+
     /** Lists who closes connections. */
     enum CloseCause {
         CALLER,
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlannedStopTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlannedStopTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.file.Files;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,13 @@
     private static final String BOOKING_REPLICA = "desk-mtl-1";
 
     private static final int UNREAD_LOG_LINES = 400;
+    private static final int WAITING_CALLERS = 40;
+
+    /** A time of a stop just before requests are refused, in milliseconds. */
+    private static final long LAST_MS_OF_ACCEPTANCE = 1_900;
+
+    /** A time of a stop without requests at which the drain has ended, in milliseconds. */
+    private static final long END_OF_DRAIN_MS = 2_500;
 
     private PlatformFleet mFleet;
     private GatewayProcess mProcess;
@@ -117,6 +125,37 @@
         assertEquals(client.sendPlain("POST", "/book/x", "key-club").status(), 200);
     }
 
+    /**
+     * Guards against requests that wait to be accepted at the end of the drain and get no answer.
+     */
+    @Test
+    public void requestsThatWaitToBeAcceptedAtTheEndOfTheDrainAreRefused() {
+        start();
+        assertEquals(
+                mProcess.callerClient().sendPlain("GET", "/stock/x", "key-club").status(), 200);
+        stop();
+        awaitSinceStop(LAST_MS_OF_ACCEPTANCE);
+        mProcess.signal("STOP");
+        List<RawCallerConnection> callers = new ArrayList<>();
+        for (int i = 0; i < WAITING_CALLERS; i++) {
+            RawCallerConnection caller = new RawCallerConnection(mProcess.callerAddress());
+            caller.send(RawCallerConnection.head("waiting-" + i, "GET", "/stock/x", 0));
+            callers.add(caller);
+        }
+        awaitSinceStop(END_OF_DRAIN_MS);
+        mProcess.signal("CONT");
+
+        List<String> responses = callers.stream().map(RawCallerConnection::readToEnd).toList();
+        callers.forEach(RawCallerConnection::close);
+        assertEquals(
+                responses.stream().filter(each -> !each.startsWith("HTTP/1.1 503 ")).toList(),
+                List.of());
+    }
+
+    private void awaitSinceStop(long timeMs) {
+        PlatformFleet.await(timeMs + " ms have passed", () -> msSinceStop() >= timeMs);
+    }
+
     /** Has the instance log more than a pipe holds. */
     private void fillOutput() {
         String withoutId = "GET /" + "x".repeat(500) + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
