--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -208,7 +208,7 @@
                                 endpoint.id(),
                                 endpoint.processStartedMs(),
                                 nowMs - refusedMs.getAsLong(),
-                                acceptedMs.isPresent() ? nowMs - acceptedMs.getAsLong() : null));
+                                acceptedMs.isPresent() ? nowMs - acceptedMs.getAsLong() : -1));
             }
         }
         return restarts;
@@ -234,7 +234,7 @@
             PeerMessage.SuspectedRestart report,
             long receivedMs) {
         OptionalLong acceptedMs =
-                report.acceptedAgeMs() == null
+                report.acceptedAgeMs() < 0
                         ? OptionalLong.empty()
                         : OptionalLong.of(receivedMs - report.acceptedAgeMs());
         endpoint.adoptRestartSuspicion(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SuspectedRestartReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SuspectedRestartReporting.java
@@ -119,9 +119,8 @@
         if (restart == null || restart.endpoint() == null) {
             return false;
         }
-        long acceptedAgeMs = restart.acceptedAgeMs() == null ? 0 : restart.acceptedAgeMs();
-        return acceptedAgeMs >= 0
-                && restart.refusedAgeMs() >= acceptedAgeMs
+        return restart.acceptedAgeMs() >= -1
+                && restart.refusedAgeMs() >= Math.max(0, restart.acceptedAgeMs())
                 && restart.refusedAgeMs() <= MAX_AGE_MS;
     }
 
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -455,11 +455,11 @@
      * @param endpoint the endpoint
      * @param startedMs the registered start of its process, in milliseconds since the epoch
      * @param refusedAgeMs the time since it refused a connection, in milliseconds
-     * @param acceptedAgeMs the time since it accepted a connection again, in milliseconds; null if
-     *     it has not yet
+     * @param acceptedAgeMs the time since it accepted a connection again, in milliseconds; -1 if it
+     *     has not yet
      */
     record SuspectedRestart(
-            EndpointId endpoint, long startedMs, long refusedAgeMs, Long acceptedAgeMs) {}
+            EndpointId endpoint, long startedMs, long refusedAgeMs, long acceptedAgeMs) {}
 
     /**
      * Describes the load of one or several instances on an endpoint.
