Sessions of forwarded requests that outlive their connections

Change: the new package peer.forwarding holds forwards in a session of two processes. The hello message names the process; the first message on a connection states the open streams and the parts received of each. The receiver retains what is not acknowledged by credit, within a bound for all together, and answers: goes on, never started, or unknown. A start that comes twice runs once. An instance of the release before names no process and is served as before.

--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -40,6 +40,8 @@
     @JsonSubTypes.Type(value = PeerMessage.ForwardCredit.class, name = "fw"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardKeepAlive.class, name = "fa"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardsEnd.class, name = "fx"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardResume.class, name = "fr"),
+    @JsonSubTypes.Type(value = PeerMessage.ForwardUnknown.class, name = "fu"),
     @JsonSubTypes.Type(value = PeerMessage.OperatorStateRequest.class, name = "tr"),
     @JsonSubTypes.Type(value = PeerMessage.OperatorStateReply.class, name = "ts"),
     @JsonSubTypes.Type(value = PeerMessage.InstanceLoadReport.class, name = "lo"),
@@ -63,8 +65,15 @@
      *
      * @param version the newest protocol version that the sender supports
      * @param sender the member that opened the connection
+     * @param life a number that identifies the sender's process; 0 if it resumes no forwards
      */
-    record Hello(int version, Member sender) implements PeerMessage {}
+    record Hello(int version, Member sender, long life) implements PeerMessage {
+
+        /** Creates the message of a sender that resumes no forwards. */
+        public Hello(int version, Member sender) {
+            this(version, sender, 0);
+        }
+    }
 
     /**
      * Shows that the sender is alive, and detects diverging configurations and member tables.
@@ -284,7 +293,10 @@
      */
     record ForwardCredit(long stream, long bytes) implements PeerMessage {}
 
-    /** Shows that the connection is alive while forwarded requests wait for their responses. */
+    /**
+     * Shows that the connection is alive. A receiver of forwarded requests answers it with the same
+     * message.
+     */
     record ForwardKeepAlive() implements PeerMessage {}
 
     /**
@@ -293,6 +305,42 @@
      */
     record ForwardsEnd() implements PeerMessage {}
 
+    /**
+     * States, as the first message on a connection, which forwarded requests the sender waits for;
+     * all others that its process has forwarded are cancelled.
+     *
+     * @param generation a number that increases with each connection of the sender's process
+     * @param known whether the receiver's process has answered to the sender's process before
+     * @param streams the requests that were forwarded on earlier connections
+     */
+    record ForwardResume(long generation, boolean known, List<OpenForward> streams)
+            implements PeerMessage {
+
+        /** Reads a missing list as an empty one. */
+        public ForwardResume {
+            streams = streams == null ? List.of() : streams;
+        }
+    }
+
+    /**
+     * A forwarded request whose sender waits for the rest of the response.
+     *
+     * @param stream the id of the exchange
+     * @param receivedParts the number of messages of the response that the sender has received
+     * @param creditedBytes the credit granted so far, in bytes
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    @JsonPropertyOrder({"stream", "receivedParts", "creditedBytes"})
+    record OpenForward(long stream, int receivedParts, long creditedBytes) {}
+
+    /**
+     * States that the receiver has no response for a forwarded request.
+     *
+     * @param stream the id of the exchange
+     * @param mayHaveRun whether the request may have run; otherwise it has not and will not run
+     */
+    record ForwardUnknown(long stream, boolean mayHaveRun) implements PeerMessage {}
+
     /**
      * Requests the operators' state and the registered endpoints from another instance.
      *
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/ProtocolVersions.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/ProtocolVersions.java
@@ -4,7 +4,10 @@
 public final class ProtocolVersions {
 
     /** The newest supported version; sent when a connection is opened. */
-    public static final int NEWEST_SUPPORTED = 1;
+    public static final int NEWEST_SUPPORTED = 2;
+
+    /** The version from which forwarded requests go on over another connection. */
+    public static final int RESUMABLE_FORWARDS = 2;
 
     /** The oldest supported version; connections from older peers are rejected. */
     public static final int OLDEST_SUPPORTED = 1;
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
@@ -5,7 +5,7 @@
 /** Describes the fields of a message or record that is encoded as a map, in their order. */
 final class MessageLayout {
 
-    static final MessageLayout HELLO = message("he", "version", "sender");
+    static final MessageLayout HELLO = message("he", "version", "sender", "life");
     static final MessageLayout HEARTBEAT = message("hb", "sender", "revision", "members");
     static final MessageLayout HEARTBEAT_ACK = message("ha", "sender", "revision", "members");
     static final MessageLayout MEMBER_UPDATES = message("mu", "members");
@@ -43,6 +43,8 @@
     static final MessageLayout FORWARD_CREDIT = message("fw", "stream", "bytes");
     static final MessageLayout FORWARD_KEEP_ALIVE = message("fa");
     static final MessageLayout FORWARDS_END = message("fx");
+    static final MessageLayout FORWARD_RESUME = message("fr", "generation", "known", "streams");
+    static final MessageLayout FORWARD_UNKNOWN = message("fu", "stream", "mayHaveRun");
     static final MessageLayout OPERATOR_STATE_REQUEST =
             message("tr", "id", "revision", "endpointsDigest", "version");
     static final MessageLayout OPERATOR_STATE_REPLY =
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
@@ -102,6 +102,20 @@
             case 'f' << Byte.SIZE | 'x':
                 begin(MessageLayout.FORWARDS_END);
                 return new PeerMessage.ForwardsEnd();
+            default:
+                return resumed(type);
+        }
+    }
+
+    private PeerMessage resumed(int type) throws IOException {
+        switch (type) {
+            case 'f' << Byte.SIZE | 'r':
+                begin(MessageLayout.FORWARD_RESUME);
+                return new PeerMessage.ForwardResume(
+                        field().number(), field().truth(), field().openForwards());
+            case 'f' << Byte.SIZE | 'u':
+                begin(MessageLayout.FORWARD_UNKNOWN);
+                return new PeerMessage.ForwardUnknown(field().number(), field().truth());
             default:
                 return null;
         }
@@ -119,7 +133,7 @@
                         field().member(), field().number(), field().integer());
             case 'h' << Byte.SIZE | 'e':
                 begin(MessageLayout.HELLO);
-                return new PeerMessage.Hello(field().integer(), field().member());
+                return new PeerMessage.Hello(field().integer(), field().member(), field().number());
             case 'm' << Byte.SIZE | 'u':
                 begin(MessageLayout.MEMBER_UPDATES);
                 return new PeerMessage.MemberUpdates(field().members());
@@ -479,6 +493,18 @@
                 endpoint(), nil() ? null : Double.valueOf(real()), number(), number());
     }
 
+    private List<PeerMessage.OpenForward> openForwards() throws IOException {
+        if (nil()) {
+            return null;
+        }
+        List<PeerMessage.OpenForward> forwards = new ArrayList<>();
+        for (int left = mUnpacker.unpackArrayHeader(); left > 0; left--) {
+            forwards.add(
+                    array(3) ? new PeerMessage.OpenForward(number(), integer(), number()) : null);
+        }
+        return forwards;
+    }
+
     private List<PartEvidence> evidences() throws IOException {
         if (nil()) {
             return null;
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
@@ -82,12 +82,44 @@
             begin(MessageLayout.FORWARD_KEEP_ALIVE);
         } else if (message instanceof PeerMessage.ForwardsEnd) {
             begin(MessageLayout.FORWARDS_END);
+        } else {
+            return resumed(message);
+        }
+        return true;
+    }
+
+    private boolean resumed(PeerMessage message) throws IOException {
+        if (message instanceof PeerMessage.ForwardResume resume) {
+            begin(MessageLayout.FORWARD_RESUME);
+            field().number(resume.generation());
+            field().truth(resume.known());
+            field();
+            if (list(resume.streams())) {
+                for (PeerMessage.OpenForward forward : resume.streams()) {
+                    openForward(forward);
+                }
+            }
+        } else if (message instanceof PeerMessage.ForwardUnknown unknown) {
+            begin(MessageLayout.FORWARD_UNKNOWN);
+            field().number(unknown.stream());
+            field().truth(unknown.mayHaveRun());
         } else {
             return false;
         }
         return true;
     }
 
+    private void openForward(PeerMessage.OpenForward forward) throws IOException {
+        if (forward == null) {
+            mPacker.packNil();
+            return;
+        }
+        mPacker.packArrayHeader(3);
+        number(forward.stream());
+        number(forward.receivedParts());
+        number(forward.creditedBytes());
+    }
+
     private boolean membership(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.Heartbeat heartbeat) {
             begin(MessageLayout.HEARTBEAT);
@@ -103,6 +135,7 @@
             begin(MessageLayout.HELLO);
             field().number(hello.version());
             field().member(hello.sender());
+            field().number(hello.life());
         } else if (message instanceof PeerMessage.MemberUpdates updates) {
             begin(MessageLayout.MEMBER_UPDATES);
             field();
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -16,9 +16,10 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.ProtocolVersions;
+import org.filbertrudder.peer.forwarding.ForwardLink;
 
 /** Exchanges messages with another instance over one TCP connection. */
-public final class PeerConnection {
+public final class PeerConnection implements ForwardLink {
 
     private final NetSocket mSocket;
     private final PeerHandler mHandler;
@@ -29,6 +30,7 @@
     private final Set<CloseAction> mCloseActions = new LinkedHashSet<>();
     private boolean mHandshakeDone;
     private Member mPeerMember;
+    private long mPeerLife;
     private boolean mHelloSent;
     private boolean mAwaitsAnswer;
     private long mAwaitedSinceMs;
@@ -97,6 +99,7 @@
                 return;
             }
             mPeerMember = hello.sender();
+            mPeerLife = hello.version() >= ProtocolVersions.RESUMABLE_FORWARDS ? hello.life() : 0;
             mHandshakeDone = true;
             sendHello();
         } else if (!mHandshakeDone) {
@@ -113,7 +116,7 @@
         mSocket.close();
     }
 
-    /** Sends a message; drops the message if the connection is closed or its output has ended. */
+    @Override
     public void send(PeerMessage message) {
         if (!mClosed && !mOutputEnded) {
             sendFrame(MessageCodec.encode(message));
@@ -145,6 +148,11 @@
         return registration;
     }
 
+    @Override
+    public void whenClosed(Runnable action) {
+        onClose(action);
+    }
+
     /** Returns the number of registered close actions. */
     int closeActionCount() {
         return mCloseActions.size();
@@ -154,10 +162,16 @@
      * Returns the member at the other end; null before its hello message. A peer of an earlier
      * release sends none on a connection that it has accepted.
      */
+    @Override
     public Member peerMember() {
         return mPeerMember;
     }
 
+    @Override
+    public long peerLife() {
+        return mPeerLife;
+    }
+
     /** Sends the hello message, which comes first in both directions. */
     void sendHello() {
         if (!mHelloSent) {
@@ -188,7 +202,7 @@
         return mAwaitsAnswer ? nowMs - mAwaitedSinceMs : 0;
     }
 
-    /** Closes the connection. */
+    @Override
     public void close() {
         mSocket.close();
     }
@@ -199,6 +213,7 @@
      *
      * @return completes when the connection has closed
      */
+    @Override
     public CompletableFuture<Void> endOutput() {
         CompletableFuture<Void> closed = new CompletableFuture<>();
         onClose(() -> closed.complete(null));
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -7,6 +7,7 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -36,6 +37,7 @@
     /** The time after which a connection without an awaited answer is closed, in milliseconds. */
     private static final long ANSWER_TIMEOUT_MS = 700;
 
+    private final long mLife = new SecureRandom().nextLong(1, Long.MAX_VALUE);
     private final Context mContext;
     private final NetServer mServer;
     private final NetClient mClient;
@@ -140,7 +142,7 @@
      * Runs the action with an open connection, or with null if connecting fails or too many actions
      * already wait for the connection.
      */
-    public void withConnection(PeerAddress address, Consumer<PeerConnection> action) {
+    public void withConnection(PeerAddress address, Consumer<? super PeerConnection> action) {
         mOutgoing.computeIfAbsent(address, this::connect).whenOpen(action);
     }
 
@@ -179,7 +181,7 @@
     }
 
     private PeerMessage.Hello hello() {
-        return new PeerMessage.Hello(ProtocolVersions.NEWEST_SUPPORTED, mLocalMember.get());
+        return new PeerMessage.Hello(ProtocolVersions.NEWEST_SUPPORTED, mLocalMember.get(), mLife);
     }
 
     /**
@@ -230,7 +232,7 @@
     /** Holds an outgoing connection and the actions that wait for it to open. */
     private static final class OutgoingConnection {
 
-        private final List<Consumer<PeerConnection>> mPendingActions = new ArrayList<>();
+        private final List<Consumer<? super PeerConnection>> mPendingActions = new ArrayList<>();
         private PeerConnection mConnection;
 
         void sendFrame(Buffer frame, boolean expectsAnswer) {
@@ -247,7 +249,7 @@
                     });
         }
 
-        void whenOpen(Consumer<PeerConnection> action) {
+        void whenOpen(Consumer<? super PeerConnection> action) {
             if (mConnection != null) {
                 action.accept(mConnection);
             } else if (mPendingActions.size() < MAX_PENDING_ACTIONS) {
@@ -267,7 +269,7 @@
         }
 
         private void runPendingActions() {
-            List<Consumer<PeerConnection>> pendingActions = List.copyOf(mPendingActions);
+            List<Consumer<? super PeerConnection>> pendingActions = List.copyOf(mPendingActions);
             mPendingActions.clear();
             pendingActions.forEach(action -> action.accept(mConnection));
         }
--- /dev/null
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -0,0 +1,258 @@
+package org.filbertrudder.peer.forwarding;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.PeerMessage;
+
+/**
+ * Receives requests that other instances forward and sends the responses back.
+ *
+ * <p>Call all methods on one thread.
+ */
+public final class ForwardReceiver {
+
+    /**
+     * How long requests run on without a link to their sender, in milliseconds: longer than a
+     * sender needs to notice a silent link and to open some others.
+     */
+    static final long ORPHAN_MS = 5_000;
+
+    /** How long a stop waits for a sender without a link, in milliseconds. */
+    private static final long REDELIVERY_MS = 2_000;
+
+    /** How long a response that has ended waits for its sender, in milliseconds. */
+    private static final long DELIVERY_TIMEOUT_MS = 60_000;
+
+    /** How long it is known which streams a sender has started, in milliseconds. */
+    private static final long SESSION_TIMEOUT_MS = 600_000;
+
+    /** The interval between keep-alives to senders of older releases, in milliseconds. */
+    private static final long KEEP_ALIVE_INTERVAL_MS = 500;
+
+    private final RequestHandler mHandler;
+    private final HeldBytes mRetained;
+    private final LongSupplier mClockMs;
+    private final Consumer<ForwardEvent> mLog;
+    private final Map<SenderProcess, ReceiverSession> mSessions = new HashMap<>();
+    private final Map<ForwardLink, ReceiverSession> mSessionsByLink = new HashMap<>();
+    private final Set<ForwardLink> mReplaced = new HashSet<>();
+    private final Set<ForwardLink> mEndedLinks = new HashSet<>();
+    private CompletableFuture<Void> mEnded;
+    private long mNextKeepAliveMs;
+    private long mLastTickMs;
+
+    /**
+     * Creates a receiver.
+     *
+     * @param retained bounds the parts of responses that are not acknowledged; a response that
+     *     exceeds it ends with its link
+     * @param clockMs a steady clock, in milliseconds
+     * @param log receives decisions about forwarded requests
+     */
+    public ForwardReceiver(
+            RequestHandler handler,
+            HeldBytes retained,
+            LongSupplier clockMs,
+            Consumer<ForwardEvent> log) {
+        mHandler = handler;
+        mRetained = retained;
+        mClockMs = clockMs;
+        mLog = log;
+        mLastTickMs = clockMs.getAsLong();
+    }
+
+    /** Handles a forwarded request. */
+    @FunctionalInterface
+    public interface RequestHandler {
+
+        /** Handles a request that has come for the first time. */
+        void handle(PeerMessage.ForwardStart start, ForwardedResponse response);
+    }
+
+    /** Handles a message of another instance. */
+    public void handle(ForwardLink from, PeerMessage message) {
+        if (mReplaced.contains(from)) {
+            return;
+        }
+        ReceiverSession session = mSessionsByLink.get(from);
+        if (session != null) {
+            session.received(mClockMs.getAsLong());
+        }
+        if (message instanceof PeerMessage.ForwardResume resume) {
+            resume(from, resume);
+        } else if (message instanceof PeerMessage.ForwardStart start) {
+            ForwardedResponse response = start(from, start.stream());
+            if (response != null) {
+                mHandler.handle(start, response);
+            }
+        } else if (session != null) {
+            handle(session, message);
+        }
+    }
+
+    private static void handle(ReceiverSession session, PeerMessage message) {
+        if (message instanceof PeerMessage.ForwardKeepAlive) {
+            session.send(message);
+        } else if (message instanceof PeerMessage.ForwardCancel cancel) {
+            session.cancel(cancel.stream());
+        } else if (message instanceof PeerMessage.ForwardCredit credit) {
+            session.credit(credit.stream(), credit.bytes());
+        }
+    }
+
+    /**
+     * Returns the response of a request whose message has invalid fields; null if the stream was
+     * already started.
+     */
+    public ForwardedResponse start(ForwardLink from, long stream) {
+        ReceiverSession session = mSessionsByLink.get(from);
+        if (session == null && from.peerLife() == 0) {
+            session = new ReceiverSession(this, false);
+            link(from, session, 0);
+        } else if (session == null) {
+            log("A forwarded request without a session is refused.", Map.of("stream", stream));
+            from.send(new PeerMessage.ForwardUnknown(stream, false));
+            return null;
+        }
+        return session.start(stream);
+    }
+
+    private void resume(ForwardLink from, PeerMessage.ForwardResume resume) {
+        if (from.peerLife() == 0 || resume.streams().contains(null)) {
+            log("A sender that states no positions is disconnected.", Map.of());
+            from.close();
+            return;
+        }
+        SenderProcess sender = new SenderProcess(from.peerMember().id(), from.peerLife());
+        ReceiverSession known = mSessions.get(sender);
+        if (known != null && resume.generation() <= known.generation()) {
+            log("An earlier connection of a sender is closed.", Map.of("member", sender.id()));
+            from.close();
+            return;
+        }
+        if (known == null) {
+            endOtherProcesses(sender);
+        }
+        ReceiverSession session =
+                mSessions.computeIfAbsent(sender, each -> new ReceiverSession(this, true));
+        ForwardLink earlier = session.link();
+        if (earlier != null && earlier != from) {
+            mReplaced.add(earlier);
+            mSessionsByLink.remove(earlier);
+            earlier.close();
+        }
+        link(from, session, resume.generation());
+        session.resume(resume.streams(), known == null && resume.known());
+    }
+
+    private void link(ForwardLink link, ReceiverSession session, long generation) {
+        session.linkTo(link, generation, mClockMs.getAsLong());
+        if (mSessionsByLink.put(link, session) == null) {
+            link.whenClosed(() -> closed(link));
+        }
+    }
+
+    private void closed(ForwardLink link) {
+        mReplaced.remove(link);
+        mEndedLinks.remove(link);
+        ReceiverSession session = mSessionsByLink.remove(link);
+        if (session != null) {
+            session.unlinked(mClockMs.getAsLong());
+        }
+        completeEnd();
+    }
+
+    /** Cancels the requests of earlier processes of an instance, for which nobody waits. */
+    private void endOtherProcesses(SenderProcess sender) {
+        List.copyOf(mSessions.entrySet()).stream()
+                .filter(entry -> entry.getKey().id().equals(sender.id()))
+                .forEach(
+                        entry -> {
+                            mSessions.remove(entry.getKey());
+                            entry.getValue().cancelAll();
+                        });
+    }
+
+    /** Ends what no sender waits for any more, and shows older releases that links are alive. */
+    public void tick(long nowMs) {
+        long heldUpMs = ForwardSender.heldUpMs(mLastTickMs, nowMs);
+        mLastTickMs = nowMs;
+        for (Map.Entry<SenderProcess, ReceiverSession> entry : List.copyOf(mSessions.entrySet())) {
+            ReceiverSession session = entry.getValue();
+            session.excludeHoldUp(heldUpMs);
+            if (session.isSilent(nowMs, ORPHAN_MS)) {
+                log("A silent sender is disconnected.", Map.of("member", entry.getKey().id()));
+                session.link().close();
+            }
+            long unlinkedForMs = session.isLinked() ? 0 : nowMs - session.unlinkedMs();
+            if (unlinkedForMs > ORPHAN_MS) {
+                session.cancelRunning();
+            }
+            if (unlinkedForMs > DELIVERY_TIMEOUT_MS) {
+                session.cancelAll();
+            }
+            if (unlinkedForMs > SESSION_TIMEOUT_MS) {
+                mSessions.remove(entry.getKey());
+            }
+        }
+        if (nowMs >= mNextKeepAliveMs) {
+            mNextKeepAliveMs = nowMs + KEEP_ALIVE_INTERVAL_MS;
+            mSessionsByLink.values().stream()
+                    .filter(session -> !session.isResumable() && !session.isEmpty())
+                    .forEach(session -> session.send(new PeerMessage.ForwardKeepAlive()));
+        }
+        completeEnd();
+    }
+
+    /** Returns whether a response has ended that its sender may still ask for. */
+    public boolean hasUndelivered() {
+        long unlinkedAfterMs = mClockMs.getAsLong() - REDELIVERY_MS;
+        return mSessions.values().stream()
+                .filter(session -> session.isLinked() || session.unlinkedMs() > unlinkedAfterMs)
+                .anyMatch(ReceiverSession::hasUndelivered);
+    }
+
+    /**
+     * Ends the output of the present links, once no request runs.
+     *
+     * @return completes when the other instances have read the responses and closed the links
+     */
+    public CompletableFuture<Void> endLinks() {
+        if (mEnded == null) {
+            mEnded = new CompletableFuture<>();
+            mEndedLinks.addAll(mSessionsByLink.keySet());
+            List.copyOf(mEndedLinks).forEach(ForwardReceiver::endLink);
+            completeEnd();
+        }
+        return mEnded;
+    }
+
+    /** Requests that arrive from now on cannot be refused, so their sender is told in advance. */
+    private static void endLink(ForwardLink link) {
+        link.send(new PeerMessage.ForwardsEnd());
+        link.endOutput();
+    }
+
+    private void completeEnd() {
+        if (mEnded != null && mEndedLinks.isEmpty() && !hasUndelivered()) {
+            mEnded.complete(null);
+        }
+    }
+
+    HeldBytes retained() {
+        return mRetained;
+    }
+
+    void log(String message, Map<String, Object> fields) {
+        mLog.accept(new ForwardEvent(message, fields));
+    }
+
+    private record SenderProcess(InstanceId id, long life) {}
+}
--- /dev/null
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -0,0 +1,350 @@
+package org.filbertrudder.peer.forwarding;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.membership.PeerAddress;
+
+/**
+ * Holds the requests that are forwarded to one instance, over one link after the other.
+ *
+ * <p>When a link closes or falls silent, the requests wait for the next one, on which the session
+ * states what it has received of each response.
+ */
+final class SenderSession {
+
+    /** The time without any message after which a link with unanswered keep-alives is silent. */
+    private static final long SILENCE_TIMEOUT_MS = 800;
+
+    /** The time after which a link is silent in one direction, as no keep-alive is answered. */
+    private static final long ONE_WAY_SILENCE_TIMEOUT_MS = 2_500;
+
+    /** The same for an instance of an older release, which sends keep-alives each 500 ms. */
+    private static final long OLDER_RELEASE_SILENCE_TIMEOUT_MS = 2_000;
+
+    private static final long GREETING_TIMEOUT_MS = 1_000;
+    private static final long KEEP_ALIVE_INTERVAL_MS = 250;
+    private static final long IDLE_KEEP_ALIVE_INTERVAL_MS = 1_000;
+
+    /** The time between two tries to open a link, in milliseconds. */
+    private static final long REOPEN_INTERVAL_MS = 200;
+
+    /** How long a request waits for a link if it may run at another instance, in milliseconds. */
+    private static final long REPEATABLE_PATIENCE_MS = 3_000;
+
+    private final ForwardSender mSender;
+    private final LongSupplier mClockMs;
+    private final PeerAddress mAddress;
+    private final Map<Long, ForwardCall> mCalls = new LinkedHashMap<>();
+    private final Deque<Long> mKeepAlivesMs = new ArrayDeque<>();
+    private InstanceId mMember;
+    private ForwardLink mLink;
+    private boolean mOpening;
+    private boolean mReady;
+    private boolean mForwardsEnded;
+    private boolean mKnown;
+
+    /** Whether the receiver may work on requests that have ended here. */
+    private boolean mStale;
+
+    private long mLife;
+    private long mLinkedMs;
+    private long mUnlinkedMs;
+    private long mLastReceivedMs;
+    private long mNextKeepAliveMs;
+    private long mNextOpenMs;
+    private long mIdleSinceMs;
+
+    SenderSession(ForwardSender sender, PeerAddress address, LongSupplier clockMs) {
+        mSender = sender;
+        mAddress = address;
+        mClockMs = clockMs;
+        mIdleSinceMs = clockMs.getAsLong();
+    }
+
+    void setMember(InstanceId member) {
+        mMember = member;
+    }
+
+    InstanceId member() {
+        return mMember;
+    }
+
+    void add(ForwardCall call) {
+        if (mForwardsEnded) {
+            call.fail(ForwardListener.Failure.NOT_RUN);
+            return;
+        }
+        mCalls.put(call.stream(), call);
+        if (mReady) {
+            call.send(mLink);
+            mNextKeepAliveMs = Math.min(mNextKeepAliveMs, mClockMs.getAsLong());
+        } else if (mLink == null) {
+            open();
+        }
+    }
+
+    void remove(ForwardCall call) {
+        mCalls.remove(call.stream());
+        mIdleSinceMs = mClockMs.getAsLong();
+    }
+
+    /** Returns whether the message was passed to a link. */
+    boolean send(PeerMessage message) {
+        if (mReady) {
+            mLink.send(message);
+        }
+        return mReady;
+    }
+
+    void cancel(long stream) {
+        mStale |= !send(new PeerMessage.ForwardCancel(stream));
+    }
+
+    private void open() {
+        if (!mOpening) {
+            mOpening = true;
+            mSender.links().open(mAddress, this::opened);
+        }
+    }
+
+    private void opened(ForwardLink link) {
+        mOpening = false;
+        if (link == null) {
+            mNextOpenMs = mClockMs.getAsLong() + REOPEN_INTERVAL_MS;
+            failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
+            failRepeatable("no connection");
+            return;
+        }
+        mLink = link;
+        mLinkedMs = mClockMs.getAsLong();
+        mLastReceivedMs = mLinkedMs;
+        mSender.linked(link, this);
+        link.whenClosed(() -> closed(link));
+        if (link.peerMember() != null) {
+            greeted();
+        }
+    }
+
+    /** Handles the hello message of the other instance, which tells whether it is the same. */
+    void greeted() {
+        if (mReady || mLink == null) {
+            return;
+        }
+        boolean sameProcess = mLink.peerLife() != 0 && mLink.peerLife() == mLife;
+        List<ForwardCall> lost = sameProcess ? List.of() : calls(ForwardCall::isSent);
+        lost.forEach(call -> mCalls.remove(call.stream()));
+        mKnown &= sameProcess;
+        mLife = mLink.peerLife();
+        mReady = true;
+        mStale = false;
+        mNextKeepAliveMs = mClockMs.getAsLong();
+        if (mLife != 0) {
+            List<PeerMessage.OpenForward> open =
+                    mCalls.values().stream()
+                            .filter(ForwardCall::isSent)
+                            .map(ForwardCall::position)
+                            .toList();
+            mLink.send(new PeerMessage.ForwardResume(mSender.nextGeneration(), mKnown, open));
+            if (!open.isEmpty()) {
+                mSender.log(
+                        "Forwarded requests go on over another connection.",
+                        Map.of(
+                                "member",
+                                mMember,
+                                "requests",
+                                open.size(),
+                                "afterMs",
+                                mClockMs.getAsLong() - mUnlinkedMs));
+            }
+        }
+        calls(call -> !call.isSent()).forEach(call -> call.send(mLink));
+        failLogged("other process", lost);
+    }
+
+    private void closed(ForwardLink link) {
+        mSender.unlinked(link);
+        if (link != mLink) {
+            return;
+        }
+        boolean wasReady = mReady;
+        long nowMs = mClockMs.getAsLong();
+        mLink = null;
+        mReady = false;
+        mForwardsEnded = false;
+        mKeepAlivesMs.clear();
+        if (wasReady) {
+            mUnlinkedMs = nowMs;
+        }
+        mNextOpenMs = wasReady ? nowMs : nowMs + REOPEN_INTERVAL_MS;
+        failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
+        if (mLife == 0) {
+            failLogged("closed connection", calls(ForwardCall::isSent));
+        }
+        reopenIfNeeded(nowMs);
+    }
+
+    /** Handles a message of the receiver. */
+    void receive(PeerMessage message) {
+        mLastReceivedMs = mClockMs.getAsLong();
+        mKnown = mLife != 0;
+        if (message instanceof PeerMessage.ForwardKeepAlive) {
+            mKeepAlivesMs.poll();
+        } else if (message instanceof PeerMessage.ForwardsEnd) {
+            mForwardsEnded = true;
+            failAll(call -> !call.isAnswered(), ForwardListener.Failure.NOT_RUN);
+        } else if (message instanceof PeerMessage.ForwardHead head) {
+            ForwardCall call = mCalls.get(head.stream());
+            if (call != null) {
+                call.receive(head);
+            }
+        } else if (message instanceof PeerMessage.ForwardData data) {
+            ForwardCall call = mCalls.get(data.stream());
+            if (call != null) {
+                call.receive(data);
+            }
+        } else if (message instanceof PeerMessage.ForwardEnd end) {
+            ForwardCall call = mCalls.get(end.stream());
+            if (call != null) {
+                call.receive(end);
+            }
+        } else if (message instanceof PeerMessage.ForwardUnknown unknown) {
+            ForwardCall call = mCalls.get(unknown.stream());
+            if (call != null) {
+                call.fail(
+                        unknown.mayHaveRun()
+                                ? ForwardListener.Failure.INTERRUPTED
+                                : ForwardListener.Failure.NOT_RUN);
+            }
+        }
+    }
+
+    /** Ends what waits for a member that is suspected or dead. */
+    void memberUnresponsive(boolean dead) {
+        failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
+        if (dead && mLink == null) {
+            failLogged("member DEAD", calls(ForwardCall::isSent));
+        }
+    }
+
+    /** Watches the link, or opens another one. */
+    void tick(long nowMs, long heldUpMs) {
+        excludeHoldUp(heldUpMs);
+        if (mLink == null) {
+            mStale &= nowMs - mUnlinkedMs < ForwardReceiver.ORPHAN_MS;
+            if (nowMs - mUnlinkedMs > REPEATABLE_PATIENCE_MS) {
+                failRepeatable("no connection");
+            }
+            reopenIfNeeded(nowMs);
+        } else if (!mReady) {
+            if (nowMs - mLinkedMs > GREETING_TIMEOUT_MS) {
+                closeSilent(nowMs - mLinkedMs);
+            }
+        } else if (mLife == 0) {
+            if (mCalls.isEmpty()) {
+                mLastReceivedMs = nowMs;
+            } else if (nowMs - mLastReceivedMs > OLDER_RELEASE_SILENCE_TIMEOUT_MS) {
+                closeSilent(nowMs - mLastReceivedMs);
+            }
+        } else {
+            watch(nowMs);
+        }
+    }
+
+    private void excludeHoldUp(long heldUpMs) {
+        if (heldUpMs > 0) {
+            mLinkedMs += heldUpMs;
+            mUnlinkedMs += heldUpMs;
+            mLastReceivedMs += heldUpMs;
+            List<Long> times = List.copyOf(mKeepAlivesMs);
+            mKeepAlivesMs.clear();
+            times.forEach(time -> mKeepAlivesMs.add(time + heldUpMs));
+        }
+    }
+
+    private void watch(long nowMs) {
+        long awaitedMs = mKeepAlivesMs.isEmpty() ? 0 : nowMs - mKeepAlivesMs.peek();
+        boolean silent =
+                awaitedMs > SILENCE_TIMEOUT_MS && nowMs - mLastReceivedMs > SILENCE_TIMEOUT_MS;
+        if (silent || awaitedMs > ONE_WAY_SILENCE_TIMEOUT_MS) {
+            closeSilent(awaitedMs);
+        } else if (nowMs >= mNextKeepAliveMs) {
+            mKeepAlivesMs.add(nowMs);
+            mLink.send(new PeerMessage.ForwardKeepAlive());
+            mNextKeepAliveMs =
+                    nowMs
+                            + (mCalls.isEmpty()
+                                    ? IDLE_KEEP_ALIVE_INTERVAL_MS
+                                    : KEEP_ALIVE_INTERVAL_MS);
+        }
+    }
+
+    private void closeSilent(long silentMs) {
+        // What was sent last, such as a cancellation, may not have arrived.
+        mStale = mLife != 0;
+        mSender.log(
+                "A silent connection of forwarded requests is replaced.",
+                Map.of("member", mMember, "requests", mCalls.size(), "silentMs", silentMs));
+        mLink.close();
+    }
+
+    private void reopenIfNeeded(long nowMs) {
+        boolean needed = mStale || !mCalls.isEmpty();
+        if (mLink == null && needed && nowMs >= mNextOpenMs) {
+            open();
+        }
+    }
+
+    private void failRepeatable(String reason) {
+        failLogged(reason, calls(call -> call.isSent() && call.isRepeatable()));
+    }
+
+    private void failLogged(String reason, List<ForwardCall> calls) {
+        if (!calls.isEmpty()) {
+            mSender.log(
+                    "Forwarded requests are given up.",
+                    Map.of(
+                            "member",
+                            mMember,
+                            "reason",
+                            reason,
+                            "requests",
+                            calls.size(),
+                            "answered",
+                            calls.stream().filter(ForwardCall::isAnswered).count(),
+                            "silentMs",
+                            mClockMs.getAsLong() - mLastReceivedMs));
+            mStale = mLife != 0;
+            calls.forEach(call -> call.fail(ForwardListener.Failure.INTERRUPTED));
+        }
+    }
+
+    private void failAll(Predicate<ForwardCall> condition, ForwardListener.Failure failure) {
+        calls(condition).forEach(call -> call.fail(failure));
+    }
+
+    private List<ForwardCall> calls(Predicate<ForwardCall> condition) {
+        return mCalls.values().stream().filter(condition).toList();
+    }
+
+    /**
+     * Returns since when no request is open; empty while one is, or while one must be announced.
+     */
+    boolean isIdle() {
+        return mCalls.isEmpty() && !mOpening && !mStale;
+    }
+
+    long idleSinceMs() {
+        return mIdleSinceMs;
+    }
+
+    ForwardLink link() {
+        return mLink;
+    }
+}
--- /dev/null
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/package-info.java
@@ -0,0 +1,2 @@
+/** Forwards requests between instances, in sessions that outlive their connections. */
+package org.filbertrudder.peer.forwarding;
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
@@ -57,6 +57,19 @@
         assertEquals(encode(kind, decode(kind, encoding)), encoding);
     }
 
+    /** An instance of the release before is not asked to resume forwarded requests. */
+    @Test
+    public void aMissingLifeIsReadAsNone() {
+        String encoding =
+                "0000009183a174a26865a776657273696f6e0aa673656e6465728aa26964a469642d31"
+                        + "ab696e6361726e6174696f6ecd07d0a6726567696f6ea469642d33ad6661696c757265"
+                        + "446f6d61696ea469642d34a4686f7374a6746578742d35a870656572506f72743cab66"
+                        + "6f7277617264506f727446aa63616c6c6572506f727450a57374617465a444454144a8"
+                        + "737472656e67746864";
+
+        assertEquals(((PeerMessage.Hello) decode("he", encoding)).life(), 0);
+    }
+
     /** Lists messages as they were encoded before they had versions and eras. */
     @DataProvider
     public Object[][] messagesWithoutVersions() {
