Gateway: a forwarded request ends with its connection though both instances live

Cause: GatewayForwardClient interrupted each forward when its connection closed, GatewayForwardServer cancelled it; an idle silent connection was found 2 s after its first use.

Change: both pass forwards to the sessions of peer.forwarding. HeldBodies moves there as HeldBytes.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -22,6 +22,7 @@
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
+import org.filbertrudder.peer.forwarding.HeldBytes;
 import org.filbertrudder.policy.freshness.ClockReading;
 
 /**
@@ -68,7 +69,7 @@
             RandomGenerator random,
             BooleanSupplier stopping,
             BooleanSupplier refusing,
-            HeldBodies bodies,
+            HeldBytes bodies,
             ExchangeLifecycle lifecycle) {
         mVertx = vertx;
         mSettings = settings;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -35,6 +35,7 @@
 import org.filbertrudder.peer.PeerHandler;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
+import org.filbertrudder.peer.forwarding.HeldBytes;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.Router;
 
@@ -45,6 +46,12 @@
     private static final long TICK_MS = 100;
     private static final long SLOW_TICK_MS = 1_000;
 
+    /**
+     * One of so many parts of the heap may hold request bodies; each may be copied for its
+     * connection and for an attempt in another region.
+     */
+    static final int BODY_HEAP_PARTS = 6;
+
     /**
      * The delay before a pass over a queue, in milliseconds; one pass uses all capacity that
      * becomes free meanwhile.
@@ -109,7 +116,7 @@
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
         EndpointLimitTracker limits = createLoadAndLimitExchange();
         mCrashingParts = createCrashingParts();
-        mForwardClient = new GatewayForwardClient(mNetwork);
+        mForwardClient = new GatewayForwardClient(mNetwork::withConnection);
         mConnections =
                 new EndpointConnectionPools(
                         new EndpointConnector(context, mProtocol),
@@ -132,7 +139,7 @@
                         action -> vertx.setTimer(PUMP_DELAY_MS, ignored -> action.run()));
         mRunner.setDispatcher(mDispatcher);
         mAdmission = createAdmission();
-        HeldBodies bodies = HeldBodies.forHeap();
+        HeldBytes bodies = HeldBytes.ofHeapPart(BODY_HEAP_PARTS);
         mForwardServer =
                 new GatewayForwardServer(this::acceptForwarded, this::callerDisconnected, bodies);
         mCallerServer =
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -17,6 +17,7 @@
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.peer.forwarding.HeldBytes;
 
 /**
  * Keeps the open requests of callers. A request is open from the arrival of its head until its body
@@ -26,12 +27,12 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("callers");
 
-    private final HeldBodies mBodies;
+    private final HeldBytes mBodies;
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
     private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
 
     /** Creates the register of requests whose bodies are held within a bound. */
-    OpenRequests(HeldBodies bodies) {
+    OpenRequests(HeldBytes bodies) {
         mBodies = bodies;
     }
 
@@ -142,7 +143,7 @@
         private GatewayExchange mExchange;
         private Runnable mOnClosed = () -> {};
         private Consumer<GatewayRefusal> mRefuse = refusal -> {};
-        private final HeldBodies.Hold mHold = mBodies.newHold();
+        private final HeldBytes.Hold mHold = mBodies.newHold();
         private boolean mBodyRead;
         private boolean mResponseSent;
 
