Forward sessions: links that deliver are asked once a second only

Cause: an answered keep-alive each 250 ms on every link in use would cost an instance of the size to design for (70 links in use) 5.6 KB/s, more than the 4 KB/s of all control work.

Change: a link that has delivered within 250 ms is asked once a second like an idle one; a link on which requests wait for an answer, each 250 ms as before.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -29,8 +29,12 @@
     private static final long OLDER_RELEASE_SILENCE_TIMEOUT_MS = 2_000;
 
     private static final long GREETING_TIMEOUT_MS = 1_000;
-    private static final long KEEP_ALIVE_INTERVAL_MS = 250;
-    private static final long IDLE_KEEP_ALIVE_INTERVAL_MS = 1_000;
+
+    /** The interval between keep-alives on a link that delivers or is idle, in milliseconds. */
+    private static final long KEEP_ALIVE_INTERVAL_MS = 1_000;
+
+    /** The same for a link that delivers nothing though requests are open. */
+    private static final long QUIET_KEEP_ALIVE_INTERVAL_MS = 250;
 
     /** The time between two tries to open a link, in milliseconds. */
     private static final long REOPEN_INTERVAL_MS = 200;
@@ -38,6 +42,8 @@
     /** How long a request waits for a link if it may run at another instance, in milliseconds. */
     private static final long REPEATABLE_PATIENCE_MS = 3_000;
 
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
     private final ForwardSender mSender;
     private final LongSupplier mClockMs;
     private final PeerAddress mAddress;
@@ -57,7 +63,7 @@
     private long mLinkedMs;
     private long mUnlinkedMs;
     private long mLastReceivedMs;
-    private long mNextKeepAliveMs;
+    private long mLastKeepAliveMs;
     private long mNextOpenMs;
     private long mIdleSinceMs;
 
@@ -84,7 +90,6 @@
         mCalls.put(call.stream(), call);
         if (mReady) {
             call.send(mLink);
-            mNextKeepAliveMs = Math.min(mNextKeepAliveMs, mClockMs.getAsLong());
         } else if (mLink == null) {
             open();
         }
@@ -144,7 +149,7 @@
         mLife = mLink.peerLife();
         mReady = true;
         mStale = false;
-        mNextKeepAliveMs = mClockMs.getAsLong();
+        mLastKeepAliveMs = NEVER_MS;
         if (mLife != 0) {
             List<PeerMessage.OpenForward> open =
                     mCalls.values().stream()
@@ -274,17 +279,19 @@
                 awaitedMs > SILENCE_TIMEOUT_MS && nowMs - mLastReceivedMs > SILENCE_TIMEOUT_MS;
         if (silent || awaitedMs > ONE_WAY_SILENCE_TIMEOUT_MS) {
             closeSilent(awaitedMs);
-        } else if (nowMs >= mNextKeepAliveMs) {
+        } else if (nowMs - mLastKeepAliveMs >= keepAliveIntervalMs(nowMs)) {
+            mLastKeepAliveMs = nowMs;
             mKeepAlivesMs.add(nowMs);
             mLink.send(new PeerMessage.ForwardKeepAlive());
-            mNextKeepAliveMs =
-                    nowMs
-                            + (mCalls.isEmpty()
-                                    ? IDLE_KEEP_ALIVE_INTERVAL_MS
-                                    : KEEP_ALIVE_INTERVAL_MS);
         }
     }
 
+    private long keepAliveIntervalMs(long nowMs) {
+        boolean quiet =
+                !mCalls.isEmpty() && nowMs - mLastReceivedMs >= QUIET_KEEP_ALIVE_INTERVAL_MS;
+        return quiet ? QUIET_KEEP_ALIVE_INTERVAL_MS : KEEP_ALIVE_INTERVAL_MS;
+    }
+
     private void closeSilent(long silentMs) {
         // What was sent last, such as a cancellation, may not have arrived.
         mStale = mLife != 0;
