Soak of processes whose connections for forwards fall silent or are reset

Callers of two regions, whose replicas stand in one of them, send unsafe and safe requests and streams while a loopback proxy before each instance silences its open connections for forwards in either direction or resets them, beside changes of the configuration; in the second half also SIGTERM, SIGKILL, SIGHUP and freezes.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.scenarios.Fleet;
 
@@ -28,6 +29,7 @@
 
     private final String mId;
     private final String mHost;
+    private final String mPeerHost;
     private final Path mSettingsFile;
     private final Path mLogFile;
     private Process mProcess;
@@ -49,18 +51,43 @@
             List<String> seedHosts,
             int storePort,
             Path directory) {
+        this(id, host, host, region, List.of(region), seedHosts, storePort, directory);
+    }
+
+    /**
+     * Prepares an instance like the other constructor, one of several regions.
+     *
+     * @param peerHost the loopback address that other instances connect to; something else may
+     *     accept the connections for forwarded requests there and pass them on to the host
+     * @param regions all regions
+     */
+    public GatewayProcess(
+            String id,
+            String host,
+            String peerHost,
+            String region,
+            List<String> regions,
+            List<String> seedHosts,
+            int storePort,
+            Path directory) {
         mId = id;
         mHost = host;
+        mPeerHost = peerHost;
         mSettingsFile = directory.resolve(id + ".toml");
         mLogFile = directory.resolve(id + ".log");
         try {
-            Files.writeString(mSettingsFile, settings(region, seedHosts, storePort));
+            Files.writeString(mSettingsFile, settings(region, regions, seedHosts, storePort));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    private String settings(String region, List<String> seedHosts, int storePort) {
+    private String settings(
+            String region, List<String> regions, List<String> seedHosts, int storePort) {
+        String zones =
+                regions.stream()
+                        .map(each -> "%s-a = \"%s\"".formatted(each, each))
+                        .collect(Collectors.joining("\n"));
         List<String> seeds =
                 seedHosts.stream().map(host -> "\"" + host + ":" + PEER_PORT + "\"").toList();
         return """
@@ -69,7 +96,7 @@
         portRange = [%d,%d]
         seeds = %s
         [zones]
-        %s-a = "%s"
+        %s
         [listen]
         front = "%s"
         ready = "%s"
@@ -89,11 +116,10 @@
                         FIRST_INNER_PORT,
                         LAST_INNER_PORT,
                         seeds,
-                        region,
-                        region,
+                        zones,
                         address(CALLER_PORT),
                         address(READINESS_PORT),
-                        address(PEER_PORT),
+                        new PeerAddress(mPeerHost, PEER_PORT),
                         address(DIRECTORY_PORT),
                         GRACE_SECONDS,
                         storePort);
@@ -157,6 +183,11 @@
         return address(CALLER_PORT);
     }
 
+    /** Returns the address at which the instance listens for forwarded requests. */
+    public PeerAddress forwardAddress() {
+        return address(FIRST_INNER_PORT);
+    }
+
     /** Returns a client for the caller port of the instance. */
     public PlatformClient callerClient() {
         return new PlatformClient(address(CALLER_PORT));
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoak.java
@@ -230,7 +230,7 @@
     }
 
     /** Returns loopback addresses of this process only, so that runs at a time do not collide. */
-    private static String addressPrefix() {
+    static String addressPrefix() {
         long pid = ProcessHandle.current().pid();
         return "127." + (1 + pid / 256 % 254) + "." + pid % 256 + ".";
     }
