--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -30,6 +30,7 @@
         EXPERIMENTS.put("fairness", new FairnessExperiment());
         EXPERIMENTS.put("fairness-processes", new FleetFairnessExperiment());
         EXPERIMENTS.put("retries-processes", new FleetRetryExperiment());
+        EXPERIMENTS.put("forward-gap", new ForwardGap());
         EXPERIMENTS.put("routing", new RoutingExperiment());
         EXPERIMENTS.put("capacity-routing", new RoutingCapacity());
     }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LinkProxy.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LinkProxy.java
@@ -9,14 +9,15 @@
 import org.filbertrudder.policy.membership.PeerAddress;
 
 /** Passes connections on to an instance, and silences or resets those that are open. */
-final class LinkProxy implements AutoCloseable {
+public final class LinkProxy implements AutoCloseable {
 
     private final Set<Link> mLinks = ConcurrentHashMap.newKeySet();
     private final NetClient mClient;
     private final NetServer mServer;
     private final PeerAddress mTarget;
 
-    LinkProxy(Vertx vertx, PeerAddress address, PeerAddress target) {
+    /** Listens at an address and passes connections on to a target. */
+    public LinkProxy(Vertx vertx, PeerAddress address, PeerAddress target) {
         mTarget = target;
         mClient = vertx.createNetClient();
         mServer = vertx.createNetServer().connectHandler(this::accept);
@@ -27,7 +28,7 @@
     }
 
     /** Drops from now on what the open connections carry in the given directions. */
-    void silence(boolean toTarget, boolean toCaller) {
+    public void silence(boolean toTarget, boolean toCaller) {
         for (Link link : mLinks) {
             link.mSilentToTarget |= toTarget;
             link.mSilentToCaller |= toCaller;
@@ -35,7 +36,7 @@
     }
 
     /** Closes the open connections at both ends. */
-    void reset() {
+    public void reset() {
         mLinks.forEach(Link::close);
     }
 
