Peer: a connection to a peer that reads nothing is not closed

Callers would see: requests that wait until their deadline. A link that falls silent while responses or bodies fill its output is found silent, but the session never moves to the next one.

Cause: the socket's close flushes the output first, and the output of a silent connection is flushed only when the kernel gives up, minutes later. The close actions, by which a session learns that its link has ended, run after that. The same holds for TLS and its last message.

Evidence: PeerNetworkTest.connectionStaysOpenWhileItsPeerReadsNothing, a server that accepts and reads nothing, failed before: "expected [closed] but found [null]" after 2 s.

The channel is closed from its first handler now, which drops what has not been written and passes by the flush of TLS. What a peer must still read goes through endOutput(), which is unchanged.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -113,7 +113,7 @@
         mCounters.countRejectedConnection();
         mProtocolErrorListener.accept("Peer " + mSocket.remoteAddress() + " sent " + reason);
         mClosed = true;
-        mSocket.close();
+        close();
     }
 
     @Override
@@ -204,7 +204,13 @@
 
     @Override
     public void close() {
-        mSocket.close();
+        // The socket would first flush its output, which a silent peer never reads; so would TLS.
+        ((NetSocketInternal) mSocket)
+                .channelHandlerContext()
+                .channel()
+                .pipeline()
+                .firstContext()
+                .close();
     }
 
     /**
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardLink.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardLink.java
@@ -10,7 +10,7 @@
     /** Sends a message; drops it if the link is closed or its output has ended. */
     void send(PeerMessage message);
 
-    /** Closes the link. */
+    /** Closes the link at once, also if the other end reads nothing. */
     void close();
 
     /** Runs the action once when the link closes, or immediately if it is already closed. */
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/PeerNetworkTest.java
@@ -7,6 +7,8 @@
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -31,6 +33,7 @@
 
     private static final PeerMessage MESSAGE = new PeerMessage.ForwardCancel(42);
     private static final long RECEIVE_TIMEOUT_SECONDS = 10;
+    private static final long CLOSE_TIMEOUT_SECONDS = 2;
 
     private final BlockingQueue<PeerMessage> mReceived = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> mProtocolErrors = new LinkedBlockingQueue<>();
@@ -169,6 +172,43 @@
         return messages;
     }
 
+    /** Guards against a connection that stays open as its output cannot be flushed. */
+    @Test
+    public void connectionStaysOpenWhileItsPeerReadsNothing() throws Exception {
+        NetServer deaf = mVertx.createNetServer().connectHandler(NetSocket::pause);
+        int port =
+                deaf.listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .join()
+                        .actualPort();
+        Context context = mVertx.getOrCreateContext();
+        PeerNetwork client =
+                new PeerNetwork(
+                        mVertx,
+                        context,
+                        PeerSecurity.plainText(),
+                        () -> member("client"),
+                        (connection, message) -> {},
+                        mProtocolErrors::add);
+        BlockingQueue<String> events = new LinkedBlockingQueue<>();
+        context.runOnContext(
+                ignored ->
+                        client.withConnection(
+                                new PeerAddress("127.0.0.1", port),
+                                connection -> {
+                                    connection.onClose(() -> events.add("closed"));
+                                    for (int i = 0; i < 32; i++) {
+                                        connection.send(
+                                                new PeerMessage.ForwardData(
+                                                        1, new byte[1_000_000]));
+                                    }
+                                    connection.close();
+                                }));
+
+        assertEquals(events.poll(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS), "closed");
+    }
+
     @Test
     public void deliversMessagesOverMutualTls() throws Exception {
         Certificates trusted = Certificates.create("trusted");
