Forward sessions: links keep each session that was forgotten on them

Cause: each session registered a close action of its own on its link, and a session that is forgotten while idle did not remove it.

Evidence: ForwardSenderTest.sessionsThatAreForgottenStayWithTheirLink failed before: "actions: 10 expected [true] but found [false]" after ten requests, 31 s apart, on one link.

The sender registers one action for each link and passes the close to the session that uses the link then.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
@@ -2,8 +2,10 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
@@ -35,6 +37,7 @@
     private final Consumer<ForwardEvent> mLog;
     private final Map<PeerAddress, SenderSession> mSessions = new HashMap<>();
     private final Map<ForwardLink, SenderSession> mSessionsByLink = new HashMap<>();
+    private final Set<ForwardLink> mWatchedLinks = new HashSet<>();
     private long mNextStream = 1;
     private long mNextGeneration = 1;
     private long mLastTickMs;
@@ -146,10 +149,17 @@
 
     void linked(ForwardLink link, SenderSession session) {
         mSessionsByLink.put(link, session);
+        if (mWatchedLinks.add(link)) {
+            link.whenClosed(() -> closed(link));
+        }
     }
 
-    void unlinked(ForwardLink link) {
-        mSessionsByLink.remove(link);
+    private void closed(ForwardLink link) {
+        mWatchedLinks.remove(link);
+        SenderSession session = mSessionsByLink.remove(link);
+        if (session != null) {
+            session.closed();
+        }
     }
 
     void log(String message, Map<String, Object> fields) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -131,7 +131,6 @@
         mLinkedMs = mClockMs.getAsLong();
         mLastReceivedMs = mLinkedMs;
         mSender.linked(link, this);
-        link.whenClosed(() -> closed(link));
         if (link.peerMember() != null) {
             greeted();
         }
@@ -173,11 +172,8 @@
         failLogged("other process", lost);
     }
 
-    private void closed(ForwardLink link) {
-        mSender.unlinked(link);
-        if (link != mLink) {
-            return;
-        }
+    /** Handles the close of the link. */
+    void closed() {
         boolean wasReady = mReady;
         long nowMs = mClockMs.getAsLong();
         mLink = null;
--- /dev/null
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -0,0 +1,131 @@
+package org.filbertrudder.peer.forwarding;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.PeerMessage;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the sender of forwarded requests on links whose events come in a given order. */
+public class ForwardSenderTest {
+
+    private static final Member RECEIVER = SimulatedForwards.member("receiver");
+    private static final long LIFE = 7;
+    private static final long TICK_MS = 100;
+
+    private final List<Consumer<? super ForwardLink>> mOpening = new ArrayList<>();
+    private final List<ForwardEvent> mLog = new ArrayList<>();
+    private RecordingLink mOpenLink;
+    private boolean mRepeatable;
+    private int mOpened;
+    private long mNowMs;
+    private ForwardSender mSender;
+
+    @BeforeMethod
+    public void createSender() {
+        mOpening.clear();
+        mLog.clear();
+        mOpenLink = null;
+        mRepeatable = false;
+        mOpened = 0;
+        mNowMs = 1_000;
+        mSender =
+                new ForwardSender(
+                        (address, action) -> {
+                            mOpened++;
+                            if (mOpenLink == null) {
+                                mOpening.add(action);
+                            } else {
+                                action.accept(mOpenLink);
+                            }
+                        },
+                        () -> mNowMs,
+                        mLog::add);
+    }
+
+    private ForwardCall start(ForwardListener listener) {
+        return mSender.start(
+                RECEIVER,
+                stream ->
+                        new PeerMessage.ForwardStart(
+                                stream,
+                                "a",
+                                null,
+                                null,
+                                0,
+                                null,
+                                "POST",
+                                "/",
+                                Map.of(),
+                                new byte[0],
+                                60_000),
+                () -> mRepeatable,
+                listener);
+    }
+
+    private void open(ForwardLink link) {
+        mOpening.remove(0).accept(link);
+    }
+
+    private void tickFor(long ms) {
+        for (long untilMs = mNowMs + ms; mNowMs < untilMs; ) {
+            mNowMs += TICK_MS;
+            mSender.tick(mNowMs);
+            if (mOpenLink != null && mOpenLink.takeKeepAlive()) {
+                mSender.handle(mOpenLink, new PeerMessage.ForwardKeepAlive());
+            }
+        }
+    }
+
+    private RecordingLink greetedLink() {
+        return new RecordingLink("receiver", LIFE);
+    }
+
+    private RecordingLink linkWithoutGreeting() {
+        RecordingLink link = greetedLink();
+        link.mPeerMember = null;
+        return link;
+    }
+
+    /** Guards against close actions that accumulate on links that live long. */
+    @Test
+    public void sessionsThatAreForgottenStayWithTheirLink() {
+        RecordingLink link = greetedLink();
+        mOpenLink = link;
+        for (int i = 0; i < 10; i++) {
+            start(new Outcome()).cancel();
+            tickFor(31_000);
+        }
+
+        assertEquals(link.sent(PeerMessage.ForwardStart.class).size(), 10);
+        assertTrue(link.mCloseActions.size() <= 1, "actions: " + link.mCloseActions.size());
+    }
+
+    /** Records how a forward has failed. */
+    private static final class Outcome implements ForwardListener {
+
+        private final List<Failure> mFailures = new ArrayList<>();
+        private Runnable mOnFailed = () -> {};
+
+        @Override
+        public void head(int status, Map<String, String> headers) {}
+
+        @Override
+        public void data(byte[] data) {}
+
+        @Override
+        public void ended() {}
+
+        @Override
+        public void failed(Failure failure) {
+            mFailures.add(failure);
+            mOnFailed.run();
+        }
+    }
+}
