Forward sessions: a request that was sent meanwhile is said not to have run

Callers could see: "not run" for a request that runs, so a booking may be tried twice. And requests that run on, and responses that are retained, for nobody while the link lives.

Cause: when a link closes or cannot be opened, several requests fail one after the other. The listener of the first may start the request again at the same instance, which opens the next link at once if the network holds one (load reports use the same). That link sent the requests that were about to fail as not run, and announced as open those about to be given up.

Evidence: ForwardSenderTest failed before: requestThatIsSentWhileOthersFailIsTakenForNotRun "only the retried request is sent: lists don't have the same size expected [1] but found [2]"; requestIsAnnouncedAsOpenWhileItIsGivenUp "no stream is open: lists don't have the same size expected [0] but found [1]".

All that fail leave the session before the first listener is called.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -143,7 +143,7 @@
         }
         boolean sameProcess = mLink.peerLife() != 0 && mLink.peerLife() == mLife;
         List<ForwardCall> lost = sameProcess ? List.of() : calls(ForwardCall::isSent);
-        lost.forEach(call -> mCalls.remove(call.stream()));
+        exclude(lost);
         mKnown &= sameProcess;
         mLife = mLink.peerLife();
         mReady = true;
@@ -184,10 +184,10 @@
             mUnlinkedMs = nowMs;
         }
         mNextOpenMs = wasReady ? nowMs : nowMs + REOPEN_INTERVAL_MS;
+        List<ForwardCall> lost = mLife == 0 ? calls(ForwardCall::isSent) : List.of();
+        exclude(lost);
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-        if (mLife == 0) {
-            failLogged("closed connection", calls(ForwardCall::isSent));
-        }
+        failLogged("closed connection", lost);
         reopenIfNeeded(nowMs);
     }
 
@@ -324,12 +324,23 @@
                             "silentMs",
                             mClockMs.getAsLong() - mLastReceivedMs));
             mStale = mLife != 0;
+            exclude(calls);
             calls.forEach(call -> call.fail(ForwardListener.Failure.INTERRUPTED));
         }
     }
 
     private void failAll(Predicate<ForwardCall> condition, ForwardListener.Failure failure) {
-        calls(condition).forEach(call -> call.fail(failure));
+        List<ForwardCall> calls = calls(condition);
+        exclude(calls);
+        calls.forEach(call -> call.fail(failure));
+    }
+
+    /**
+     * Excludes calls that are about to fail from what the next link sends or announces, as the
+     * listener of one of them may open it.
+     */
+    private void exclude(List<ForwardCall> calls) {
+        calls.forEach(call -> mCalls.remove(call.stream()));
     }
 
     private List<ForwardCall> calls(Predicate<ForwardCall> condition) {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -93,6 +93,52 @@
         return link;
     }
 
+    /** Guards against "not run" for a request that was sent meanwhile. */
+    @Test
+    public void requestThatIsSentWhileOthersFailIsTakenForNotRun() {
+        RecordingLink first = linkWithoutGreeting();
+        Outcome retried = new Outcome();
+        Outcome failing = new Outcome();
+        Outcome other = new Outcome();
+        failing.mOnFailed = () -> start(retried);
+        start(failing);
+        start(other);
+        open(first);
+
+        mOpenLink = greetedLink();
+        first.close();
+
+        List<Long> sent =
+                mOpenLink.sent(PeerMessage.ForwardStart.class).stream()
+                        .map(PeerMessage.ForwardStart::stream)
+                        .toList();
+        assertEquals(sent, List.of(3L), "only the retried request is sent");
+        assertEquals(other.mFailures, List.of(ForwardListener.Failure.NOT_RUN));
+        assertEquals(retried.mFailures, List.of());
+    }
+
+    /** Guards against requests that run on for nobody, as their cancellation was not sent. */
+    @Test
+    public void requestIsAnnouncedAsOpenWhileItIsGivenUp() {
+        RecordingLink first = greetedLink();
+        Outcome failing = new Outcome();
+        failing.mOnFailed = () -> start(new Outcome());
+        Outcome other = new Outcome();
+        mRepeatable = true;
+        start(failing);
+        start(other);
+        open(first);
+        first.close();
+
+        mOpenLink = greetedLink();
+        open(null);
+
+        assertEquals(other.mFailures, List.of(ForwardListener.Failure.INTERRUPTED));
+        List<PeerMessage.ForwardResume> resumes = mOpenLink.sent(PeerMessage.ForwardResume.class);
+        assertEquals(resumes.size(), 1);
+        assertEquals(resumes.get(0).streams(), List.of(), "no stream is open");
+    }
+
     /** Guards against close actions that accumulate on links that live long. */
     @Test
     public void sessionsThatAreForgottenStayWithTheirLink() {
