Forward sessions: the death of a member is missed while a link is greeted

Callers could see: an unsafe request that waits until its deadline though its instance was found dead.

Cause: the report of a death ends what waits only if there is no link at that moment.

Evidence: ForwardSenderTest.deathIsMissedWhileALinkIsNotGreeted failed before: "lists don't have the same size expected [1] but found [0]".

A link counts from its hello message on, which shows that the process answers.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -229,7 +229,7 @@
     /** Ends what waits for a member that is suspected or dead. */
     void memberUnresponsive(boolean dead) {
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-        if (dead && mLink == null) {
+        if (dead && !mReady) {
             failLogged("member DEAD", calls(ForwardCall::isSent));
         }
     }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.Member;
+import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -153,6 +154,21 @@
         assertTrue(link.mCloseActions.size() <= 1, "actions: " + link.mCloseActions.size());
     }
 
+    /** The kernel of a frozen instance accepts connections. */
+    @Test
+    public void deathIsMissedWhileALinkIsNotGreeted() {
+        RecordingLink first = greetedLink();
+        Outcome outcome = new Outcome();
+        start(outcome);
+        open(first);
+        first.close();
+        open(linkWithoutGreeting());
+
+        mSender.membersChanged(List.of(RECEIVER.withState(MemberState.DEAD)));
+
+        assertEquals(outcome.mFailures, List.of(ForwardListener.Failure.INTERRUPTED));
+    }
+
     /** Records how a forward has failed. */
     private static final class Outcome implements ForwardListener {
 
