Forward sessions: a session stays in use after its receiver has restarted

Callers see nothing; the sender keeps asking an idle link for ever, and opens it again, twice a second at worst, though nothing must be announced.

Cause: giving up the requests of the earlier process marked the session as one that must still announce them, after the resume that did.

Evidence: ForwardSenderTest.sessionStaysInUseAfterItsReceiverHasStarted- Again failed before: "links opened expected [2] but found [4]".

Only requests given up without a link are still to be announced.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -323,7 +323,7 @@
                             calls.stream().filter(ForwardCall::isAnswered).count(),
                             "silentMs",
                             mClockMs.getAsLong() - mLastReceivedMs));
-            mStale = mLife != 0;
+            mStale |= mLife != 0 && !mReady;
             exclude(calls);
             calls.forEach(call -> call.fail(ForwardListener.Failure.INTERRUPTED));
         }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -154,6 +154,23 @@
         assertTrue(link.mCloseActions.size() <= 1, "actions: " + link.mCloseActions.size());
     }
 
+    /** Guards against links to a new process that are watched, and opened again, for ever. */
+    @Test
+    public void sessionStaysInUseAfterItsReceiverHasStartedAgain() {
+        RecordingLink first = greetedLink();
+        start(new Outcome());
+        open(first);
+        first.close();
+        RecordingLink second = new RecordingLink("receiver", LIFE + 1);
+        open(second);
+        mOpenLink = second;
+        tickFor(3_000);
+        second.close();
+        tickFor(300);
+
+        assertEquals(mOpened, 2, "links opened");
+    }
+
     /** The kernel of a frozen instance accepts connections. */
     @Test
     public void deathIsMissedWhileALinkIsNotGreeted() {
