Forward sessions: a resume without a list of streams ends its link

Cause: a missing list is read as an immutable empty one, which refuses the question whether it contains null, so the handler of the message fails and the connection is closed. A present list was not affected.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -125,7 +126,7 @@
     }
 
     private void resume(ForwardLink from, PeerMessage.ForwardResume resume) {
-        if (from.peerLife() == 0 || resume.streams().contains(null)) {
+        if (from.peerLife() == 0 || resume.streams().stream().anyMatch(Objects::isNull)) {
             log("A sender that states no positions is disconnected.", Map.of());
             from.close();
             return;
