Forward sessions: what comes first after a hold-up is moved to the future

Callers could see: requests that run for nobody as long as the receiver had been held up (its sender gone, the link closed), and a silent link that is found by that time later.

Cause: after a hold-up, messages and closes may be handled before the tick that excludes the hold-up, which then moved also their times, past now.

Evidence: failed before: ForwardReceiverTest.requestOfASenderThatIsGone- RunsOnAfterAHoldUp "lists don't have the same size expected [1] but found [0]"; ForwardSenderTest.silenceAfterAHoldUpIsFoundLate "expected [true] but found [false]", each after a hold-up of 20 s.

A time is moved up to now at most.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -187,7 +187,7 @@
         mLastTickMs = nowMs;
         for (Map.Entry<SenderProcess, ReceiverSession> entry : List.copyOf(mSessions.entrySet())) {
             ReceiverSession session = entry.getValue();
-            session.excludeHoldUp(heldUpMs);
+            session.excludeHoldUp(nowMs, heldUpMs);
             if (session.isSilent(nowMs, ORPHAN_MS)) {
                 log("A silent sender is disconnected.", Map.of("member", entry.getKey().id()));
                 session.link().close();
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
@@ -58,9 +58,9 @@
         mLastReceivedMs = nowMs;
     }
 
-    void excludeHoldUp(long heldUpMs) {
-        mLastReceivedMs += heldUpMs;
-        mUnlinkedMs += heldUpMs;
+    void excludeHoldUp(long nowMs, long heldUpMs) {
+        mLastReceivedMs = Math.min(nowMs, mLastReceivedMs + heldUpMs);
+        mUnlinkedMs = Math.min(nowMs, mUnlinkedMs + heldUpMs);
     }
 
     /** Returns whether the sender has fallen silent, which sends keep-alives while it waits. */
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -236,7 +236,7 @@
 
     /** Watches the link, or opens another one. */
     void tick(long nowMs, long heldUpMs) {
-        excludeHoldUp(heldUpMs);
+        excludeHoldUp(nowMs, heldUpMs);
         if (mLink == null) {
             mStale &= nowMs - mUnlinkedMs < ForwardReceiver.ORPHAN_MS;
             if (nowMs - mUnlinkedMs > REPEATABLE_PATIENCE_MS) {
@@ -258,11 +258,12 @@
         }
     }
 
-    private void excludeHoldUp(long heldUpMs) {
+    private void excludeHoldUp(long nowMs, long heldUpMs) {
         if (heldUpMs > 0) {
-            mLinkedMs += heldUpMs;
-            mUnlinkedMs += heldUpMs;
-            mLastReceivedMs += heldUpMs;
+            // What happened after the hold-up, before this tick, is not moved to the future.
+            mLinkedMs = Math.min(nowMs, mLinkedMs + heldUpMs);
+            mUnlinkedMs = Math.min(nowMs, mUnlinkedMs + heldUpMs);
+            mLastReceivedMs = Math.min(nowMs, mLastReceivedMs + heldUpMs);
             List<Long> times = List.copyOf(mKeepAlivesMs);
             mKeepAlivesMs.clear();
             times.forEach(time -> mKeepAlivesMs.add(time + heldUpMs));
--- /dev/null
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
@@ -0,0 +1,78 @@
+package org.filbertrudder.peer.forwarding;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.filbertrudder.model.message.PeerMessage;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests the receiver of forwarded requests when it is held up or stops. */
+public class ForwardReceiverTest {
+
+    private static final long TICK_MS = 100;
+    private static final long HOLD_UP_MS = 20_000;
+
+    private final List<ForwardedResponse> mRuns = new ArrayList<>();
+    private final List<Long> mCancelled = new ArrayList<>();
+    private long mNowMs;
+    private ForwardReceiver mReceiver;
+    private RecordingLink mLink;
+
+    @BeforeMethod
+    public void linkSender() {
+        mRuns.clear();
+        mCancelled.clear();
+        mNowMs = 1_000;
+        mReceiver =
+                new ForwardReceiver(this::run, new HeldBytes(1_000_000), () -> mNowMs, event -> {});
+        mLink = new RecordingLink("sender", 1);
+        mReceiver.handle(mLink, new PeerMessage.ForwardResume(1, false, List.of()));
+    }
+
+    private void run(PeerMessage.ForwardStart start, ForwardedResponse response) {
+        mRuns.add(response);
+        response.onCancel(() -> mCancelled.add(start.stream()));
+    }
+
+    private static PeerMessage.ForwardStart start(long stream) {
+        return new PeerMessage.ForwardStart(
+                stream, "a", null, null, 0, null, "POST", "/", Map.of(), new byte[0], 60_000);
+    }
+
+    private void tickFor(long ms) {
+        for (long untilMs = mNowMs + ms; mNowMs < untilMs; ) {
+            mNowMs += TICK_MS;
+            mReceiver.tick(mNowMs);
+        }
+    }
+
+    /** Guards against requests that run for nobody as long as the process was held up. */
+    @Test
+    public void requestOfASenderThatIsGoneRunsOnAfterAHoldUp() {
+        mReceiver.handle(mLink, start(1));
+        tickFor(TICK_MS);
+
+        mNowMs += HOLD_UP_MS;
+        mLink.close();
+        mReceiver.tick(mNowMs);
+        tickFor(ForwardReceiver.ORPHAN_MS + TICK_MS);
+
+        assertEquals(mCancelled, List.of(1L));
+    }
+
+    @Test
+    public void requestIsCancelledAsItsReceiverWasHeldUp() {
+        mReceiver.handle(mLink, start(1));
+        tickFor(TICK_MS);
+
+        mNowMs += HOLD_UP_MS;
+        mReceiver.tick(mNowMs);
+
+        assertEquals(mCancelled, List.of());
+        assertFalse(mLink.mClosed);
+    }
+}
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -186,6 +186,23 @@
         assertEquals(outcome.mFailures, List.of(ForwardListener.Failure.INTERRUPTED));
     }
 
+    /** What was read first after a hold-up is not excluded from the time without messages. */
+    @Test
+    public void silenceAfterAHoldUpIsFoundLate() {
+        RecordingLink link = greetedLink();
+        link.mPeerLife = 0;
+        start(new Outcome());
+        open(link);
+        tickFor(TICK_MS);
+
+        mNowMs += 20_000;
+        mSender.handle(link, new PeerMessage.ForwardKeepAlive());
+        mSender.tick(mNowMs);
+        tickFor(3_000);
+
+        assertTrue(link.mClosed);
+    }
+
     /** Records how a forward has failed. */
     private static final class Outcome implements ForwardListener {
 
