--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -131,7 +131,6 @@
         mLinkedMs = mClockMs.getAsLong();
         mLastReceivedMs = mLinkedMs;
         mSender.linked(link, this);
-        link.whenClosed(() -> closed(link));
         if (link.peerMember() != null) {
             greeted();
         }
@@ -144,7 +143,7 @@
         }
         boolean sameProcess = mLink.peerLife() != 0 && mLink.peerLife() == mLife;
         List<ForwardCall> lost = sameProcess ? List.of() : calls(ForwardCall::isSent);
-        lost.forEach(call -> mCalls.remove(call.stream()));
+        exclude(lost);
         mKnown &= sameProcess;
         mLife = mLink.peerLife();
         mReady = true;
@@ -173,11 +172,8 @@
         failLogged("other process", lost);
     }
 
-    private void closed(ForwardLink link) {
-        mSender.unlinked(link);
-        if (link != mLink) {
-            return;
-        }
+    /** Handles the close of the link. */
+    void closed() {
         boolean wasReady = mReady;
         long nowMs = mClockMs.getAsLong();
         mLink = null;
@@ -188,10 +184,10 @@
             mUnlinkedMs = nowMs;
         }
         mNextOpenMs = wasReady ? nowMs : nowMs + REOPEN_INTERVAL_MS;
+        List<ForwardCall> lost = mLife == 0 ? calls(ForwardCall::isSent) : List.of();
+        exclude(lost);
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-        if (mLife == 0) {
-            failLogged("closed connection", calls(ForwardCall::isSent));
-        }
+        failLogged("closed connection", lost);
         reopenIfNeeded(nowMs);
     }
 
@@ -233,14 +229,14 @@
     /** Ends what waits for a member that is suspected or dead. */
     void memberUnresponsive(boolean dead) {
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-        if (dead && mLink == null) {
+        if (dead && !mReady) {
             failLogged("member DEAD", calls(ForwardCall::isSent));
         }
     }
 
     /** Watches the link, or opens another one. */
     void tick(long nowMs, long heldUpMs) {
-        excludeHoldUp(heldUpMs);
+        excludeHoldUp(nowMs, heldUpMs);
         if (mLink == null) {
             mStale &= nowMs - mUnlinkedMs < ForwardReceiver.ORPHAN_MS;
             if (nowMs - mUnlinkedMs > REPEATABLE_PATIENCE_MS) {
@@ -262,11 +258,12 @@
         }
     }
 
-    private void excludeHoldUp(long heldUpMs) {
+    private void excludeHoldUp(long nowMs, long heldUpMs) {
         if (heldUpMs > 0) {
-            mLinkedMs += heldUpMs;
-            mUnlinkedMs += heldUpMs;
-            mLastReceivedMs += heldUpMs;
+            // What happened after the hold-up, before this tick, is not moved to the future.
+            mLinkedMs = Math.min(nowMs, mLinkedMs + heldUpMs);
+            mUnlinkedMs = Math.min(nowMs, mUnlinkedMs + heldUpMs);
+            mLastReceivedMs = Math.min(nowMs, mLastReceivedMs + heldUpMs);
             List<Long> times = List.copyOf(mKeepAlivesMs);
             mKeepAlivesMs.clear();
             times.forEach(time -> mKeepAlivesMs.add(time + heldUpMs));
@@ -327,13 +324,24 @@
                             calls.stream().filter(ForwardCall::isAnswered).count(),
                             "silentMs",
                             mClockMs.getAsLong() - mLastReceivedMs));
-            mStale = mLife != 0;
+            mStale |= mLife != 0 && !mReady;
+            exclude(calls);
             calls.forEach(call -> call.fail(ForwardListener.Failure.INTERRUPTED));
         }
     }
 
     private void failAll(Predicate<ForwardCall> condition, ForwardListener.Failure failure) {
-        calls(condition).forEach(call -> call.fail(failure));
+        List<ForwardCall> calls = calls(condition);
+        exclude(calls);
+        calls.forEach(call -> call.fail(failure));
+    }
+
+    /**
+     * Excludes calls that are about to fail from what the next link sends or announces, as the
+     * listener of one of them may open it.
+     */
+    private void exclude(List<ForwardCall> calls) {
+        calls.forEach(call -> mCalls.remove(call.stream()));
     }
 
     private List<ForwardCall> calls(Predicate<ForwardCall> condition) {
