--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
@@ -42,6 +42,7 @@
 public class EndedForwardsTest {
 
     private static final long TIMEOUT_SECONDS = 10;
+    private static final long TICK_MS = 100;
     private static final int MAX_HELD_BYTES = 1_000;
 
     private final AtomicReference<PeerConnection> mIncoming = new AtomicReference<>();
@@ -68,9 +69,15 @@
         mServerMember = member("server", port);
         mClientNetwork = network((connection, message) -> mClient.handle(connection, message));
         mClient = new GatewayForwardClient(mClientNetwork::withConnection);
+        mVertx.setPeriodic(TICK_MS, timer -> mContext.runOnContext(ignored -> tick()));
         assertEquals(outcomeOf("/refused"), "head 503, end");
     }
 
+    private void tick() {
+        mClient.tick(Clocks.steadyMs());
+        mServer.tick(Clocks.steadyMs());
+    }
+
     @AfterMethod(alwaysRun = true)
     public void close() {
         mVertx.close().toCompletionStage().toCompletableFuture().join();
