--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/EntryInstance.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/EntryInstance.java
@@ -89,7 +89,13 @@
 
     private Future<Void> deployTrafficVerticles(WatchableStore store) {
         TrafficContext context =
-                new TrafficContext(mVertx, mControl, store, mMetrics, EntryInstance::monotonicMs);
+                new TrafficContext(
+                        mVertx,
+                        mControl,
+                        mControl::snapshot,
+                        store,
+                        mMetrics,
+                        EntryInstance::monotonicMs);
         Future<Void> deployed = Future.succeededFuture();
         for (int i = 0; i < mSettings.trafficThreads(); i++) {
             TrafficVerticle trafficVerticle = new TrafficVerticle(context, mSettings, mPorts);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardLog.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/log/ForwardLog.java
@@ -1,17 +1,16 @@
-package org.filbertrudder.gateway.traffic;
+package org.filbertrudder.entry.log;
 
-import org.filbertrudder.entry.log.ComponentLogger;
-import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.peer.forwarding.ForwardEvent;
 
 /** Logs decisions about forwarded requests. */
-final class ForwardLog {
+public final class ForwardLog {
 
     private static final ComponentLogger LOG = ComponentLogger.of("forwards");
 
     private ForwardLog() {}
 
-    static void log(ForwardEvent event) {
+    /** Logs a decision with its inputs. */
+    public static void log(ForwardEvent event) {
         LOG.info(
                 event.message(),
                 event.fields().entrySet().stream()
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.filbertrudder.entry.log.ForwardLog;
 import org.filbertrudder.gateway.config.KeyDigests;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.ForwardLog;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.model.InvalidValueException;
