Own interface: a forwarded request ends with its connection

What callers saw: a request that an instance of the own interface had forwarded was lost with the connection between the two instances: a booking got "outcome unknown", a stream was begun again elsewhere. A connection that had fallen silent was noticed only at the deadline of the request, as nothing watched it.

Cause: the own interface kept its own pair of client and server, which bound a forward to one connection.

Change: ForwardClient and ForwardServer are adapters of peer.forwarding, like those of the gateway. Theirs are the charges of links, the wait for the sender's configuration and the second check of the authorization. A stop ends the output of the connections and waits until their peers have read the responses and closed them; that takes the place of the wait for acknowledgements, also for senders of older releases, within the same bounds. A failure is reported after the call is returned, as a forward may now fail while it is started. The request body is charged when the forward starts, also if no connection opens.

With more than one traffic thread the networks share a port and the next connection may reach another thread, so that forwards cannot go on there; such an instance names no process and is served, and serves, as before, with keep-alives of the older release.

Failed before (ForwardedRequestTest, with empty methods for what was missing in the old classes; its other cases are new): [CLOSED, false] expected [201 first second, end] but found [BROKEN] [CLOSED, true] expected [201 first second, end] but found [201 first BROKEN] [SILENT, false] and [SILENT, true] Timeout after 10 s

After: ForwardedRequestTest 17 of 17, PeerPortTest and PlannedStopTest 30 of 30.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/AttemptRunner.java
@@ -182,9 +182,8 @@
         if (exchange.ended()) {
             return;
         }
-        boolean mayRetry = !mayHaveRunInAttempt || exchange.request().retryable();
-        boolean canContinue = exchange.relay().replaceable() || exchange.relay().resumable();
-        if (!mayRetry || !canContinue || exchange.attempts() >= MAX_ATTEMPTS) {
+        boolean mayRetry = mayHaveRunInAttempt ? exchange.mayRunAgain() : exchange.canContinue();
+        if (!mayRetry || exchange.attempts() >= MAX_ATTEMPTS) {
             endAfterFailure(exchange);
         } else if (mayHaveRunInAttempt && !takeFromRetryBudget()) {
             endAfterFailure(exchange);
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/Exchange.java
@@ -156,6 +156,16 @@
         mMayHaveRun = mayHaveRun;
     }
 
+    /** Returns whether another attempt can continue what has been sent of the response. */
+    boolean canContinue() {
+        return mRelay.replaceable() || mRelay.resumable();
+    }
+
+    /** Returns whether the request may run once more although it may have run already. */
+    boolean mayRunAgain() {
+        return mRequest.retryable() && canContinue();
+    }
+
     /** Returns whether the request may run only on an endpoint that runs no other request. */
     boolean exclusive() {
         return mExclusive;
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -3,33 +3,35 @@
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import org.filbertrudder.entry.log.ForwardLog;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
-import org.filbertrudder.peer.PeerConnection;
-import org.filbertrudder.peer.PeerNetwork;
-import org.filbertrudder.policy.membership.PeerAddress;
+import org.filbertrudder.peer.forwarding.ForwardCall;
+import org.filbertrudder.peer.forwarding.ForwardLink;
+import org.filbertrudder.peer.forwarding.ForwardLinks;
+import org.filbertrudder.peer.forwarding.ForwardListener;
+import org.filbertrudder.peer.forwarding.ForwardSender;
 
 /** Forwards requests to instances in other regions and receives the responses. */
 final class ForwardClient {
 
     private final Context mEventLoop;
     private final TrafficContext mContext;
-    private final Map<Long, ForwardCall> mCalls = new HashMap<>();
     private final LinkAvailability mLinkAvailability;
-    private PeerNetwork mPeerNetwork;
-    private long mNextStreamId = 1;
+    private final ForwardSender mSender;
 
-    ForwardClient(Context eventLoop, TrafficContext context, LinkAvailability linkAvailability) {
+    ForwardClient(
+            Context eventLoop,
+            TrafficContext context,
+            LinkAvailability linkAvailability,
+            ForwardLinks links) {
         mEventLoop = eventLoop;
         mContext = context;
         mLinkAvailability = linkAvailability;
-    }
-
-    void setPeerNetwork(PeerNetwork peerNetwork) {
-        mPeerNetwork = peerNetwork;
+        mSender = new ForwardSender(links, context.clockMs(), ForwardLog::log);
     }
 
     /** Runs an action on the event loop of this client's traffic thread. */
@@ -43,23 +45,13 @@
             Exchange exchange,
             Map<String, String> attemptHeaders,
             UpstreamListener listener) {
-        long streamId = mNextStreamId++;
-        ForwardCall call = new ForwardCall(streamId, member.region(), listener);
-        mCalls.put(streamId, call);
-        PeerMessage.ForwardStart startMessage = startMessage(streamId, exchange, attemptHeaders);
-        mPeerNetwork.withConnection(
-                PeerAddress.ofForwards(member),
-                connection -> {
-                    if (connection == null) {
-                        call.fail(UpstreamListener.Failure.NOT_SENT);
-                    } else if (!call.mDone) {
-                        call.open(connection);
-                        mLinkAvailability.charge(
-                                member.region(), exchange.request().body().length());
-                        connection.send(startMessage);
-                    }
-                });
-        return call;
+        mLinkAvailability.charge(member.region(), exchange.request().body().length());
+        return new RemoteCall(
+                mSender.start(
+                        member,
+                        stream -> startMessage(stream, exchange, attemptHeaders),
+                        exchange::mayRunAgain,
+                        new ResponseListener(member.region(), listener)));
     }
 
     private PeerMessage.ForwardStart startMessage(
@@ -82,106 +74,73 @@
     }
 
     /** Handles a message that is part of a response; returns false for any other message. */
-    boolean handle(PeerConnection from, PeerMessage message) {
-        if (message instanceof PeerMessage.ForwardHead head) {
-            call(from, head.stream())
-                    .ifPresent(call -> call.mListener.onHead(head.status(), head.headers()));
-        } else if (message instanceof PeerMessage.ForwardData data) {
-            call(from, data.stream()).ifPresent(call -> call.receive(data.data()));
-        } else if (message instanceof PeerMessage.ForwardEnd end) {
-            call(from, end.stream()).ifPresent(call -> call.end(end.complete()));
-        } else {
-            return false;
-        }
-        return true;
+    boolean handle(ForwardLink from, PeerMessage message) {
+        return mSender.handle(from, message);
     }
 
-    /** Returns the call of the stream if it was opened on this connection. */
-    private Optional<ForwardCall> call(PeerConnection from, long streamId) {
-        return Optional.ofNullable(mCalls.get(streamId)).filter(call -> call.mConnection == from);
+    void tick() {
+        mSender.tick(mContext.nowMs());
     }
 
-    /** Represents one forwarded request and its response stream. */
-    private final class ForwardCall implements UpstreamCall {
+    void membersChanged(List<Member> members) {
+        mSender.membersChanged(members);
+    }
+
+    /** Passes the response to the listener of an attempt. */
+    private final class ResponseListener implements ForwardListener {
 
-        private final long mStreamId;
         private final RegionId mRegion;
         private final UpstreamListener mListener;
-        private PeerConnection mConnection;
-        private PeerConnection.CloseAction mCloseAction;
-        private boolean mDone;
-        private boolean mPaused;
-        private long mBytesToCredit;
-
-        ForwardCall(long streamId, RegionId region, UpstreamListener listener) {
-            mStreamId = streamId;
+
+        ResponseListener(RegionId region, UpstreamListener listener) {
             mRegion = region;
             mListener = listener;
         }
 
-        void open(PeerConnection connection) {
-            mConnection = connection;
-            mCloseAction = connection.onClose(() -> fail(UpstreamListener.Failure.BROKEN));
-        }
-
-        private void close() {
-            mDone = true;
-            mCalls.remove(mStreamId);
-            if (mCloseAction != null) {
-                mCloseAction.unregister();
-            }
+        @Override
+        public void head(int status, Map<String, String> headers) {
+            mListener.onHead(status, headers);
         }
 
-        void receive(byte[] data) {
+        @Override
+        public void data(byte[] data) {
             mLinkAvailability.charge(mRegion, data.length);
-            mBytesToCredit += data.length;
             mListener.onData(Buffer.buffer(data));
-            sendCredit();
         }
 
-        private void sendCredit() {
-            if (!mPaused && !mDone && mBytesToCredit > 0) {
-                mConnection.send(new PeerMessage.ForwardCredit(mStreamId, mBytesToCredit));
-                mBytesToCredit = 0;
-            }
+        @Override
+        public void ended() {
+            mListener.onEnd();
         }
 
-        void end(boolean complete) {
-            mConnection.send(
-                    new PeerMessage.ForwardCredit(
-                            mStreamId, mBytesToCredit + ForwardServer.END_CREDIT_BYTES));
-            if (!complete) {
-                fail(UpstreamListener.Failure.BROKEN);
-            } else if (!mDone) {
-                close();
-                mListener.onEnd();
-            }
+        @Override
+        public void failed(Failure failure) {
+            // A forward can fail while it is started, before the exchange knows its call.
+            runOnEventLoop(
+                    () ->
+                            mListener.onFailure(
+                                    failure == Failure.NOT_RUN
+                                            ? UpstreamListener.Failure.NOT_SENT
+                                            : UpstreamListener.Failure.BROKEN));
         }
+    }
 
-        void fail(UpstreamListener.Failure failure) {
-            if (!mDone) {
-                close();
-                mListener.onFailure(failure);
-            }
-        }
+    /** Represents an attempt that forwards its request to a member. */
+    private record RemoteCall(ForwardCall call) implements UpstreamCall {
 
         @Override
         public void cancel() {
-            if (!mDone && mConnection != null) {
-                mConnection.send(new PeerMessage.ForwardCancel(mStreamId));
-            }
-            close();
+            call.cancel();
         }
 
         @Override
         public void pause() {
-            mPaused = true;
+            call.pause();
         }
 
         @Override
         public void resume() {
-            mPaused = false;
-            sendCredit();
+            call.resume();
         }
     }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -1,13 +1,13 @@
 package org.filbertrudder.entry.traffic;
 
 import io.vertx.core.buffer.Buffer;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.filbertrudder.entry.control.ControlSnapshot;
 import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.ForwardLog;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.Account;
 import org.filbertrudder.model.Configuration;
@@ -15,17 +15,19 @@
 import org.filbertrudder.model.Service;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.PeerMessage;
-import org.filbertrudder.peer.PeerConnection;
+import org.filbertrudder.peer.forwarding.ForwardLink;
+import org.filbertrudder.peer.forwarding.ForwardReceiver;
+import org.filbertrudder.peer.forwarding.ForwardedResponse;
+import org.filbertrudder.peer.forwarding.HeldBytes;
 
 /** Serves requests that instances in other regions forward; never forwards them again. */
 final class ForwardServer {
 
     private static final ComponentLogger LOG = ComponentLogger.of("forwards");
 
-    /** The credit with which the receiver of a response acknowledges its end. */
-    static final long END_CREDIT_BYTES = 1;
+    /** One of so many parts of the heap may hold responses that are not acknowledged. */
+    private static final int RETAINED_HEAP_PARTS = 16;
 
-    private static final long MAX_DELIVERY_WAIT_MS = 10_000;
     private static final long MAX_CATCH_UP_WAIT_MS = 1_000;
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 50;
     private static final String SERVICES_PREFIX = "/services/";
@@ -35,8 +37,7 @@
     private final Consumer<Exchange> mServe;
     private final Consumer<Exchange> mCancel;
     private final Consumer<Exchange> mFail;
-    private final Map<StreamKey, ForwardedResponseSink> mOpenStreams = new HashMap<>();
-    private final Map<StreamKey, ForwardedResponseSink> mUndelivered = new LinkedHashMap<>();
+    private final ForwardReceiver mReceiver;
     private int mWaitingRequests;
 
     ForwardServer(
@@ -50,51 +51,37 @@
         mServe = serve;
         mCancel = cancel;
         mFail = fail;
+        mReceiver =
+                new ForwardReceiver(
+                        this::receive,
+                        HeldBytes.ofHeapPart(RETAINED_HEAP_PARTS),
+                        context.clockMs(),
+                        ForwardLog::log);
     }
 
-    void handle(PeerConnection connection, PeerMessage message) {
-        if (message instanceof PeerMessage.ForwardStart start) {
-            serveWhenUpToDate(connection, start, mContext.nowMs() + MAX_CATCH_UP_WAIT_MS);
-        } else if (message instanceof PeerMessage.ForwardCancel cancel) {
-            StreamKey key = new StreamKey(connection, cancel.stream());
-            ForwardedResponseSink sink = mOpenStreams.get(key);
-            if (sink != null) {
-                sink.cancel();
-            }
-            stopWaitingForDelivery(key);
-        } else if (message instanceof PeerMessage.ForwardCredit credit) {
-            StreamKey key = new StreamKey(connection, credit.stream());
-            ForwardedResponseSink sink = mOpenStreams.getOrDefault(key, mUndelivered.get(key));
-            if (sink != null) {
-                sink.credit(credit.bytes());
-            }
-        }
+    void handle(ForwardLink from, PeerMessage message) {
+        mReceiver.handle(from, message);
+    }
+
+    void tick() {
+        mReceiver.tick(mContext.nowMs());
     }
 
     /**
      * Returns whether a response that has ended may not have reached the instance that forwarded
      * the request.
      */
-    boolean hasUndeliveredResponses() {
-        removeOverdueDeliveries();
-        return !mUndelivered.isEmpty();
-    }
-
-    /** Gives up waiting for acknowledgements, which instances of older versions do not send. */
-    private void removeOverdueDeliveries() {
-        long endedBeforeMs = mContext.nowMs() - MAX_DELIVERY_WAIT_MS;
-        mUndelivered.entrySet().stream()
-                .takeWhile(entry -> entry.getValue().mEndedMs < endedBeforeMs)
-                .map(Map.Entry::getKey)
-                .toList()
-                .forEach(this::stopWaitingForDelivery);
+    boolean hasUndelivered() {
+        return mReceiver.hasUndelivered();
     }
 
-    private void stopWaitingForDelivery(StreamKey key) {
-        ForwardedResponseSink sink = mUndelivered.remove(key);
-        if (sink != null) {
-            sink.mDeliveryCloseAction.unregister();
-        }
+    /**
+     * Ends the output of the connections on which requests were forwarded, once no request runs.
+     *
+     * @return completes when the other instances have read the responses and closed the connections
+     */
+    CompletableFuture<Void> endConnections() {
+        return mReceiver.endLinks();
     }
 
     /** Returns whether a request waits for the configuration that its sender has. */
@@ -102,14 +89,19 @@
         return mWaitingRequests > 0;
     }
 
+    private void receive(PeerMessage.ForwardStart start, ForwardedResponse response) {
+        serveWhenUpToDate(
+                start, new ResponseToForward(response), mContext.nowMs() + MAX_CATCH_UP_WAIT_MS);
+    }
+
     /**
      * Serves the request once this instance has at least the sender's configuration revision;
      * refuses it if that takes too long.
      */
     private void serveWhenUpToDate(
-            PeerConnection connection, PeerMessage.ForwardStart start, long catchUpDeadlineMs) {
-        ControlSnapshot snapshot = mContext.snapshot();
-        boolean outOfDate = snapshot.configuration().revision() < start.revision();
+            PeerMessage.ForwardStart start, ResponseToForward sink, long catchUpDeadlineMs) {
+        Configuration configuration = mContext.snapshot().configuration();
+        boolean outOfDate = configuration.revision() < start.revision();
         if (outOfDate && mContext.nowMs() < catchUpDeadlineMs) {
             mWaitingRequests++;
             mContext.vertx()
@@ -117,11 +109,10 @@
                             CATCH_UP_CHECK_INTERVAL_MS,
                             timer -> {
                                 mWaitingRequests--;
-                                serveWhenUpToDate(connection, start, catchUpDeadlineMs);
+                                serveWhenUpToDate(start, sink, catchUpDeadlineMs);
                             });
             return;
         }
-        ForwardedResponseSink sink = new ForwardedResponseSink(connection, start.stream());
         if (outOfDate) {
             ExchangeFinisher.send(
                     sink,
@@ -130,59 +121,57 @@
                             "The configuration of the instance is out of date. Retry later."));
             return;
         }
+        Exchange exchange;
         try {
-            serve(connection, start, sink, snapshot.configuration());
+            exchange = new Exchange(request(start, configuration), sink, mContext.nowMs());
         } catch (RefusedException e) {
             ExchangeFinisher.send(sink, start.requestId(), e.refusal());
+            return;
         } catch (RuntimeException e) {
-            // An exception that the connection sees would close it, with all other forwards.
-            LOG.warn(
-                    "Handling a forwarded request has failed.",
-                    LogField.of("request", start.requestId()),
-                    LogField.of("error", e));
-            refuseAfterException(start, sink);
+            logFailure(start, e);
+            ExchangeFinisher.send(sink, start.requestId(), Refusal.internalError(true));
+            return;
         }
+        serve(start, exchange, sink.response());
     }
 
-    private void refuseAfterException(PeerMessage.ForwardStart start, ForwardedResponseSink sink) {
-        if (sink.mExchange == null) {
-            ExchangeFinisher.send(sink, start.requestId(), Refusal.internalError(true));
-        } else {
-            mFail.accept(sink.mExchange);
+    private void serve(
+            PeerMessage.ForwardStart start, Exchange exchange, ForwardedResponse response) {
+        try {
+            response.onCancel(() -> mCancel.accept(exchange));
+            mServe.accept(exchange);
+        } catch (RuntimeException e) {
+            logFailure(start, e);
+            mFail.accept(exchange);
         }
     }
 
+    /** Logs an exception; the connection would close, with all other forwards, if it saw it. */
+    private static void logFailure(PeerMessage.ForwardStart start, RuntimeException failure) {
+        LOG.warn(
+                "Handling a forwarded request has failed.",
+                LogField.of("request", start.requestId()),
+                LogField.of("error", failure));
+    }
+
     /** Refuses a request whose message has invalid fields. */
-    void refuseUnreadable(PeerConnection connection, long stream) {
+    void refuseUnreadable(ForwardLink from, long stream) {
         LOG.warn("A malformed forwarded request is refused.", LogField.of("stream", stream));
-        ExchangeFinisher.send(
-                new ForwardedResponseSink(connection, stream),
-                "none",
-                Refusal.badRequest(
-                        "malformed_request", "The forwarded request has an invalid field."));
+        ForwardedResponse response = mReceiver.start(from, stream);
+        if (response != null) {
+            ExchangeFinisher.send(
+                    new ResponseToForward(response),
+                    "none",
+                    Refusal.badRequest(
+                            "malformed_request", "The forwarded request has an invalid field."));
+        }
     }
 
-    private void serve(
-            PeerConnection connection,
-            PeerMessage.ForwardStart start,
-            ForwardedResponseSink sink,
-            Configuration configuration) {
+    private Exchange.Request request(PeerMessage.ForwardStart start, Configuration configuration) {
         recheckAuthorization(start, configuration);
         int serviceEnd = start.uri().indexOf('/', SERVICES_PREFIX.length());
         Service service = service(start, serviceEnd, configuration);
-        Exchange.Request request =
-                mRequestFactory.forwardedRequest(start, service, start.uri().substring(serviceEnd));
-        Exchange exchange = new Exchange(request, sink, mContext.nowMs());
-        StreamKey key = new StreamKey(connection, start.stream());
-        sink.mExchange = exchange;
-        mOpenStreams.put(key, sink);
-        PeerConnection.CloseAction closeAction = connection.onClose(sink::cancel);
-        exchange.onEnd(
-                () -> {
-                    mOpenStreams.remove(key);
-                    closeAction.unregister();
-                });
-        mServe.accept(exchange);
+        return mRequestFactory.forwardedRequest(start, service, start.uri().substring(serviceEnd));
     }
 
     private static Service service(
@@ -216,95 +205,42 @@
         }
     }
 
-    private record StreamKey(PeerConnection connection, long stream) {}
-
-    /**
-     * Sends a response to the instance that forwarded the request, with credit-based flow control.
-     */
-    private final class ForwardedResponseSink implements ResponseSink {
-
-        private static final long WINDOW_BYTES = 256 * 1024;
-
-        private final PeerConnection mConnection;
-        private final long mStream;
-        private Exchange mExchange;
-        private boolean mHeadSent;
-        private long mUncreditedBytes;
-        private long mEndedMs;
-        private PeerConnection.CloseAction mDeliveryCloseAction;
-        private Runnable mDrainAction;
-
-        ForwardedResponseSink(PeerConnection connection, long stream) {
-            mConnection = connection;
-            mStream = stream;
-        }
-
-        void cancel() {
-            if (mExchange != null) {
-                mCancel.accept(mExchange);
-            }
-        }
-
-        void credit(long bytes) {
-            mUncreditedBytes -= bytes;
-            if (mUncreditedBytes <= 0) {
-                stopWaitingForDelivery(new StreamKey(mConnection, mStream));
-            }
-            if (!writeQueueFull() && mDrainAction != null) {
-                Runnable action = mDrainAction;
-                mDrainAction = null;
-                action.run();
-            }
-        }
+    /** Sends a response to the instance that forwarded the request. */
+    private record ResponseToForward(ForwardedResponse response) implements ResponseSink {
 
         @Override
         public void sendHead(int status, Map<String, String> headers) {
-            mHeadSent = true;
-            mConnection.send(
-                    new PeerMessage.ForwardHead(mStream, status, new LinkedHashMap<>(headers)));
+            response.sendHead(status, new LinkedHashMap<>(headers));
         }
 
         @Override
         public boolean headSent() {
-            return mHeadSent;
+            return response.headSent();
         }
 
         @Override
         public void write(Buffer data) {
-            mUncreditedBytes += data.length();
-            mConnection.send(new PeerMessage.ForwardData(mStream, data.getBytes()));
+            response.write(data);
         }
 
         @Override
         public boolean writeQueueFull() {
-            return mUncreditedBytes > WINDOW_BYTES;
+            return response.writeQueueFull();
         }
 
         @Override
         public void onDrain(Runnable action) {
-            mDrainAction = action;
+            response.onDrain(action);
         }
 
         @Override
         public void end() {
-            sendEnd(true);
+            response.end(true);
         }
 
         @Override
         public void abort() {
-            sendEnd(false);
-        }
-
-        private void sendEnd(boolean complete) {
-            removeOverdueDeliveries();
-            StreamKey key = new StreamKey(mConnection, mStream);
-            mDrainAction = null;
-            mExchange = null;
-            mUncreditedBytes += END_CREDIT_BYTES;
-            mEndedMs = mContext.nowMs();
-            mUndelivered.put(key, this);
-            mDeliveryCloseAction = mConnection.onClose(() -> mUndelivered.remove(key));
-            mConnection.send(new PeerMessage.ForwardEnd(mStream, complete));
+            response.end(false);
         }
     }
 }
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/TrafficVerticle.java
@@ -53,6 +53,7 @@
     private final RequestAdmission mAdmission;
     private ControlSnapshot mAppliedSnapshot;
     private CallerApi mCallerApi;
+    private ForwardClient mForwardClient;
     private ForwardServer mForwardServer;
     private HttpServer mServer;
     private PeerNetwork mPeerNetwork;
@@ -87,14 +88,17 @@
                         mTrafficContext.control()::tokenReservations, mTrafficContext.metrics());
         LinkAvailability linkAvailability =
                 new LinkAvailability(mTrafficContext, mSettings.trafficThreads());
-        ForwardClient forwardClient = new ForwardClient(context, mTrafficContext, linkAvailability);
+        mPeerNetwork = createPeerNetwork();
+        mForwardClient =
+                new ForwardClient(
+                        context, mTrafficContext, linkAvailability, mPeerNetwork::withConnection);
         mCacheEventPoller = new CacheEventPoller(mTrafficContext, client, mEndpointTable);
         RequestCopyTracker copyTracker = new RequestCopyTracker(MAX_TRACKED_REQUEST_OUTCOMES);
         mAttemptRunner =
                 new AttemptRunner(
                         mTrafficContext,
                         client,
-                        forwardClient,
+                        mForwardClient,
                         mFinisher,
                         copyTracker,
                         mCacheEventPoller);
@@ -118,15 +122,7 @@
                 new LoadPoller(
                         mTrafficContext, client, mEndpointTable, this::updateLeavingEndpoints);
         RequestFactory requestFactory = new RequestFactory(mTrafficContext);
-        mForwardServer =
-                new ForwardServer(
-                        mTrafficContext,
-                        requestFactory,
-                        this::serveForwarded,
-                        this::cancel,
-                        mFinisher::fail);
-        mPeerNetwork = createPeerNetwork(forwardClient);
-        forwardClient.setPeerNetwork(mPeerNetwork);
+        mForwardServer = createForwardServer(requestFactory);
         mCallerApi = createCallerApi(requestFactory);
         mTrafficContext
                 .control()
@@ -135,6 +131,15 @@
         startListening(started);
     }
 
+    private ForwardServer createForwardServer(RequestFactory requestFactory) {
+        return new ForwardServer(
+                mTrafficContext,
+                requestFactory,
+                this::serveForwarded,
+                this::cancel,
+                mFinisher::fail);
+    }
+
     private CallerApi createCallerApi(RequestFactory requestFactory) {
         return new CallerApi(
                 mTrafficContext,
@@ -166,14 +171,20 @@
         return owner.id().equals(mSettings.id());
     }
 
-    private PeerNetwork createPeerNetwork(ForwardClient forwardClient) {
-        return new PeerNetwork(
-                vertx,
-                context,
-                mSettings.peerSecurity(),
-                () -> mTrafficContext.snapshot().self(),
-                new TrafficPeerHandler(forwardClient),
-                violation -> LOG.warn("A peer was rejected.", LogField.of("why", violation)));
+    private PeerNetwork createPeerNetwork() {
+        PeerNetwork network =
+                new PeerNetwork(
+                        vertx,
+                        context,
+                        mSettings.peerSecurity(),
+                        () -> mTrafficContext.snapshot().self(),
+                        new TrafficPeerHandler(),
+                        violation ->
+                                LOG.warn("A peer was rejected.", LogField.of("why", violation)));
+        if (mSettings.trafficThreads() > 1) {
+            network.disableResumption();
+        }
+        return network;
     }
 
     private void startListening(Promise<Void> started) {
@@ -298,6 +309,8 @@
             applySnapshot();
         }
         mDispatcher.tick();
+        mForwardClient.tick();
+        mForwardServer.tick();
         mLoadPoller.tick(mTrafficContext.nowMs());
         mCacheEventPoller.tick(mTrafficContext.nowMs());
     }
@@ -306,6 +319,7 @@
         ControlSnapshot current = mTrafficContext.snapshot();
         ControlSnapshot previous = mAppliedSnapshot;
         mAppliedSnapshot = current;
+        mForwardClient.membersChanged(current.members());
         long appliedRevision = previous == null ? -1 : previous.configuration().revision();
         if (current.configuration().lastChangeRevision(EntityKind.ENDPOINT) > appliedRevision) {
             mEndpointTable.setEndpoints(
@@ -413,7 +427,7 @@
 
     /** Returns whether other regions have received their responses or had enough time for it. */
     private boolean forwardedResponsesDelivered(ShutdownSchedule schedule) {
-        if (!mForwardServer.hasUndeliveredResponses()) {
+        if (mForwardServer.endConnections().isDone() && !mForwardServer.hasUndelivered()) {
             return true;
         }
         long nowMs = mTrafficContext.nowMs();
@@ -440,12 +454,6 @@
     /** Passes messages of other instances to the client and the server of forwards. */
     private final class TrafficPeerHandler implements PeerHandler {
 
-        private final ForwardClient mForwardClient;
-
-        TrafficPeerHandler(ForwardClient forwardClient) {
-            mForwardClient = forwardClient;
-        }
-
         @Override
         public void handle(PeerConnection connection, PeerMessage message) {
             if (mTrafficContext.snapshot() != null && !mForwardClient.handle(connection, message)) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -99,7 +99,10 @@
                 return;
             }
             mPeerMember = hello.sender();
-            mPeerLife = hello.version() >= ProtocolVersions.RESUMABLE_FORWARDS ? hello.life() : 0;
+            boolean resumable =
+                    hello.version() >= ProtocolVersions.RESUMABLE_FORWARDS
+                            && mHello.get().life() != 0;
+            mPeerLife = resumable ? hello.life() : 0;
             mHandshakeDone = true;
             sendHello();
         } else if (!mHandshakeDone) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerNetwork.java
@@ -37,7 +37,7 @@
     /** The time after which a connection without an awaited answer is closed, in milliseconds. */
     private static final long ANSWER_TIMEOUT_MS = 700;
 
-    private final long mLife = new SecureRandom().nextLong(1, Long.MAX_VALUE);
+    private long mLife = new SecureRandom().nextLong(1, Long.MAX_VALUE);
     private final Context mContext;
     private final NetServer mServer;
     private final NetClient mClient;
@@ -67,6 +67,14 @@
         mProtocolErrorListener = protocolErrorListener;
     }
 
+    /**
+     * Names no process in the hello message, so that forwarded requests end with their connections.
+     * Call it where several networks share a port, as another connection may reach another network.
+     */
+    public void disableResumption() {
+        mLife = 0;
+    }
+
     /** Starts to listen and returns the bound port; the future fails if the port is in use. */
     public CompletableFuture<Integer> listen(String host, int port) {
         mServer.connectHandler(this::accept);
