Own interface: a cancelled forward that waits for its configuration is served

What was seen: a forwarded request that is cancelled while it waits for the sender's configuration was served afterwards though it had ended: it reached an endpoint for nobody and stayed among the open requests, for which a stop of the instance waits until its deadline.

Failed before: ForwardedRequestTest.requestCancelledWhileItWaitsForThe- ConfigurationIsServed: a cancelled request is served expected [false] but found [true].

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -139,7 +139,9 @@
             PeerMessage.ForwardStart start, Exchange exchange, ForwardedResponse response) {
         try {
             response.onCancel(() -> mCancel.accept(exchange));
-            mServe.accept(exchange);
+            if (!exchange.ended()) {
+                mServe.accept(exchange);
+            }
         } catch (RuntimeException e) {
             logFailure(start, e);
             mFail.accept(exchange);
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ForwardedRequestTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ForwardedRequestTest.java
@@ -49,6 +49,7 @@
     private final List<PeerConnection> mIncoming = new ArrayList<>();
     private CompletableFuture<Exchange> mArrived;
     private boolean mResumable;
+    private long mRevision;
     private Vertx mVertx;
     private Context mContext;
     private PeerNetwork mServerNetwork;
@@ -61,6 +62,7 @@
     public void createContext() {
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
+        mRevision = 1;
         mSilent.clear();
         mIncoming.clear();
         mArrived = new CompletableFuture<>();
@@ -86,7 +88,7 @@
                 new ForwardServer(
                         context,
                         new RequestFactory(context),
-                        mArrived::complete,
+                        exchange -> mArrived.complete(exchange),
                         Exchange::markEnded,
                         exchange -> {});
         mClient = client(mClientNetwork::withConnection);
@@ -103,7 +105,7 @@
         return new TrafficContext(
                 mVertx,
                 null,
-                ForwardedRequestTest::snapshot,
+                this::snapshot,
                 null,
                 null,
                 () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
@@ -136,9 +138,9 @@
         }
     }
 
-    private static ControlSnapshot snapshot() {
+    private ControlSnapshot snapshot() {
         return new ControlSnapshot(
-                Configuration.of(1, "", List.of(SERVICE)),
+                Configuration.of(mRevision, "", List.of(SERVICE)),
                 member("client", 1),
                 List.of(),
                 Set.of(),
@@ -327,6 +329,43 @@
         assertFalse(call(mServer::hasUndelivered), "the response counts as undelivered");
     }
 
+    /** Guards against a request without an end, for which the stop of its instance would wait. */
+    @Test
+    public void requestCancelledWhileItWaitsForTheConfigurationIsServed() throws Exception {
+        connect(true, true);
+        UpstreamCall forwarded =
+                call(
+                        () -> {
+                            mRevision = 2;
+                            UpstreamCall started =
+                                    mClient.start(
+                                            mServerMember, exchange(), Map.of(), new Outcome());
+                            mRevision = 1;
+                            return started;
+                        });
+        awaitWaitingRequest(true);
+        call(
+                () -> {
+                    forwarded.cancel();
+                    return null;
+                });
+        Outcome next = forward();
+        arrived().sink().end();
+        textOf(next);
+        mArrived = new CompletableFuture<>();
+        mRevision = 2;
+        awaitWaitingRequest(false);
+
+        assertFalse(mArrived.isDone(), "a cancelled request is served");
+    }
+
+    private void awaitWaitingRequest(boolean waiting) throws Exception {
+        long deadlineNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (call(mServer::hasWaitingRequests) != waiting) {
+            assertTrue(System.nanoTime() < deadlineNs, "waiting: " + !waiting);
+        }
+    }
+
     /** Guards against a failed attempt that replaces the next one, which its failure starts. */
     @Test
     public void failureIsReportedBeforeTheCallIsReturned() throws Exception {
