--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,7 +27,6 @@
  */
 public final class Membership {
 
-    private static final int MAX_SUSPICION_BACKOFF_FACTOR = 16;
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
     /** More changes than this within the window count as an update storm. */
@@ -101,8 +99,7 @@
 
     /** Returns since when a member has been in its present state; empty if it is unknown. */
     public Optional<Long> stateSinceMs(InstanceId id) {
-        return Optional.ofNullable(mObservations.get(id))
-                .map(observation -> observation.mStateSinceMs);
+        return Optional.ofNullable(mObservations.get(id)).map(Observation::stateSinceMs);
     }
 
     /** Returns when any member last answered a heartbeat; empty if none ever did. */
@@ -121,7 +118,7 @@
     private boolean isNotLeaving(Member member) {
         Observation observation = mObservations.get(member.id());
         return member.state() != MemberState.LEAVING
-                && (observation == null || !observation.mLeaveAnnounced);
+                && (observation == null || !observation.hasAnnouncedLeave());
     }
 
     /** Returns a number that increases with each change of the member table. */
@@ -215,13 +212,8 @@
         long deadAfterMs = mSettings.suspectAfterMs() + mSettings.deadAfterMs();
         for (Member neighbour : neighbours()) {
             Observation observation = observation(neighbour.id(), nowMs);
-            long suspectAfterMs = mSettings.suspectAfterMs() * observation.mSuspicionBackoffFactor;
-            if (neighbour.state() == MemberState.LIVE
-                    && observation.unansweredForMs(nowMs) > suspectAfterMs) {
-                observation.mSuspicionBackoffFactor =
-                        Math.min(
-                                MAX_SUSPICION_BACKOFF_FACTOR,
-                                observation.mSuspicionBackoffFactor * 2);
+            if (neighbour.state() == MemberState.LIVE && observation.isSuspicious(nowMs)) {
+                observation.recordSuspicion();
                 updates.add(neighbour.withState(MemberState.SUSPECT));
             }
             if (neighbour.state() == MemberState.LEAVING
@@ -237,7 +229,7 @@
 
     private void expireMembers(long nowMs) {
         for (Member member : members()) {
-            long sinceMs = observation(member.id(), nowMs).mStateSinceMs;
+            long sinceMs = observation(member.id(), nowMs).stateSinceMs();
             if (member.state() == MemberState.SUSPECT
                     && nowMs - sinceMs > mSettings.deadAfterMs()) {
                 apply(member.withState(MemberState.DEAD), mSelf.id(), nowMs);
@@ -300,7 +292,7 @@
         requireComplete(heartbeat.sender());
         List<OutboundMessage> messages =
                 new ArrayList<>(applySenderRecord(heartbeat.sender(), nowMs));
-        observation(heartbeat.sender().id(), nowMs).mHeartbeatReceivedMs = nowMs;
+        observation(heartbeat.sender().id(), nowMs).recordHeartbeatReceived(nowMs);
         messages.add(
                 new OutboundMessage(
                         PeerAddress.of(heartbeat.sender()),
@@ -315,7 +307,7 @@
         requireComplete(ack.sender());
         List<OutboundMessage> messages = new ArrayList<>(applySenderRecord(ack.sender(), nowMs));
         mLastAnswerMs = nowMs;
-        observation(ack.sender().id(), nowMs).clearUnanswered();
+        observation(ack.sender().id(), nowMs).recordAnswer();
         messages.addAll(requestTableIfDigestDiffers(ack.sender(), ack.members(), nowMs));
         return messages;
     }
@@ -406,9 +398,7 @@
         mChanges.record(stored, member, reporter, observation.unansweredForMs(nowMs));
         store(member);
         countChange(nowMs);
-        observation.mStateSinceMs = nowMs;
-        observation.mLeaveAnnounced = hasAnnouncedLeave(member, observation);
-        observation.clearUnanswered();
+        observation.recordState(hasAnnouncedLeave(member, observation), nowMs);
         mNeighboursStale = true;
         return true;
     }
@@ -417,7 +407,7 @@
     private static boolean hasAnnouncedLeave(Member member, Observation observation) {
         return switch (member.state()) {
             case LEAVING -> true;
-            case DEAD -> observation.mLeaveAnnounced;
+            case DEAD -> observation.hasAnnouncedLeave();
             default -> false;
         };
     }
@@ -497,7 +487,7 @@
         mObservations.forEach(
                 (id, observation) -> {
                     Member member = mMembers.get(id);
-                    if (observation.mHeartbeatReceivedMs > heartbeatsSinceMs
+                    if (observation.heartbeatReceivedMs() > heartbeatsSinceMs
                             && member != null
                             && !id.equals(from)) {
                         targets.add(PeerAddress.of(member));
@@ -508,75 +498,14 @@
 
     private List<Member> neighbours() {
         if (mNeighboursStale) {
-            mNeighbours = chooseNeighbours();
+            mNeighbours =
+                    NeighbourSelector.choose(mSelf, mMembers.values(), mSettings.neighbours());
             mNeighboursStale = false;
         }
         return mNeighbours.stream().map(member -> mMembers.get(member.id())).toList();
     }
 
-    private List<Member> chooseNeighbours() {
-        List<Member> others =
-                mMembers.values().stream()
-                        .filter(member -> !member.id().equals(mSelf.id()))
-                        .filter(member -> member.state() != MemberState.DEAD)
-                        .toList();
-        if (others.size() <= mSettings.neighbours()) {
-            return others;
-        }
-        long ringPosition = ringPosition(mSelf);
-        Comparator<Member> byRingDistance =
-                Comparator.comparingLong(
-                        member -> (ringPosition(member) - ringPosition) & Long.MAX_VALUE);
-        Set<Member> chosen = new LinkedHashSet<>();
-        chosen.add(others.stream().min(byRingDistance).orElseThrow());
-        // One neighbour in the own region keeps the members of a partitioned region connected.
-        others.stream()
-                .filter(member -> member.region().equals(mSelf.region()))
-                .min(byRingDistance)
-                .ifPresent(chosen::add);
-        RendezvousHashing.rank(mSelf.id().value(), others, member -> member.id().value()).stream()
-                .filter(member -> !chosen.contains(member))
-                .limit(Math.max(0, mSettings.neighbours() - chosen.size()))
-                .toList()
-                .forEach(chosen::add);
-        return List.copyOf(chosen);
-    }
-
-    private static long ringPosition(Member member) {
-        return RendezvousHashing.weight("ring", member.id().value());
-    }
-
     private Observation observation(InstanceId id, long nowMs) {
-        return mObservations.computeIfAbsent(id, key -> new Observation(nowMs));
-    }
-
-    /** Observations of this instance about another one. */
-    private static final class Observation {
-
-        private static final long NO_HEARTBEAT_PENDING = -1;
-
-        private long mStateSinceMs;
-        private long mUnansweredSinceMs = NO_HEARTBEAT_PENDING;
-        private long mHeartbeatReceivedMs = Long.MIN_VALUE / 2;
-        private int mSuspicionBackoffFactor = 1;
-        private boolean mLeaveAnnounced;
-
-        Observation(long nowMs) {
-            mStateSinceMs = nowMs;
-        }
-
-        void recordHeartbeatSent(long nowMs) {
-            if (mUnansweredSinceMs == NO_HEARTBEAT_PENDING) {
-                mUnansweredSinceMs = nowMs;
-            }
-        }
-
-        void clearUnanswered() {
-            mUnansweredSinceMs = NO_HEARTBEAT_PENDING;
-        }
-
-        long unansweredForMs(long nowMs) {
-            return mUnansweredSinceMs == NO_HEARTBEAT_PENDING ? 0 : nowMs - mUnansweredSinceMs;
-        }
+        return mObservations.computeIfAbsent(id, key -> new Observation(mSettings, nowMs));
     }
 }
