Membership: an answer just received beats a report of a failure

What callers saw: an instance that one other instance does not reach was taken for suspected or dead by all of them, also by those that it had answered a moment ago: no new requests went there, its shares and duties moved, until its refutation had come.

Cause: Membership applied each SUSPECT or DEAD record that superseded its own, whatever it had observed itself; and a suspect that answered was declared dead when its refutation was late.

Now such a report about a member that has answered a heartbeat within one and a half heartbeat intervals (MembershipSettings.answerValidMs) is held. The member is told of it at once, and again with each heartbeat or answer that shows the old incarnation, so that it refutes it for all tables. If no further answer comes in that time, the report is applied and forwarded, so a death is known at most that much later here. A member is believed about itself, and so is the death of a member that leaves. Each held report has one log line.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
@@ -10,6 +10,7 @@
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.policy.membership.MemberChange;
+import org.filbertrudder.policy.membership.MemberEvidence;
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.PeerAddress;
 
@@ -49,8 +50,9 @@
         mSuspected = suspected;
     }
 
-    /** Logs the changes of members' states since the last call. */
+    /** Logs the changes of members' states, and the evidence for them, since the last call. */
     void logChanges() {
+        mMembership.takeEvidence().forEach(ControlConnections::log);
         for (MemberChange change : mMembership.takeChanges()) {
             LOG.info(
                     "The state of a member has changed.",
@@ -62,4 +64,14 @@
                     LogField.of("unansweredMs", change.unansweredMs()));
         }
     }
+
+    private static void log(MemberEvidence evidence) {
+        LOG.info(
+                "A report is held, as the member has just answered.",
+                LogField.of("member", evidence.member()),
+                LogField.of("reported", evidence.state()),
+                LogField.of("incarnation", evidence.incarnation()),
+                LogField.of("reporter", evidence.reporter()),
+                LogField.of("answeredMs", evidence.elapsedMs()));
+    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -23,7 +23,8 @@
  * <p>Each member sends heartbeats to a few neighbours: its successor on a hash ring, so that every
  * member is monitored, and some chosen by rendezvous hashing, so that updates need few hops.
  * Updates are flooded along these links in both directions. A suspected member refutes the
- * suspicion with a higher incarnation.
+ * suspicion with a higher incarnation. What another member reports is applied here only when the
+ * suspected one no longer answers this instance.
  */
 public final class Membership {
 
@@ -47,6 +48,7 @@
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
     private final Map<InstanceId, Member> mPendingUpdates = new TreeMap<>();
     private final MemberChanges mChanges = new MemberChanges();
+    private final HeldReports mHeldReports = new HeldReports();
     private long mLastFloodMs = NEVER_MS;
     private long mChangeWindowStartMs = NEVER_MS;
     private int mChangesInWindow;
@@ -131,6 +133,11 @@
         return mChanges.take();
     }
 
+    /** Returns the evidence about members since the last call, without the oldest of much. */
+    public List<MemberEvidence> takeEvidence() {
+        return mChanges.takeEvidence();
+    }
+
     /** Returns a digest of the members that are not dead and of the other shared state. */
     public int digest() {
         return mDigest ^ mSharedDigest;
@@ -168,7 +175,7 @@
 
     /** Performs the periodic work that is due and returns the messages to send. */
     public List<OutboundMessage> tick(long revision, long nowMs) {
-        List<OutboundMessage> messages = new ArrayList<>();
+        List<OutboundMessage> messages = new ArrayList<>(applyHeldReports(nowMs));
         if (nowMs - mLastFloodMs >= FLOOD_INTERVAL_MS) {
             messages.addAll(floodPendingUpdates(null, nowMs));
         }
@@ -229,15 +236,18 @@
 
     private void expireMembers(long nowMs) {
         for (Member member : members()) {
-            long sinceMs = observation(member.id(), nowMs).stateSinceMs();
+            Observation observation = observation(member.id(), nowMs);
+            long sinceMs = observation.stateSinceMs();
             if (member.state() == MemberState.SUSPECT
-                    && nowMs - sinceMs > mSettings.deadAfterMs()) {
+                    && nowMs - sinceMs > mSettings.deadAfterMs()
+                    && !observation.hasJustAnswered(nowMs)) {
                 apply(member.withState(MemberState.DEAD), mSelf.id(), nowMs);
             } else if (member.state() == MemberState.DEAD
                     && nowMs - sinceMs > mSettings.forgetDeadMs()) {
                 mMembers.remove(member.id());
                 mVersion++;
                 mObservations.remove(member.id());
+                mHeldReports.drop(member.id());
             }
         }
     }
@@ -307,7 +317,7 @@
         requireComplete(ack.sender());
         List<OutboundMessage> messages = new ArrayList<>(applySenderRecord(ack.sender(), nowMs));
         mLastAnswerMs = nowMs;
-        observation(ack.sender().id(), nowMs).recordAnswer();
+        observation(ack.sender().id(), nowMs).recordAnswer(nowMs);
         messages.addAll(requestTableIfDigestDiffers(ack.sender(), ack.members(), nowMs));
         return messages;
     }
@@ -317,14 +327,70 @@
             PeerMessage.MemberUpdates updates, InstanceId from, long nowMs) {
         updates.members().forEach(Membership::requireComplete);
         List<Member> changed = new ArrayList<>();
+        List<OutboundMessage> messages = new ArrayList<>();
         for (Member member : updates.members()) {
             if (member.id().equals(mSelf.id())) {
                 refute(member).ifPresent(changed::add);
+            } else if (isContradicted(member, from, nowMs)) {
+                messages.addAll(hold(member, from, nowMs));
             } else if (apply(member, from, nowMs)) {
                 changed.add(member);
             }
         }
-        return changed.isEmpty() ? List.of() : forward(changed, from, nowMs);
+        if (!changed.isEmpty()) {
+            messages.addAll(forward(changed, from, nowMs));
+        }
+        return messages;
+    }
+
+    /**
+     * Returns whether another member reports a failure of a member that has just answered.
+     *
+     * <p>A member that leaves may stop at any time, so that its death is believed.
+     */
+    private boolean isContradicted(Member claim, InstanceId reporter, long nowMs) {
+        Member stored = mMembers.get(claim.id());
+        return isSuspectOrDead(claim)
+                && stored != null
+                && stored.canHoldDuties()
+                && claim.supersedes(stored)
+                && !claim.id().equals(reporter)
+                && observation(claim.id(), nowMs).hasJustAnswered(nowMs);
+    }
+
+    /** Holds a report and returns the message by which the member learns of it and refutes it. */
+    private List<OutboundMessage> hold(Member claim, InstanceId reporter, long nowMs) {
+        if (!mHeldReports.hold(claim, reporter)) {
+            return List.of();
+        }
+        mChanges.record(
+                new MemberEvidence(
+                        MemberEvidence.Kind.REPORT_HELD,
+                        claim.id(),
+                        claim.state(),
+                        claim.incarnation(),
+                        reporter,
+                        observation(claim.id(), nowMs).answeredBeforeMs(nowMs)));
+        return List.of(tell(claim, claim));
+    }
+
+    private static OutboundMessage tell(Member to, Member record) {
+        return new OutboundMessage(
+                PeerAddress.of(to), new PeerMessage.MemberUpdates(List.of(record)));
+    }
+
+    /** Applies the held reports about members that answer no longer. */
+    private List<OutboundMessage> applyHeldReports(long nowMs) {
+        List<Member> changed = new ArrayList<>();
+        mHeldReports
+                .takeIf(id -> !observation(id, nowMs).hasJustAnswered(nowMs))
+                .forEach(
+                        report -> {
+                            if (apply(report.claim(), report.reporter(), nowMs)) {
+                                changed.add(report.claim());
+                            }
+                        });
+        return changed.isEmpty() ? List.of() : forward(changed, null, nowMs);
     }
 
     /** Rejects an incomplete member record, which would break every later use of the table. */
@@ -349,14 +415,17 @@
         Member stored = mMembers.get(sender.id());
         if (stored != null && isOutdated(sender, stored)) {
             // Returns the newer record to the sender, which then announces a higher incarnation.
-            return List.of(
-                    new OutboundMessage(
-                            PeerAddress.of(sender),
-                            new PeerMessage.MemberUpdates(List.of(stored))));
+            return List.of(tell(sender, stored));
         }
-        return apply(sender, sender.id(), nowMs)
-                ? forward(List.of(sender), sender.id(), nowMs)
-                : List.of();
+        List<OutboundMessage> messages = new ArrayList<>();
+        if (apply(sender, sender.id(), nowMs)) {
+            messages.addAll(forward(List.of(sender), sender.id(), nowMs));
+        }
+        mHeldReports
+                .claim(sender.id())
+                .filter(claim -> isOutdated(sender, claim))
+                .ifPresent(claim -> messages.add(tell(sender, claim)));
+        return messages;
     }
 
     /**
@@ -397,6 +466,7 @@
         Observation observation = observation(member.id(), nowMs);
         mChanges.record(stored, member, reporter, observation.unansweredForMs(nowMs));
         store(member);
+        mHeldReports.dropIfOutdated(member);
         countChange(nowMs);
         observation.recordState(hasAnnouncedLeave(member, observation), nowMs);
         mNeighboursStale = true;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/MembershipSettings.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/MembershipSettings.java
@@ -23,4 +23,12 @@
     /** The settings that entry instances use. */
     public static final MembershipSettings DEFAULT =
             new MembershipSettings(1_000, 3_500, 3_000, 5_000, 3_600_000, 3);
+
+    /**
+     * Returns for how long an answer shows that a member is reachable: until the next one is due,
+     * with half an interval for the round trip, in milliseconds.
+     */
+    public long answerValidMs() {
+        return heartbeatMs() + heartbeatMs() / 2;
+    }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Observation.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Observation.java
@@ -11,6 +11,7 @@
     private long mStateSinceMs;
     private long mUnansweredSinceMs = NO_HEARTBEAT_PENDING;
     private long mHeartbeatReceivedMs = NEVER_MS;
+    private long mAnsweredMs = NEVER_MS;
     private int mSuspicionBackoffFactor = 1;
     private boolean mLeaveAnnounced;
 
@@ -29,7 +30,8 @@
         mHeartbeatReceivedMs = nowMs;
     }
 
-    void recordAnswer() {
+    void recordAnswer(long nowMs) {
+        mAnsweredMs = nowMs;
         mUnansweredSinceMs = NO_HEARTBEAT_PENDING;
     }
 
@@ -50,6 +52,16 @@
         return unansweredForMs(nowMs) > mSettings.suspectAfterMs() * mSuspicionBackoffFactor;
     }
 
+    /** Returns whether an answer shows that the member is reachable now. */
+    boolean hasJustAnswered(long nowMs) {
+        return answeredBeforeMs(nowMs) <= mSettings.answerValidMs();
+    }
+
+    /** Returns the time since the last answer, in milliseconds. */
+    long answeredBeforeMs(long nowMs) {
+        return nowMs - mAnsweredMs;
+    }
+
     long unansweredForMs(long nowMs) {
         return mUnansweredSinceMs == NO_HEARTBEAT_PENDING ? 0 : nowMs - mUnansweredSinceMs;
     }
