--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -30,14 +30,6 @@
 
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
-    /** More changes than this within the window count as an update storm. */
-    private static final int MAX_CHANGES_IN_WINDOW = 8;
-
-    private static final long CHANGE_WINDOW_MS = 1_000;
-
-    /** Milliseconds between two floods in an update storm; updates in between are batched. */
-    private static final long FLOOD_INTERVAL_MS = 200;
-
     /** Heartbeat intervals after which a differing table is requested even in an update storm. */
     private static final int MAX_TABLE_REQUEST_DELAY_HEARTBEATS = 8;
 
@@ -46,12 +38,9 @@
     private final Map<InstanceId, Member> mMembers = new TreeMap<>();
     private final Map<InstanceId, Observation> mObservations = new HashMap<>();
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
-    private final Map<InstanceId, Member> mPendingUpdates = new TreeMap<>();
+    private final UpdateBatch mUpdateBatch = new UpdateBatch();
     private final MemberChanges mChanges = new MemberChanges();
     private final HeldReports mHeldReports = new HeldReports();
-    private long mLastFloodMs = NEVER_MS;
-    private long mChangeWindowStartMs = NEVER_MS;
-    private int mChangesInWindow;
     private long mDigestDiffersSinceMs = NEVER_MS;
     private Member mSelf;
     private int mDigest;
@@ -176,7 +165,7 @@
     /** Performs the periodic work that is due and returns the messages to send. */
     public List<OutboundMessage> tick(long revision, long nowMs) {
         List<OutboundMessage> messages = new ArrayList<>(applyHeldReports(nowMs));
-        if (nowMs - mLastFloodMs >= FLOOD_INTERVAL_MS) {
+        if (mUpdateBatch.isIntervalOver(nowMs)) {
             messages.addAll(floodPendingUpdates(null, nowMs));
         }
         if (nowMs >= mNextHeartbeatMs) {
@@ -467,7 +456,7 @@
         mChanges.record(stored, member, reporter, observation.unansweredForMs(nowMs));
         store(member);
         mHeldReports.dropIfOutdated(member);
-        countChange(nowMs);
+        mUpdateBatch.countChange(nowMs);
         observation.recordState(hasAnnouncedLeave(member, observation), nowMs);
         mNeighboursStale = true;
         return true;
@@ -498,7 +487,7 @@
             mDigestDiffersSinceMs = nowMs;
         }
         boolean awaitsUpdates =
-                isUpdateStorm(nowMs)
+                mUpdateBatch.isStorm(nowMs)
                         && nowMs - mDigestDiffersSinceMs
                                 < MAX_TABLE_REQUEST_DELAY_HEARTBEATS * mSettings.heartbeatMs();
         if (awaitsUpdates || nowMs < mNextTableRequestMs) {
@@ -513,34 +502,19 @@
 
     /** Forwards updates immediately, or batches them in an update storm. */
     private List<OutboundMessage> forward(List<Member> updates, InstanceId from, long nowMs) {
-        updates.forEach(member -> mPendingUpdates.put(member.id(), member));
-        if (isUpdateStorm(nowMs) && nowMs - mLastFloodMs < FLOOD_INTERVAL_MS) {
+        mUpdateBatch.add(updates);
+        if (mUpdateBatch.isStorm(nowMs) && !mUpdateBatch.isIntervalOver(nowMs)) {
             return List.of();
         }
         return floodPendingUpdates(from, nowMs);
     }
 
-    /** Returns whether many members have changed recently, as when all of them start. */
-    private boolean isUpdateStorm(long nowMs) {
-        return nowMs - mChangeWindowStartMs < CHANGE_WINDOW_MS
-                && mChangesInWindow > MAX_CHANGES_IN_WINDOW;
-    }
-
-    private void countChange(long nowMs) {
-        if (nowMs - mChangeWindowStartMs >= CHANGE_WINDOW_MS) {
-            mChangeWindowStartMs = nowMs;
-            mChangesInWindow = 0;
-        }
-        mChangesInWindow++;
-    }
-
     private List<OutboundMessage> floodPendingUpdates(InstanceId from, long nowMs) {
-        if (mPendingUpdates.isEmpty()) {
+        List<Member> updates = mUpdateBatch.take(nowMs);
+        if (updates.isEmpty()) {
             return List.of();
         }
-        mLastFloodMs = nowMs;
-        PeerMessage message = new PeerMessage.MemberUpdates(List.copyOf(mPendingUpdates.values()));
-        mPendingUpdates.clear();
+        PeerMessage message = new PeerMessage.MemberUpdates(updates);
         return floodTargets(from, nowMs).stream()
                 .map(to -> new OutboundMessage(to, message))
                 .toList();
