Membership: a suspect is asked through other members until it is declared dead

What callers saw: an instance whose link to another one is cut depends on one flood of the suspicion and one of the refutation. If either is lost, it is declared dead there though others reach it.

Cause: both were flooded once. Missing were: a repetition before the death; the answer of a member that knows the refutation already; and the refutation was not sent to the member that told of the suspicion, so that this one learnt of it with the next heartbeat only.

Now at each heartbeat the suspects among the neighbours are named to two other live members: an update that begins with the own record, followed by at most as many suspects as there are neighbours. Who is asked answers with the newer record if it has one; otherwise it tells the suspect and passes its refutation on to those who asked (four at most). A member answers claims about itself to their teller. Cost: two messages a heartbeat while there are suspects, one to each suspect named, whatever the number of members; whole tables are not taken for questions. An answer through another member has a log line where the suspicion arose.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/ControlConnections.java
@@ -66,12 +66,21 @@
     }
 
     private static void log(MemberEvidence evidence) {
-        LOG.info(
-                "A report is held, as the member has just answered.",
-                LogField.of("member", evidence.member()),
-                LogField.of("reported", evidence.state()),
-                LogField.of("incarnation", evidence.incarnation()),
-                LogField.of("reporter", evidence.reporter()),
-                LogField.of("answeredMs", evidence.elapsedMs()));
+        if (evidence.kind() == MemberEvidence.Kind.REPORT_HELD) {
+            LOG.info(
+                    "A report is held, as the member has just answered.",
+                    LogField.of("member", evidence.member()),
+                    LogField.of("reported", evidence.state()),
+                    LogField.of("incarnation", evidence.incarnation()),
+                    LogField.of("reporter", evidence.reporter()),
+                    LogField.of("answeredMs", evidence.elapsedMs()));
+        } else {
+            LOG.info(
+                    "A suspect has answered through another member.",
+                    LogField.of("member", evidence.member()),
+                    LogField.of("incarnation", evidence.incarnation()),
+                    LogField.of("through", evidence.reporter()),
+                    LogField.of("suspectedMs", evidence.elapsedMs()));
+        }
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/MemberEvidence.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/MemberEvidence.java
@@ -11,7 +11,8 @@
  * @param state the state that the reporter told
  * @param incarnation the incarnation of the member that the state belongs to
  * @param reporter the instance that told it
- * @param elapsedMs the time since the member's last answer, in milliseconds
+ * @param elapsedMs the time since the member's last answer for a held report, since the suspicion
+ *     for an answer, in milliseconds
  */
 public record MemberEvidence(
         Kind kind,
@@ -24,6 +25,8 @@
     /** Lists what can be observed. */
     public enum Kind {
         /** A report of a failure is held, as the member has just answered this instance. */
-        REPORT_HELD
+        REPORT_HELD,
+        /** A member that this instance suspects has answered through another one. */
+        INDIRECT_ANSWER
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -24,7 +24,8 @@
  * member is monitored, and some chosen by rendezvous hashing, so that updates need few hops.
  * Updates are flooded along these links in both directions. A suspected member refutes the
  * suspicion with a higher incarnation. What another member reports is applied here only when the
- * suspected one no longer answers this instance.
+ * suspected one no longer answers this instance, and a suspect is asked through others as well
+ * before it is declared dead.
  */
 public final class Membership {
 
@@ -41,6 +42,7 @@
     private final UpdateBatch mUpdateBatch = new UpdateBatch();
     private final MemberChanges mChanges = new MemberChanges();
     private final HeldReports mHeldReports = new HeldReports();
+    private final IndirectProbes mProbes;
     private long mDigestDiffersSinceMs = NEVER_MS;
     private Member mSelf;
     private int mDigest;
@@ -58,6 +60,7 @@
         mSelf = self;
         mSettings = settings;
         mRandom = random;
+        mProbes = new IndirectProbes(settings.neighbours(), random);
         store(self);
     }
 
@@ -171,6 +174,7 @@
         if (nowMs >= mNextHeartbeatMs) {
             mNextHeartbeatMs = nowMs + mSettings.heartbeatMs();
             messages.addAll(heartbeats(revision, nowMs));
+            messages.addAll(askAboutSuspects(nowMs));
             messages.addAll(detectFailures(nowMs));
         }
         if (nowMs >= mNextReconnectMs) {
@@ -210,6 +214,7 @@
             Observation observation = observation(neighbour.id(), nowMs);
             if (neighbour.state() == MemberState.LIVE && observation.isSuspicious(nowMs)) {
                 observation.recordSuspicion();
+                mProbes.recordSuspicion(neighbour.id());
                 updates.add(neighbour.withState(MemberState.SUSPECT));
             }
             if (neighbour.state() == MemberState.LEAVING
@@ -223,6 +228,15 @@
         return changed.isEmpty() ? List.of() : forward(changed, null, nowMs);
     }
 
+    private List<OutboundMessage> askAboutSuspects(long nowMs) {
+        List<Member> suspects =
+                neighbours().stream()
+                        .filter(member -> member.state() == MemberState.SUSPECT)
+                        .filter(member -> !observation(member.id(), nowMs).hasJustAnswered(nowMs))
+                        .toList();
+        return mProbes.ask(mSelf, suspects, mMembers.values());
+    }
+
     private void expireMembers(long nowMs) {
         for (Member member : members()) {
             Observation observation = observation(member.id(), nowMs);
@@ -237,6 +251,7 @@
                 mVersion++;
                 mObservations.remove(member.id());
                 mHeldReports.drop(member.id());
+                mProbes.close(member.id());
             }
         }
     }
@@ -288,7 +303,7 @@
     /** Handles a heartbeat and answers it. */
     public List<OutboundMessage> handle(
             PeerMessage.Heartbeat heartbeat, long revision, long nowMs) {
-        requireComplete(heartbeat.sender());
+        MemberRecords.requireComplete(heartbeat.sender());
         List<OutboundMessage> messages =
                 new ArrayList<>(applySenderRecord(heartbeat.sender(), nowMs));
         observation(heartbeat.sender().id(), nowMs).recordHeartbeatReceived(nowMs);
@@ -303,7 +318,7 @@
 
     /** Handles the answer to a heartbeat. */
     public List<OutboundMessage> handle(PeerMessage.HeartbeatAck ack, long nowMs) {
-        requireComplete(ack.sender());
+        MemberRecords.requireComplete(ack.sender());
         List<OutboundMessage> messages = new ArrayList<>(applySenderRecord(ack.sender(), nowMs));
         mLastAnswerMs = nowMs;
         observation(ack.sender().id(), nowMs).recordAnswer(nowMs);
@@ -314,12 +329,13 @@
     /** Handles updated member records. */
     public List<OutboundMessage> handle(
             PeerMessage.MemberUpdates updates, InstanceId from, long nowMs) {
-        updates.members().forEach(Membership::requireComplete);
+        updates.members().forEach(MemberRecords::requireComplete);
         List<Member> changed = new ArrayList<>();
         List<OutboundMessage> messages = new ArrayList<>();
         for (Member member : updates.members()) {
             if (member.id().equals(mSelf.id())) {
                 refute(member).ifPresent(changed::add);
+                messages.addAll(answerClaim(member, from));
             } else if (isContradicted(member, from, nowMs)) {
                 messages.addAll(hold(member, from, nowMs));
             } else if (apply(member, from, nowMs)) {
@@ -329,9 +345,32 @@
         if (!changed.isEmpty()) {
             messages.addAll(forward(changed, from, nowMs));
         }
+        for (Member suspect : mProbes.suspectsAskedFor(updates.members(), from)) {
+            messages.addAll(probe(suspect, from));
+        }
         return messages;
     }
 
+    /** Returns this instance's record to a member that claims that it has failed. */
+    private List<OutboundMessage> answerClaim(Member claim, InstanceId from) {
+        return MemberRecords.isSuspectOrDead(claim) && mSelf.supersedes(claim)
+                ? tell(from, mSelf)
+                : List.of();
+    }
+
+    /** Answers a question about a suspect, or tells the suspect, whose refutation is the answer. */
+    private List<OutboundMessage> probe(Member suspect, InstanceId asker) {
+        Member stored = mMembers.get(suspect.id());
+        if (stored == null || stored.id().equals(mSelf.id())) {
+            return List.of();
+        }
+        if (stored.incarnation() > suspect.incarnation()) {
+            return tell(asker, stored);
+        }
+        mProbes.recordQuestion(suspect.id(), asker);
+        return List.of(tell(stored, suspect));
+    }
+
     /**
      * Returns whether another member reports a failure of a member that has just answered.
      *
@@ -339,7 +378,7 @@
      */
     private boolean isContradicted(Member claim, InstanceId reporter, long nowMs) {
         Member stored = mMembers.get(claim.id());
-        return isSuspectOrDead(claim)
+        return MemberRecords.isSuspectOrDead(claim)
                 && stored != null
                 && stored.canHoldDuties()
                 && claim.supersedes(stored)
@@ -352,15 +391,23 @@
         if (!mHeldReports.hold(claim, reporter)) {
             return List.of();
         }
+        recordEvidence(
+                MemberEvidence.Kind.REPORT_HELD,
+                claim,
+                reporter,
+                observation(claim.id(), nowMs).answeredBeforeMs(nowMs));
+        return List.of(tell(claim, claim));
+    }
+
+    private void recordEvidence(
+            MemberEvidence.Kind kind, Member told, InstanceId reporter, long elapsedMs) {
         mChanges.record(
                 new MemberEvidence(
-                        MemberEvidence.Kind.REPORT_HELD,
-                        claim.id(),
-                        claim.state(),
-                        claim.incarnation(),
-                        reporter,
-                        observation(claim.id(), nowMs).answeredBeforeMs(nowMs)));
-        return List.of(tell(claim, claim));
+                        kind, told.id(), told.state(), told.incarnation(), reporter, elapsedMs));
+    }
+
+    private List<OutboundMessage> tell(InstanceId to, Member record) {
+        return member(to).map(member -> List.of(tell(member, record))).orElse(List.of());
     }
 
     private static OutboundMessage tell(Member to, Member record) {
@@ -382,27 +429,12 @@
         return changed.isEmpty() ? List.of() : forward(changed, null, nowMs);
     }
 
-    /** Rejects an incomplete member record, which would break every later use of the table. */
-    private static void requireComplete(Member member) {
-        boolean complete =
-                member != null
-                        && member.id() != null
-                        && member.region() != null
-                        && member.failureDomain() != null
-                        && member.host() != null
-                        && member.state() != null;
-        if (!complete) {
-            throw new IllegalArgumentException(
-                    "A member record lacks its id, region, failure domain, host or state.");
-        }
-    }
-
     private List<OutboundMessage> applySenderRecord(Member sender, long nowMs) {
         if (sender.id().equals(mSelf.id())) {
             return List.of();
         }
         Member stored = mMembers.get(sender.id());
-        if (stored != null && isOutdated(sender, stored)) {
+        if (stored != null && MemberRecords.isOutdated(sender, stored)) {
             // Returns the newer record to the sender, which then announces a higher incarnation.
             return List.of(tell(sender, stored));
         }
@@ -412,31 +444,18 @@
         }
         mHeldReports
                 .claim(sender.id())
-                .filter(claim -> isOutdated(sender, claim))
+                .filter(claim -> MemberRecords.isOutdated(sender, claim))
                 .ifPresent(claim -> messages.add(tell(sender, claim)));
         return messages;
     }
 
-    /**
-     * Returns whether the stored record of a member overrides the one that the member sent: the
-     * member is suspected or dead, or its clock has stepped back since an earlier start.
-     */
-    private static boolean isOutdated(Member sender, Member stored) {
-        return stored.incarnation() > sender.incarnation()
-                || (stored.incarnation() == sender.incarnation() && isSuspectOrDead(stored));
-    }
-
-    private static boolean isSuspectOrDead(Member member) {
-        return member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD;
-    }
-
     private Optional<Member> refute(Member claim) {
         boolean differs =
                 claim.state() != mSelf.state() || claim.incarnation() > mSelf.incarnation();
         if (!differs || claim.incarnation() < mSelf.incarnation()) {
             return Optional.empty();
         }
-        if (claim.incarnation() == mSelf.incarnation() && !isSuspectOrDead(claim)) {
+        if (claim.incarnation() == mSelf.incarnation() && !MemberRecords.isSuspectOrDead(claim)) {
             return Optional.empty();
         }
         mSelf = mSelf.withIncarnationAndState(claim.incarnation() + 1, mSelf.state());
@@ -454,6 +473,17 @@
         }
         Observation observation = observation(member.id(), nowMs);
         mChanges.record(stored, member, reporter, observation.unansweredForMs(nowMs));
+        boolean isIndirectAnswer =
+                !MemberRecords.isSuspectOrDead(member)
+                        && !member.id().equals(reporter)
+                        && mProbes.isSuspectedHere(member.id());
+        if (isIndirectAnswer) {
+            recordEvidence(
+                    MemberEvidence.Kind.INDIRECT_ANSWER,
+                    member,
+                    reporter,
+                    nowMs - observation.stateSinceMs());
+        }
         store(member);
         mHeldReports.dropIfOutdated(member);
         mUpdateBatch.countChange(nowMs);
@@ -503,10 +533,22 @@
     /** Forwards updates immediately, or batches them in an update storm. */
     private List<OutboundMessage> forward(List<Member> updates, InstanceId from, long nowMs) {
         mUpdateBatch.add(updates);
-        if (mUpdateBatch.isStorm(nowMs) && !mUpdateBatch.isIntervalOver(nowMs)) {
+        List<OutboundMessage> messages = new ArrayList<>();
+        updates.forEach(member -> messages.addAll(answerQuestions(member)));
+        if (!mUpdateBatch.isStorm(nowMs) || mUpdateBatch.isIntervalOver(nowMs)) {
+            messages.addAll(floodPendingUpdates(from, nowMs));
+        }
+        return messages;
+    }
+
+    /** Returns the record of a member to those that have asked about it, unless it is a suspect. */
+    private List<OutboundMessage> answerQuestions(Member member) {
+        if (member.state() == MemberState.SUSPECT) {
             return List.of();
         }
-        return floodPendingUpdates(from, nowMs);
+        return mProbes.close(member.id()).stream()
+                .flatMap(asker -> tell(asker, member).stream())
+                .toList();
     }
 
     private List<OutboundMessage> floodPendingUpdates(InstanceId from, long nowMs) {
