--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/membership/Membership.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -24,21 +23,14 @@
  * <p>Each member sends heartbeats to a few neighbours: its successor on a hash ring, so that every
  * member is monitored, and some chosen by rendezvous hashing, so that updates need few hops.
  * Updates are flooded along these links in both directions. A suspected member refutes the
- * suspicion with a higher incarnation.
+ * suspicion with a higher incarnation. What another member reports is applied here only when the
+ * suspected one no longer answers this instance, and a suspect is asked through others as well
+ * before it is declared dead.
  */
 public final class Membership {
 
-    private static final int MAX_SUSPICION_BACKOFF_FACTOR = 16;
     private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
-    /** More changes than this within the window count as an update storm. */
-    private static final int MAX_CHANGES_IN_WINDOW = 8;
-
-    private static final long CHANGE_WINDOW_MS = 1_000;
-
-    /** Milliseconds between two floods in an update storm; updates in between are batched. */
-    private static final long FLOOD_INTERVAL_MS = 200;
-
     /** Heartbeat intervals after which a differing table is requested even in an update storm. */
     private static final int MAX_TABLE_REQUEST_DELAY_HEARTBEATS = 8;
 
@@ -47,11 +39,10 @@
     private final Map<InstanceId, Member> mMembers = new TreeMap<>();
     private final Map<InstanceId, Observation> mObservations = new HashMap<>();
     private final Set<PeerAddress> mSeeds = new LinkedHashSet<>();
-    private final Map<InstanceId, Member> mPendingUpdates = new TreeMap<>();
+    private final UpdateBatch mUpdateBatch = new UpdateBatch();
     private final MemberChanges mChanges = new MemberChanges();
-    private long mLastFloodMs = NEVER_MS;
-    private long mChangeWindowStartMs = NEVER_MS;
-    private int mChangesInWindow;
+    private final HeldReports mHeldReports = new HeldReports();
+    private final IndirectProbes mProbes;
     private long mDigestDiffersSinceMs = NEVER_MS;
     private Member mSelf;
     private int mDigest;
@@ -69,6 +60,7 @@
         mSelf = self;
         mSettings = settings;
         mRandom = random;
+        mProbes = new IndirectProbes(settings.neighbours(), random);
         store(self);
     }
 
@@ -101,8 +93,7 @@
 
     /** Returns since when a member has been in its present state; empty if it is unknown. */
     public Optional<Long> stateSinceMs(InstanceId id) {
-        return Optional.ofNullable(mObservations.get(id))
-                .map(observation -> observation.mStateSinceMs);
+        return Optional.ofNullable(mObservations.get(id)).map(Observation::stateSinceMs);
     }
 
     /** Returns when any member last answered a heartbeat; empty if none ever did. */
@@ -121,7 +112,7 @@
     private boolean isNotLeaving(Member member) {
         Observation observation = mObservations.get(member.id());
         return member.state() != MemberState.LEAVING
-                && (observation == null || !observation.mLeaveAnnounced);
+                && (observation == null || !observation.hasAnnouncedLeave());
     }
 
     /** Returns a number that increases with each change of the member table. */
@@ -134,6 +125,11 @@
         return mChanges.take();
     }
 
+    /** Returns the evidence about members since the last call, without the oldest of much. */
+    public List<MemberEvidence> takeEvidence() {
+        return mChanges.takeEvidence();
+    }
+
     /** Returns a digest of the members that are not dead and of the other shared state. */
     public int digest() {
         return mDigest ^ mSharedDigest;
@@ -171,13 +167,14 @@
 
     /** Performs the periodic work that is due and returns the messages to send. */
     public List<OutboundMessage> tick(long revision, long nowMs) {
-        List<OutboundMessage> messages = new ArrayList<>();
-        if (nowMs - mLastFloodMs >= FLOOD_INTERVAL_MS) {
+        List<OutboundMessage> messages = new ArrayList<>(applyHeldReports(nowMs));
+        if (mUpdateBatch.isIntervalOver(nowMs)) {
             messages.addAll(floodPendingUpdates(null, nowMs));
         }
         if (nowMs >= mNextHeartbeatMs) {
             mNextHeartbeatMs = nowMs + mSettings.heartbeatMs();
             messages.addAll(heartbeats(revision, nowMs));
+            messages.addAll(askAboutSuspects(nowMs));
             messages.addAll(detectFailures(nowMs));
         }
         if (nowMs >= mNextReconnectMs) {
@@ -215,13 +212,9 @@
         long deadAfterMs = mSettings.suspectAfterMs() + mSettings.deadAfterMs();
         for (Member neighbour : neighbours()) {
             Observation observation = observation(neighbour.id(), nowMs);
-            long suspectAfterMs = mSettings.suspectAfterMs() * observation.mSuspicionBackoffFactor;
-            if (neighbour.state() == MemberState.LIVE
-                    && observation.unansweredForMs(nowMs) > suspectAfterMs) {
-                observation.mSuspicionBackoffFactor =
-                        Math.min(
-                                MAX_SUSPICION_BACKOFF_FACTOR,
-                                observation.mSuspicionBackoffFactor * 2);
+            if (neighbour.state() == MemberState.LIVE && observation.isSuspicious(nowMs)) {
+                observation.recordSuspicion();
+                mProbes.recordSuspicion(neighbour.id());
                 updates.add(neighbour.withState(MemberState.SUSPECT));
             }
             if (neighbour.state() == MemberState.LEAVING
@@ -235,17 +228,30 @@
         return changed.isEmpty() ? List.of() : forward(changed, null, nowMs);
     }
 
+    private List<OutboundMessage> askAboutSuspects(long nowMs) {
+        List<Member> suspects =
+                neighbours().stream()
+                        .filter(member -> member.state() == MemberState.SUSPECT)
+                        .filter(member -> !observation(member.id(), nowMs).hasJustAnswered(nowMs))
+                        .toList();
+        return mProbes.ask(mSelf, suspects, mMembers.values());
+    }
+
     private void expireMembers(long nowMs) {
         for (Member member : members()) {
-            long sinceMs = observation(member.id(), nowMs).mStateSinceMs;
+            Observation observation = observation(member.id(), nowMs);
+            long sinceMs = observation.stateSinceMs();
             if (member.state() == MemberState.SUSPECT
-                    && nowMs - sinceMs > mSettings.deadAfterMs()) {
+                    && nowMs - sinceMs > mSettings.deadAfterMs()
+                    && !observation.hasJustAnswered(nowMs)) {
                 apply(member.withState(MemberState.DEAD), mSelf.id(), nowMs);
             } else if (member.state() == MemberState.DEAD
                     && nowMs - sinceMs > mSettings.forgetDeadMs()) {
                 mMembers.remove(member.id());
                 mVersion++;
                 mObservations.remove(member.id());
+                mHeldReports.drop(member.id());
+                mProbes.close(member.id());
             }
         }
     }
@@ -297,10 +303,10 @@
     /** Handles a heartbeat and answers it. */
     public List<OutboundMessage> handle(
             PeerMessage.Heartbeat heartbeat, long revision, long nowMs) {
-        requireComplete(heartbeat.sender());
+        MemberRecords.requireComplete(heartbeat.sender());
         List<OutboundMessage> messages =
                 new ArrayList<>(applySenderRecord(heartbeat.sender(), nowMs));
-        observation(heartbeat.sender().id(), nowMs).mHeartbeatReceivedMs = nowMs;
+        observation(heartbeat.sender().id(), nowMs).recordHeartbeatReceived(nowMs);
         messages.add(
                 new OutboundMessage(
                         PeerAddress.of(heartbeat.sender()),
@@ -312,10 +318,10 @@
 
     /** Handles the answer to a heartbeat. */
     public List<OutboundMessage> handle(PeerMessage.HeartbeatAck ack, long nowMs) {
-        requireComplete(ack.sender());
+        MemberRecords.requireComplete(ack.sender());
         List<OutboundMessage> messages = new ArrayList<>(applySenderRecord(ack.sender(), nowMs));
         mLastAnswerMs = nowMs;
-        observation(ack.sender().id(), nowMs).clearUnanswered();
+        observation(ack.sender().id(), nowMs).recordAnswer(nowMs);
         messages.addAll(requestTableIfDigestDiffers(ack.sender(), ack.members(), nowMs));
         return messages;
     }
@@ -323,61 +329,124 @@
     /** Handles updated member records. */
     public List<OutboundMessage> handle(
             PeerMessage.MemberUpdates updates, InstanceId from, long nowMs) {
-        updates.members().forEach(Membership::requireComplete);
+        updates.members().forEach(MemberRecords::requireComplete);
         List<Member> changed = new ArrayList<>();
+        List<OutboundMessage> messages = new ArrayList<>();
         for (Member member : updates.members()) {
             if (member.id().equals(mSelf.id())) {
                 refute(member).ifPresent(changed::add);
+                messages.addAll(answerClaim(member, from));
+            } else if (isContradicted(member, from, nowMs)) {
+                messages.addAll(hold(member, from, nowMs));
             } else if (apply(member, from, nowMs)) {
                 changed.add(member);
             }
         }
-        return changed.isEmpty() ? List.of() : forward(changed, from, nowMs);
-    }
-
-    /** Rejects an incomplete member record, which would break every later use of the table. */
-    private static void requireComplete(Member member) {
-        boolean complete =
-                member != null
-                        && member.id() != null
-                        && member.region() != null
-                        && member.failureDomain() != null
-                        && member.host() != null
-                        && member.state() != null;
-        if (!complete) {
-            throw new IllegalArgumentException(
-                    "A member record lacks its id, region, failure domain, host or state.");
+        if (!changed.isEmpty()) {
+            messages.addAll(forward(changed, from, nowMs));
+        }
+        for (Member suspect : mProbes.suspectsAskedFor(updates.members(), from)) {
+            messages.addAll(probe(suspect, from));
         }
+        return messages;
     }
 
-    private List<OutboundMessage> applySenderRecord(Member sender, long nowMs) {
-        if (sender.id().equals(mSelf.id())) {
+    /** Returns this instance's record to a member that claims that it has failed. */
+    private List<OutboundMessage> answerClaim(Member claim, InstanceId from) {
+        return MemberRecords.isSuspectOrDead(claim) && mSelf.supersedes(claim)
+                ? tell(from, mSelf)
+                : List.of();
+    }
+
+    /** Answers a question about a suspect, or tells the suspect, whose refutation is the answer. */
+    private List<OutboundMessage> probe(Member suspect, InstanceId asker) {
+        Member stored = mMembers.get(suspect.id());
+        if (stored == null || stored.id().equals(mSelf.id())) {
             return List.of();
         }
-        Member stored = mMembers.get(sender.id());
-        if (stored != null && isOutdated(sender, stored)) {
-            // Returns the newer record to the sender, which then announces a higher incarnation.
-            return List.of(
-                    new OutboundMessage(
-                            PeerAddress.of(sender),
-                            new PeerMessage.MemberUpdates(List.of(stored))));
+        if (stored.incarnation() > suspect.incarnation()) {
+            return tell(asker, stored);
         }
-        return apply(sender, sender.id(), nowMs)
-                ? forward(List.of(sender), sender.id(), nowMs)
-                : List.of();
+        mProbes.recordQuestion(suspect.id(), asker);
+        return List.of(tell(stored, suspect));
     }
 
     /**
-     * Returns whether the stored record of a member overrides the one that the member sent: the
-     * member is suspected or dead, or its clock has stepped back since an earlier start.
+     * Returns whether another member reports a failure of a member that has just answered.
+     *
+     * <p>A member that leaves may stop at any time, so that its death is believed.
      */
-    private static boolean isOutdated(Member sender, Member stored) {
-        return stored.incarnation() > sender.incarnation()
-                || (stored.incarnation() == sender.incarnation() && isSuspectOrDead(stored));
+    private boolean isContradicted(Member claim, InstanceId reporter, long nowMs) {
+        Member stored = mMembers.get(claim.id());
+        return MemberRecords.isSuspectOrDead(claim)
+                && stored != null
+                && stored.canHoldDuties()
+                && claim.supersedes(stored)
+                && !claim.id().equals(reporter)
+                && observation(claim.id(), nowMs).hasJustAnswered(nowMs);
+    }
+
+    /** Holds a report and returns the message by which the member learns of it and refutes it. */
+    private List<OutboundMessage> hold(Member claim, InstanceId reporter, long nowMs) {
+        if (!mHeldReports.hold(claim, reporter)) {
+            return List.of();
+        }
+        recordEvidence(
+                MemberEvidence.Kind.REPORT_HELD,
+                claim,
+                reporter,
+                observation(claim.id(), nowMs).answeredBeforeMs(nowMs));
+        return List.of(tell(claim, claim));
+    }
+
+    private void recordEvidence(
+            MemberEvidence.Kind kind, Member told, InstanceId reporter, long elapsedMs) {
+        mChanges.record(
+                new MemberEvidence(
+                        kind, told.id(), told.state(), told.incarnation(), reporter, elapsedMs));
+    }
+
+    private List<OutboundMessage> tell(InstanceId to, Member record) {
+        return member(to).map(member -> List.of(tell(member, record))).orElse(List.of());
+    }
+
+    private static OutboundMessage tell(Member to, Member record) {
+        return new OutboundMessage(
+                PeerAddress.of(to), new PeerMessage.MemberUpdates(List.of(record)));
     }
 
-    private static boolean isSuspectOrDead(Member member) {
-        return member.state() == MemberState.SUSPECT || member.state() == MemberState.DEAD;
+    /** Applies the held reports about members that answer no longer. */
+    private List<OutboundMessage> applyHeldReports(long nowMs) {
+        List<Member> changed = new ArrayList<>();
+        mHeldReports
+                .takeIf(id -> !observation(id, nowMs).hasJustAnswered(nowMs))
+                .forEach(
+                        report -> {
+                            if (apply(report.claim(), report.reporter(), nowMs)) {
+                                changed.add(report.claim());
+                            }
+                        });
+        return changed.isEmpty() ? List.of() : forward(changed, null, nowMs);
+    }
+
+    private List<OutboundMessage> applySenderRecord(Member sender, long nowMs) {
+        if (sender.id().equals(mSelf.id())) {
+            return List.of();
+        }
+        Member stored = mMembers.get(sender.id());
+        if (stored != null && MemberRecords.isOutdated(sender, stored)) {
+            // Returns the newer record to the sender, which then announces a higher incarnation.
+            return List.of(tell(sender, stored));
+        }
+        List<OutboundMessage> messages = new ArrayList<>();
+        if (apply(sender, sender.id(), nowMs)) {
+            messages.addAll(forward(List.of(sender), sender.id(), nowMs));
+        }
+        mHeldReports
+                .claim(sender.id())
+                .filter(claim -> MemberRecords.isOutdated(sender, claim))
+                .ifPresent(claim -> messages.add(tell(sender, claim)));
+        return messages;
     }
 
     private Optional<Member> refute(Member claim) {
@@ -386,7 +455,7 @@
         if (!differs || claim.incarnation() < mSelf.incarnation()) {
             return Optional.empty();
         }
-        if (claim.incarnation() == mSelf.incarnation() && !isSuspectOrDead(claim)) {
+        if (claim.incarnation() == mSelf.incarnation() && !MemberRecords.isSuspectOrDead(claim)) {
             return Optional.empty();
         }
         mSelf = mSelf.withIncarnationAndState(claim.incarnation() + 1, mSelf.state());
@@ -404,11 +473,21 @@
         }
         Observation observation = observation(member.id(), nowMs);
         mChanges.record(stored, member, reporter, observation.unansweredForMs(nowMs));
+        boolean isIndirectAnswer =
+                !MemberRecords.isSuspectOrDead(member)
+                        && !member.id().equals(reporter)
+                        && mProbes.isSuspectedHere(member.id());
+        if (isIndirectAnswer) {
+            recordEvidence(
+                    MemberEvidence.Kind.INDIRECT_ANSWER,
+                    member,
+                    reporter,
+                    nowMs - observation.stateSinceMs());
+        }
         store(member);
-        countChange(nowMs);
-        observation.mStateSinceMs = nowMs;
-        observation.mLeaveAnnounced = hasAnnouncedLeave(member, observation);
-        observation.clearUnanswered();
+        mHeldReports.dropIfOutdated(member);
+        mUpdateBatch.countChange(nowMs);
+        observation.recordState(hasAnnouncedLeave(member, observation), nowMs);
         mNeighboursStale = true;
         return true;
     }
@@ -417,7 +496,7 @@
     private static boolean hasAnnouncedLeave(Member member, Observation observation) {
         return switch (member.state()) {
             case LEAVING -> true;
-            case DEAD -> observation.mLeaveAnnounced;
+            case DEAD -> observation.hasAnnouncedLeave();
             default -> false;
         };
     }
@@ -438,7 +517,7 @@
             mDigestDiffersSinceMs = nowMs;
         }
         boolean awaitsUpdates =
-                isUpdateStorm(nowMs)
+                mUpdateBatch.isStorm(nowMs)
                         && nowMs - mDigestDiffersSinceMs
                                 < MAX_TABLE_REQUEST_DELAY_HEARTBEATS * mSettings.heartbeatMs();
         if (awaitsUpdates || nowMs < mNextTableRequestMs) {
@@ -453,34 +532,31 @@
 
     /** Forwards updates immediately, or batches them in an update storm. */
     private List<OutboundMessage> forward(List<Member> updates, InstanceId from, long nowMs) {
-        updates.forEach(member -> mPendingUpdates.put(member.id(), member));
-        if (isUpdateStorm(nowMs) && nowMs - mLastFloodMs < FLOOD_INTERVAL_MS) {
-            return List.of();
+        mUpdateBatch.add(updates);
+        List<OutboundMessage> messages = new ArrayList<>();
+        updates.forEach(member -> messages.addAll(answerQuestions(member)));
+        if (!mUpdateBatch.isStorm(nowMs) || mUpdateBatch.isIntervalOver(nowMs)) {
+            messages.addAll(floodPendingUpdates(from, nowMs));
         }
-        return floodPendingUpdates(from, nowMs);
-    }
-
-    /** Returns whether many members have changed recently, as when all of them start. */
-    private boolean isUpdateStorm(long nowMs) {
-        return nowMs - mChangeWindowStartMs < CHANGE_WINDOW_MS
-                && mChangesInWindow > MAX_CHANGES_IN_WINDOW;
+        return messages;
     }
 
-    private void countChange(long nowMs) {
-        if (nowMs - mChangeWindowStartMs >= CHANGE_WINDOW_MS) {
-            mChangeWindowStartMs = nowMs;
-            mChangesInWindow = 0;
+    /** Returns the record of a member to those that have asked about it, unless it is a suspect. */
+    private List<OutboundMessage> answerQuestions(Member member) {
+        if (member.state() == MemberState.SUSPECT) {
+            return List.of();
         }
-        mChangesInWindow++;
+        return mProbes.close(member.id()).stream()
+                .flatMap(asker -> tell(asker, member).stream())
+                .toList();
     }
 
     private List<OutboundMessage> floodPendingUpdates(InstanceId from, long nowMs) {
-        if (mPendingUpdates.isEmpty()) {
+        List<Member> updates = mUpdateBatch.take(nowMs);
+        if (updates.isEmpty()) {
             return List.of();
         }
-        mLastFloodMs = nowMs;
-        PeerMessage message = new PeerMessage.MemberUpdates(List.copyOf(mPendingUpdates.values()));
-        mPendingUpdates.clear();
+        PeerMessage message = new PeerMessage.MemberUpdates(updates);
         return floodTargets(from, nowMs).stream()
                 .map(to -> new OutboundMessage(to, message))
                 .toList();
@@ -497,7 +573,7 @@
         mObservations.forEach(
                 (id, observation) -> {
                     Member member = mMembers.get(id);
-                    if (observation.mHeartbeatReceivedMs > heartbeatsSinceMs
+                    if (observation.heartbeatReceivedMs() > heartbeatsSinceMs
                             && member != null
                             && !id.equals(from)) {
                         targets.add(PeerAddress.of(member));
@@ -508,75 +584,14 @@
 
     private List<Member> neighbours() {
         if (mNeighboursStale) {
-            mNeighbours = chooseNeighbours();
+            mNeighbours =
+                    NeighbourSelector.choose(mSelf, mMembers.values(), mSettings.neighbours());
             mNeighboursStale = false;
         }
         return mNeighbours.stream().map(member -> mMembers.get(member.id())).toList();
     }
 
-    private List<Member> chooseNeighbours() {
-        List<Member> others =
-                mMembers.values().stream()
-                        .filter(member -> !member.id().equals(mSelf.id()))
-                        .filter(member -> member.state() != MemberState.DEAD)
-                        .toList();
-        if (others.size() <= mSettings.neighbours()) {
-            return others;
-        }
-        long ringPosition = ringPosition(mSelf);
-        Comparator<Member> byRingDistance =
-                Comparator.comparingLong(
-                        member -> (ringPosition(member) - ringPosition) & Long.MAX_VALUE);
-        Set<Member> chosen = new LinkedHashSet<>();
-        chosen.add(others.stream().min(byRingDistance).orElseThrow());
-        // One neighbour in the own region keeps the members of a partitioned region connected.
-        others.stream()
-                .filter(member -> member.region().equals(mSelf.region()))
-                .min(byRingDistance)
-                .ifPresent(chosen::add);
-        RendezvousHashing.rank(mSelf.id().value(), others, member -> member.id().value()).stream()
-                .filter(member -> !chosen.contains(member))
-                .limit(Math.max(0, mSettings.neighbours() - chosen.size()))
-                .toList()
-                .forEach(chosen::add);
-        return List.copyOf(chosen);
-    }
-
-    private static long ringPosition(Member member) {
-        return RendezvousHashing.weight("ring", member.id().value());
-    }
-
     private Observation observation(InstanceId id, long nowMs) {
-        return mObservations.computeIfAbsent(id, key -> new Observation(nowMs));
-    }
-
-    /** Observations of this instance about another one. */
-    private static final class Observation {
-
-        private static final long NO_HEARTBEAT_PENDING = -1;
-
-        private long mStateSinceMs;
-        private long mUnansweredSinceMs = NO_HEARTBEAT_PENDING;
-        private long mHeartbeatReceivedMs = Long.MIN_VALUE / 2;
-        private int mSuspicionBackoffFactor = 1;
-        private boolean mLeaveAnnounced;
-
-        Observation(long nowMs) {
-            mStateSinceMs = nowMs;
-        }
-
-        void recordHeartbeatSent(long nowMs) {
-            if (mUnansweredSinceMs == NO_HEARTBEAT_PENDING) {
-                mUnansweredSinceMs = nowMs;
-            }
-        }
-
-        void clearUnanswered() {
-            mUnansweredSinceMs = NO_HEARTBEAT_PENDING;
-        }
-
-        long unansweredForMs(long nowMs) {
-            return mUnansweredSinceMs == NO_HEARTBEAT_PENDING ? 0 : nowMs - mUnansweredSinceMs;
-        }
+        return mObservations.computeIfAbsent(id, key -> new Observation(mSettings, nowMs));
     }
 }
