FAILBACK: replicas with a limit that return cold get their full load

Callers lose the streams that a cold replica has begun when it crashes.

Cause: a replica with a low limit gets few requests, so no instance has a connection to it and none notices that it is away. Its next process states no limit, so its first answer ended the limit in all instances, which sent their full load before the list showed the new `born`. The end of a limit was never taken as a hint of a restart.

An endpoint that ends or raises its limit now counts as cold until a list read 500 ms later shows the same process, also in the instances that are told of the change. No probe or connection is added; a sound endpoint is held at its warm-up rate until the next list, as after a refused connection.

Ruled out: to distrust each new connection after a silence.

Test: ColdReplicaTest.replicaThatReturnsColdWithoutItsFormerLimitIsSentFewRequests, before: "90 requests in one second expected [true] but found [false]"; after: passes (6 allowed). ColdReplicaTest, ColdReturnTest and EndpointLimitTest pass.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointFailureDetector.java
@@ -207,7 +207,9 @@
                         new PeerMessage.SuspectedRestart(
                                 endpoint.id(),
                                 endpoint.processStartedMs(),
-                                nowMs - refusedMs.getAsLong(),
+                                Math.min(
+                                        SuspectedRestartReporting.MAX_AGE_MS,
+                                        nowMs - refusedMs.getAsLong()),
                                 acceptedMs.isPresent() ? nowMs - acceptedMs.getAsLong() : -1));
             }
         }
@@ -251,6 +253,20 @@
         }
     }
 
+    /** Follows up the suspicion of an endpoint that has ended or raised its limit. */
+    void noteLimitRelaxed(EndpointId id) {
+        mTable.findById(id)
+                .filter(endpoint -> endpoint.isRestartSuspected(Clocks.steadyMs()))
+                .filter(endpoint -> mSuspectedRestarts.putIfAbsent(id, endpoint) == null)
+                .ifPresent(
+                        endpoint -> {
+                            mTableUpdater.updateCapacity(endpoint, mControl.snapshot());
+                            LOG.info(
+                                    "An endpoint that has relaxed its limit may have restarted.",
+                                    LogField.of("endpoint", id));
+                        });
+    }
+
     private void probe(EndpointState endpoint) {
         if (mProbing.add(endpoint.id())) {
             mConnections.open(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointLimitTracker.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointLimitTracker.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
@@ -43,12 +44,20 @@
 
     private final EndpointTable mTable;
     private final GatewayMetrics mMetrics;
+    private final Consumer<EndpointId> mOnRelaxed;
     private final Set<EndpointId> mWithMalformedLimit = new HashSet<>();
     private final Set<String> mUnknownHeaders = new HashSet<>();
 
-    EndpointLimitTracker(EndpointTable table, GatewayMetrics metrics) {
+    /**
+     * Creates a tracker.
+     *
+     * @param onRelaxed is called with an endpoint that has ended or raised its limit
+     */
+    EndpointLimitTracker(
+            EndpointTable table, GatewayMetrics metrics, Consumer<EndpointId> onRelaxed) {
         mTable = table;
         mMetrics = metrics;
+        mOnRelaxed = onRelaxed;
         metrics.gauge("limited_endpoints", table.limits()::size);
     }
 
@@ -172,6 +181,9 @@
                 LogField.of("before", text(change.get().before())),
                 source,
                 LogField.of("ageMs", Clocks.steadyMs() - observation.receivedMs()));
+        if (change.get().isRelaxed()) {
+            mOnRelaxed.accept(endpoint);
+        }
     }
 
     private static String text(OptionalDouble perSecond) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -245,7 +245,9 @@
 
     /** Creates what exchanges loads, limits and permits with the other instances. */
     private EndpointLimitTracker createLoadAndLimitExchange() {
-        EndpointLimitTracker limits = new EndpointLimitTracker(mEndpointTable, mMetrics);
+        EndpointLimitTracker limits =
+                new EndpointLimitTracker(
+                        mEndpointTable, mMetrics, id -> mFailureDetector.noteLimitRelaxed(id));
         mLoadReporting = new LoadReporting(mEndpointTable, limits, mControl::snapshot, mNetwork);
         mSendPermits =
                 new SendPermitService(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SuspectedRestartReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SuspectedRestartReporting.java
@@ -35,7 +35,7 @@
     private static final long REPORT_INTERVAL_MS = 500;
 
     /** The highest valid age in a report, in milliseconds. */
-    private static final long MAX_AGE_MS = 60_000;
+    static final long MAX_AGE_MS = 60_000;
 
     private static final int MAX_PENDING_REPORTS = 1_000;
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/EndpointLimits.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/limits/EndpointLimits.java
@@ -44,7 +44,14 @@
      * @param before the limit before, in requests per second
      * @param after the limit now, in requests per second
      */
-    public record Change(ChangeKind kind, OptionalDouble before, OptionalDouble after) {}
+    public record Change(ChangeKind kind, OptionalDouble before, OptionalDouble after) {
+
+        /** Returns whether the endpoint has ended or raised its limit. */
+        public boolean isRelaxed() {
+            return before.isPresent()
+                    && after.orElse(Double.POSITIVE_INFINITY) > before.getAsDouble();
+        }
+    }
 
     /**
      * Records an observation; the response of an endpoint without a limit that states none has no
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -377,6 +377,17 @@
         mRestartSuspicion.noteUnchangedRegistration(registrationAsOfMs);
     }
 
+    /**
+     * Suspects a restart because the endpoint has ended or raised its limit, as a new process knows
+     * nothing of the limit of the one before.
+     *
+     * @param statedMs when the last response that stated the former limit arrived
+     * @param relaxedMs when the response arrived that showed the change
+     */
+    void noteLimitRelaxed(long statedMs, long relaxedMs) {
+        mRestartSuspicion.noteLimitRelaxed(statedMs, relaxedMs);
+    }
+
     /** Returns whether a connection should be opened to find out if the endpoint accepts it. */
     public boolean isConnectionProbeDue(long nowMs) {
         return mRestartSuspicion.isRefusing() && nowMs >= mBackoffUntilMs;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointTable.java
@@ -94,9 +94,13 @@
      */
     public Optional<EndpointLimits.Change> recordLimit(
             EndpointId endpoint, LimitObservation observation, long nowMs) {
+        Optional<LimitObservation> known = mLimits.find(endpoint);
         Optional<EndpointLimits.Change> change = mLimits.record(endpoint, observation);
         EndpointState state = mStates.get(endpoint);
         if (state != null) {
+            if (change.filter(EndpointLimits.Change::isRelaxed).isPresent()) {
+                state.noteLimitRelaxed(known.get().receivedMs(), observation.receivedMs());
+            }
             mLimits.find(endpoint).ifPresent(each -> state.setLimit(each, nowMs));
         }
         return change;
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RestartSuspicion.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RestartSuspicion.java
@@ -3,7 +3,11 @@
 import java.util.OptionalLong;
 
 /**
- * Decides whether an endpoint that has refused a connection may have restarted since.
+ * Decides whether an endpoint that has refused a connection, or has ended or raised the limit that
+ * it stated, may have restarted.
+ *
+ * <p>An endpoint with a low limit may restart unnoticed, as no instance has a connection to it. A
+ * new process states no limit or another one.
  *
  * <p>A restarted endpoint is cold, but its registration shows this only after the next read. Until
  * then it is treated as cold, unless there is evidence that the process is still the same one: it
@@ -46,7 +50,23 @@
         }
     }
 
-    /** Returns when the endpoint refused a connection; empty if nothing is suspected. */
+    /**
+     * Records that the endpoint has ended or raised its limit.
+     *
+     * @param statedMs when the former limit was last known; the process may have ended since then
+     * @param relaxedMs when the endpoint's response showed the change
+     */
+    void noteLimitRelaxed(long statedMs, long relaxedMs) {
+        if (!isRefusing()) {
+            mRefusedMs = statedMs;
+            mAcceptedMs = relaxedMs;
+        }
+    }
+
+    /**
+     * Returns from when on the process may have ended: when it refused a connection or last stated
+     * its former limit; empty if nothing is suspected.
+     */
     OptionalLong refusedMs() {
         return mRefusedMs == NEVER ? OptionalLong.empty() : OptionalLong.of(mRefusedMs);
     }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/ColdReturnTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/ColdReturnTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.filbertrudder.model.Endpoint;
@@ -13,6 +14,7 @@
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.limits.LimitObservation;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -270,6 +272,47 @@
         assertEquals(suspicion.isActive(WARMUP_MS, 1_100), suspected);
     }
 
+    /** Lists limits, those stated later, and whether a restart is suspected then. */
+    @DataProvider
+    public Object[][] limitChanges() {
+        return new Object[][] {
+            {2.0, OptionalDouble.empty(), true},
+            {2.0, OptionalDouble.of(5), true},
+            {2.0, OptionalDouble.of(2), false},
+            {2.0, OptionalDouble.of(0), false},
+        };
+    }
+
+    @Test(dataProvider = "limitChanges")
+    public void endpointThatRelaxesItsLimitMayHaveRestarted(
+            double before, OptionalDouble after, boolean suspected) {
+        Endpoint endpoint = Instance.endpoint();
+        EndpointTable table = new EndpointTable();
+        table.setEndpoints(List.of(endpoint), 0);
+        EndpointState state = table.findById(endpoint.id()).orElseThrow();
+        state.setWarmupMs(WARMUP_MS);
+        table.recordLimit(
+                endpoint.id(), new LimitObservation(OptionalDouble.of(before), 0, 10), 10);
+
+        table.recordLimit(endpoint.id(), new LimitObservation(after, 5_000, 5_010), 5_010);
+
+        assertEquals(state.isRestartSuspected(5_010), suspected);
+        state.noteUnchangedRegistration(5_010 + RestartSuspicion.REGISTRATION_MS - 1);
+        assertEquals(state.isRestartSuspected(6_000), suspected);
+        state.noteUnchangedRegistration(5_010 + RestartSuspicion.REGISTRATION_MS);
+        assertFalse(state.isRestartSuspected(6_000));
+    }
+
+    @Test
+    public void endOfALimitDoesNotShowThatTheEndpointAcceptsConnections() {
+        RestartSuspicion suspicion = new RestartSuspicion();
+        suspicion.noteRefused(1_000);
+
+        suspicion.noteLimitRelaxed(500, 900);
+
+        assertTrue(suspicion.isRefusing());
+    }
+
     @Test
     public void endpointThatRefusesConnectionsIsNotUsedUntilItAcceptsOne() {
         EndpointState state = new EndpointState(Instance.endpoint(), 0);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.scenarios.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -33,6 +34,11 @@
     /** How long the others tell a started instance of restarts, and some time to notice it. */
     private static final long RESTART_REPORTS_MS = 4_000;
 
+    /** The limit that a replica states before it goes away, in requests per second. */
+    private static final String LIMIT = "2";
+
+    private static final long IDLE_CONNECTIONS_EXPIRE_MS = 2_500;
+
     private PlatformFleet mFleet;
     private ReplicaStandIn mReplica;
     private PlatformClient mClient;
@@ -129,6 +135,31 @@
         assertFewRequestsAfterReturn(mFleet.callerClient("mtl-3"));
     }
 
+    /**
+     * Guards against full load from instances that had no connection to a replica with a limit, and
+     * that learn from the end of the limit only that they may send more.
+     */
+    @Test
+    public void replicaThatReturnsColdWithoutItsFormerLimitIsSentFewRequests() {
+        mReplica.setLimit(LIMIT);
+        PlatformFleet.await("mtl-1 knows the limit", () -> status(mClient) == 503);
+        PlatformFleet.await(
+                "mtl-2 knows the limit",
+                () -> mFleet.metrics("mtl-2").contains("filbertrudder_limited_endpoints 1"));
+        long sentMs = ArrivalLog.nowMs();
+        PlatformFleet.await(
+                "idle connections have expired",
+                () -> ArrivalLog.nowMs() - sentMs > IDLE_CONNECTIONS_EXPIRE_MS);
+        mReplica.refuseConnections();
+        mReplica.setLimit(null);
+
+        assertFewRequestsAfterReturn(mClient);
+        for (String gateway : List.of("mtl-1", "mtl-2")) {
+            assertFalse(
+                    mFleet.metrics(gateway).contains("filbertrudder_endpoint_connections_refused"));
+        }
+    }
+
     private void assertFewRequestsAfterReturn(PlatformClient client) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
