LOST: a stop that cuts requests is halted with its sockets open

Cause: the schedule's arithmetic. With a grace period of 4 s the drain could last until 3667 ms, but the process is halted at 3533 ms, which is also when the refusals after the cut (3333 ms) end. The halt then met open sockets and running threads, for which the JVM waits 300 ms, or longer on a busy machine. With 8 s, 34 ms were left.

StopSchedule now holds the time of the halt as well, and the drain's limit is 200 ms before it, 20 ms after the cut at least. The cut and the halt stay where they were.

Test: StopScheduleTest.leavesTimeToCloseBeforeTheProcessIsHalted fails before for 4, 5, 6 and 8 s, e.g. "StopSchedule[signalMs=1000, acceptUntilMs=3000, lastStartMs=3666, cutMs=4333, exitMs=4666, haltMs=4533] expected [true] but found [false]".

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/StopDeadline.java
@@ -5,18 +5,13 @@
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.entry.log.LogSetup;
+import org.filbertrudder.gateway.traffic.StopSchedule;
 
 /** Bounds the time of all steps of a planned stop, the last log lines included. */
 final class StopDeadline {
 
     private static final ComponentLogger LOG = ComponentLogger.of("stop");
 
-    /**
-     * How long the JVM waits before it exits for threads in native code, such as one that writes to
-     * an output which nobody reads, in milliseconds.
-     */
-    private static final long HALT_MS = 300;
-
     private StopDeadline() {}
 
     /**
@@ -29,7 +24,7 @@
     static void await(CompletableFuture<?> stopped, long graceMs) {
         CompletableFuture<Void> flushed =
                 stopped.handle(StopDeadline::logFailure).thenRunAsync(LogSetup::flush);
-        long timeoutMs = Math.max(0, graceMs * 23 / 24 - HALT_MS);
+        long timeoutMs = StopSchedule.of(0, graceMs).haltMs();
         flushed.completeOnTimeout(null, timeoutMs, TimeUnit.MILLISECONDS).join();
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StopSchedule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StopSchedule.java
@@ -9,18 +9,40 @@
  * @param lastStartMs until when a request may be sent to an endpoint or another instance
  * @param cutMs when the requests that are still open are ended
  * @param exitMs when the instance stops even if responses have not been sent completely
+ * @param haltMs when the process is halted even if its sockets are still open
  */
-record StopSchedule(long signalMs, long acceptUntilMs, long lastStartMs, long cutMs, long exitMs) {
+public record StopSchedule(
+        long signalMs, long acceptUntilMs, long lastStartMs, long cutMs, long exitMs, long haltMs) {
 
     private static final long MAX_ACCEPT_MS = 2_500;
 
-    static StopSchedule of(long signalMs, long graceMs) {
+    /**
+     * How long the JVM waits before it exits for threads in native code, such as one that writes to
+     * an output which nobody reads, in milliseconds.
+     */
+    private static final long JVM_EXIT_MS = 300;
+
+    /**
+     * How long the last refusals, the notice to the other instances and the end of the threads take
+     * after the drain, in milliseconds. The exit of the JVM takes longer while threads still run.
+     */
+    private static final long CLOSE_MS = 200;
+
+    /** The time between the cut and the exit even if the grace period is short, in ms. */
+    private static final long MIN_SEND_MS = 20;
+
+    /** Returns the times for a signal and the grace period after it, in milliseconds. */
+    public static StopSchedule of(long signalMs, long graceMs) {
+        long cutMs = graceMs * 5 / 6;
+        long haltMs = Math.max(0, graceMs * 23 / 24 - JVM_EXIT_MS);
+        long exitMs = Math.min(graceMs * 11 / 12, haltMs - CLOSE_MS);
         return new StopSchedule(
                 signalMs,
                 signalMs + Math.min(MAX_ACCEPT_MS, graceMs / 2),
                 signalMs + graceMs * 2 / 3,
-                signalMs + graceMs * 5 / 6,
-                signalMs + graceMs * 11 / 12);
+                signalMs + cutMs,
+                signalMs + Math.max(cutMs + MIN_SEND_MS, exitMs),
+                signalMs + haltMs);
     }
 
     /**
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StopScheduleTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StopScheduleTest.java
@@ -13,6 +13,15 @@
     private static final long SIGNAL_MS = 1_000;
     private static final long GRACE_MS = 6_000;
 
+    /** The longest time in which connections that wait are accepted at the end. */
+    private static final long LISTENING_MS = 50;
+
+    /** The shortest time in which their requests are refused. */
+    private static final long LAST_REFUSALS_MS = 20;
+
+    /** The time in which the other instances are told. */
+    private static final long LEAVING_MS = 100;
+
     /**
      * Lists times since the signal, repeatability, expected run times and the expected decision.
      */
@@ -57,6 +66,24 @@
         assertTrue(schedule.exitMs() < graceMs);
     }
 
+    /** Lists grace periods that leave time after the cut. */
+    @DataProvider
+    public Object[][] usualGracePeriods() {
+        return new Object[][] {{4_000L}, {5_000L}, {6_000L}, {8_000L}, {30_000L}};
+    }
+
+    /** Guards against a process that is halted while its sockets are open. */
+    @Test(dataProvider = "usualGracePeriods")
+    public void leavesTimeToCloseBeforeTheProcessIsHalted(long graceMs) {
+        StopSchedule schedule = StopSchedule.of(SIGNAL_MS, graceMs);
+
+        long haltMs = SIGNAL_MS + graceMs * 23 / 24 - 300;
+        assertEquals(schedule.haltMs(), haltMs);
+        assertTrue(
+                schedule.exitMs() + LISTENING_MS + LAST_REFUSALS_MS + LEAVING_MS <= haltMs,
+                schedule.toString());
+    }
+
     @Test
     public void longRunIsForgottenSlowly() {
         RunTimes times = new RunTimes();
