FAILBACK: a list from a copy of the store ends the suspicion of a restart

Callers lose the streams that a cold replica has begun when it crashes. A replica that refused connections and returned cold got 80 requests in one second (6 allowed) when the store had returned from a copy meanwhile.

Cause: the suspicion of a restart ends when a list that was read 500 ms after the replica accepts connections shows the same `born`. A store that returns from a copy shows the former registration until the replica writes it again, about two seconds later.

While the reregistration window is open, which already tells that such a list may be outdated, lists no longer count as evidence. The suspicion then lasts until the next list after the window, or for the warm-up time.

Test: ColdReplicaTest.restoredRegistrationDoesNotShowThatAReplicaIsWarm, before: "80 requests in one second expected [true] but found [false]"; after: passes (6 allowed).

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/EndpointFollower.java
@@ -55,7 +55,8 @@
 
     /**
      * Returns as of when the published endpoints are complete, as a reading of the steady clock in
-     * milliseconds; may be called from any thread.
+     * milliseconds; may be called from any thread. A list that is read while endpoints may register
+     * again, after an outage of the store, is not complete: its registrations may be outdated.
      */
     long publishedAsOfMs() {
         return mPublishedAsOfMs;
@@ -115,6 +116,13 @@
         }
     }
 
+    /** Records that the published endpoints are as of a time, unless the list may be outdated. */
+    private void notePublished(long asOfMs) {
+        if (!mWindow.isOpen(Clocks.steadyMs())) {
+            mPublishedAsOfMs = asOfMs;
+        }
+    }
+
     private void apply(EndpointListing listing, long readMs, String source) {
         if (mListing.era().isAfter(listing.era())) {
             return;
@@ -141,7 +149,7 @@
                     LogField.of("ageMs", ageMs(Clocks.steadyMs())));
             mOnChange.run();
         }
-        mPublishedAsOfMs = readMs;
+        notePublished(readMs);
         logMissing();
     }
 
@@ -180,7 +188,7 @@
             apply(new EndpointListing(era, reply.endpoints()), readMs, "peer");
         } else if (reply.endpointsDigest() == mRegistry.digest() && era.equals(mListing.era())) {
             noteComplete(readMs, "peer");
-            mPublishedAsOfMs = readMs;
+            notePublished(readMs);
         }
     }
 }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.filbertrudder.standins.platform.ArrivalLog;
+import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.filbertrudder.standins.platform.ReplicaStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -28,6 +29,9 @@
     /** The time from the start of a replica's process to its registration, in milliseconds. */
     private static final long REGISTRATION_DELAY_MS = 400;
 
+    /** The time until a replica registers again after the store has returned, in milliseconds. */
+    private static final long LATE_REGISTRATION_DELAY_MS = 1_900;
+
     /** What the platform allows for a service with two requests per second during the warm-up. */
     private static final int MAX_IN_ONE_SECOND = (int) (2 * 1.5 + 3);
 
@@ -160,14 +164,29 @@
         }
     }
 
+    /** Guards against full load because of a registration that a copy of the store brought back. */
+    @Test
+    public void restoredRegistrationDoesNotShowThatAReplicaIsWarm() {
+        KvStoreStandIn.Copy copy = mFleet.store().copy();
+        mFleet.writeConfiguration(true);
+        refuseConnections();
+        mFleet.store().restore(copy);
+
+        assertFewRequestsAfterReturn(mClient, LATE_REGISTRATION_DELAY_MS);
+    }
+
     private void assertFewRequestsAfterReturn(PlatformClient client) {
+        assertFewRequestsAfterReturn(client, REGISTRATION_DELAY_MS);
+    }
+
+    private void assertFewRequestsAfterReturn(PlatformClient client, long registrationDelayMs) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
         CompletableFuture<Void> registered =
                 CompletableFuture.runAsync(
                         () -> mReplica.register("ready", WARMUP_MS, System.currentTimeMillis()),
                         CompletableFuture.delayedExecutor(
-                                REGISTRATION_DELAY_MS, TimeUnit.MILLISECONDS));
+                                registrationDelayMs, TimeUnit.MILLISECONDS));
         ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         List<CompletableFuture<Void>> ended = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
