--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.scenarios.platform;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -11,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.filbertrudder.standins.platform.ArrivalLog;
+import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.filbertrudder.standins.platform.ReplicaStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -27,12 +29,20 @@
     /** The time from the start of a replica's process to its registration, in milliseconds. */
     private static final long REGISTRATION_DELAY_MS = 400;
 
+    /** The time until a replica registers again after the store has returned, in milliseconds. */
+    private static final long LATE_REGISTRATION_DELAY_MS = 1_900;
+
     /** What the platform allows for a service with two requests per second during the warm-up. */
     private static final int MAX_IN_ONE_SECOND = (int) (2 * 1.5 + 3);
 
     /** How long the others tell a started instance of restarts, and some time to notice it. */
     private static final long RESTART_REPORTS_MS = 4_000;
 
+    /** The limit that a replica states before it goes away, in requests per second. */
+    private static final String LIMIT = "2";
+
+    private static final long IDLE_CONNECTIONS_EXPIRE_MS = 2_500;
+
     private PlatformFleet mFleet;
     private ReplicaStandIn mReplica;
     private PlatformClient mClient;
@@ -129,14 +139,54 @@
         assertFewRequestsAfterReturn(mFleet.callerClient("mtl-3"));
     }
 
+    /**
+     * Guards against full load from instances that had no connection to a replica with a limit, and
+     * that learn from the end of the limit only that they may send more.
+     */
+    @Test
+    public void replicaThatReturnsColdWithoutItsFormerLimitIsSentFewRequests() {
+        mReplica.setLimit(LIMIT);
+        PlatformFleet.await("mtl-1 knows the limit", () -> status(mClient) == 503);
+        PlatformFleet.await(
+                "mtl-2 knows the limit",
+                () -> mFleet.metrics("mtl-2").contains("filbertrudder_limited_endpoints 1"));
+        long sentMs = ArrivalLog.nowMs();
+        PlatformFleet.await(
+                "idle connections have expired",
+                () -> ArrivalLog.nowMs() - sentMs > IDLE_CONNECTIONS_EXPIRE_MS);
+        mReplica.refuseConnections();
+        mReplica.setLimit(null);
+
+        assertFewRequestsAfterReturn(mClient);
+        for (String gateway : List.of("mtl-1", "mtl-2")) {
+            assertFalse(
+                    mFleet.metrics(gateway).contains("filbertrudder_endpoint_connections_refused"));
+        }
+    }
+
+    /** Guards against full load because of a registration that a copy of the store brought back. */
+    @Test
+    public void restoredRegistrationDoesNotShowThatAReplicaIsWarm() {
+        KvStoreStandIn.Copy copy = mFleet.store().copy();
+        mFleet.writeConfiguration(true);
+        refuseConnections();
+        mFleet.store().restore(copy);
+
+        assertFewRequestsAfterReturn(mClient, LATE_REGISTRATION_DELAY_MS);
+    }
+
     private void assertFewRequestsAfterReturn(PlatformClient client) {
+        assertFewRequestsAfterReturn(client, REGISTRATION_DELAY_MS);
+    }
+
+    private void assertFewRequestsAfterReturn(PlatformClient client, long registrationDelayMs) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
         CompletableFuture<Void> registered =
                 CompletableFuture.runAsync(
                         () -> mReplica.register("ready", WARMUP_MS, System.currentTimeMillis()),
                         CompletableFuture.delayedExecutor(
-                                REGISTRATION_DELAY_MS, TimeUnit.MILLISECONDS));
+                                registrationDelayMs, TimeUnit.MILLISECONDS));
         ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         List<CompletableFuture<Void>> ended = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
