Forward sessions: a stop waits 2 s for the refusal of a crossing request

Callers see nothing; the planned stop of an instance lasts up to 2 s longer, of the 8 s it has.

Cause: a request that crosses the end of a link got a refusal, which could not be sent as the output had ended, but was retained, and a stop waits for what a sender may still ask for. The sender had been told "not run" and asks no more. That the request did not run depended on the handler, which refuses while it stops.

Evidence: ForwardReceiverTest failed before: stopWaitsForARefusalOfARequestThatCrossedItsEnd "expected [true] but found [false]"; requestThatCrossedTheEndOfALinkIsTakenForUnknown "expected [0] but found [1]" runs after "not run" had been said.

A request that arrives after the end is not passed to the handler. If the end itself is lost with its link, the next resume tells the sender that the request was never started.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -110,9 +110,13 @@
 
     /**
      * Returns the response of a request whose message has invalid fields; null if the stream was
-     * already started.
+     * already started, or its sender was told that it would not run.
      */
     public ForwardedResponse start(ForwardLink from, long stream) {
+        if (mEndedLinks.contains(from)) {
+            log("A forwarded request that crossed the end is not run.", Map.of("stream", stream));
+            return null;
+        }
         ReceiverSession session = mSessionsByLink.get(from);
         if (session == null && from.peerLife() == 0) {
             session = new ReceiverSession(this, false);
@@ -235,7 +239,7 @@
         return mEnded;
     }
 
-    /** Requests that arrive from now on cannot be refused, so their sender is told in advance. */
+    /** Requests that arrive from now on are not run, as their sender is told in advance. */
     private static void endLink(ForwardLink link) {
         link.send(new PeerMessage.ForwardsEnd());
         link.endOutput();
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
@@ -2,10 +2,12 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.filbertrudder.model.message.PeerMessage;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -19,6 +21,7 @@
     private final List<ForwardedResponse> mRuns = new ArrayList<>();
     private final List<Long> mCancelled = new ArrayList<>();
     private long mNowMs;
+    private boolean mRefuses;
     private ForwardReceiver mReceiver;
     private RecordingLink mLink;
 
@@ -27,6 +30,7 @@
         mRuns.clear();
         mCancelled.clear();
         mNowMs = 1_000;
+        mRefuses = false;
         mReceiver =
                 new ForwardReceiver(this::run, new HeldBytes(1_000_000), () -> mNowMs, event -> {});
         mLink = new RecordingLink("sender", 1);
@@ -36,6 +40,10 @@
     private void run(PeerMessage.ForwardStart start, ForwardedResponse response) {
         mRuns.add(response);
         response.onCancel(() -> mCancelled.add(start.stream()));
+        if (mRefuses) {
+            response.sendHead(503, Map.of());
+            response.end(true);
+        }
     }
 
     private static PeerMessage.ForwardStart start(long stream) {
@@ -75,4 +83,32 @@
         assertEquals(mCancelled, List.of());
         assertFalse(mLink.mClosed);
     }
+
+    /** The sender has been told that what it sends from now on does not run. */
+    @Test
+    public void stopWaitsForARefusalOfARequestThatCrossedItsEnd() {
+        mRefuses = true;
+        CompletableFuture<Void> ended = mReceiver.endLinks();
+        mReceiver.handle(mLink, start(1));
+
+        mLink.close();
+
+        assertTrue(ended.isDone());
+    }
+
+    /** Guards against "unknown" for a request that crossed the end of a link that fell silent. */
+    @Test
+    public void requestThatCrossedTheEndOfALinkIsTakenForUnknown() {
+        mReceiver.endLinks();
+        mReceiver.handle(mLink, start(1));
+
+        RecordingLink next = new RecordingLink("sender", 1);
+        mReceiver.handle(
+                next,
+                new PeerMessage.ForwardResume(
+                        2, true, List.of(new PeerMessage.OpenForward(1, 0, 0))));
+
+        assertEquals(mRuns.size(), 0);
+        assertEquals(next.mSent, List.of(new PeerMessage.ForwardUnknown(1, false)));
+    }
 }
