Forward sessions: a start whose number goes back is never answered

Callers of an instance that numbers its streams wrongly would wait until their deadline, as such a start was ignored without an answer; so would all that follow a resume which names a stream far ahead.

The receiver answers that it may have run, or that it was never started if it has said so before. A start that comes twice while its response is open is ignored as before, as the response is on its way.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
@@ -87,6 +87,9 @@
     ForwardedResponse start(long stream) {
         if (stream <= mHighestStream) {
             log("A forwarded request that came twice is ignored.", Map.of("stream", stream));
+            if (mResumable && !mResponses.containsKey(stream)) {
+                send(new PeerMessage.ForwardUnknown(stream, !mNeverStarted.contains(stream)));
+            }
             return null;
         }
         mHighestStream = stream;
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
@@ -159,6 +159,19 @@
         assertEquals(other.mCloseActions.size(), 0);
     }
 
+    /** A sender waits for the response to what it started, whatever the number. */
+    @Test
+    public void startWithANumberThatGoesBackIsNotAnswered() {
+        startAndAnswer(5);
+        mRuns.get(5L).end(true);
+        mReceiver.handle(mLink, new PeerMessage.ForwardCredit(5, PART_BYTES + 1));
+
+        mReceiver.handle(mLink, start(5));
+
+        assertUnknown(mLink, 5, true);
+        assertEquals(mRuns.size(), 1);
+    }
+
     @Test
     public void runningRequestIsEndedByAStartThatComesTwice() {
         startAndAnswer(5);
@@ -169,6 +182,21 @@
         assertEquals(mCancelled, List.of());
     }
 
+    /** Guards against a sender that was told "not run" and whose request runs then. */
+    @Test
+    public void requestRunsAfterItWasSaidNeverToHaveStarted() {
+        mLink = new RecordingLink("sender", 1);
+        mReceiver.handle(mLink, resume(2, open(9, 0, 0)));
+        mReceiver.handle(mLink, start(9));
+
+        assertEquals(mRuns.size(), 0);
+        assertEquals(
+                mLink.sent(PeerMessage.ForwardUnknown.class),
+                List.of(
+                        new PeerMessage.ForwardUnknown(9, false),
+                        new PeerMessage.ForwardUnknown(9, false)));
+    }
+
     /** A sender that has forgotten its idle session uses the same link again. */
     @Test
     public void sessionWithoutStreamsDoesNotBeginAgainOnTheSameLink() {
