Forward sessions: one resume may send a response many times

A peer with a fault could let an instance buffer any amount, as each resume on a link, and each mention of a stream in it, sent the retained parts of its response again; and leave a request without a watch by greeting again as another process.

Evidence: BadForwardMessagesTest failed before: responseIsSentAgainOnTheSameLink "expected [1] but found [99]" parts sent, streamThatIsNamedTwiceIsSentTwice "expected [true] but found [false]", secondGreetingLeavesRequestsBehind "lists don't have the same size expected [1] but found [0]" cancelled, with its bytes retained for ever.

Such a link is closed and ignored, with a log line. A resume without streams on the link in use stays allowed: a sender that has forgotten its idle session begins with it.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -43,7 +42,7 @@
     private final Consumer<ForwardEvent> mLog;
     private final Map<SenderProcess, ReceiverSession> mSessions = new HashMap<>();
     private final Map<ForwardLink, ReceiverSession> mSessionsByLink = new HashMap<>();
-    private final Set<ForwardLink> mReplaced = new HashSet<>();
+    private final Set<ForwardLink> mIgnored = new HashSet<>();
     private final Set<ForwardLink> mEndedLinks = new HashSet<>();
     private CompletableFuture<Void> mEnded;
     private long mNextKeepAliveMs;
@@ -79,7 +78,7 @@
 
     /** Handles a message of another instance. */
     public void handle(ForwardLink from, PeerMessage message) {
-        if (mReplaced.contains(from)) {
+        if (mIgnored.contains(from)) {
             return;
         }
         ReceiverSession session = mSessionsByLink.get(from);
@@ -130,13 +129,20 @@
     }
 
     private void resume(ForwardLink from, PeerMessage.ForwardResume resume) {
-        if (from.peerLife() == 0 || resume.streams().stream().anyMatch(Objects::isNull)) {
+        if (from.peerLife() == 0 || !areValid(resume.streams())) {
             log("A sender that states no positions is disconnected.", Map.of());
             from.close();
             return;
         }
         SenderProcess sender = new SenderProcess(from.peerMember().id(), from.peerLife());
         ReceiverSession known = mSessions.get(sender);
+        ReceiverSession present = mSessionsByLink.get(from);
+        if (present != null && (present != known || !resume.streams().isEmpty())) {
+            log("A sender that resumes twice is disconnected.", Map.of("member", sender.id()));
+            mIgnored.add(from);
+            from.close();
+            return;
+        }
         if (known != null && resume.generation() <= known.generation()) {
             log("An earlier connection of a sender is closed.", Map.of("member", sender.id()));
             from.close();
@@ -147,16 +153,29 @@
         }
         ReceiverSession session =
                 mSessions.computeIfAbsent(sender, each -> new ReceiverSession(this, true));
-        ForwardLink earlier = session.link();
-        if (earlier != null && earlier != from) {
-            mReplaced.add(earlier);
-            mSessionsByLink.remove(earlier);
-            earlier.close();
+        if (session.link() != from) {
+            replaceLink(session);
         }
         link(from, session, resume.generation());
         session.resume(resume.streams(), known == null && resume.known());
     }
 
+    private static boolean areValid(List<PeerMessage.OpenForward> streams) {
+        Set<Long> numbers = new HashSet<>();
+        return streams.stream()
+                .allMatch(forward -> forward != null && numbers.add(forward.stream()));
+    }
+
+    /** Closes the link of a session, from which nothing more is accepted. */
+    private void replaceLink(ReceiverSession session) {
+        ForwardLink link = session.link();
+        if (link != null) {
+            mIgnored.add(link);
+            mSessionsByLink.remove(link);
+            link.close();
+        }
+    }
+
     private void link(ForwardLink link, ReceiverSession session, long generation) {
         session.linkTo(link, generation, mClockMs.getAsLong());
         if (mSessionsByLink.put(link, session) == null) {
@@ -165,7 +184,7 @@
     }
 
     private void closed(ForwardLink link) {
-        mReplaced.remove(link);
+        mIgnored.remove(link);
         mEndedLinks.remove(link);
         ReceiverSession session = mSessionsByLink.remove(link);
         if (session != null) {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
@@ -197,6 +197,30 @@
                         new PeerMessage.ForwardUnknown(9, false)));
     }
 
+    /** Guards against small messages that let a response be sent, and buffered, many times. */
+    @Test
+    public void streamThatIsNamedTwiceIsSentTwice() {
+        startAndAnswer(1);
+        mLink.close();
+        mLink = new RecordingLink("sender", 1);
+
+        mReceiver.handle(mLink, resume(2, open(1, 0, 0), open(1, 0, 0)));
+
+        assertTrue(mLink.mClosed);
+        assertEquals(mLink.sent(PeerMessage.ForwardData.class).size(), 0);
+    }
+
+    @Test
+    public void responseIsSentAgainOnTheSameLink() {
+        startAndAnswer(1);
+        for (int generation = 2; generation < 100; generation++) {
+            mReceiver.handle(mLink, resume(generation, open(1, 0, 0)));
+        }
+
+        assertEquals(mLink.sent(PeerMessage.ForwardData.class).size(), 1);
+        assertTrue(mLink.mClosed);
+    }
+
     /** A sender that has forgotten its idle session uses the same link again. */
     @Test
     public void sessionWithoutStreamsDoesNotBeginAgainOnTheSameLink() {
@@ -218,6 +242,21 @@
         assertEquals(mCancelled, List.of());
     }
 
+    /** Guards against requests that nobody watches, as their link was taken for another process. */
+    @Test
+    public void secondGreetingLeavesRequestsBehind() {
+        startAndAnswer(1);
+        mLink.mPeerMember = SimulatedForwards.member("other");
+        mLink.mPeerLife = 2;
+        mReceiver.handle(mLink, resume(2));
+        mLink.close();
+
+        tickFor(AFTER_ORPHANS_MS);
+
+        assertEquals(mCancelled, List.of(1L));
+        assertEquals(mRetained.heldBytes(), 0);
+    }
+
     @Test
     public void positionsOfAnOlderReleaseAreAccepted() {
         RecordingLink older = new RecordingLink("older", 0);
