Forward sessions: a request of an earlier process runs and is not watched

Callers would see nothing; a request runs for a process that has ended, and what it retains is never released.

Cause: the first resume of a new process forgot the sessions of the earlier ones, but not their links. What had not been read from such a link, as after a hold-up of the receiver, still started requests, in a session that no tick watches any more.

Evidence: BadForwardMessagesTest.requestOfAnEarlierProcessRuns failed before: "expected [0] but found [1]" runs.

The links of earlier processes are closed and ignored.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -200,6 +200,7 @@
                 .forEach(
                         entry -> {
                             mSessions.remove(entry.getKey());
+                            replaceLink(entry.getValue());
                             entry.getValue().cancelAll();
                         });
     }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
@@ -257,6 +257,19 @@
         assertEquals(mRetained.heldBytes(), 0);
     }
 
+    /** Guards against requests that run for an earlier process, whose last messages come late. */
+    @Test
+    public void requestOfAnEarlierProcessRuns() {
+        RecordingLink next = new RecordingLink("sender", 2);
+        mReceiver.handle(next, resume(1));
+
+        mReceiver.handle(mLink, start(1));
+
+        assertEquals(mRuns.size(), 0);
+        assertTrue(mLink.mClosed);
+        assertFalse(next.mClosed);
+    }
+
     @Test
     public void positionsOfAnOlderReleaseAreAccepted() {
         RecordingLink older = new RecordingLink("older", 0);
