Forward sessions: a request on the next link ends with the one before

Callers could see: a safe request given up, and sent to another instance, though it had just been sent on a link that works; it runs on for nobody.

Evidence: ForwardSenderTest.requestOnTheNextLinkIsGivenUpWithTheOneBefore failed before: "lists don't have the same size expected [0] but found [1]" failures of the retried request.

Both lists are made before the first listener is called.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -123,8 +123,10 @@
         mOpening = false;
         if (link == null) {
             mNextOpenMs = mClockMs.getAsLong() + REOPEN_INTERVAL_MS;
+            List<ForwardCall> lost = sentRepeatable();
+            exclude(lost);
             failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-            failRepeatable("no connection");
+            failLogged("no connection", lost);
             return;
         }
         mLink = link;
@@ -240,7 +242,7 @@
         if (mLink == null) {
             mStale &= nowMs - mUnlinkedMs < ForwardReceiver.ORPHAN_MS;
             if (nowMs - mUnlinkedMs > REPEATABLE_PATIENCE_MS) {
-                failRepeatable("no connection");
+                failLogged("no connection", sentRepeatable());
             }
             reopenIfNeeded(nowMs);
         } else if (!mReady) {
@@ -305,10 +307,6 @@
         }
     }
 
-    private void failRepeatable(String reason) {
-        failLogged(reason, calls(call -> call.isSent() && call.isRepeatable()));
-    }
-
     private void failLogged(String reason, List<ForwardCall> calls) {
         if (!calls.isEmpty()) {
             mSender.log(
@@ -344,6 +342,10 @@
         calls.forEach(call -> mCalls.remove(call.stream()));
     }
 
+    private List<ForwardCall> sentRepeatable() {
+        return calls(call -> call.isSent() && call.isRepeatable());
+    }
+
     private List<ForwardCall> calls(Predicate<ForwardCall> condition) {
         return mCalls.values().stream().filter(condition).toList();
     }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -20,6 +20,9 @@
     private static final long LIFE = 7;
     private static final long TICK_MS = 100;
 
+    /** How long a link lives that is opened again at once when it closes. */
+    private static final long LINKED_MS = 300;
+
     private final List<Consumer<? super ForwardLink>> mOpening = new ArrayList<>();
     private final List<ForwardEvent> mLog = new ArrayList<>();
     private RecordingLink mOpenLink;
@@ -129,6 +132,7 @@
         start(failing);
         start(other);
         open(first);
+        tickFor(LINKED_MS);
         first.close();
 
         mOpenLink = greetedLink();
@@ -140,6 +144,25 @@
         assertEquals(resumes.get(0).streams(), List.of(), "no stream is open");
     }
 
+    @Test
+    public void requestOnTheNextLinkIsGivenUpWithTheOneBefore() {
+        RecordingLink first = greetedLink();
+        Outcome retried = new Outcome();
+        Outcome waiting = new Outcome();
+        waiting.mOnFailed = () -> start(retried);
+        mRepeatable = true;
+        start(new Outcome());
+        open(first);
+        first.close();
+        start(waiting);
+
+        mOpenLink = greetedLink();
+        open(null);
+
+        assertEquals(waiting.mFailures, List.of(ForwardListener.Failure.NOT_RUN));
+        assertEquals(retried.mFailures, List.of());
+    }
+
     /** Guards against close actions that accumulate on links that live long. */
     @Test
     public void sessionsThatAreForgottenStayWithTheirLink() {
@@ -160,6 +183,7 @@
         RecordingLink first = greetedLink();
         start(new Outcome());
         open(first);
+        tickFor(LINKED_MS);
         first.close();
         RecordingLink second = new RecordingLink("receiver", LIFE + 1);
         open(second);
@@ -178,6 +202,7 @@
         Outcome outcome = new Outcome();
         start(outcome);
         open(first);
+        tickFor(LINKED_MS);
         first.close();
         open(linkWithoutGreeting());
 
