--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
@@ -159,6 +159,19 @@
         assertEquals(other.mCloseActions.size(), 0);
     }
 
+    /** A sender waits for the response to what it started, whatever the number. */
+    @Test
+    public void startWithANumberThatGoesBackIsNotAnswered() {
+        startAndAnswer(5);
+        mRuns.get(5L).end(true);
+        mReceiver.handle(mLink, new PeerMessage.ForwardCredit(5, PART_BYTES + 1));
+
+        mReceiver.handle(mLink, start(5));
+
+        assertUnknown(mLink, 5, true);
+        assertEquals(mRuns.size(), 1);
+    }
+
     @Test
     public void runningRequestIsEndedByAStartThatComesTwice() {
         startAndAnswer(5);
@@ -169,6 +182,45 @@
         assertEquals(mCancelled, List.of());
     }
 
+    /** Guards against a sender that was told "not run" and whose request runs then. */
+    @Test
+    public void requestRunsAfterItWasSaidNeverToHaveStarted() {
+        mLink = new RecordingLink("sender", 1);
+        mReceiver.handle(mLink, resume(2, open(9, 0, 0)));
+        mReceiver.handle(mLink, start(9));
+
+        assertEquals(mRuns.size(), 0);
+        assertEquals(
+                mLink.sent(PeerMessage.ForwardUnknown.class),
+                List.of(
+                        new PeerMessage.ForwardUnknown(9, false),
+                        new PeerMessage.ForwardUnknown(9, false)));
+    }
+
+    /** Guards against small messages that let a response be sent, and buffered, many times. */
+    @Test
+    public void streamThatIsNamedTwiceIsSentTwice() {
+        startAndAnswer(1);
+        mLink.close();
+        mLink = new RecordingLink("sender", 1);
+
+        mReceiver.handle(mLink, resume(2, open(1, 0, 0), open(1, 0, 0)));
+
+        assertTrue(mLink.mClosed);
+        assertEquals(mLink.sent(PeerMessage.ForwardData.class).size(), 0);
+    }
+
+    @Test
+    public void responseIsSentAgainOnTheSameLink() {
+        startAndAnswer(1);
+        for (int generation = 2; generation < 100; generation++) {
+            mReceiver.handle(mLink, resume(generation, open(1, 0, 0)));
+        }
+
+        assertEquals(mLink.sent(PeerMessage.ForwardData.class).size(), 1);
+        assertTrue(mLink.mClosed);
+    }
+
     /** A sender that has forgotten its idle session uses the same link again. */
     @Test
     public void sessionWithoutStreamsDoesNotBeginAgainOnTheSameLink() {
@@ -190,6 +242,34 @@
         assertEquals(mCancelled, List.of());
     }
 
+    /** Guards against requests that nobody watches, as their link was taken for another process. */
+    @Test
+    public void secondGreetingLeavesRequestsBehind() {
+        startAndAnswer(1);
+        mLink.mPeerMember = SimulatedForwards.member("other");
+        mLink.mPeerLife = 2;
+        mReceiver.handle(mLink, resume(2));
+        mLink.close();
+
+        tickFor(AFTER_ORPHANS_MS);
+
+        assertEquals(mCancelled, List.of(1L));
+        assertEquals(mRetained.heldBytes(), 0);
+    }
+
+    /** Guards against requests that run for an earlier process, whose last messages come late. */
+    @Test
+    public void requestOfAnEarlierProcessRuns() {
+        RecordingLink next = new RecordingLink("sender", 2);
+        mReceiver.handle(next, resume(1));
+
+        mReceiver.handle(mLink, start(1));
+
+        assertEquals(mRuns.size(), 0);
+        assertTrue(mLink.mClosed);
+        assertFalse(next.mClosed);
+    }
+
     @Test
     public void positionsOfAnOlderReleaseAreAccepted() {
         RecordingLink older = new RecordingLink("older", 0);
