Forward sessions: links that are closed at once are opened without a pause

An instance whose links are accepted and closed at once (a handler that fails on the resume, a proxy, a peer that refuses a generation) would open and log as many as the round trip allows.

Evidence: ForwardSenderTest.linksThatCloseAtOnceAreOpenedWithoutAPause failed before: "links opened in 10 s: 1001 expected [true] but found [false]".

A link is opened 200 ms after the one before was opened, at the earliest; a link that has lived longer is replaced at once, as before. ForwardScheduleTest passes unchanged.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -36,7 +36,7 @@
     /** The same for a link that delivers nothing though requests are open. */
     private static final long QUIET_KEEP_ALIVE_INTERVAL_MS = 250;
 
-    /** The time between two tries to open a link, in milliseconds. */
+    /** The least time between two tries to open a link, in milliseconds. */
     private static final long REOPEN_INTERVAL_MS = 200;
 
     /** How long a request waits for a link if it may run at another instance, in milliseconds. */
@@ -185,7 +185,7 @@
         if (wasReady) {
             mUnlinkedMs = nowMs;
         }
-        mNextOpenMs = wasReady ? nowMs : nowMs + REOPEN_INTERVAL_MS;
+        mNextOpenMs = (wasReady ? mLinkedMs : nowMs) + REOPEN_INTERVAL_MS;
         List<ForwardCall> lost = mLife == 0 ? calls(ForwardCall::isSent) : List.of();
         exclude(lost);
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -228,6 +228,24 @@
         assertTrue(link.mClosed);
     }
 
+    /** Guards against an instance that opens links without a pause. */
+    @Test
+    public void linksThatCloseAtOnceAreOpenedWithoutAPause() {
+        start(new Outcome());
+        for (int i = 0; i < 1_000; i++) {
+            if (!mOpening.isEmpty()) {
+                RecordingLink link = greetedLink();
+                open(link);
+                link.close();
+            }
+            if (i % 10 == 0) {
+                tickFor(TICK_MS);
+            }
+        }
+
+        assertTrue(mOpened <= 100, "links opened in 10 s: " + mOpened);
+    }
+
     /** Records how a forward has failed. */
     private static final class Outcome implements ForwardListener {
 
