Forward sessions: a cancellation is lost with a link that is reset

Callers see nothing; a cancelled request runs on for 5 s where it should end at once, and the last acknowledgement of a response that is lost in the same way keeps it retained for 60 s.

Cause: only a link that was found silent made the sender announce again what has ended. A reset loses what is on its way just the same.

Evidence: ForwardSenderTest.cancellationIsLostWithAReset failed before: "links opened expected [2] but found [1]".

The end of a request counts as unconfirmed until a keep-alive sent after it is answered; a link that closes meanwhile is followed by another one, whose resume tells what is still open. After the announced end of a stop there is nothing to tell.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -59,6 +59,9 @@
     /** Whether the receiver may work on requests that have ended here. */
     private boolean mStale;
 
+    /** Whether what the receiver was last told about ended requests may not have arrived. */
+    private boolean mEndUnconfirmed;
+
     private long mLife;
     private long mLinkedMs;
     private long mUnlinkedMs;
@@ -98,6 +101,7 @@
     void remove(ForwardCall call) {
         mCalls.remove(call.stream());
         mIdleSinceMs = mClockMs.getAsLong();
+        mEndUnconfirmed |= call.isSent() && mLife != 0;
     }
 
     /** Returns whether the message was passed to a link. */
@@ -150,6 +154,7 @@
         mLife = mLink.peerLife();
         mReady = true;
         mStale = false;
+        mEndUnconfirmed = false;
         mLastKeepAliveMs = NEVER_MS;
         if (mLife != 0) {
             List<PeerMessage.OpenForward> open =
@@ -177,6 +182,7 @@
     /** Handles the close of the link. */
     void closed() {
         boolean wasReady = mReady;
+        mStale |= wasReady && mEndUnconfirmed && !mForwardsEnded;
         long nowMs = mClockMs.getAsLong();
         mLink = null;
         mReady = false;
@@ -198,7 +204,8 @@
         mLastReceivedMs = mClockMs.getAsLong();
         mKnown = mLife != 0;
         if (message instanceof PeerMessage.ForwardKeepAlive) {
-            mKeepAlivesMs.poll();
+            Long askedMs = mKeepAlivesMs.poll();
+            mEndUnconfirmed &= askedMs == null || askedMs <= mIdleSinceMs;
         } else if (message instanceof PeerMessage.ForwardsEnd) {
             mForwardsEnded = true;
             failAll(call -> !call.isAnswered(), ForwardListener.Failure.NOT_RUN);
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -246,6 +246,35 @@
         assertTrue(mOpened <= 100, "links opened in 10 s: " + mOpened);
     }
 
+    /** Guards against requests that run on for nobody, as a reset took their cancellation. */
+    @Test
+    public void cancellationIsLostWithAReset() {
+        RecordingLink link = greetedLink();
+        ForwardCall call = start(new Outcome());
+        open(link);
+        tickFor(300);
+        call.cancel();
+        link.close();
+        tickFor(300);
+
+        assertEquals(mOpened, 2, "links opened");
+    }
+
+    @Test
+    public void idleLinkIsOpenedAgainThoughNothingMustBeAnnounced() {
+        RecordingLink link = greetedLink();
+        ForwardCall call = start(new Outcome());
+        open(link);
+        mOpenLink = link;
+        call.cancel();
+        tickFor(3_000);
+        mOpenLink = null;
+        link.close();
+        tickFor(300);
+
+        assertEquals(mOpened, 1, "links opened");
+    }
+
     /** Records how a forward has failed. */
     private static final class Outcome implements ForwardListener {
 
