Forward sessions: a young link that closes is replaced at the next tick only

Callers would see: a request that waits for a tick after its link closed, if that link had lived for less than 200 ms.

The pause is measured from the last replacement at once instead: the first close is followed by a new link at once, a second one within 200 ms is not.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -68,6 +68,7 @@
     private long mLastReceivedMs;
     private long mLastKeepAliveMs;
     private long mNextOpenMs;
+    private long mReopenedMs = NEVER_MS;
     private long mIdleSinceMs;
 
     SenderSession(ForwardSender sender, PeerAddress address, LongSupplier clockMs) {
@@ -191,7 +192,9 @@
         if (wasReady) {
             mUnlinkedMs = nowMs;
         }
-        mNextOpenMs = (wasReady ? mLinkedMs : nowMs) + REOPEN_INTERVAL_MS;
+        boolean atOnce = wasReady && nowMs - mReopenedMs >= REOPEN_INTERVAL_MS;
+        mReopenedMs = atOnce ? nowMs : mReopenedMs;
+        mNextOpenMs = atOnce ? nowMs : nowMs + REOPEN_INTERVAL_MS;
         List<ForwardCall> lost = mLife == 0 ? calls(ForwardCall::isSent) : List.of();
         exclude(lost);
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
