--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -36,7 +36,7 @@
     /** The same for a link that delivers nothing though requests are open. */
     private static final long QUIET_KEEP_ALIVE_INTERVAL_MS = 250;
 
-    /** The time between two tries to open a link, in milliseconds. */
+    /** The least time between two tries to open a link, in milliseconds. */
     private static final long REOPEN_INTERVAL_MS = 200;
 
     /** How long a request waits for a link if it may run at another instance, in milliseconds. */
@@ -59,12 +59,16 @@
     /** Whether the receiver may work on requests that have ended here. */
     private boolean mStale;
 
+    /** Whether what the receiver was last told about ended requests may not have arrived. */
+    private boolean mEndUnconfirmed;
+
     private long mLife;
     private long mLinkedMs;
     private long mUnlinkedMs;
     private long mLastReceivedMs;
     private long mLastKeepAliveMs;
     private long mNextOpenMs;
+    private long mReopenedMs = NEVER_MS;
     private long mIdleSinceMs;
 
     SenderSession(ForwardSender sender, PeerAddress address, LongSupplier clockMs) {
@@ -98,6 +102,7 @@
     void remove(ForwardCall call) {
         mCalls.remove(call.stream());
         mIdleSinceMs = mClockMs.getAsLong();
+        mEndUnconfirmed |= call.isSent() && mLife != 0;
     }
 
     /** Returns whether the message was passed to a link. */
@@ -150,6 +155,7 @@
         mLife = mLink.peerLife();
         mReady = true;
         mStale = false;
+        mEndUnconfirmed = false;
         mLastKeepAliveMs = NEVER_MS;
         if (mLife != 0) {
             List<PeerMessage.OpenForward> open =
@@ -177,6 +183,7 @@
     /** Handles the close of the link. */
     void closed() {
         boolean wasReady = mReady;
+        mStale |= wasReady && mEndUnconfirmed && !mForwardsEnded;
         long nowMs = mClockMs.getAsLong();
         mLink = null;
         mReady = false;
@@ -185,7 +192,9 @@
         if (wasReady) {
             mUnlinkedMs = nowMs;
         }
-        mNextOpenMs = wasReady ? nowMs : nowMs + REOPEN_INTERVAL_MS;
+        boolean atOnce = wasReady && nowMs - mReopenedMs >= REOPEN_INTERVAL_MS;
+        mReopenedMs = atOnce ? nowMs : mReopenedMs;
+        mNextOpenMs = atOnce ? nowMs : nowMs + REOPEN_INTERVAL_MS;
         List<ForwardCall> lost = mLife == 0 ? calls(ForwardCall::isSent) : List.of();
         exclude(lost);
         failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
@@ -198,7 +207,8 @@
         mLastReceivedMs = mClockMs.getAsLong();
         mKnown = mLife != 0;
         if (message instanceof PeerMessage.ForwardKeepAlive) {
-            mKeepAlivesMs.poll();
+            Long askedMs = mKeepAlivesMs.poll();
+            mEndUnconfirmed &= askedMs == null || askedMs <= mIdleSinceMs;
         } else if (message instanceof PeerMessage.ForwardsEnd) {
             mForwardsEnded = true;
             failAll(call -> !call.isAnswered(), ForwardListener.Failure.NOT_RUN);
