Forward sessions: a death that is reported before the link closes is missed

Callers could see: an unsafe request that waits until its deadline though its instance has been found dead.

Cause: the report of a death ended sent requests only if there was no link at that moment, and was forgotten otherwise. A killed instance whose link is still open when the members declare it dead, and that is then no longer known, was never reported again.

Evidence: ForwardSenderTest.deathIsMissedThatIsReportedBeforeTheLinkCloses failed before: "lists don't have the same size expected [1] but found [0]".

The session keeps the death until a hello message shows a process that answers, and gives the requests up once there has been no link for 1 s.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
@@ -132,10 +132,7 @@
         Map<InstanceId, MemberState> states = new HashMap<>();
         members.forEach(member -> states.put(member.id(), member.state()));
         for (SenderSession session : List.copyOf(mSessions.values())) {
-            MemberState state = states.get(session.member());
-            if (state == MemberState.SUSPECT || state == MemberState.DEAD) {
-                session.memberUnresponsive(state == MemberState.DEAD);
-            }
+            session.memberChanged(states.get(session.member()));
         }
     }
 
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
 
@@ -50,6 +51,7 @@
     private final Map<Long, ForwardCall> mCalls = new LinkedHashMap<>();
     private final Deque<Long> mKeepAlivesMs = new ArrayDeque<>();
     private InstanceId mMember;
+    private boolean mMemberDead;
     private ForwardLink mLink;
     private boolean mOpening;
     private boolean mReady;
@@ -154,6 +156,7 @@
         mKnown &= sameProcess;
         mLife = mLink.peerLife();
         mReady = true;
+        mMemberDead = false;
         mStale = false;
         mEndUnconfirmed = false;
         mLastKeepAliveMs = NEVER_MS;
@@ -238,10 +241,17 @@
         }
     }
 
-    /** Ends what waits for a member that is suspected or dead. */
-    void memberUnresponsive(boolean dead) {
-        failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-        if (dead && !mReady) {
+    /**
+     * Ends what waits for a member that is suspected or dead.
+     *
+     * @param state null if the member is no longer known
+     */
+    void memberChanged(MemberState state) {
+        mMemberDead = state == MemberState.DEAD || state == null && mMemberDead;
+        if (state == MemberState.SUSPECT || state == MemberState.DEAD) {
+            failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
+        }
+        if (state == MemberState.DEAD && !mReady) {
             failLogged("member DEAD", calls(ForwardCall::isSent));
         }
     }
@@ -249,6 +259,9 @@
     /** Watches the link, or opens another one. */
     void tick(long nowMs, long heldUpMs) {
         excludeHoldUp(nowMs, heldUpMs);
+        if (mMemberDead && !mReady && nowMs - mUnlinkedMs > GREETING_TIMEOUT_MS) {
+            failLogged("member DEAD", calls(ForwardCall::isSent));
+        }
         if (mLink == null) {
             mStale &= nowMs - mUnlinkedMs < ForwardReceiver.ORPHAN_MS;
             if (nowMs - mUnlinkedMs > REPEATABLE_PATIENCE_MS) {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -23,6 +23,8 @@
     /** How long a link lives that is opened again at once when it closes. */
     private static final long LINKED_MS = 300;
 
+    private static final long DEATH_NOTICED_MS = 1_500;
+
     private final List<Consumer<? super ForwardLink>> mOpening = new ArrayList<>();
     private final List<ForwardEvent> mLog = new ArrayList<>();
     private RecordingLink mOpenLink;
@@ -211,6 +213,23 @@
         assertEquals(outcome.mFailures, List.of(ForwardListener.Failure.INTERRUPTED));
     }
 
+    /** Guards against requests that wait for their deadline though their instance is dead. */
+    @Test
+    public void deathIsMissedThatIsReportedBeforeTheLinkCloses() {
+        RecordingLink first = greetedLink();
+        Outcome outcome = new Outcome();
+        start(outcome);
+        open(first);
+        tickFor(LINKED_MS);
+        mSender.membersChanged(List.of(RECEIVER.withState(MemberState.DEAD)));
+        assertEquals(outcome.mFailures, List.of(), "the link works");
+
+        first.close();
+        tickFor(DEATH_NOTICED_MS);
+
+        assertEquals(outcome.mFailures, List.of(ForwardListener.Failure.INTERRUPTED));
+    }
+
     /** What was read first after a hold-up is not excluded from the time without messages. */
     @Test
     public void silenceAfterAHoldUpIsFoundLate() {
