--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -171,6 +171,11 @@
         return isStream() ? Math.min(latestMs, mArrivedMs + mRoute.goalMs()) : latestMs;
     }
 
+    /** Returns the share of the time until the latest start that the request has waited. */
+    double waitedShare(long nowMs) {
+        return (double) (nowMs - mArrivedMs) / Math.max(1, latestStartMs() - mArrivedMs);
+    }
+
     /**
      * Returns whether the request may still wait for the engine that has its prompt cached.
      *
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
@@ -179,7 +179,8 @@
                                 state.id(),
                                 state.inFlight(),
                                 Math.rint(state.ownPrefillMs()),
-                                state.ownMemoryTokens()));
+                                state.ownMemoryTokens(),
+                                Math.rint(state.ownMissingMs())));
             }
         }
         List<PeerMessage.EndpointLimitReport> limits = mLimits.reports(snapshot.self().region());
@@ -288,7 +289,8 @@
                                 state.id(),
                                 state.load(nowMs),
                                 Math.rint(state.prefillBacklogMs()),
-                                state.memoryTokens()));
+                                state.memoryTokens(),
+                                Math.rint(state.missingMs())));
             }
         }
         return loads;
@@ -351,10 +353,14 @@
         for (EndpointState state : mTable.findByRegion(region)) {
             PeerMessage.EndpointLoad load = loads.get(state.id());
             if (load == null) {
-                state.recordLoadOfOthers(0, 0, 0, nowMs);
+                state.recordLoadOfOthers(0, 0, 0, 0, nowMs);
             } else {
                 state.recordLoadOfOthers(
-                        load.requests(), load.prefillMs(), load.memoryTokens(), nowMs);
+                        load.requests(),
+                        load.prefillMs(),
+                        load.memoryTokens(),
+                        load.missingMs(),
+                        nowMs);
             }
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -132,7 +132,8 @@
                 exchange.forwarded(),
                 exchange.mayWaitForEngine(nowMs),
                 exchange.head().promptDemand(),
-                exchange.deadlineMs() - nowMs);
+                exchange.deadlineMs() - nowMs,
+                exchange.waitedShare(nowMs));
     }
 
     /** Returns how long the request waits because of the limits that endpoints state. */
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
@@ -105,6 +105,16 @@
         assertEquals(exchange(kind, true, forwarded).latestStartMs(), ARRIVED_MS + waitMs);
     }
 
+    @Test(dataProvider = "waitCases")
+    public void theWaitedShareGrowsToOneAtTheLatestStart(
+            RequestKind kind, boolean forwarded, long waitMs) {
+        GatewayExchange exchange = exchange(kind, true, forwarded);
+
+        assertEquals(exchange.waitedShare(ARRIVED_MS), 0.0);
+        assertEquals(exchange.waitedShare(ARRIVED_MS + waitMs / 2), 0.5);
+        assertEquals(exchange.waitedShare(ARRIVED_MS + waitMs), 1.0);
+    }
+
     @Test
     public void interruptedStreamMayWaitUntilCallerDeadline() {
         GatewayExchange exchange = exchange(RequestKind.STREAM, true, false);
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -516,10 +516,17 @@
      * @param requests the number of requests in progress
      * @param prefillMs the prefill time of the requests without a first token, in milliseconds
      * @param memoryTokens the engine memory that the requests need at their full length, in tokens
+     * @param missingMs the longest time that a running stream lacks to end by its deadline, in
+     *     milliseconds; 0 from older senders
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"endpoint", "requests", "prefillMs", "memoryTokens"})
-    record EndpointLoad(EndpointId endpoint, int requests, double prefillMs, long memoryTokens) {}
+    @JsonPropertyOrder({"endpoint", "requests", "prefillMs", "memoryTokens", "missingMs"})
+    record EndpointLoad(
+            EndpointId endpoint,
+            int requests,
+            double prefillMs,
+            long memoryTokens,
+            double missingMs) {}
 
     /**
      * Reports to other regions the load and the expected start delays of the sender's region.
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import org.filbertrudder.model.Change;
 import org.filbertrudder.model.Edit;
+import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.Entity;
 import org.filbertrudder.model.EntityKey;
 import org.filbertrudder.model.EntityKind;
@@ -130,6 +131,62 @@
         assertEquals(limits, List.of());
     }
 
+    /**
+     * Lists load reports of senders with fewer and with more figures for each endpoint, and the
+     * missing time that is read.
+     */
+    @DataProvider
+    public Object[][] loadReportsOfOtherReleases() {
+        return new Object[][] {
+            {
+                "lo",
+                "0000003d83a174a26c6fa56c6f6164739194a469642d3114cb400c000000000000cd0fa0a66c696d69"
+                        + "74739194a469642d31cb4004000000000000cd0bb8cd0fa0",
+                0.0
+            },
+            {
+                "ls",
+                "0000003d83a174a26c73a56c6f6164739194a469642d3114cb400c000000000000cd0fa0a66c696d69"
+                        + "74739194a469642d31cb4004000000000000cd0bb8cd0fa0",
+                0.0
+            },
+            {
+                "rg",
+                "0000006285a174a27267a6726567696f6ea469642d31ad737461727444656c6179734d7381a6746578"
+                        + "742d32cd07d0a56c6f6164739194a469642d3114cb400c000000000000cd0fa0a66c696d"
+                        + "6974739194a469642d31cb4004000000000000cd0bb8cd0fa0",
+                0.0
+            },
+            {
+                "lo",
+                "0000004783a174a26c6fa56c6f6164739196a469642d3114cb400c000000000000cd0fa0cb40160000"
+                        + "0000000007a66c696d6974739194a469642d31cb4004000000000000cd0bb8cd0fa0",
+                5.5
+            },
+        };
+    }
+
+    @Test(dataProvider = "loadReportsOfOtherReleases")
+    public void readsLoadReportsOfOtherReleases(String kind, String encoding, double missingMs) {
+        Object message = decode(kind, encoding);
+        List<PeerMessage.EndpointLoad> loads;
+        List<PeerMessage.EndpointLimitReport> limits;
+        if (message instanceof PeerMessage.InstanceLoadReport report) {
+            loads = report.loads();
+            limits = report.limits();
+        } else if (message instanceof PeerMessage.RegionLoadSum sum) {
+            loads = sum.loads();
+            limits = sum.limits();
+        } else {
+            loads = ((PeerMessage.RegionReport) message).loads();
+            limits = ((PeerMessage.RegionReport) message).limits();
+        }
+
+        EndpointId id = EndpointId.of("id-1");
+        assertEquals(loads, List.of(new PeerMessage.EndpointLoad(id, 20, 3.5, 4_000, missingMs)));
+        assertEquals(limits, List.of(new PeerMessage.EndpointLimitReport(id, 2.5, 3_000, 4_000)));
+    }
+
     @Test
     public void everyPeerMessageTypeIsRecorded() throws IOException {
         List<String> kinds = new ArrayList<>();
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointLoadSums.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointLoadSums.java
@@ -37,7 +37,10 @@
         mReports.values().removeIf(report -> nowMs - report.receivedMs() > REPORT_LIFETIME_MS);
     }
 
-    /** Returns the sum of all reports that have not expired, by endpoint. */
+    /**
+     * Returns the sum of all reports that have not expired, by endpoint; of the missing times, the
+     * longest.
+     */
     public Map<EndpointId, EndpointLoad> sumByEndpoint(long nowMs) {
         removeExpired(nowMs);
         Map<EndpointId, EndpointLoad> sums = new HashMap<>();
@@ -48,7 +51,10 @@
         return sums;
     }
 
-    /** Subtracts the load of one instance from the sum of all; null stands for no load. */
+    /**
+     * Subtracts the load of one instance from the sum of all; null stands for no load. The longest
+     * missing time stays, whichever instance has reported it.
+     */
     public static EndpointLoad loadOfOthers(EndpointLoad sum, EndpointLoad own) {
         if (own == null) {
             return sum;
@@ -57,7 +63,8 @@
                 sum.endpoint(),
                 Math.max(0, sum.requests() - own.requests()),
                 Math.max(0, sum.prefillMs() - own.prefillMs()),
-                Math.max(0, sum.memoryTokens() - own.memoryTokens()));
+                Math.max(0, sum.memoryTokens() - own.memoryTokens()),
+                sum.missingMs());
     }
 
     private static EndpointLoad add(EndpointLoad first, EndpointLoad second) {
@@ -65,7 +72,8 @@
                 first.endpoint(),
                 first.requests() + second.requests(),
                 first.prefillMs() + second.prefillMs(),
-                first.memoryTokens() + second.memoryTokens());
+                first.memoryTokens() + second.memoryTokens(),
+                Math.max(first.missingMs(), second.missingMs()));
     }
 
     private record Report(List<EndpointLoad> loads, long receivedMs) {}
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -240,14 +240,19 @@
                 && load(nowMs) < slotLimit(nowMs) + maxOvercommittedRequests(nowMs);
     }
 
-    /** Returns whether the endpoint and its model engine can accept the prompt now. */
-    boolean canAcceptRequest(PromptDemand prompt, long nowMs) {
-        return canAcceptRequest(nowMs) && mEngineLoad.canAccept(prompt);
+    /**
+     * Returns whether the endpoint and its model engine can accept the prompt now.
+     *
+     * @param waitedShare the share of its allowed waiting time that the prompt has waited
+     */
+    boolean canAcceptRequest(PromptDemand prompt, double waitedShare, long nowMs) {
+        return canAcceptRequest(nowMs) && mEngineLoad.canAccept(prompt, waitedShare, nowMs);
     }
 
     /** Returns whether only the prefill backlog prevents the endpoint from accepting the prompt. */
-    boolean isBlockedByPrefillBacklog(PromptDemand prompt, long nowMs) {
-        return canAcceptRequest(nowMs) && mEngineLoad.isBlockedByPrefillBacklog(prompt);
+    boolean isBlockedByPrefillBacklog(PromptDemand prompt, double waitedShare, long nowMs) {
+        return canAcceptRequest(nowMs)
+                && mEngineLoad.isBlockedByPrefillBacklog(prompt, waitedShare, nowMs);
     }
 
     /** Returns the expected time to first token of the prompt on the endpoint, in ms. */
@@ -270,6 +275,19 @@
         return mEngineLoad.ownPrefillMs();
     }
 
+    /**
+     * Returns the longest time that a running stream of any instance lacks to end by its deadline,
+     * in milliseconds.
+     */
+    public double missingMs() {
+        return mEngineLoad.missingMs();
+    }
+
+    /** Returns the longest time that a running stream of this instance lacks, in milliseconds. */
+    public double ownMissingMs() {
+        return mEngineLoad.ownMissingMs();
+    }
+
     /** Returns the engine memory that the requests of all instances occupy, in tokens. */
     public long memoryTokens() {
         return mEngineLoad.memoryTokens();
@@ -296,10 +314,11 @@
     }
 
     /** Records the load that the other instances have reported for the endpoint. */
-    public void recordLoadOfOthers(int requests, double prefillMs, long memoryTokens, long nowMs) {
+    public void recordLoadOfOthers(
+            int requests, double prefillMs, long memoryTokens, double missingMs, long nowMs) {
         mRequestsOfOthers = requests;
         mLoadReportedMs = nowMs;
-        mEngineLoad.setLoadOfOthers(prefillMs, memoryTokens);
+        mEngineLoad.setLoadOfOthers(prefillMs, memoryTokens, missingMs);
     }
 
     /** Adds a prompt without a deadline to the estimated load of the engine. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -18,19 +18,6 @@
     /** The share of memory for running requests; the rest is left to cached shared parts. */
     private static final double MAX_REQUEST_MEMORY_SHARE = 0.9;
 
-    /**
-     * The prefill backlog, in milliseconds, from which on new prompts wait in this instance's fair
-     * queue, where the account that has been served least goes first, instead of in the engine. It
-     * covers the lag of load reports.
-     */
-    private static final long MAX_PREFILL_BACKLOG_MS = 400;
-
-    /**
-     * The part of the missing time that an instance adds to the backlog; the others with streams on
-     * the engine add theirs.
-     */
-    private static final double MISSING_TIME_WEIGHT = 0.2;
-
     private final PrefixCacheHints mPrefixHints;
     private final GenerationPace mPace = new GenerationPace();
     private OutputEvents mOutputEvents = new OutputEvents();
@@ -39,6 +26,7 @@
     private long mOwnMemoryTokens;
     private double mOthersPrefillMs;
     private long mOthersMemoryTokens;
+    private double mOthersMissingMs;
 
     EngineLoad(PrefixCacheHints prefixHints) {
         mPrefixHints = prefixHints;
@@ -52,9 +40,10 @@
         mOutputEvents = outputEvents;
     }
 
-    void setLoadOfOthers(double prefillMs, long memoryTokens) {
+    void setLoadOfOthers(double prefillMs, long memoryTokens, double missingMs) {
         mOthersPrefillMs = prefillMs;
         mOthersMemoryTokens = memoryTokens;
+        mOthersMissingMs = missingMs;
     }
 
     /** Returns the prefill time of the parts of the prompt that are probably not cached, in ms. */
@@ -81,7 +70,7 @@
 
     /** Returns the prefill time for which a new prompt waits in the engine, in milliseconds. */
     double prefillBacklogMs() {
-        return ownPrefillMs() + mOthersPrefillMs;
+        return mOwnPrefillMs + mOthersPrefillMs;
     }
 
     /**
@@ -101,13 +90,23 @@
         return Math.max(0, durationMs - remainingMs);
     }
 
-    boolean canAccept(PromptDemand prompt) {
-        return fitsInMemory(prompt) && prefillBacklogMs() < MAX_PREFILL_BACKLOG_MS;
+    /**
+     * Returns whether the engine can accept the prompt now.
+     *
+     * @param waitedShare the share of its allowed waiting time that the prompt has waited
+     */
+    boolean canAccept(PromptDemand prompt, double waitedShare, long nowMs) {
+        return fitsInMemory(prompt) && !isBacklogTooLong(prompt, waitedShare, nowMs);
     }
 
     /** Returns whether the prompt fits in memory but the prefill backlog is too long. */
-    boolean isBlockedByPrefillBacklog(PromptDemand prompt) {
-        return fitsInMemory(prompt) && prefillBacklogMs() >= MAX_PREFILL_BACKLOG_MS;
+    boolean isBlockedByPrefillBacklog(PromptDemand prompt, double waitedShare, long nowMs) {
+        return fitsInMemory(prompt) && isBacklogTooLong(prompt, waitedShare, nowMs);
+    }
+
+    private boolean isBacklogTooLong(PromptDemand prompt, double waitedShare, long nowMs) {
+        return prefillBacklogMs()
+                >= PrefillLimit.backlogMs(missingMs(), prefillMs(prompt, nowMs), waitedShare);
     }
 
     private boolean fitsInMemory(PromptDemand prompt) {
@@ -115,13 +114,19 @@
         return usedTokens == 0 || usedTokens + prompt.memoryTokens() <= mMemoryLimitTokens;
     }
 
-    /**
-     * Returns the prefill time of this instance's waiting prompts and a part of the time that its
-     * running streams lack, in milliseconds. Both keep new prompts out of the engine.
-     */
+    /** Returns the prefill time of this instance's waiting prompts, in milliseconds. */
     double ownPrefillMs() {
-        return mOwnPrefillMs
-                + Math.min(MISSING_TIME_WEIGHT * mPace.missingMs(), MAX_PREFILL_BACKLOG_MS);
+        return mOwnPrefillMs;
+    }
+
+    /** Returns the longest time that a stream of any instance lacks, in milliseconds. */
+    double missingMs() {
+        return Math.max(mPace.missingMs(), mOthersMissingMs);
+    }
+
+    /** Returns the longest time that a stream of this instance lacks, in milliseconds. */
+    double ownMissingMs() {
+        return mPace.missingMs();
     }
 
     long memoryTokens() {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/GenerationPace.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/GenerationPace.java
@@ -29,7 +29,7 @@
     private static final long UPDATE_INTERVAL_MS = 50;
 
     /** The part of the remaining generation time that is added as a safety margin. */
-    private static final double SAFETY_MARGIN = 0.25;
+    private static final double SAFETY_MARGIN = 0.4;
 
     /**
      * The time until the engine generates at its fastest pace after it has stopped accepting
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -63,12 +63,13 @@
     /** Returns the engine with the lowest cost that can accept the prompt now, if any. */
     Optional<EndpointState> choose(
             PromptDemand prompt,
+            double waitedShare,
             List<EndpointState> usable,
             ToDoubleFunction<EndpointState> costsMs,
             long nowMs) {
         long keyHash = RendezvousHashing.hash(prompt.affinityKey());
         return usable.stream()
-                .filter(state -> state.canAcceptRequest(prompt, nowMs))
+                .filter(state -> state.canAcceptRequest(prompt, waitedShare, nowMs))
                 .map(
                         state ->
                                 new Candidate(
@@ -88,13 +89,14 @@
      */
     boolean isBusyEngineCheaper(
             PromptDemand prompt,
+            double waitedShare,
             List<EndpointState> usable,
             EndpointState available,
             ToDoubleFunction<EndpointState> costsMs,
             long nowMs) {
         double maxCostMs = costsMs.applyAsDouble(available) - COST_BUCKET_MS;
         return usable.stream()
-                .filter(state -> state.isBlockedByPrefillBacklog(prompt, nowMs))
+                .filter(state -> state.isBlockedByPrefillBacklog(prompt, waitedShare, nowMs))
                 .anyMatch(state -> costsMs.applyAsDouble(state) < maxCostMs);
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/RouteRequest.java
@@ -21,6 +21,7 @@
  *     cached its shared prompt parts
  * @param prompt the prompt and its expected token use, if known
  * @param remainingMs the time until the response must have ended, in milliseconds
+ * @param waitedShare the share of its allowed waiting time that the request has waited
  */
 public record RouteRequest(
         ServiceId service,
@@ -32,11 +33,38 @@
         boolean forwarded,
         boolean mayWaitForBusyEngine,
         Optional<PromptDemand> prompt,
-        long remainingMs) {
+        long remainingMs,
+        double waitedShare) {
 
     /** The remaining time of a request without a deadline, in milliseconds. */
     public static final long NO_DEADLINE = Long.MAX_VALUE;
 
+    /** Describes a request that has not waited. */
+    public RouteRequest(
+            ServiceId service,
+            Predicate<RegionId> allowed,
+            String affinityKey,
+            Set<EndpointId> excludedEndpoints,
+            Optional<EndpointId> pinnedEndpoint,
+            boolean exclusive,
+            boolean forwarded,
+            boolean mayWaitForBusyEngine,
+            Optional<PromptDemand> prompt,
+            long remainingMs) {
+        this(
+                service,
+                allowed,
+                affinityKey,
+                excludedEndpoints,
+                pinnedEndpoint,
+                exclusive,
+                forwarded,
+                mayWaitForBusyEngine,
+                prompt,
+                remainingMs,
+                0);
+    }
+
     /** Describes a request without a deadline. */
     public RouteRequest(
             ServiceId service,
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -178,20 +178,21 @@
                         .toList();
         ToDoubleFunction<EndpointState> costsMs =
                 mPlacement.costsMs(prompt, request.remainingMs(), usable, regions, nowMs);
+        double waitedShare = request.waitedShare();
         Optional<EndpointState> limitCheck =
                 usable.stream()
                         .filter(state -> state.isLimitCheckDue(nowMs))
-                        .filter(state -> state.canAcceptRequest(prompt, nowMs))
+                        .filter(state -> state.canAcceptRequest(prompt, waitedShare, nowMs))
                         .findFirst();
         Optional<EndpointState> chosen =
                 limitCheck.isPresent()
                         ? limitCheck
-                        : mPlacement.choose(prompt, usable, costsMs, nowMs);
+                        : mPlacement.choose(prompt, waitedShare, usable, costsMs, nowMs);
         if (chosen.isPresent()) {
             if (limitCheck.isEmpty()
                     && request.mayWaitForBusyEngine()
                     && mPlacement.isBusyEngineCheaper(
-                            prompt, usable, chosen.get(), costsMs, nowMs)) {
+                            prompt, waitedShare, usable, chosen.get(), costsMs, nowMs)) {
                 return new Route.WaitForEngine();
             }
             RegionId region = chosen.get().endpoint().region();
