--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
@@ -467,8 +467,9 @@
         List<PeerMessage.EndpointLoad> loads = new ArrayList<>();
         for (int left = mUnpacker.unpackArrayHeader(); left > 0; left--) {
             loads.add(
-                    array(4)
-                            ? new PeerMessage.EndpointLoad(endpoint(), integer(), real(), number())
+                    array(5)
+                            ? new PeerMessage.EndpointLoad(
+                                    endpoint(), integer(), real(), number(), real())
                             : null);
         }
         return loads;
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
@@ -383,11 +383,12 @@
             if (load == null) {
                 mPacker.packNil();
             } else {
-                mPacker.packArrayHeader(4);
+                mPacker.packArrayHeader(5);
                 endpoint(load.endpoint());
                 number(load.requests());
                 real(load.prefillMs());
                 number(load.memoryTokens());
+                real(load.missingMs());
             }
         }
     }
