--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointState.java
@@ -243,16 +243,20 @@
     /**
      * Returns whether the endpoint and its model engine can accept the prompt now.
      *
+     * @param preferred whether the engine is the one that should cache the prompt's shared parts
      * @param waitedShare the share of its allowed waiting time that the prompt has waited
      */
-    boolean canAcceptRequest(PromptDemand prompt, double waitedShare, long nowMs) {
-        return canAcceptRequest(nowMs) && mEngineLoad.canAccept(prompt, waitedShare, nowMs);
+    boolean canAcceptRequest(
+            PromptDemand prompt, boolean preferred, double waitedShare, long nowMs) {
+        return canAcceptRequest(nowMs)
+                && mEngineLoad.canAccept(prompt, preferred, waitedShare, nowMs);
     }
 
     /** Returns whether only the prefill backlog prevents the endpoint from accepting the prompt. */
-    boolean isBlockedByPrefillBacklog(PromptDemand prompt, double waitedShare, long nowMs) {
+    boolean isBlockedByPrefillBacklog(
+            PromptDemand prompt, boolean preferred, double waitedShare, long nowMs) {
         return canAcceptRequest(nowMs)
-                && mEngineLoad.isBlockedByPrefillBacklog(prompt, waitedShare, nowMs);
+                && mEngineLoad.isBlockedByPrefillBacklog(prompt, preferred, waitedShare, nowMs);
     }
 
     /** Returns the expected time to first token of the prompt on the endpoint, in ms. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EngineLoad.java
@@ -93,20 +93,24 @@
     /**
      * Returns whether the engine can accept the prompt now.
      *
+     * @param preferred whether the engine is the one that should cache the prompt's shared parts
      * @param waitedShare the share of its allowed waiting time that the prompt has waited
      */
-    boolean canAccept(PromptDemand prompt, double waitedShare, long nowMs) {
-        return fitsInMemory(prompt) && !isBacklogTooLong(prompt, waitedShare, nowMs);
+    boolean canAccept(PromptDemand prompt, boolean preferred, double waitedShare, long nowMs) {
+        return fitsInMemory(prompt) && !isBacklogTooLong(prompt, preferred, waitedShare, nowMs);
     }
 
     /** Returns whether the prompt fits in memory but the prefill backlog is too long. */
-    boolean isBlockedByPrefillBacklog(PromptDemand prompt, double waitedShare, long nowMs) {
-        return fitsInMemory(prompt) && isBacklogTooLong(prompt, waitedShare, nowMs);
+    boolean isBlockedByPrefillBacklog(
+            PromptDemand prompt, boolean preferred, double waitedShare, long nowMs) {
+        return fitsInMemory(prompt) && isBacklogTooLong(prompt, preferred, waitedShare, nowMs);
     }
 
-    private boolean isBacklogTooLong(PromptDemand prompt, double waitedShare, long nowMs) {
-        return prefillBacklogMs()
-                >= PrefillLimit.backlogMs(missingMs(), prefillMs(prompt, nowMs), waitedShare);
+    private boolean isBacklogTooLong(
+            PromptDemand prompt, boolean preferred, double waitedShare, long nowMs) {
+        double redundantMs =
+                preferred ? 0 : uncachedSharedTokens(prompt, nowMs) / PREFILL_TOKENS_PER_MS;
+        return prefillBacklogMs() >= PrefillLimit.backlogMs(missingMs(), redundantMs, waitedShare);
     }
 
     private boolean fitsInMemory(PromptDemand prompt) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PrefillLimit.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PrefillLimit.java
@@ -5,9 +5,9 @@
  * deadlines.
  *
  * <p>An engine reads prompts between the tokens that it generates. The more time its streams lack,
- * the fewer prompts it accepts, and long prompts the latest, as they delay the streams most. Short
- * prompts could fill the engine for ever before a long one, so the own reading time of a prompt
- * counts less the longer it has waited. In the end it needs no more room than the shortest one.
+ * the fewer prompts it accepts. Shared parts that another engine has cached or should cache delay
+ * the streams for nothing and count several times; the rest of a prompt counts alike for all
+ * lengths, so that long prompts are not kept out by short ones.
  */
 final class PrefillLimit {
 
@@ -19,25 +19,19 @@
     private static final double MAX_BACKLOG_MS = 400;
 
     /** The prefill backlog that engines accept however much time their streams lack, in ms. */
-    private static final double MIN_BACKLOG_MS = 75;
+    private static final double MIN_BACKLOG_MS = 40;
+
+    /** The backlog that is added for a prompt at the end of its waiting time, in milliseconds. */
+    private static final double WAITED_BACKLOG_MS = 80;
 
     /** The missing time from which on the limit is the lowest, in milliseconds. */
     private static final double MAX_MISSING_MS = 1_400;
 
-    /**
-     * The share of that missing time below which an engine that reads almost nothing accepts a
-     * prompt of any length.
-     */
-    private static final double ANY_LENGTH_SHARE = 0.25;
-
-    /** How often the reading time of a new prompt counts against the limit. */
-    private static final double PROMPT_WEIGHT = 3;
+    /** The missing time below which an engine that reads almost nothing accepts any prompt. */
+    private static final double ANY_PROMPT_MISSING_MS = 14;
 
-    /** The share of the allowed waiting time from which on the reading time counts less. */
-    private static final double FULL_WEIGHT_UNTIL_SHARE = 0.9;
-
-    /** The share of the allowed waiting time from which on the reading time does not count. */
-    private static final double NO_WEIGHT_FROM_SHARE = 0.95;
+    /** How often the time to read shared parts redundantly counts against the limit. */
+    private static final double REDUNDANT_WEIGHT = 6;
 
     private PrefillLimit() {}
 
@@ -46,21 +40,17 @@
      * milliseconds.
      *
      * @param missingMs the time that the running streams of the engine lack, in milliseconds
-     * @param prefillMs the time that the engine needs to read the prompt, in milliseconds
+     * @param redundantMs the time to read shared parts that belong on another engine, in
+     *     milliseconds
      * @param waitedShare the share of its allowed waiting time that the prompt has waited
      */
-    static double backlogMs(double missingMs, double prefillMs, double waitedShare) {
+    static double backlogMs(double missingMs, double redundantMs, double waitedShare) {
         double closedShare = Math.min(1, missingMs / MAX_MISSING_MS);
-        double limitMs = Math.max(MIN_BACKLOG_MS, MAX_BACKLOG_MS * (1 - closedShare));
-        double promptMs = PROMPT_WEIGHT * promptWeightShare(waitedShare) * prefillMs;
-        double anyLengthMs = MIN_BACKLOG_MS * Math.max(0, 1 - closedShare / ANY_LENGTH_SHARE);
-        return Math.max(anyLengthMs, limitMs - promptMs);
-    }
-
-    private static double promptWeightShare(double waitedShare) {
-        double share =
-                (NO_WEIGHT_FROM_SHARE - waitedShare)
-                        / (NO_WEIGHT_FROM_SHARE - FULL_WEIGHT_UNTIL_SHARE);
-        return Math.max(0, Math.min(1, share));
+        double waited = Math.max(0, Math.min(1, waitedShare));
+        double limitMs =
+                Math.max(MIN_BACKLOG_MS, MAX_BACKLOG_MS * (1 - closedShare))
+                        + WAITED_BACKLOG_MS * waited * waited;
+        double anyPromptMs = MIN_BACKLOG_MS * Math.max(0, 1 - missingMs / ANY_PROMPT_MISSING_MS);
+        return Math.max(anyPromptMs, limitMs - REDUNDANT_WEIGHT * redundantMs);
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/PromptPlacement.java
@@ -68,8 +68,12 @@
             ToDoubleFunction<EndpointState> costsMs,
             long nowMs) {
         long keyHash = RendezvousHashing.hash(prompt.affinityKey());
+        EndpointState preferred = preferredEngine(prompt, usable).orElse(null);
         return usable.stream()
-                .filter(state -> state.canAcceptRequest(prompt, waitedShare, nowMs))
+                .filter(
+                        state ->
+                                state.canAcceptRequest(
+                                        prompt, state == preferred, waitedShare, nowMs))
                 .map(
                         state ->
                                 new Candidate(
@@ -95,8 +99,12 @@
             ToDoubleFunction<EndpointState> costsMs,
             long nowMs) {
         double maxCostMs = costsMs.applyAsDouble(available) - COST_BUCKET_MS;
+        EndpointState preferred = preferredEngine(prompt, usable).orElse(null);
         return usable.stream()
-                .filter(state -> state.isBlockedByPrefillBacklog(prompt, waitedShare, nowMs))
+                .filter(
+                        state ->
+                                state.isBlockedByPrefillBacklog(
+                                        prompt, state == preferred, waitedShare, nowMs))
                 .anyMatch(state -> costsMs.applyAsDouble(state) < maxCostMs);
     }
 
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/Router.java
@@ -182,7 +182,7 @@
         Optional<EndpointState> limitCheck =
                 usable.stream()
                         .filter(state -> state.isLimitCheckDue(nowMs))
-                        .filter(state -> state.canAcceptRequest(prompt, waitedShare, nowMs))
+                        .filter(state -> state.canAcceptRequest(prompt, true, waitedShare, nowMs))
                         .findFirst();
         Optional<EndpointState> chosen =
                 limitCheck.isPresent()
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/UnfinishedStreamTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/UnfinishedStreamTest.java
@@ -108,17 +108,17 @@
 
     private boolean accepts(EndpointState engine, double backlogMs) {
         engine.recordLoadOfOthers(1, backlogMs, 500, 0, mNowMs);
-        return !engine.isBlockedByPrefillBacklog(prompt(10), 0, mNowMs);
+        return !engine.isBlockedByPrefillBacklog(prompt(10), false, 0, mNowMs);
     }
 
     @Test
     public void aStreamOfAnotherInstanceCountsLikeAnOwnOne() {
         engine(0).recordLoadOfOthers(1, 100, 500, 1_500, mNowMs);
-        boolean blocked = engine(0).isBlockedByPrefillBacklog(prompt(10), 0, mNowMs);
+        boolean blocked = engine(0).isBlockedByPrefillBacklog(prompt(10), false, 0, mNowMs);
         engine(0).recordLoadOfOthers(1, 100, 500, 0, mNowMs);
 
         assertTrue(blocked);
-        assertFalse(engine(0).isBlockedByPrefillBacklog(prompt(10), 0, mNowMs));
+        assertFalse(engine(0).isBlockedByPrefillBacklog(prompt(10), false, 0, mNowMs));
     }
 
     @Test
