--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -56,6 +56,8 @@
     private boolean mOpening;
     private boolean mReady;
     private boolean mForwardsEnded;
+
+    /** Whether the receiver's process has answered, so that it knows this session. */
     private boolean mKnown;
 
     /** Whether the receiver may work on requests that have ended here. */
@@ -373,9 +375,7 @@
         return mCalls.values().stream().filter(condition).toList();
     }
 
-    /**
-     * Returns since when no request is open; empty while one is, or while one must be announced.
-     */
+    /** Returns whether no request is open and none is to be cancelled on the next link. */
     boolean isIdle() {
         return mCalls.isEmpty() && !mOpening && !mStale;
     }
