Tests: replicas listen outside the range of outgoing connections

Cause: a replica's stand-in listened on any port, which the system takes from the range of outgoing connections; while it was away, a connection of any process on the machine could occupy it.

The fleet of the tests and the soaks takes their ports from FreePorts.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -131,7 +131,7 @@
     public ReplicaStandIn startReplica(String id, String service, String region, int slots) {
         ReplicaStandIn replica =
                 new ReplicaStandIn(mVertx, mStore, id, service, region + "-a", "127.0.0.1", slots);
-        mReplicas.put(id, replica.start());
+        mReplicas.put(id, replica.start(FreePorts.find(1).get(0)));
         return replica;
     }
 
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -128,9 +128,19 @@
             String body,
             String lastEventId) {}
 
-    /** Starts to listen and registers the replica as ready. */
+    /** Starts to listen on any port and registers the replica as ready. */
     public ReplicaStandIn start() {
-        listen(0).toCompletionStage().toCompletableFuture().join();
+        return start(0);
+    }
+
+    /**
+     * Starts to listen and registers the replica as ready.
+     *
+     * @param port outside the range of outgoing connections if the replica is to return, as one of
+     *     them may occupy its port meanwhile; 0 for any
+     */
+    public ReplicaStandIn start(int port) {
+        listen(port).toCompletionStage().toCompletableFuture().join();
         mPort = mServer.actualPort();
         mDown = false;
         mStarts++;
