Forward sessions: one place for the bound of retained responses, one look-up of a call

The share of the heap for responses that are not acknowledged stood in both adapters and in the experiment; ForwardReceiver has it now. SenderSession looked up the call of a stream in four copies.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardServer.java
@@ -18,16 +18,12 @@
 import org.filbertrudder.peer.forwarding.ForwardLink;
 import org.filbertrudder.peer.forwarding.ForwardReceiver;
 import org.filbertrudder.peer.forwarding.ForwardedResponse;
-import org.filbertrudder.peer.forwarding.HeldBytes;
 
 /** Serves requests that instances in other regions forward; never forwards them again. */
 final class ForwardServer {
 
     private static final ComponentLogger LOG = ComponentLogger.of("forwards");
 
-    /** One of so many parts of the heap may hold responses that are not acknowledged. */
-    private static final int RETAINED_HEAP_PARTS = 16;
-
     private static final long MAX_CATCH_UP_WAIT_MS = 1_000;
     private static final long CATCH_UP_CHECK_INTERVAL_MS = 50;
     private static final String SERVICES_PREFIX = "/services/";
@@ -51,12 +47,7 @@
         mServe = serve;
         mCancel = cancel;
         mFail = fail;
-        mReceiver =
-                new ForwardReceiver(
-                        this::receive,
-                        HeldBytes.ofHeapPart(RETAINED_HEAP_PARTS),
-                        context.clockMs(),
-                        ForwardLog::log);
+        mReceiver = new ForwardReceiver(this::receive, context.clockMs(), ForwardLog::log);
     }
 
     void handle(ForwardLink from, PeerMessage message) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -31,9 +31,6 @@
     /** The header with the service that the sender's configuration has chosen. */
     static final String SERVICE = "x-forward-service";
 
-    /** One of so many parts of the heap may hold responses that are not acknowledged. */
-    private static final int RETAINED_HEAP_PARTS = 16;
-
     private final RequestAcceptor mRequestAcceptor;
     private final Consumer<GatewayExchange> mOnCancel;
     private final HeldBytes mBodies;
@@ -44,12 +41,7 @@
         mRequestAcceptor = requestAcceptor;
         mOnCancel = onCancel;
         mBodies = bodies;
-        mReceiver =
-                new ForwardReceiver(
-                        this::receive,
-                        HeldBytes.ofHeapPart(RETAINED_HEAP_PARTS),
-                        Clocks::steadyMs,
-                        ForwardLog::log);
+        mReceiver = new ForwardReceiver(this::receive, Clocks::steadyMs, ForwardLog::log);
     }
 
     /** Handles a message of another instance. */
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -33,6 +33,9 @@
     /** How long it is known which streams a sender has started, in milliseconds. */
     private static final long SESSION_TIMEOUT_MS = 600_000;
 
+    /** One of so many parts of the heap may hold responses that are not acknowledged. */
+    private static final int RETAINED_HEAP_PARTS = 16;
+
     /** The interval between keep-alives to senders of older releases, in milliseconds. */
     private static final long KEEP_ALIVE_INTERVAL_MS = 500;
 
@@ -48,6 +51,12 @@
     private long mNextKeepAliveMs;
     private long mLastTickMs;
 
+    /** Creates a receiver that retains responses in a part of the heap of this process. */
+    public ForwardReceiver(
+            RequestHandler handler, LongSupplier clockMs, Consumer<ForwardEvent> log) {
+        this(handler, HeldBytes.ofHeapPart(RETAINED_HEAP_PARTS), clockMs, log);
+    }
+
     /**
      * Creates a receiver.
      *
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.filbertrudder.model.InstanceId;
@@ -218,31 +219,27 @@
             mForwardsEnded = true;
             failAll(call -> !call.isAnswered(), ForwardListener.Failure.NOT_RUN);
         } else if (message instanceof PeerMessage.ForwardHead head) {
-            ForwardCall call = mCalls.get(head.stream());
-            if (call != null) {
-                call.receive(head);
-            }
+            call(head.stream()).ifPresent(call -> call.receive(head));
         } else if (message instanceof PeerMessage.ForwardData data) {
-            ForwardCall call = mCalls.get(data.stream());
-            if (call != null) {
-                call.receive(data);
-            }
+            call(data.stream()).ifPresent(call -> call.receive(data));
         } else if (message instanceof PeerMessage.ForwardEnd end) {
-            ForwardCall call = mCalls.get(end.stream());
-            if (call != null) {
-                call.receive(end);
-            }
+            call(end.stream()).ifPresent(call -> call.receive(end));
         } else if (message instanceof PeerMessage.ForwardUnknown unknown) {
-            ForwardCall call = mCalls.get(unknown.stream());
-            if (call != null) {
-                call.fail(
-                        unknown.mayHaveRun()
-                                ? ForwardListener.Failure.INTERRUPTED
-                                : ForwardListener.Failure.NOT_RUN);
-            }
+            call(unknown.stream())
+                    .ifPresent(
+                            call ->
+                                    call.fail(
+                                            unknown.mayHaveRun()
+                                                    ? ForwardListener.Failure.INTERRUPTED
+                                                    : ForwardListener.Failure.NOT_RUN));
         }
     }
 
+    /** Returns the open call of a stream; empty if it has ended here. */
+    private Optional<ForwardCall> call(long stream) {
+        return Optional.ofNullable(mCalls.get(stream));
+    }
+
     /**
      * Ends what waits for a member that is suspected or dead.
      *
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ForwardGap.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ForwardGap.java
@@ -23,7 +23,6 @@
 import org.filbertrudder.peer.forwarding.ForwardReceiver;
 import org.filbertrudder.peer.forwarding.ForwardSender;
 import org.filbertrudder.peer.forwarding.ForwardedResponse;
-import org.filbertrudder.peer.forwarding.HeldBytes;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.scenarios.platform.FreePorts;
 import org.filbertrudder.scenarios.platform.LinkProxy;
@@ -141,9 +140,7 @@
         void start() {
             mReceiverNetwork =
                     network("receiver", (from, message) -> mReceiver.handle(from, message));
-            mReceiver =
-                    new ForwardReceiver(
-                            this::serve, HeldBytes.ofHeapPart(16), ForwardGap::nowMs, event -> {});
+            mReceiver = new ForwardReceiver(this::serve, ForwardGap::nowMs, event -> {});
             mSenderNetwork = network("sender", (from, message) -> mSender.handle(from, message));
             mSender =
                     new ForwardSender(
