--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LimitSoakProgram.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/SoakProgram.java
@@ -9,9 +9,9 @@
  * Runs seeds of the soak from the command line; see {@code bin/soak-limits} and {@code
  * bin/soak-forwards}.
  */
-public final class LimitSoakProgram {
+public final class SoakProgram {
 
-    private LimitSoakProgram() {}
+    private SoakProgram() {}
 
     /**
      * Runs seeds one after another: {@code SOAK FIRST_SEED SEEDS INSTANCES SECONDS DIRECTORY},
