Token shares: requests that wait for a share that is taken away are answered

Callers: a request that waits for tokens of its account as a change of the configuration removes the contract, or as other instances become holders of the account, waits until the time limit of its route (by reading; tried only on the shares).

Cause: InstanceShares dropped a share with its queue, and the reservation service repeats only what it has asked of other instances; nothing ended a reservation from the own share.

Change: setContracts and setMembers return NOT_HOLDER for what waited, as the own interface's TokenHolder does; the next holder is asked, or the request is refused as not run.

Test: InstanceSharesTest.requestThatWaitsForTokensOfARemovedShareGetsNoReply, 2 of 2 cases failed before ("[] expected [1] but found [0]").

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -312,7 +312,7 @@
      */
     private void updateShares(long nowMs) {
         if (mRegisteredInstances != null) {
-            mShares.setMembers(membersAndRegistered(), nowMs);
+            mTokenReservations.apply(mShares.setMembers(membersAndRegistered(), nowMs));
         }
     }
 
@@ -539,7 +539,8 @@
 
         @Override
         public void configurationChanged(GatewayConfiguration configuration) {
-            mShares.setContracts(contracts(configuration), Clocks.steadyMs());
+            mTokenReservations.apply(
+                    mShares.setContracts(contracts(configuration), Clocks.steadyMs()));
             publish();
         }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayTokenReservationService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayTokenReservationService.java
@@ -229,7 +229,8 @@
         apply(mShares.addGrantedLoan(grant, Clocks.steadyMs()));
     }
 
-    private void apply(List<TokenEffect> effects) {
+    /** Sends the replies and loan requests that the shares of this instance have returned. */
+    void apply(List<TokenEffect> effects) {
         for (TokenEffect effect : effects) {
             if (effect instanceof TokenEffect.Reply reply) {
                 if (reply.requestKey().instance().equals(self())) {
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/tokens/InstanceShares.java
@@ -51,16 +51,24 @@
         mLoans = new LoanTracker(settings);
     }
 
-    /** Sets the contracts of the accounts that have a limit; other accounts are unlimited. */
-    public void setContracts(Map<AccountId, Contract> contracts, long nowMs) {
+    /**
+     * Sets the contracts of the accounts that have a limit; other accounts are unlimited.
+     *
+     * @return the replies to the requests that waited for shares which are no longer held here
+     */
+    public List<TokenEffect> setContracts(Map<AccountId, Contract> contracts, long nowMs) {
         mContracts.clear();
         mContracts.putAll(contracts);
         mHoldersByAccount.keySet().retainAll(contracts.keySet());
-        updateShares(nowMs);
+        return updateShares(nowMs);
     }
 
-    /** Replaces the members from which the holders are chosen. */
-    public void setMembers(Collection<Member> members, long nowMs) {
+    /**
+     * Replaces the members from which the holders are chosen.
+     *
+     * @return the replies to the requests that waited for shares which are no longer held here
+     */
+    public List<TokenEffect> setMembers(Collection<Member> members, long nowMs) {
         Map<RegionId, List<InstanceId>> membersByRegion = new TreeMap<>();
         members.stream()
                 .filter(member -> member.state() != MemberState.DEAD)
@@ -71,20 +79,24 @@
                                         .add(member.id()));
         mMembersByRegion = membersByRegion;
         mHoldersByAccount.clear();
-        updateShares(nowMs);
+        return updateShares(nowMs);
     }
 
-    private void updateShares(long nowMs) {
-        mShares.keySet().retainAll(mContracts.keySet());
+    private List<TokenEffect> updateShares(long nowMs) {
+        List<TokenEffect> effects = new ArrayList<>();
+        for (AccountId id : List.copyOf(mShares.keySet())) {
+            if (!mContracts.containsKey(id) || !holders(id).contains(mSelf)) {
+                effects.addAll(mShares.remove(id).refuseQueuedRequests(ReserveOutcome.NOT_HOLDER));
+            }
+        }
         mContracts.forEach(
                 (id, contract) -> {
                     List<InstanceId> holders = holders(id);
                     if (holders.contains(mSelf)) {
                         updateShare(id, contract, 1.0 / holders.size(), nowMs);
-                    } else {
-                        mShares.remove(id);
                     }
                 });
+        return effects;
     }
 
     private void updateShare(AccountId id, Contract contract, double fraction, long nowMs) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/InstanceSharesTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/tokens/InstanceSharesTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Function;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Contract;
 import org.filbertrudder.model.FailureDomainId;
@@ -125,6 +126,36 @@
         assertEquals(reply.reply().outcome(), ReserveOutcome.TOO_LARGE);
     }
 
+    /** Lists the changes that take the share of an account from an instance. */
+    @DataProvider
+    public Object[][] changesThatRemoveAShare() {
+        Function<InstanceShares, List<TokenEffect>> contractRemoved =
+                shares -> shares.setContracts(Map.of(), 2_000);
+        Function<InstanceShares, List<TokenEffect>> otherHolders =
+                shares -> shares.setMembers(List.of(member(1, 0, MemberState.LIVE)), 2_000);
+        return new Object[][] {{contractRemoved}, {otherHolders}};
+    }
+
+    @Test(dataProvider = "changesThatRemoveAShare")
+    public void requestThatWaitsForTokensOfARemovedShareGetsNoReply(
+            Function<InstanceShares, List<TokenEffect>> change) {
+        InstanceId self = InstanceId.of("i0-0");
+        InstanceShares shares = new InstanceShares(self, SETTINGS);
+        shares.setMembers(members(1, 1), 0);
+        shares.setContracts(Map.of(ACCOUNT, CONTRACT), 0);
+        TokenRequestKey waiting = new TokenRequestKey(self, 2);
+        shares.reserve(new TokenRequestKey(self, 1), ACCOUNT, 1_000, 5_000, 1_990);
+        assertEquals(shares.reserve(waiting, ACCOUNT, 500, 5_000, 1_990), List.of());
+
+        List<TokenEffect> effects = new ArrayList<>(change.apply(shares));
+        effects.addAll(shares.tick(6_000));
+
+        assertEquals(effects.size(), 1, effects.toString());
+        TokenEffect.Reply reply = (TokenEffect.Reply) effects.get(0);
+        assertEquals(reply.requestKey(), waiting);
+        assertEquals(reply.reply().outcome(), ReserveOutcome.NOT_HOLDER);
+    }
+
     /** Simulates the shares of several instances; the first one receives every request. */
     private static final class InstanceFleet {
 
