ColdReplicaTest: the registration is in the store when it is due

Cause: the test's replica registers 400 ms after it accepts connections; the gateway takes a process that has not registered after 500 ms for the same one (RestartSuspicion.REGISTRATION_MS). The test registered from a timer and a thread of the common pool, which a busy machine delays.

Change: the store of the test takes a value with the time from which it is there, and applies it before the first call that it handles after that time, so no list that is read later lacks it. Bounds and delays of the test are as before.

Open: a replica that registers more than 500 ms after it accepts connections is sent its full load.

--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ColdReplicaTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
 import org.filbertrudder.standins.platform.ArrivalLog;
 import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.filbertrudder.standins.platform.ReplicaStandIn;
@@ -182,11 +181,8 @@
     private void assertFewRequestsAfterReturn(PlatformClient client, long registrationDelayMs) {
         mReplica.acceptConnections();
         long backMs = ArrivalLog.nowMs();
-        CompletableFuture<Void> registered =
-                CompletableFuture.runAsync(
-                        () -> mReplica.register("ready", WARMUP_MS, System.currentTimeMillis()),
-                        CompletableFuture.delayedExecutor(
-                                registrationDelayMs, TimeUnit.MILLISECONDS));
+        mReplica.registerAt(
+                backMs + registrationDelayMs, "ready", WARMUP_MS, System.currentTimeMillis());
         ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         List<CompletableFuture<Void>> ended = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
@@ -195,7 +191,6 @@
                             () -> sendUntil(client, backMs + WARMUP_MS), callers));
         }
         ended.forEach(CompletableFuture::join);
-        registered.join();
         callers.shutdown();
 
         int most =
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/KvStoreStandInTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.filbertrudder.model.Json;
+import org.filbertrudder.standins.platform.ArrivalLog;
 import org.filbertrudder.standins.platform.KvStoreStandIn;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -24,6 +25,8 @@
 /** Tests that the simulated store returns from a copy as the platform's store does. */
 public class KvStoreStandInTest {
 
+    private static final long WRITE_DELAY_MS = 200;
+
     private Vertx mVertx;
     private HttpClient mClient;
     private KvStoreStandIn mStore;
@@ -201,4 +204,21 @@
         String value = callForJson("GET", "/kv-key?key=op/config", "").path("value").asText();
         assertTrue(value.equals("c2Vjb25k"), value);
     }
+
+    /** Guards against calls that miss a value because the timer of its write is late. */
+    @Test
+    public void valueIsReadFromItsTimeOn() {
+        long atMs = ArrivalLog.nowMs() + WRITE_DELAY_MS;
+        mStore.putAt(atMs, "servers/late", "{}");
+        long sentMs;
+        int status;
+        do {
+            sentMs = ArrivalLog.nowMs();
+            status = call("GET", "/kv-key?key=servers/late", "").status();
+            if (ArrivalLog.nowMs() < atMs) {
+                assertEquals(status, 404);
+            }
+        } while (sentMs < atMs);
+        assertEquals(status, 200);
+    }
 }
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/KvStoreStandIn.java
@@ -39,6 +39,8 @@
     /** What operators and replicas have written last, by key; encoded as Base64. */
     private final TreeMap<String, String> mExternalValues = new TreeMap<>();
 
+    private final List<ScheduledValue> mScheduledValues = new ArrayList<>();
+
     private long mRevision = 1;
     private long mNextLeaseId = 1;
     private long mHistoryStartRevision = 1;
@@ -81,6 +83,23 @@
         put(key, base64, 0);
     }
 
+    /**
+     * Writes a value at a time of {@link ArrivalLog#nowMs()}, as a replica would. Each call of the
+     * store that is handled later sees the value, even if the timers of a busy machine are late.
+     */
+    public synchronized void putAt(long atMs, String key, String value) {
+        mScheduledValues.add(new ScheduledValue(atMs, key, value));
+        mVertx.setTimer(Math.max(1, atMs - ArrivalLog.nowMs()), ignored -> writeScheduled());
+    }
+
+    private synchronized void writeScheduled() {
+        long nowMs = ArrivalLog.nowMs();
+        List<ScheduledValue> due =
+                mScheduledValues.stream().filter(value -> value.mAtMs <= nowMs).toList();
+        mScheduledValues.removeAll(due);
+        due.forEach(value -> put(value.mKey, value.mValue));
+    }
+
     /** Deletes a key, as an operator or a replica would. */
     public synchronized void delete(String key) {
         mExternalValues.remove(key);
@@ -181,6 +200,7 @@
     }
 
     private synchronized void dispatch(HttpServerRequest request, JsonNode body) {
+        writeScheduled();
         String path = request.path();
         if (path.equals("/kv-key")) {
             readKey(request);
@@ -444,4 +464,7 @@
             mAfterRevision = afterRevision;
         }
     }
+
+    /** A value that is written at a time. */
+    private record ScheduledValue(long mAtMs, String mKey, String mValue) {}
 }
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/ReplicaStandIn.java
@@ -155,20 +155,31 @@
 
     /** Registers a state, the warm-up time and the start time of the replica, in milliseconds. */
     public void register(String state, long warmupMs, long startedMs) {
-        mStore.put(
-                "servers/" + mId,
-                Json.MAPPER
-                        .createObjectNode()
-                        .put("born", startedMs)
-                        .put("service", mService)
-                        .put("addr", mHost + ":" + mPort)
-                        .put("zone", mZone)
-                        .put("version", "v1")
-                        .put("slots", mSlots)
-                        .put("state", state)
-                        .put("warmupMs", warmupMs)
-                        .put("seq", ++mRegistrationSequence)
-                        .toString());
+        mStore.put(registrationKey(), registration(state, warmupMs, startedMs));
+    }
+
+    /** Registers like the other methods, but at a time of {@link ArrivalLog#nowMs()}. */
+    public void registerAt(long atMs, String state, long warmupMs, long startedMs) {
+        mStore.putAt(atMs, registrationKey(), registration(state, warmupMs, startedMs));
+    }
+
+    private String registrationKey() {
+        return "servers/" + mId;
+    }
+
+    private String registration(String state, long warmupMs, long startedMs) {
+        return Json.MAPPER
+                .createObjectNode()
+                .put("born", startedMs)
+                .put("service", mService)
+                .put("addr", mHost + ":" + mPort)
+                .put("zone", mZone)
+                .put("version", "v1")
+                .put("slots", mSlots)
+                .put("state", state)
+                .put("warmupMs", warmupMs)
+                .put("seq", ++mRegistrationSequence)
+                .toString();
     }
 
     /** Stops listening without announcing it and deletes the registration, as after a crash. */
