Forwards: a forgotten request stays "may have run" when the reply is lost

Callers could be told "not run" of a request that had run, so that an unsafe one was run again.

Cause: a receiver that has forgotten a session (600 s without a link) answers the sender's next statement with "may have run", but creates a session whose highest stream is still 0. When that reply is lost with its link, the same statement on the next link finds a session, takes the stream for new and answers "not run". The stream now counts as known from the first answer on.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
@@ -121,9 +121,11 @@
     }
 
     private void resumeUnknown(long stream, boolean forgotten) {
-        if (!forgotten && stream > mHighestStream) {
+        if (stream > mHighestStream) {
             mHighestStream = stream;
-            mNeverStarted.add(stream);
+            if (!forgotten) {
+                mNeverStarted.add(stream);
+            }
         }
         send(new PeerMessage.ForwardUnknown(stream, !mNeverStarted.contains(stream)));
     }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
@@ -18,6 +18,9 @@
     private static final long TICK_MS = 100;
     private static final long HOLD_UP_MS = 20_000;
 
+    /** The time after which a session without a link is forgotten. */
+    private static final long FORGOTTEN_MS = 601_000;
+
     private final List<ForwardedResponse> mRuns = new ArrayList<>();
     private final List<Long> mCancelled = new ArrayList<>();
     private long mNowMs;
@@ -111,4 +114,41 @@
         assertEquals(mRuns.size(), 0);
         assertEquals(next.mSent, List.of(new PeerMessage.ForwardUnknown(1, false)));
     }
+
+    /** Returns what the receiver has said of the streams that it does not know. */
+    private static List<Boolean> mayHaveRun(RecordingLink link) {
+        return link.sent(PeerMessage.ForwardUnknown.class).stream()
+                .map(PeerMessage.ForwardUnknown::mayHaveRun)
+                .toList();
+    }
+
+    private RecordingLink resume(long generation, boolean known, long stream) {
+        RecordingLink link = new RecordingLink("sender", 1);
+        mReceiver.handle(
+                link,
+                new PeerMessage.ForwardResume(
+                        generation, known, List.of(new PeerMessage.OpenForward(stream, 0, 0))));
+        return link;
+    }
+
+    private void runUntilForgotten() {
+        mReceiver.handle(mLink, start(1));
+        tickFor(TICK_MS);
+        mLink.close();
+        tickFor(FORGOTTEN_MS);
+        assertEquals(mCancelled, List.of(1L));
+    }
+
+    /** Guards against "not run" for a request that ran, as the first statement was lost. */
+    @Test
+    public void requestOfAForgottenSessionIsTakenForNotRunOnceTheReplyIsLost() {
+        runUntilForgotten();
+
+        RecordingLink first = resume(2, true, 1);
+        first.close();
+        RecordingLink second = resume(3, true, 1);
+
+        assertEquals(mayHaveRun(first), List.of(true));
+        assertEquals(mayHaveRun(second), List.of(true));
+    }
 }
