Forwards: a receiver remembers which senders it has forgotten

Callers could be told "not run" of a request that had run.

Cause: only the sender said whether the receiver might have forgotten something, and it says so once it has received a message of the receiver. A sender whose first link carried a request but no message back, and that had no link for 600 s, or whose session another process of its instance had ended, was answered "not run". The receiver now keeps the processes whose session it has forgotten (4,096 of them; beyond that all unknown senders count as forgotten).

Evidence: ForwardReceiverTest.requestOfAForgottenSessionIsTakenForNotRun failed before: "Lists differ at element [0]: true != false expected [true] but found [false]".

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -33,6 +33,9 @@
     /** How long it is known which streams a sender has started, in milliseconds. */
     private static final long SESSION_TIMEOUT_MS = 600_000;
 
+    /** The number of processes that are known to have had a session. */
+    private static final int MAX_FORGOTTEN_SENDERS = 4_096;
+
     /** One of so many parts of the heap may hold responses that are not acknowledged. */
     private static final int RETAINED_HEAP_PARTS = 16;
 
@@ -44,6 +47,8 @@
     private final LongSupplier mClockMs;
     private final Consumer<ForwardEvent> mLog;
     private final Map<SenderProcess, ReceiverSession> mSessions = new HashMap<>();
+    private final ForgottenSenders<SenderProcess> mForgotten =
+            new ForgottenSenders<>(MAX_FORGOTTEN_SENDERS);
     private final Map<ForwardLink, ReceiverSession> mSessionsByLink = new HashMap<>();
     private final Set<ForwardLink> mIgnored = new HashSet<>();
     private final Set<ForwardLink> mEndedLinks = new HashSet<>();
@@ -166,7 +171,8 @@
             replaceLink(session);
         }
         link(from, session, resume.generation());
-        session.resume(resume.streams(), known == null && resume.known());
+        boolean forgotten = known == null && (resume.known() || mForgotten.mayContain(sender));
+        session.resume(resume.streams(), forgotten);
     }
 
     private static boolean areValid(List<PeerMessage.OpenForward> streams) {
@@ -208,12 +214,17 @@
                 .filter(entry -> entry.getKey().id().equals(sender.id()))
                 .forEach(
                         entry -> {
-                            mSessions.remove(entry.getKey());
+                            forget(entry.getKey());
                             replaceLink(entry.getValue());
                             entry.getValue().cancelAll();
                         });
     }
 
+    private void forget(SenderProcess sender) {
+        mSessions.remove(sender);
+        mForgotten.add(sender);
+    }
+
     /** Ends what no sender waits for any more, and shows older releases that links are alive. */
     public void tick(long nowMs) {
         long heldUpMs = ForwardSender.heldUpMs(mLastTickMs, nowMs);
@@ -233,7 +244,7 @@
                 session.cancelAll();
             }
             if (unlinkedForMs > SESSION_TIMEOUT_MS) {
-                mSessions.remove(entry.getKey());
+                forget(entry.getKey());
             }
         }
         if (nowMs >= mNextKeepAliveMs) {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
@@ -151,4 +151,12 @@
         assertEquals(mayHaveRun(first), List.of(true));
         assertEquals(mayHaveRun(second), List.of(true));
     }
+
+    /** The sender has received nothing of this instance before its link was lost. */
+    @Test
+    public void requestOfAForgottenSessionIsTakenForNotRun() {
+        runUntilForgotten();
+
+        assertEquals(mayHaveRun(resume(2, false, 1)), List.of(true));
+    }
 }
