Forwards: a late message of an earlier process does not end its successor

Callers got "outcome unknown" for forwards of an instance that had just been restarted: all its open forwards to one receiver ended at once.

Cause: a receiver took the process whose statement came last for the newer one, and ended the session of the other. A statement that is sent again by the kernel of a process that has ended, or read late, may come after those of its successor. The number that identifies a process is random and has no order; the incarnation in the hello message of each release is the time of its start. A process ends only sessions with an incarnation up to its own, and none if its own session was forgotten. Where the wall clock was set back between the two starts, both sessions stay, and that of the ended process ends with its link.

Not covered: the first statement ever of an earlier process, late, if the clock was set back as well.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -162,8 +162,9 @@
             from.close();
             return;
         }
-        if (known == null) {
-            endOtherProcesses(sender);
+        long incarnation = from.peerMember().incarnation();
+        if (known == null && !mForgotten.mayContain(sender)) {
+            endEarlierProcesses(sender, incarnation);
         }
         ReceiverSession session =
                 mSessions.computeIfAbsent(sender, each -> new ReceiverSession(this, true));
@@ -171,6 +172,7 @@
             replaceLink(session);
         }
         link(from, session, resume.generation());
+        session.noteIncarnation(incarnation);
         boolean forgotten = known == null && (resume.known() || mForgotten.mayContain(sender));
         session.resume(resume.streams(), forgotten);
     }
@@ -208,10 +210,16 @@
         completeEnd();
     }
 
-    /** Cancels the requests of earlier processes of an instance, for which nobody waits. */
-    private void endOtherProcesses(SenderProcess sender) {
+    /**
+     * Cancels the requests of earlier processes of an instance, for which nobody waits.
+     *
+     * <p>What comes last may still be of an earlier process. A process with a lower incarnation has
+     * a session beside the others, which ends with its link.
+     */
+    private void endEarlierProcesses(SenderProcess sender, long incarnation) {
         List.copyOf(mSessions.entrySet()).stream()
                 .filter(entry -> entry.getKey().id().equals(sender.id()))
+                .filter(entry -> entry.getValue().incarnation() <= incarnation)
                 .forEach(
                         entry -> {
                             forget(entry.getKey());
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
@@ -19,6 +19,7 @@
 
     private ForwardLink mLink;
     private long mGeneration;
+    private long mIncarnation;
     private long mHighestStream;
     private long mUnlinkedMs;
     private long mLastReceivedMs;
@@ -44,6 +45,15 @@
         return mGeneration;
     }
 
+    /** Returns the highest incarnation that the sender's process has stated. */
+    long incarnation() {
+        return mIncarnation;
+    }
+
+    void noteIncarnation(long incarnation) {
+        mIncarnation = Math.max(mIncarnation, incarnation);
+    }
+
     long unlinkedMs() {
         return mUnlinkedMs;
     }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests the receiver of forwarded requests when it is held up or stops. */
@@ -159,4 +161,45 @@
 
         assertEquals(mayHaveRun(resume(2, false, 1)), List.of(true));
     }
+
+    /** Lists the incarnations of a late earlier process and of the present one. */
+    @DataProvider
+    public Object[][] incarnationsOfProcesses() {
+        return new Object[][] {{1, 2}, {5, 1_000}};
+    }
+
+    /** Guards against a late message of a process that has ended, which ends its successor. */
+    @Test(dataProvider = "incarnationsOfProcesses")
+    public void lateResumeOfAnEarlierProcessEndsItsSuccessor(int earlier, int present) {
+        RecordingLink link = linkOfProcess(2, present);
+        mReceiver.handle(link, new PeerMessage.ForwardResume(1, false, List.of()));
+        mReceiver.handle(link, start(1));
+        RecordingLink late = linkOfProcess(3, earlier);
+        mReceiver.handle(late, new PeerMessage.ForwardResume(1, false, List.of()));
+
+        assertEquals(mCancelled, List.of());
+        assertFalse(link.mClosed);
+        mReceiver.handle(link, start(2));
+        assertEquals(mRuns.size(), 2);
+    }
+
+    /** The last requests of a process are not run longer than without its successor. */
+    @Test
+    public void requestsOfALateProcessRunOn() {
+        RecordingLink link = linkOfProcess(2, 2);
+        mReceiver.handle(link, new PeerMessage.ForwardResume(1, false, List.of()));
+        RecordingLink late = linkOfProcess(3, 1);
+        mReceiver.handle(late, new PeerMessage.ForwardResume(1, false, List.of()));
+        mReceiver.handle(late, start(1));
+        late.close();
+        tickFor(ForwardReceiver.ORPHAN_MS + TICK_MS);
+
+        assertEquals(mCancelled, List.of(1L));
+    }
+
+    private static RecordingLink linkOfProcess(long life, long incarnation) {
+        RecordingLink link = new RecordingLink("sender", life);
+        link.mPeerMember = link.mPeerMember.withIncarnationAndState(incarnation, MemberState.LIVE);
+        return link;
+    }
 }
