Forwards: a slow connection that delivers is not replaced again and again

Callers saw a stream pause at each replacement of a connection that was slow but delivered, and the parts in flight were sent again each time.

Cause: an answer to a keep-alive that waited for 2.5 s behind data was taken for silence in one direction, whatever earlier answers had taken; the next link had the same delay and was replaced as well. The time out is now twice the time that the last answers took, at least 2.5 s and at most 20 s; a replacement counts as an answer that took as long. A silence in one direction on a link with prompt answers is still found after 2.5 s.

--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -24,9 +24,14 @@
     /** The time without any message after which a link with unanswered keep-alives is silent. */
     private static final long SILENCE_TIMEOUT_MS = 800;
 
-    /** The time after which a link is silent in one direction, as no keep-alive is answered. */
+    /**
+     * The least time after which a link is silent in one direction, as no keep-alive is answered.
+     * Where answers wait behind data it is twice the time that the last ones took.
+     */
     private static final long ONE_WAY_SILENCE_TIMEOUT_MS = 2_500;
 
+    private static final long MAX_ONE_WAY_SILENCE_TIMEOUT_MS = 20_000;
+
     /** The same for an instance of an older release, which sends keep-alives each 500 ms. */
     private static final long OLDER_RELEASE_SILENCE_TIMEOUT_MS = 2_000;
 
@@ -72,6 +77,10 @@
     private long mUnlinkedMs;
     private long mLastReceivedMs;
     private long mLastKeepAliveMs;
+
+    /** How long the answer to a keep-alive takes, halved with each answer that takes less. */
+    private long mAnswerDelayMs;
+
     private long mNextOpenMs;
     private long mReopenedMs = NEVER_MS;
     private long mIdleSinceMs;
@@ -157,6 +166,7 @@
         List<ForwardCall> lost = sameProcess ? List.of() : calls(ForwardCall::isSent);
         exclude(lost);
         mKnown &= sameProcess;
+        mAnswerDelayMs = sameProcess ? mAnswerDelayMs : 0;
         mLife = mLink.peerLife();
         mReady = true;
         mMemberDead = false;
@@ -214,6 +224,9 @@
         mKnown = mLife != 0;
         if (message instanceof PeerMessage.ForwardKeepAlive) {
             Long askedMs = mKeepAlivesMs.poll();
+            if (askedMs != null) {
+                mAnswerDelayMs = Math.max(mLastReceivedMs - askedMs, mAnswerDelayMs / 2);
+            }
             mEndUnconfirmed &= askedMs == null || askedMs <= mIdleSinceMs;
         } else if (message instanceof PeerMessage.ForwardsEnd) {
             mForwardsEnded = true;
@@ -298,7 +311,10 @@
         long awaitedMs = mKeepAlivesMs.isEmpty() ? 0 : nowMs - mKeepAlivesMs.peek();
         boolean silent =
                 awaitedMs > SILENCE_TIMEOUT_MS && nowMs - mLastReceivedMs > SILENCE_TIMEOUT_MS;
-        if (silent || awaitedMs > ONE_WAY_SILENCE_TIMEOUT_MS) {
+        if (silent) {
+            closeSilent(awaitedMs);
+        } else if (awaitedMs > oneWaySilenceTimeoutMs()) {
+            mAnswerDelayMs = awaitedMs;
             closeSilent(awaitedMs);
         } else if (nowMs - mLastKeepAliveMs >= keepAliveIntervalMs(nowMs)) {
             mLastKeepAliveMs = nowMs;
@@ -307,6 +323,12 @@
         }
     }
 
+    private long oneWaySilenceTimeoutMs() {
+        return Math.max(
+                ONE_WAY_SILENCE_TIMEOUT_MS,
+                Math.min(2 * mAnswerDelayMs, MAX_ONE_WAY_SILENCE_TIMEOUT_MS));
+    }
+
     private long keepAliveIntervalMs(long nowMs) {
         boolean quiet =
                 !mCalls.isEmpty() && nowMs - mLastReceivedMs >= QUIET_KEEP_ALIVE_INTERVAL_MS;
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -1,9 +1,12 @@
 package org.filbertrudder.peer.forwarding;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -25,6 +28,9 @@
 
     private static final long DEATH_NOTICED_MS = 1_500;
 
+    /** Longer than the time after which a silence in one direction is found first. */
+    private static final long SLOW_ANSWER_MS = 4_000;
+
     private final List<Consumer<? super ForwardLink>> mOpening = new ArrayList<>();
     private final List<ForwardEvent> mLog = new ArrayList<>();
     private RecordingLink mOpenLink;
@@ -294,6 +300,78 @@
         assertEquals(mOpened, 1, "links opened");
     }
 
+    /** Guards against a slow link that is replaced again and again, with what it has in flight. */
+    @Test
+    public void slowLinkThatDeliversIsReplacedAgainAndAgain() {
+        int links = deliverWithAnswersLate(SLOW_ANSWER_MS, 60_000);
+
+        assertTrue(links <= 3, "links: " + links);
+    }
+
+    /** The delay grows with a queue, so that the answers before show it. */
+    @Test
+    public void linkWhoseDelayGrowsIsReplaced() {
+        int links = deliverWithAnswersLate(0, 12_000);
+
+        assertEquals(links, 1);
+    }
+
+    /** Guards against a silence in one direction that is found late after a slow time. */
+    @Test
+    public void silenceInOneDirectionIsFoundLateOnceAnswersAreFast() {
+        deliverWithAnswersLate(SLOW_ANSWER_MS, 30_000);
+        RecordingLink link = mOpenLink;
+        tickFor(8_000);
+        assertFalse(link.mClosed);
+
+        for (long untilMs = mNowMs + 2_500 + 1_000; mNowMs < untilMs; ) {
+            advance(link);
+        }
+
+        assertTrue(link.mClosed);
+    }
+
+    /**
+     * Delivers data all the time, and answers each keep-alive late; returns how many links were
+     * used.
+     *
+     * @param delayMs how late; 0 for a delay that grows by a third of the time passed
+     */
+    private int deliverWithAnswersLate(long delayMs, long forMs) {
+        List<RecordingLink> links = new ArrayList<>();
+        Deque<Long> askedMs = new ArrayDeque<>();
+        start(new Outcome());
+        long startMs = mNowMs;
+        while (mNowMs < startMs + forMs) {
+            if (!mOpening.isEmpty()) {
+                mOpenLink = greetedLink();
+                links.add(mOpenLink);
+                askedMs.clear();
+                open(mOpenLink);
+            }
+            RecordingLink link = mOpenLink;
+            mOpenLink = null;
+            if (advance(link)) {
+                askedMs.add(mNowMs);
+            }
+            mOpenLink = link;
+            long lateMs = delayMs > 0 ? delayMs : (mNowMs - startMs) / 3;
+            if (!link.mClosed && !askedMs.isEmpty() && mNowMs - askedMs.peek() >= lateMs) {
+                askedMs.poll();
+                mSender.handle(link, new PeerMessage.ForwardKeepAlive());
+            }
+        }
+        return links.size();
+    }
+
+    /** Delivers data for one tick; returns whether a keep-alive was sent. */
+    private boolean advance(RecordingLink link) {
+        mNowMs += TICK_MS;
+        mSender.handle(link, new PeerMessage.ForwardData(1, new byte[1_000]));
+        mSender.tick(mNowMs);
+        return link.takeKeepAlive();
+    }
+
     /** Records how a forward has failed. */
     private static final class Outcome implements ForwardListener {
 
