An exception in a step of a request leaves the caller without an answer

Callers: after an exception in a step that follows the admission, they waited for the time limit of the route (504 after 4.0 s). If the exception came as the head of the response was set, the connection closed at the limit with neither an answer nor a refusal.

Cause: continuations, timers and callbacks of connections had no handler for exceptions. A pass over waiting requests and the tick ended at the first one. An exception at the end of a request, after it was marked as ended, took its answer away for good. A response counted as begun before its head was set, so that no refusal could follow. The decoder of endpoints' responses does not validate names of headers, the response to the caller does (by reading).

Change: GatewayExchangeFinisher.runStep runs a step; an exception ends just its request, as 500 that is honest about whether it may have run, with a log line. Steps are what follows a confirmation, a decision or a grant, each event of an attempt, its timers, and each request of a pass. What follows the end of a request is run step by step before its answer. Parts of the tick run one by one. A response whose head cannot be read ends its connection, as one that is invalid.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpResponseSink.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpResponseSink.java
@@ -17,12 +17,21 @@
 
     @Override
     public void sendHead(int status, Map<String, String> headers) {
+        if (!mResponse.closed() && !mResponse.ended()) {
+            setHead(status, headers);
+        }
         mHeadSent = true;
-        if (mResponse.closed() || mResponse.ended()) {
-            return;
+    }
+
+    /** Sets the head; after an exception, another one may be set. */
+    private void setHead(int status, Map<String, String> headers) {
+        try {
+            mResponse.setStatusCode(status);
+            headers.forEach(this::putHeader);
+        } catch (IllegalArgumentException e) {
+            mResponse.headers().clear();
+            throw e;
         }
-        mResponse.setStatusCode(status);
-        headers.forEach(this::putHeader);
         if (!headers.containsKey("content-length")) {
             mResponse.setChunked(true);
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -89,7 +89,15 @@
     }
 
     private void scheduleStallCheck(long delayMs) {
-        mStallTimer = mDependencies.vertx().setTimer(Math.max(1, delayMs), ignored -> checkStall());
+        mStallTimer =
+                mDependencies
+                        .vertx()
+                        .setTimer(Math.max(1, delayMs), ignored -> runStep(this::checkStall));
+    }
+
+    /** Runs a step of this attempt; an exception that it raises ends the exchange. */
+    void runStep(Runnable step) {
+        mDependencies.finisher().runStep(mExchange, step);
     }
 
     private long stallTimeoutMs() {
@@ -213,7 +221,7 @@
         if (mExchange.sink().writeQueueFull()) {
             mPaused = true;
             pause();
-            mExchange.sink().onDrain(this::onSinkDrained);
+            mExchange.sink().onDrain(() -> runStep(this::onSinkDrained));
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.filbertrudder.entry.control.TokenGrant;
 import org.filbertrudder.entry.control.TokensRefusedException;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.control.Clocks;
@@ -80,13 +81,16 @@
         }
         onConfirmation(
                 CONFIRMATION_WAIT_MS,
-                () -> {
-                    if (mControl.stateFreshness().isFresh(Clocks.now())) {
-                        next.run();
-                    } else {
-                        mFinisher.refuse(exchange, GatewayRefusal.stateOutdated());
-                    }
-                });
+                () ->
+                        mFinisher.runStep(
+                                exchange,
+                                () -> {
+                                    if (mControl.stateFreshness().isFresh(Clocks.now())) {
+                                        next.run();
+                                    } else {
+                                        mFinisher.refuse(exchange, GatewayRefusal.stateOutdated());
+                                    }
+                                }));
     }
 
     /**
@@ -123,16 +127,26 @@
         }
         mControl.crashReports()
                 .decisionFor(exchange.digest())
-                .thenAccept(
-                        decision ->
-                                mContext.runOnContext(
-                                        ignored -> applyDecision(exchange, decision, next)));
+                .whenComplete(
+                        (decision, failure) ->
+                                runOnContext(
+                                        exchange,
+                                        () -> applyDecision(exchange, decision, failure, next)));
+    }
+
+    private void runOnContext(GatewayExchange exchange, Runnable step) {
+        mContext.runOnContext(ignored -> mFinisher.runStep(exchange, step));
     }
 
-    private void applyDecision(GatewayExchange exchange, Decision decision, Runnable next) {
+    private void applyDecision(
+            GatewayExchange exchange, Decision decision, Throwable failure, Runnable next) {
         if (exchange.ended()) {
             return;
         }
+        if (failure != null) {
+            mFinisher.failAfterException(exchange, failure);
+            return;
+        }
         if (decision == Decision.REFUSED) {
             mFinisher.refuse(exchange, GatewayRefusal.crashingRequest());
         } else {
@@ -156,20 +170,20 @@
                         waitMs)
                 .whenComplete(
                         (grant, failure) ->
-                                mContext.runOnContext(
-                                        ignored -> {
-                                            if (failure != null) {
-                                                mFinisher.refuse(exchange, refusal(failure));
-                                                return;
-                                            }
-                                            exchange.setGrant(grant);
-                                            if (exchange.ended()) {
-                                                mControl.tokenReservations()
-                                                        .settle(grant, grant.tokens());
-                                            } else {
-                                                mDispatch.accept(exchange);
-                                            }
-                                        }));
+                                runOnContext(exchange, () -> applyGrant(exchange, grant, failure)));
+    }
+
+    private void applyGrant(GatewayExchange exchange, TokenGrant grant, Throwable failure) {
+        if (failure != null) {
+            mFinisher.refuse(exchange, refusal(failure));
+            return;
+        }
+        exchange.setGrant(grant);
+        if (exchange.ended()) {
+            mControl.tokenReservations().settle(grant, grant.tokens());
+        } else {
+            mDispatch.accept(exchange);
+        }
     }
 
     private static GatewayRefusal refusal(Throwable failure) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -24,6 +24,8 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.filbertrudder.entry.log.ComponentLogger;
+import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
 
 /**
@@ -35,6 +37,8 @@
  */
 final class EndpointConnection {
 
+    private static final ComponentLogger LOG = ComponentLogger.of("endpoints");
+
     private static final int MIN_FINAL_STATUS = 200;
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
@@ -146,6 +150,12 @@
             if (message instanceof HttpObject part) {
                 receive(part);
             }
+        } catch (RuntimeException | Error e) {
+            LOG.warn(
+                    "Reading a response has failed.",
+                    LogField.of("id", mRequestId),
+                    LogField.of("error", e));
+            close();
         } finally {
             ReferenceCountUtil.release(message);
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -144,6 +144,11 @@
                 .refuse(exchange, accurate ? refusal : GatewayRefusal.incompleteResponse());
     }
 
+    @Override
+    public void fail(GatewayExchange exchange, Throwable exception) {
+        mDependencies.finisher().failAfterException(exchange, exception);
+    }
+
     /** Ends a request for good because a part of its prompt crashes endpoints. */
     void giveUpBlocked(GatewayExchange exchange, String part) {
         exchange.trace("blocked=" + part);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -405,15 +405,17 @@
         mOnEnd.add(action);
     }
 
-    /**
-     * Marks the exchange as ended and runs the end actions; returns false if it had ended before.
-     */
+    /** Returns the actions to run once the exchange has ended. */
+    List<Runnable> endActions() {
+        return Collections.unmodifiableList(mOnEnd);
+    }
+
+    /** Marks the exchange as ended; returns false if it had ended before. */
     boolean markEnded() {
         if (mEnded) {
             return false;
         }
         mEnded = true;
-        mOnEnd.forEach(Runnable::run);
         return true;
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
@@ -45,10 +45,15 @@
             return;
         }
         finish(exchange, refusal.status(), refusal.code());
-        if (exchange.sink().headSent()) {
+        try {
+            if (exchange.sink().headSent()) {
+                exchange.sink().abort();
+            } else {
+                exchange.sink().refuse(refusal);
+            }
+        } catch (RuntimeException | Error e) {
+            log(exchange, e);
             exchange.sink().abort();
-        } else {
-            exchange.sink().refuse(refusal);
         }
     }
 
@@ -57,6 +62,29 @@
         refuse(exchange, GatewayRefusal.incompleteResponse());
     }
 
+    /** Runs a step of a request; an exception that it raises ends just this request. */
+    void runStep(GatewayExchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            failAfterException(exchange, e);
+        }
+    }
+
+    /** Logs an exception that a step of a request has raised, and ends the request. */
+    void failAfterException(GatewayExchange exchange, Throwable exception) {
+        log(exchange, exception);
+        failAfterException(exchange);
+    }
+
+    private static void log(GatewayExchange exchange, Throwable exception) {
+        LOG.warn(
+                "A step of a request has failed.",
+                LogField.of("id", exchange.head().requestId()),
+                LogField.of("step", exchange.step()),
+                LogField.of("error", exception));
+    }
+
     /** Ends an exchange whose handling has raised an exception. */
     void failAfterException(GatewayExchange exchange) {
         refuse(exchange, GatewayRefusal.internalError(exchange.runs() == 0));
@@ -72,10 +100,25 @@
         if (!exchange.markEnded()) {
             return;
         }
+        exchange.endActions().forEach(action -> runEndStep(exchange, action));
         if (attempt != null) {
-            attempt.cancel();
+            runEndStep(exchange, attempt::cancel);
+        }
+        runEndStep(exchange, () -> returnUnusedTokens(exchange));
+        runEndStep(exchange, () -> record(exchange, status, outcome));
+    }
+
+    /** Runs a step that follows the end of a request; the others, and its answer, go on. */
+    private static void runEndStep(GatewayExchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            log(exchange, e);
         }
-        returnUnusedTokens(exchange);
+    }
+
+    /** Updates the metrics and writes the log line. */
+    private void record(GatewayExchange exchange, int status, String outcome) {
         long durationMs = Clocks.steadyMs() - exchange.arrivedMs();
         String outcomeName = outcome.replace('-', '_');
         mMetrics.counter("requests_" + outcomeName).inc();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -318,11 +318,11 @@
                 () -> {
                     vertx.cancelTimer(timer);
                     mActive.remove(exchange);
+                    mDispatcher.remove(exchange);
                     if (exchange.runs() > 0) {
                         long durationMs = Clocks.steadyMs() - exchange.arrivedMs();
                         mRunTimes.record(exchange.route().name(), durationMs);
                     }
-                    mDispatcher.remove(exchange);
                 });
     }
 
@@ -432,21 +432,32 @@
 
     private void tick() {
         long nowMs = Clocks.steadyMs();
-        mDispatcher.tick();
-        mLoadReporting.tick(nowMs);
-        mSendPermits.tick(nowMs);
-        mCrashingParts.tick(nowMs);
-        mForwardClient.tick(nowMs);
-        mForwardServer.tick(nowMs);
-        mFailureDetector.tick(nowMs);
-        mRestartReporting.tick(nowMs);
+        runTask("queues", mDispatcher::tick);
+        runTask("load", () -> mLoadReporting.tick(nowMs));
+        runTask("permits", () -> mSendPermits.tick(nowMs));
+        runTask("parts", () -> mCrashingParts.tick(nowMs));
+        runTask("sent forwards", () -> mForwardClient.tick(nowMs));
+        runTask("received forwards", () -> mForwardServer.tick(nowMs));
+        runTask("endpoints", () -> mFailureDetector.tick(nowMs));
+        runTask("restarts", () -> mRestartReporting.tick(nowMs));
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
-            Set<EndpointId> registered = registeredEndpoints();
-            mConnections.tick(registered);
-            mEndpointTable.expireLimits(nowMs);
-            mCrashingParts.maintain(nowMs);
-            mCallerServer.closeIdle(isRefusing());
+            runTask("connections", () -> mConnections.tick(registeredEndpoints()));
+            runTask("limits", () -> mEndpointTable.expireLimits(nowMs));
+            runTask("stored parts", () -> mCrashingParts.maintain(nowMs));
+            runTask("idle callers", () -> mCallerServer.closeIdle(isRefusing()));
+        }
+    }
+
+    /** Runs a periodic task; an exception that it raises does not keep the others from running. */
+    private static void runTask(String name, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            LOG.warn(
+                    "A periodic task has failed.",
+                    LogField.of("task", name),
+                    LogField.of("error", e));
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -55,7 +55,7 @@
                         mEndpoint.endpoint(),
                         mExchange.head().requestId(),
                         mExchange.route().isRepeatable(),
-                        this::onConnection);
+                        connection -> runStep(() -> onConnection(connection)));
     }
 
     /** Adds the engine's estimated state at the time of the choice to the trace. */
@@ -119,7 +119,7 @@
                 mExchange.uri(),
                 headers,
                 mExchange.body(),
-                this,
+                new StepListener(this, this::runStep),
                 () -> mDependencies.connections().release(mEndpoint.endpoint(), connection));
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RemoteAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RemoteAttempt.java
@@ -50,7 +50,12 @@
         mForwardAttempt =
                 mDependencies
                         .forwardClient()
-                        .start(mMember, mExchange, snapshot, remainingMs, this);
+                        .start(
+                                mMember,
+                                mExchange,
+                                snapshot,
+                                remainingMs,
+                                new StepListener(this, this::runStep));
     }
 
     /**
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -267,11 +267,20 @@
         for (GatewayExchange exchange : awaitingEngine) {
             exchange.setQueued(false);
             if (!exchange.ended()) {
-                route(exchange, queue);
+                runStep(exchange, () -> route(exchange, queue));
             }
         }
     }
 
+    /** Runs a step of a request in a pass over several; an exception ends only this request. */
+    private void runStep(GatewayExchange exchange, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | Error e) {
+            mStarter.fail(exchange, e);
+        }
+    }
+
     private void startWaiting(ServiceQueue queue) {
         queue.mSkipped.clear();
         queue.mEngineWaits = 0;
@@ -286,7 +295,8 @@
             queue.mWaitEstimate.recordStarted(
                     exchange.queueAccount(), cost(exchange), Clocks.steadyMs());
             if (!exchange.ended()) {
-                start(exchange, queue.mNextRoute);
+                Route route = queue.mNextRoute;
+                runStep(exchange, () -> start(exchange, route));
             }
         }
     }
@@ -303,7 +313,11 @@
         if (queue.mSkipped.stream().anyMatch(skipped -> skipped.needsNoMoreThan(exchange))) {
             return FairQueue.PollDecision.SKIP;
         }
-        queue.mNextRoute = choose(exchange, queue);
+        runStep(exchange, () -> queue.mNextRoute = choose(exchange, queue));
+        if (exchange.ended()) {
+            // Its end has removed it from the queue.
+            return FairQueue.PollDecision.SKIP;
+        }
         if (queue.mNextRoute instanceof Route.WaitForEngine) {
             queue.mEngineWaits++;
             return FairQueue.PollDecision.SKIP;
@@ -339,15 +353,16 @@
             List<GatewayExchange> expired = queue.mWaiting.removeExpired(nowMs);
             for (GatewayExchange exchange : expired) {
                 exchange.setQueued(false);
-                mStarter.giveUp(
-                        exchange, GatewayRefusal.overloaded(retryAfterMs(MIN_RETRY_AFTER_MS)));
+                GatewayRefusal refusal =
+                        GatewayRefusal.overloaded(retryAfterMs(MIN_RETRY_AFTER_MS));
+                runStep(exchange, () -> mStarter.giveUp(exchange, refusal));
             }
             pump(entry.getKey());
             List<GatewayExchange> limited =
                     queue.mWaiting.removeIf(each -> isLimitedBeyondItsStart(each, nowMs));
             for (GatewayExchange exchange : limited) {
                 exchange.setQueued(false);
-                refuseAsLimited(exchange, limitWaitMs(exchange, 0));
+                runStep(exchange, () -> refuseAsLimited(exchange, limitWaitMs(exchange, 0)));
             }
         }
     }
@@ -380,6 +395,9 @@
          * not run if it may have.
          */
         void giveUp(GatewayExchange exchange, GatewayRefusal refusal);
+
+        /** Ends a request of which a step has raised an exception. */
+        void fail(GatewayExchange exchange, Throwable exception);
     }
 
     /**
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/RequestDispatcherTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/RequestDispatcherTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.filbertrudder.gateway.config.Backend;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
@@ -39,12 +40,16 @@
     private static final FailureDomainId DOMAIN = FailureDomainId.of("r-a");
 
     private final List<GatewayRefusal> mRefusals = new ArrayList<>();
+    private boolean mFailsOnce;
+    private int mFailures;
     private EndpointTable mTable;
     private RequestDispatcher mDispatcher;
 
     @BeforeMethod
     public void createDispatcherWithOneBusyEndpoint() {
         mRefusals.clear();
+        mFailsOnce = false;
+        mFailures = 0;
         mTable = new EndpointTable();
         mTable.setEndpoints(
                 List.of(
@@ -159,6 +164,20 @@
         assertTrue(mRefusals.stream().allMatch(refusal -> refusal.retryAfterMs() > 100));
     }
 
+    @Test
+    public void exceptionAtOneRequestKeepsTheOthersOfItsPassWaiting() throws Exception {
+        endpoint().requestStarted(false);
+        mDispatcher.submit(exchangeThatArrived(GOAL_MS - 100));
+        mDispatcher.submit(exchangeThatArrived(GOAL_MS - 100));
+        assertEquals(mDispatcher.waiting(), 2);
+        TimeUnit.MILLISECONDS.sleep(200);
+        mFailsOnce = true;
+        mDispatcher.tick();
+
+        assertEquals(mFailures, 1);
+        assertEquals(onlyRefusal().code(), "overloaded");
+    }
+
     /** Collects refusals; no request is expected to start. */
     private final class Refusals implements RequestDispatcher.Starter {
 
@@ -175,7 +194,19 @@
 
         @Override
         public void giveUp(GatewayExchange exchange, GatewayRefusal refusal) {
+            if (mFailsOnce) {
+                mFailsOnce = false;
+                throw new IllegalStateException("Raised by the test.");
+            }
             mRefusals.add(refusal);
         }
+
+        @Override
+        public void fail(GatewayExchange exchange, Throwable exception) {
+            if (!(exception instanceof IllegalStateException)) {
+                throw new AssertionError(exception);
+            }
+            mFailures++;
+        }
     }
 }
