A forwarded request is given to another service than its sender has chosen

Cause: an instance with the same or a newer version than the sender's drew the service again; the sender's choice counted only if its version was newer.

Change: the sender's choice stands if the own route still gives requests to it. Otherwise the own configuration chooses, as before.

Test: ForwardedRequestTest.forwardRunsAtAnotherServiceOfItsRouteThanItsSenderHas- Chosen, before: "Sets differ: expected [] but got [divided-10, divided-11, divided-15, divided-3, divided-9]" (5 of 20 requests). After: the 15 tests of the class pass.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
@@ -54,6 +54,12 @@
         return allowedRegions.isEmpty() || allowedRegions.contains(region);
     }
 
+    /** Returns whether requests may be passed to the service. */
+    public boolean isServedBy(ServiceId service) {
+        return backends.stream()
+                .anyMatch(backend -> backend.service().equals(service) && backend.weight() > 0);
+    }
+
     /**
      * Chooses the service for a request.
      *
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -372,13 +372,13 @@
         Optional<RouteRule> route = configuration.route(head.host(), path);
         Optional<AccountRule> account =
                 Optional.ofNullable(start.account()).flatMap(configuration::account);
-        // A newer configuration than the own one may have moved the route.
-        Optional<ServiceId> newerService =
-                chosenService.filter(ignored -> start.revision() > configuration.version());
+        Optional<ServiceId> sendersService =
+                chosenService.filter(
+                        service -> mayFollowSender(start, service, route, configuration));
         boolean verified =
                 route.isPresent()
                         && keyMatchesAccount(configuration, start, route.get(), account)
-                        && newerService.map(configuration::service).stream()
+                        && sendersService.map(configuration::service).stream()
                                 .allMatch(Optional::isPresent);
         if (!verified) {
             // The two instances may temporarily have different versions of the configuration.
@@ -393,7 +393,7 @@
                         Buffer.buffer(start.body()),
                         route.get(),
                         account,
-                        newerService.orElseGet(
+                        sendersService.orElseGet(
                                 () -> route.get().chooseService(mRandom.nextDouble())),
                         true,
                         sink,
@@ -403,6 +403,20 @@
         return Optional.of(exchange);
     }
 
+    /**
+     * Returns whether a forwarded request runs at the service that its sender has chosen. A newer
+     * configuration than the own one may have moved the route; one that is as new or older has
+     * chosen for the request, which may go on with a stream of that service.
+     */
+    private static boolean mayFollowSender(
+            PeerMessage.ForwardStart start,
+            ServiceId service,
+            Optional<RouteRule> route,
+            GatewayConfiguration configuration) {
+        return start.revision() > configuration.version()
+                || route.filter(each -> each.isServedBy(service)).isPresent();
+    }
+
     private void admitForwarded(GatewayExchange exchange) {
         try {
             begin(exchange);
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -60,6 +60,7 @@
     private final Map<FailureDomainId, RegionId> mRegionByDomain;
     private final Map<String, String> mAccountByApiKey = new HashMap<>();
     private final Set<String> mAddedRoutes = new ConcurrentSkipListSet<>();
+    private final Set<String> mDividedRoutes = new ConcurrentSkipListSet<>();
     private double mRatePerSecond;
     private long mIdleTimeoutMs = 15_000;
     private long mConfigurationVersion;
@@ -117,6 +118,15 @@
         return mAddedRoutes;
     }
 
+    /**
+     * Returns the path prefixes of further routes whose requests are divided equally between the
+     * model service and the booking service. Changes to the set take effect with the next version
+     * of the configuration.
+     */
+    public Set<String> dividedRoutes() {
+        return mDividedRoutes;
+    }
+
     /** Sets the token rate and burst of each account from the next configuration version on. */
     public void setRatePerSecond(double ratePerSecond) {
         mRatePerSecond = ratePerSecond;
@@ -249,6 +259,12 @@
         addRoute(routes, "/stock/", "safe", BOOKING_SERVICE, false);
         addRoute(routes, "/open/", "safe", BOOKING_SERVICE, true);
         mAddedRoutes.forEach(prefix -> addRoute(routes, prefix, "safe", BOOKING_SERVICE, false));
+        for (String prefix : mDividedRoutes) {
+            ArrayNode backends =
+                    addRoute(routes, prefix, "safe", BOOKING_SERVICE, false).putArray("backends");
+            backends.addObject().put("service", MODEL_SERVICE).put("weight", 1);
+            backends.addObject().put("service", BOOKING_SERVICE).put("weight", 1);
+        }
         if (withBookingRoute) {
             addRoute(routes, "/book/", "unsafe", BOOKING_SERVICE, false).put("attempts", 1);
         }
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ForwardedRequestTest.java
@@ -14,6 +14,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -44,6 +46,9 @@
 
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
+    /** So many that hardly all would run at one of two services by chance. */
+    private static final int DIVIDED_REQUESTS = 20;
+
     /** When a stop accepts no request any more, and 2 s more, in milliseconds. */
     private static final long UNREAD_MS = 4_500;
 
@@ -162,6 +167,50 @@
         assertEquals(ranAt, expected);
     }
 
+    /** Guards against streams of one service that are resumed at another one. */
+    @Test
+    public void forwardRunsAtAnotherServiceOfItsRouteThanItsSenderHasChosen() throws IOException {
+        mFleet.startReplica("pool-mtl-1", PlatformFleet.MODEL_SERVICE, "mtl", STREAMS);
+        mFleet.dividedRoutes().add("/both/");
+        long version = mFleet.writeConfiguration(true);
+        PlatformFleet.await(
+                "the divided route is in force",
+                () ->
+                        mFleet.callerClient("mtl-1")
+                                        .sendPlain("GET", "/both/x", "key-club")
+                                        .status()
+                                == 200);
+        Set<String> ranElsewhere = new TreeSet<>();
+
+        for (int i = 0; i < DIVIDED_REQUESTS; i++) {
+            String id = "divided-" + i;
+            Map<String, String> service = Map.of("x-forward-service", PlatformFleet.MODEL_SERVICE);
+            PeerMessage.ForwardStart start = start(i + 1, id, "/both/x", service);
+            send(
+                    new PeerMessage.ForwardStart(
+                            start.stream(),
+                            start.requestId(),
+                            start.account(),
+                            start.key(),
+                            version,
+                            start.origin(),
+                            start.method(),
+                            start.uri(),
+                            start.headers(),
+                            start.body(),
+                            start.deadlineMs()));
+            PeerMessage message;
+            do {
+                message = receive();
+            } while (!(message instanceof PeerMessage.ForwardEnd));
+            if (mFleet.replica(REPLICA).executionCount(id) > 0) {
+                ranElsewhere.add(id);
+            }
+        }
+
+        assertEquals(ranElsewhere, Set.of());
+    }
+
     /** Returns the next message that is no keep-alive. */
     private PeerMessage receive() throws IOException {
         DataInputStream input = new DataInputStream(mPeer.getInputStream());
