A shorter idle limit closes connections that their callers may still use

Callers: a request sent on a kept connection, within the idle limit that its caller knows, could meet the close of the connection as a change shortens the limit, and got neither an answer nor a refusal.

Change: the limit that was in force when a connection became idle holds for it until its next request; a longer one holds at once.

Test: UnreadRequestTest.requestWithinTheFormerIdleLimitMeetsAClosedConnection, before: "expected [HTTP/1.1 200 OK ..." (the connection was closed). After: it passes, with OpenRequestsTest (27 tests).

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -356,12 +356,10 @@
      */
     void closeIdle(boolean allIdle) {
         GatewayConfiguration configuration = mControl.snapshot().configuration();
-        long limitMs =
-                configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
         if (allIdle) {
             mOpenRequests.closeIdleLongerThan(-1, OpenRequests.CloseCause.DRAIN);
-        } else {
-            mOpenRequests.closeIdleLongerThan(limitMs, OpenRequests.CloseCause.IDLE_LIMIT);
+        } else if (configuration != null) {
+            mOpenRequests.closeIdle(configuration.limits().idleTimeoutMs());
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
@@ -31,6 +32,9 @@
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
     private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
 
+    /** The limit at the last sweep, in milliseconds. */
+    private long mIdleLimitMs;
+
     /** Creates the register of requests whose bodies are held within a bound. */
     OpenRequests(HeldBytes bodies) {
         mBodies = bodies;
@@ -38,6 +42,7 @@
 
     void connectionOpened(HttpConnection connection) {
         CallerConnection state = new CallerConnection();
+        state.becameIdle(mIdleLimitMs);
         mConnections.put(connection, state);
         ConnectionBase base = (ConnectionBase) connection;
         ContextInternal context = base.getContext();
@@ -71,17 +76,31 @@
         return open;
     }
 
+    /**
+     * Closes the connections that have been idle for longer than the configured limit, in
+     * milliseconds. A limit that was in force when a connection became idle still holds for it, as
+     * its caller may be about to use it within that limit.
+     */
+    void closeIdle(long limitMs) {
+        mIdleLimitMs = limitMs;
+        closeIdle(state -> Math.max(limitMs, state.mIdleLimitMs), CloseCause.IDLE_LIMIT);
+    }
+
     /** Closes the connections that have been idle for longer than the limit, in milliseconds. */
     void closeIdleLongerThan(long limitMs, CloseCause cause) {
+        closeIdle(state -> limitMs, cause);
+    }
+
+    private void closeIdle(ToLongFunction<CallerConnection> limitMs, CloseCause cause) {
         long nowMs = Clocks.steadyMs();
         for (Map.Entry<HttpConnection, CallerConnection> entry :
                 List.copyOf(mConnections.entrySet())) {
             CallerConnection state = entry.getValue();
-            if (!state.isIdleLongerThan(limitMs, nowMs)) {
+            if (!state.isIdleLongerThan(limitMs.applyAsLong(state), nowMs)) {
                 continue;
             }
             readReceivedBytes(entry.getKey());
-            if (state.isIdleLongerThan(limitMs, nowMs)) {
+            if (state.isIdleLongerThan(limitMs.applyAsLong(state), nowMs)) {
                 state.mCloseCause = cause;
                 entry.getKey().close();
             }
@@ -125,7 +144,13 @@
 
         private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
         private CloseCause mCloseCause = CloseCause.CALLER;
-        private long mIdleSinceMs = Clocks.steadyMs();
+        private long mIdleSinceMs;
+        private long mIdleLimitMs;
+
+        void becameIdle(long limitMs) {
+            mIdleSinceMs = Clocks.steadyMs();
+            mIdleLimitMs = limitMs;
+        }
 
         boolean isIdleLongerThan(long limitMs, long nowMs) {
             return mOpen.isEmpty() && nowMs - mIdleSinceMs > limitMs;
@@ -241,7 +266,7 @@
         private boolean remove() {
             mHold.release();
             mConnection.mOpen.remove(this);
-            mConnection.mIdleSinceMs = Clocks.steadyMs();
+            mConnection.becameIdle(mIdleLimitMs);
             return mOpen.remove(this);
         }
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
@@ -25,6 +25,7 @@
 public class UnreadRequestTest {
 
     private static final int TIMEOUT_MS = 10_000;
+    private static final int IDLE_MS = 100;
     private static final String REQUEST = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
     private static final String RESPONSE = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx";
 
@@ -96,6 +97,36 @@
         }
     }
 
+    /** A shorter limit holds for a connection from the end of its next request on. */
+    @Test
+    public void requestWithinTheFormerIdleLimitMeetsAClosedConnection() throws Exception {
+        try (Socket caller = new Socket("127.0.0.1", mServer.actualPort())) {
+            caller.setSoTimeout(TIMEOUT_MS);
+            closeIdle(TIMEOUT_MS);
+            send(caller);
+            assertEquals(read(caller), RESPONSE);
+            TimeUnit.MILLISECONDS.sleep(IDLE_MS);
+            closeIdle(1);
+            send(caller);
+
+            assertEquals(read(caller), RESPONSE);
+
+            TimeUnit.MILLISECONDS.sleep(IDLE_MS);
+            closeIdle(1);
+            assertEquals(read(caller), "");
+        }
+    }
+
+    private void closeIdle(long limitMs) throws Exception {
+        CompletableFuture<Void> swept = new CompletableFuture<>();
+        mContext.runOnContext(
+                ignored -> {
+                    mOpenRequests.closeIdle(limitMs);
+                    swept.complete(null);
+                });
+        swept.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     private static void send(Socket caller) {
         try {
             caller.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
