--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -318,11 +318,11 @@
                 () -> {
                     vertx.cancelTimer(timer);
                     mActive.remove(exchange);
+                    mDispatcher.remove(exchange);
                     if (exchange.runs() > 0) {
                         long durationMs = Clocks.steadyMs() - exchange.arrivedMs();
                         mRunTimes.record(exchange.route().name(), durationMs);
                     }
-                    mDispatcher.remove(exchange);
                 });
     }
 
@@ -372,13 +372,13 @@
         Optional<RouteRule> route = configuration.route(head.host(), path);
         Optional<AccountRule> account =
                 Optional.ofNullable(start.account()).flatMap(configuration::account);
-        // A newer configuration than the own one may have moved the route.
-        Optional<ServiceId> newerService =
-                chosenService.filter(ignored -> start.revision() > configuration.version());
+        Optional<ServiceId> sendersService =
+                chosenService.filter(
+                        service -> mayFollowSender(start, service, route, configuration));
         boolean verified =
                 route.isPresent()
                         && keyMatchesAccount(configuration, start, route.get(), account)
-                        && newerService.map(configuration::service).stream()
+                        && sendersService.map(configuration::service).stream()
                                 .allMatch(Optional::isPresent);
         if (!verified) {
             // The two instances may temporarily have different versions of the configuration.
@@ -393,7 +393,7 @@
                         Buffer.buffer(start.body()),
                         route.get(),
                         account,
-                        newerService.orElseGet(
+                        sendersService.orElseGet(
                                 () -> route.get().chooseService(mRandom.nextDouble())),
                         true,
                         sink,
@@ -403,6 +403,20 @@
         return Optional.of(exchange);
     }
 
+    /**
+     * Returns whether a forwarded request runs at the service that its sender has chosen. A newer
+     * configuration than the own one may have moved the route; one that is as new or older has
+     * chosen for the request, which may go on with a stream of that service.
+     */
+    private static boolean mayFollowSender(
+            PeerMessage.ForwardStart start,
+            ServiceId service,
+            Optional<RouteRule> route,
+            GatewayConfiguration configuration) {
+        return start.revision() > configuration.version()
+                || route.filter(each -> each.isServedBy(service)).isPresent();
+    }
+
     private void admitForwarded(GatewayExchange exchange) {
         try {
             begin(exchange);
@@ -432,21 +446,32 @@
 
     private void tick() {
         long nowMs = Clocks.steadyMs();
-        mDispatcher.tick();
-        mLoadReporting.tick(nowMs);
-        mSendPermits.tick(nowMs);
-        mCrashingParts.tick(nowMs);
-        mForwardClient.tick(nowMs);
-        mForwardServer.tick(nowMs);
-        mFailureDetector.tick(nowMs);
-        mRestartReporting.tick(nowMs);
+        runTask("queues", mDispatcher::tick);
+        runTask("load", () -> mLoadReporting.tick(nowMs));
+        runTask("permits", () -> mSendPermits.tick(nowMs));
+        runTask("parts", () -> mCrashingParts.tick(nowMs));
+        runTask("sent forwards", () -> mForwardClient.tick(nowMs));
+        runTask("received forwards", () -> mForwardServer.tick(nowMs));
+        runTask("endpoints", () -> mFailureDetector.tick(nowMs));
+        runTask("restarts", () -> mRestartReporting.tick(nowMs));
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
-            Set<EndpointId> registered = registeredEndpoints();
-            mConnections.tick(registered);
-            mEndpointTable.expireLimits(nowMs);
-            mCrashingParts.maintain(nowMs);
-            mCallerServer.closeIdle(isRefusing());
+            runTask("connections", () -> mConnections.tick(registeredEndpoints()));
+            runTask("limits", () -> mEndpointTable.expireLimits(nowMs));
+            runTask("stored parts", () -> mCrashingParts.maintain(nowMs));
+            runTask("idle callers", () -> mCallerServer.closeIdle(isRefusing()));
+        }
+    }
+
+    /** Runs a periodic task; an exception that it raises does not keep the others from running. */
+    private static void runTask(String name, Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            LOG.warn(
+                    "A periodic task has failed.",
+                    LogField.of("task", name),
+                    LogField.of("error", e));
         }
     }
 
