SIGHUP during the start of an instance is harmless from the first statement on

Callers lose that instance until it is started again.

Cause: the handler was set after the settings had been read and the log prepared. Until then the JVM's own handler ends the process with exit code 129; before that one is set, the system's default does.

Change: `gateway` ignores SIGHUP in its first statement. The file is read once more when the handler stands, so a change whose signal came before is in force then and not only after the next check (5 s).

Ruled out: with -Xrs no handler can be set (tried: "Signal already used by VM or OS: SIGHUP"). No other option of the JVM was found. -cp instead of -jar gains nothing that eight starts of each show.

Open: until main() runs, a SIGHUP still ends the process (about 0.1 s, more on a busy machine). `filbertrudder entry` reloads nothing; by reading, SIGHUP stops it as SIGTERM does.

--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/GatewayCommand.java
@@ -44,7 +44,7 @@
         LogSetup.applyNonBlocking(Level.INFO);
         CompletableFuture<Gateway> started = new CompletableFuture<>();
         AtomicReference<GatewaySettings> newest = new AtomicReference<>(settings.get());
-        // SIGHUP would end a process that starts; settings that change meanwhile apply afterwards.
+        // Settings that change during the start apply after it.
         new SettingsReloader(
                         Path.of(environment.get(SettingsFile.PATH_VARIABLE)),
                         settings.get(),
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/Main.java
@@ -10,6 +10,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** Entry point of the program. */
 public final class Main {
@@ -23,6 +25,10 @@
 
     /** Runs the command that the arguments name, and exits with its exit code. */
     public static void main(String[] arguments) {
+        if (arguments.length == 1 && arguments[0].equals(GATEWAY_COMMAND)) {
+            // First of all, as SIGHUP ends the process until then; SettingsReloader takes over.
+            Signal.handle(new Signal("HUP"), SignalHandler.SIG_IGN);
+        }
         // Set by name, as LogManager is initialised before any subclass of it.
         System.setProperty("java.util.logging.manager", LOG_MANAGER);
         int code = run(arguments, System.getenv());
--- a/filbertrudder-app/src/main/java/org/filbertrudder/app/SettingsReloader.java
+++ b/filbertrudder-app/src/main/java/org/filbertrudder/app/SettingsReloader.java
@@ -37,11 +37,15 @@
         return thread;
     }
 
-    /** Starts watching the file; without the handler, SIGHUP would end the process. */
+    /**
+     * Starts watching the file; without the handler, SIGHUP would end the process. The file is read
+     * at once, as it may have changed since the settings to compare with were read, and a SIGHUP
+     * before the handler was set has no effect.
+     */
     void start() {
         Signal.handle(new Signal("HUP"), signal -> mExecutor.execute(this::reloadIfChanged));
         mExecutor.scheduleWithFixedDelay(
-                this::reloadIfChanged, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                this::reloadIfChanged, 0, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Applies the file if it has changed; logs the problems of a file that is not valid. */
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/GatewayProcessTest.java
@@ -5,6 +5,7 @@
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.io.Writer;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
@@ -95,9 +96,16 @@
         return mDirectory.resolve("log");
     }
 
+    private Path settingsFile() {
+        return mDirectory.resolve("boot.toml");
+    }
+
     private void start(String settings) throws IOException {
-        Path file = mDirectory.resolve("boot.toml");
-        Files.writeString(file, settings);
+        Files.writeString(settingsFile(), settings);
+        start();
+    }
+
+    private void start() throws IOException {
         ProcessBuilder builder =
                 new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -105,7 +113,7 @@
                         "-jar",
                         Fleet.jar("app", Fleet.PRODUCT_JAR).toString(),
                         "gateway");
-        builder.environment().put("FILBERTRUDDER_NODE_FILE", file.toString());
+        builder.environment().put("FILBERTRUDDER_NODE_FILE", settingsFile().toString());
         builder.redirectErrorStream(true).redirectOutput(logFile().toFile());
         mProcess = builder.start();
     }
@@ -147,7 +155,7 @@
         PlatformFleet.await(
                 "the instance is ready", () -> readiness.get("/readyz").status() == 200);
 
-        Files.writeString(mDirectory.resolve("boot.toml"), settingsFile(ports, 5));
+        Files.writeString(settingsFile(), settingsFile(ports, 5));
         sendSignal("HUP");
         PlatformFleet.await("the new settings are logged", () -> logContains("graceMs=5000"));
         assertEquals(readiness.get("/readyz").status(), 200);
@@ -159,6 +167,32 @@
         assertTrue(logContains("gateway: Stopped."));
     }
 
+    /**
+     * Guards against the end of a process that gets SIGHUP before it has read its settings. The
+     * settings come from a pipe, so the process cannot read on until the signal was sent.
+     */
+    @Test
+    public void sighupBeforeTheSettingsAreReadDoesNotEndAProcess()
+            throws IOException, InterruptedException {
+        List<Integer> ports = FreePorts.find(5);
+        String pipe = settingsFile().toString();
+        assertEquals(new ProcessBuilder("mkfifo", pipe).start().waitFor(), 0);
+        start();
+        try (Writer settings = Files.newBufferedWriter(settingsFile())) {
+            Files.delete(settingsFile());
+            Files.writeString(settingsFile(), settingsFile(ports, 5));
+            sendSignal("HUP");
+            settings.write(settingsFile(ports, 8));
+        }
+
+        PlatformFleet.await(
+                "the changed settings are logged or the process has ended",
+                () -> logContains("graceMs=5000") || !mProcess.isAlive());
+        assertTrue(mProcess.isAlive(), "The process has ended.");
+        mProcess.destroy();
+        assertEquals(awaitExit(), 0);
+    }
+
     @Test
     public void failedStartEndsAsAStop() throws Exception {
         List<Integer> ports = FreePorts.find(5);
