Tests: forward schedules with frozen processes, and with the release before

The seeded schedules with a receiver of a release without sessions tested nothing: the simulation let the receiver read the life of the sender, so that it refused each request as without a session. The simulated receiver now reads no life, as the connection does (PeerConnection), and requests have a deadline there, as credit that is lost on a link that is silent towards an older receiver holds a response up until then.

Taking out that a replaced link is ignored (a mutation) is not detected by these schedules.

--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardRetentionTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardRetentionTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.regex.Pattern;
-import org.filbertrudder.peer.forwarding.SimulatedForwards.SimulatedRequest;
 import org.testng.annotations.Test;
 
 /** Tests that few retained bytes end only the responses that exceed them, with their link. */
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardScheduleTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardScheduleTest.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import org.filbertrudder.peer.forwarding.SimulatedForwards.SimulatedRequest;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -15,6 +14,15 @@
 public class ForwardScheduleTest {
 
     private static final int SEEDS = 1_500;
+
+    private static final int FREEZE_SEEDS = Integer.getInteger("forwards.freezeSeeds", 1_000);
+
+    /**
+     * Freezes that last longer in all may let a sender be without a link until its requests are
+     * cancelled.
+     */
+    private static final long MIN_CUTTING_FREEZE_MS = 4_000;
+
     private static final long LOAD_MS = 12_000;
     private static final long SETTLED_MS = 90_000;
     private static final long RETAINED_BYTES = 8_000_000;
@@ -88,6 +96,8 @@
 
     @Test(dataProvider = "releases")
     public void holdsForSeededSchedules(boolean receiverResumes) {
+        long complete = 0;
+        long total = 0;
         for (int seed = 0; seed < SEEDS; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             SimulatedForwards forwards = new SimulatedForwards(receiverResumes, RETAINED_BYTES);
@@ -104,7 +114,63 @@
             }
             forwards.runUntil(startMs + LOAD_MS + SETTLED_MS);
             check(forwards, requests, "seed " + seed);
+            complete += requests.stream().filter(request -> request.mEnds == 1).count();
+            total += count;
+        }
+        assertTrue(complete > total / 2, "complete: " + complete + " of " + total);
+    }
+
+    /** Freezes, suspensions and stops that end by a kill come beside the faults of links. */
+    @Test(dataProvider = "releases")
+    public void holdsForSeededSchedulesOfFrozenProcesses(boolean receiverResumes) {
+        long complete = 0;
+        long total = 0;
+        for (int seed = 0; seed < FREEZE_SEEDS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            SimulatedForwards forwards = new SimulatedForwards(receiverResumes, RETAINED_BYTES);
+            long startMs = forwards.nowMs();
+            List<SimulatedRequest> requests = new ArrayList<>();
+            int count = 2 + random.nextInt(12);
+            for (int i = 0; i < count; i++) {
+                addRequest(forwards, random, startMs, requests, "r" + i);
+            }
+            Fault[] kinds = Fault.values();
+            for (int i = random.nextInt(4); i > 0; i--) {
+                Fault fault = kinds[random.nextInt(kinds.length)];
+                forwards.at(startMs + random.nextLong(LOAD_MS), () -> fault.apply(forwards));
+            }
+            for (int i = 1 + random.nextInt(3); i > 0; i--) {
+                addFreeze(forwards, random, startMs + random.nextLong(LOAD_MS));
+            }
+            if (random.nextInt(4) == 0) {
+                long killAfterMs = random.nextLong(6_000);
+                forwards.at(
+                        startMs + random.nextLong(LOAD_MS),
+                        () -> forwards.stopReceiver(killAfterMs));
+            }
+            forwards.runUntil(startMs + LOAD_MS + SETTLED_MS);
+            check(forwards, requests, "seed " + seed);
+            complete += requests.stream().filter(request -> request.mEnds == 1).count();
+            total += count;
         }
+        assertTrue(complete > total / 2, "complete: " + complete + " of " + total);
+    }
+
+    private static void addFreeze(
+            SimulatedForwards forwards, SplittableRandom random, long freezeMs) {
+        long forMs = random.nextInt(10) == 0 ? 15_000 : 150 + random.nextInt(3_000);
+        boolean tickFirst = random.nextBoolean();
+        boolean suspended = random.nextInt(3) == 0;
+        boolean ofSender = random.nextBoolean();
+        forwards.at(
+                freezeMs,
+                () -> {
+                    if (ofSender) {
+                        forwards.freezeSender(forMs, tickFirst, suspended);
+                    } else {
+                        forwards.freezeReceiver(forMs, tickFirst, suspended);
+                    }
+                });
     }
 
     private static void addRequest(
@@ -119,14 +185,19 @@
         long cancelAfterMs = random.nextInt(6) == 0 ? random.nextLong(3_000) : -1;
         forwards.at(
                 startMs + random.nextLong(LOAD_MS),
-                () -> {
-                    SimulatedRequest request = forwards.request(id, parts, repeatable);
-                    request.mPartIntervalMs = intervalMs;
-                    requests.add(request);
-                    if (cancelAfterMs >= 0) {
-                        forwards.at(forwards.nowMs() + cancelAfterMs, request::cancel);
-                    }
-                });
+                () ->
+                        forwards.inSender(
+                                () -> {
+                                    SimulatedRequest request =
+                                            forwards.request(id, parts, repeatable);
+                                    request.mPartIntervalMs = intervalMs;
+                                    requests.add(request);
+                                    if (cancelAfterMs >= 0) {
+                                        forwards.at(
+                                                forwards.nowMs() + cancelAfterMs,
+                                                () -> forwards.inSender(request::cancel));
+                                    }
+                                }));
     }
 
     private static void check(
@@ -139,7 +210,9 @@
             boolean mayBeUnknown =
                     !forwards.receiverResumes()
                             || request.mReceiverEnded
-                            || request.mRepeatable && forwards.wasCut();
+                            || forwards.frozenMs() > MIN_CUTTING_FREEZE_MS
+                            || request.mRepeatable
+                                    && (forwards.wasCut() || forwards.frozenMs() > 0);
             assertTrue(
                     mayBeUnknown || request.mFailure != ForwardListener.Failure.INTERRUPTED,
                     "is known, " + context);
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/SimulatedForwards.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/SimulatedForwards.java
@@ -2,12 +2,10 @@
 
 import io.vertx.core.buffer.Buffer;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.filbertrudder.model.FailureDomainId;
@@ -18,7 +16,10 @@
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
 
-/** Two instances on a virtual clock, whose links fall silent, are reset or cannot be opened. */
+/**
+ * Two instances on a virtual clock, whose links fall silent, are reset or cannot be opened, and
+ * whose processes freeze: what reaches a frozen process waits, and comes at once afterwards.
+ */
 final class SimulatedForwards {
 
     static final int PART_BYTES = 100;
@@ -26,6 +27,9 @@
     private static final long TICK_MS = 100;
     private static final long CONNECT_TIMEOUT_MS = 1_000;
 
+    /** The deadline of requests, which an older release needs once a link is silent. */
+    private static final long DEADLINE_MS = 60_000;
+
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
     private final List<SimulatedLink> mOpenLinks = new ArrayList<>();
     private final Map<String, SimulatedRequest> mRequests = new LinkedHashMap<>();
@@ -37,6 +41,8 @@
     private long mUnreachableUntilMs;
     private long mNextLife = 1;
     private long mMaxRetainedBytes;
+    private long mFrozenMs;
+    private boolean mStopping;
     private Process mSenderProcess;
     private Process mReceiverProcess;
     private ForwardSender mSender;
@@ -51,13 +57,20 @@
     }
 
     private void startSender() {
-        mSenderProcess = new Process("sender", mNextLife++);
-        mSender = new ForwardSender(this::open, () -> mNowMs, this::log);
+        Process process = new Process(mNextLife++);
+        mSenderProcess = process;
+        mSender = new ForwardSender(this::open, () -> clockMs(process), this::log);
     }
 
     private void startReceiver() {
-        mReceiverProcess = new Process("receiver", mNextLife++);
-        mReceiver = new ForwardReceiver(this::run, mRetained, () -> mNowMs, this::log);
+        Process process = new Process(mNextLife++);
+        mReceiverProcess = process;
+        mStopping = false;
+        mReceiver = new ForwardReceiver(this::run, mRetained, () -> clockMs(process), this::log);
+    }
+
+    private long clockMs(Process process) {
+        return mNowMs - process.mClockLagMs;
     }
 
     private void log(ForwardEvent event) {
@@ -84,12 +97,105 @@
         return mMaxRetainedBytes;
     }
 
+    /** Returns for how long processes were frozen, in milliseconds. */
+    long frozenMs() {
+        return mFrozenMs;
+    }
+
     private void tick() {
-        mSender.tick(mNowMs);
-        mReceiver.tick(mNowMs);
+        tickSender();
+        tickReceiver();
+        endLinksOnceDrained();
         at(mNowMs + TICK_MS, this::tick);
     }
 
+    private void tickSender() {
+        if (!mSenderProcess.mFrozen) {
+            mSender.tick(clockMs(mSenderProcess));
+        }
+    }
+
+    private void tickReceiver() {
+        if (!mReceiverProcess.mFrozen) {
+            mReceiver.tick(clockMs(mReceiverProcess));
+        }
+    }
+
+    /** Runs the action in a process, once it is not frozen. */
+    private static void in(Process process, Runnable action) {
+        if (process.mFrozen) {
+            process.mWaiting.add(action);
+        } else {
+            action.run();
+        }
+    }
+
+    /** Runs the action in the present process of the sender, once it is not frozen. */
+    void inSender(Runnable action) {
+        in(mSenderProcess, action);
+    }
+
+    /**
+     * Freezes the sender for some time.
+     *
+     * @param tickFirst whether the first tick afterwards comes before the messages that waited
+     * @param suspended whether the clock of the process stands still meanwhile
+     */
+    void freezeSender(long forMs, boolean tickFirst, boolean suspended) {
+        freeze(mSenderProcess, forMs, tickFirst ? this::tickSender : () -> {}, suspended);
+    }
+
+    /** Freezes the receiver like {@link #freezeSender}. */
+    void freezeReceiver(long forMs, boolean tickFirst, boolean suspended) {
+        freeze(mReceiverProcess, forMs, tickFirst ? this::tickReceiver : () -> {}, suspended);
+    }
+
+    private void freeze(Process process, long forMs, Runnable first, boolean suspended) {
+        if (process.mFrozen) {
+            return;
+        }
+        process.mFrozen = true;
+        mFrozenMs += forMs;
+        at(
+                mNowMs + forMs,
+                () -> {
+                    if (process != mSenderProcess && process != mReceiverProcess) {
+                        return;
+                    }
+                    process.mFrozen = false;
+                    process.mClockLagMs += suspended ? forMs : 0;
+                    first.run();
+                    List<Runnable> waiting = List.copyOf(process.mWaiting);
+                    process.mWaiting.clear();
+                    waiting.forEach(Runnable::run);
+                });
+    }
+
+    /**
+     * Stops the receiver: it refuses requests, ends its links once none runs, and is killed.
+     *
+     * @param killAfterMs when it is killed
+     */
+    void stopReceiver(long killAfterMs) {
+        Process process = mReceiverProcess;
+        mStopping = true;
+        at(
+                mNowMs + killAfterMs,
+                () -> {
+                    if (process == mReceiverProcess) {
+                        restartReceiver();
+                    }
+                });
+    }
+
+    private void endLinksOnceDrained() {
+        boolean drained =
+                mRequests.values().stream().allMatch(request -> request.mOpenRuns.isEmpty());
+        if (mStopping && drained && !mReceiverProcess.mFrozen) {
+            mReceiver.endLinks();
+        }
+    }
+
     /** Runs the action at a time of the virtual clock, after those that were added before. */
     void at(long timeMs, Runnable action) {
         mEvents.add(new Event(timeMs, mNextEvent++, action));
@@ -114,14 +220,14 @@
         }
         Process sender = mSenderProcess;
         if (mNowMs < mUnreachableUntilMs) {
-            at(mNowMs + CONNECT_TIMEOUT_MS, () -> action.accept(null));
+            at(mNowMs + CONNECT_TIMEOUT_MS, () -> in(sender, () -> action.accept(null)));
             return;
         }
         at(
                 mNowMs + 2 * LATENCY_MS,
                 () -> {
                     if (sender == mSenderProcess) {
-                        connect(action);
+                        in(sender, () -> connect(action));
                     }
                 });
     }
@@ -133,7 +239,7 @@
         incoming.mOther = outgoing;
         mOpenLinks.add(outgoing);
         mOpenLinks.add(incoming);
-        outgoing.send(new PeerMessage.Hello(2, member("sender"), mSenderProcess.life()));
+        outgoing.send(new PeerMessage.Hello(2, member("sender"), mSenderProcess.mLife));
         action.accept(outgoing);
     }
 
@@ -193,21 +299,34 @@
                                         "/",
                                         Map.of(),
                                         new byte[0],
-                                        60_000),
+                                        DEADLINE_MS),
                         () -> repeatable,
                         request);
         request.mSent = true;
         request.mRepeatable = repeatable;
+        if (!mReceiverResumes) {
+            Process process = mSenderProcess;
+            at(mNowMs + DEADLINE_MS, () -> in(process, request::cancelIfOpen));
+        }
         return request;
     }
 
     private void run(PeerMessage.ForwardStart start, ForwardedResponse response) {
         SimulatedRequest request = mRequests.get(start.requestId());
+        if (mStopping) {
+            request.mRefused = true;
+            response.sendHead(503, Map.of());
+            response.end(true);
+            return;
+        }
         request.mRuns++;
         Process process = mReceiverProcess;
         response.onCancel(() -> request.mCancelledRuns++);
         response.onClose(() -> request.mOpenRuns.remove(response));
         request.mOpenRuns.add(response);
+        if (!mReceiverResumes) {
+            at(mNowMs + DEADLINE_MS, () -> in(process, () -> response.end(false)));
+        }
         writePart(request, response, process, -1);
     }
 
@@ -215,25 +334,28 @@
             SimulatedRequest request, ForwardedResponse response, Process process, int part) {
         at(
                 mNowMs + request.mPartIntervalMs,
-                () -> {
-                    if (process != mReceiverProcess || !request.mOpenRuns.contains(response)) {
-                        return;
-                    }
-                    if (part < 0) {
-                        response.sendHead(200, Map.of());
-                    } else if (part < request.mParts) {
-                        response.write(Buffer.buffer(request.part(part)));
-                    } else {
-                        response.end(true);
-                        return;
-                    }
-                    Runnable next = () -> writePart(request, response, process, part + 1);
-                    if (response.writeQueueFull()) {
-                        response.onDrain(next);
-                    } else {
-                        next.run();
-                    }
-                });
+                () -> in(process, () -> writeNow(request, response, process, part)));
+    }
+
+    private void writeNow(
+            SimulatedRequest request, ForwardedResponse response, Process process, int part) {
+        if (process != mReceiverProcess || !request.mOpenRuns.contains(response)) {
+            return;
+        }
+        if (part < 0) {
+            response.sendHead(200, Map.of());
+        } else if (part < request.mParts) {
+            response.write(Buffer.buffer(request.part(part)));
+        } else {
+            response.end(true);
+            return;
+        }
+        Runnable next = () -> writePart(request, response, process, part + 1);
+        if (response.writeQueueFull()) {
+            response.onDrain(next);
+        } else {
+            next.run();
+        }
     }
 
     static Member member(String id) {
@@ -261,7 +383,17 @@
                 .ifPresent(link -> mReceiver.handle(link, message));
     }
 
-    private record Process(String id, long life) {}
+    private static final class Process {
+
+        private final long mLife;
+        private final List<Runnable> mWaiting = new ArrayList<>();
+        private boolean mFrozen;
+        private long mClockLagMs;
+
+        Process(long life) {
+            mLife = life;
+        }
+    }
 
     private record Event(long timeMs, long order, Runnable action) implements Comparable<Event> {
 
@@ -294,6 +426,11 @@
 
         @Override
         public void send(PeerMessage message) {
+            if (message instanceof PeerMessage.ForwardStart start
+                    && mOther.mOwner != mReceiverProcess) {
+                // The sender was frozen while the receiver ended, and has not read the close yet.
+                mRequests.get(start.requestId()).mReceiverEnded = true;
+            }
             if (!mClosed && !mOutputEnded) {
                 deliver(() -> mOther.receive(message));
             }
@@ -304,7 +441,7 @@
                     mNowMs + LATENCY_MS,
                     () -> {
                         if (!mSilent) {
-                            action.run();
+                            in(mOther.mOwner, action);
                         }
                     });
         }
@@ -316,12 +453,13 @@
             }
             if (message instanceof PeerMessage.Hello hello) {
                 mPeerMember = hello.sender();
-                mPeerLife = hello.life();
+                // A release without sessions reads no life.
+                mPeerLife = mReceiverResumes ? hello.life() : 0;
                 if (!mOfSender && !mHelloSent) {
                     mHelloSent = true;
                     send(
                             new PeerMessage.Hello(
-                                    2, member("receiver"), mReceiverResumes ? mOwner.life() : 0));
+                                    2, member("receiver"), mReceiverResumes ? mOwner.mLife : 0));
                 }
             }
             if (mOfSender) {
@@ -343,7 +481,7 @@
             if (!mClosed) {
                 mClosed = true;
                 mOpenLinks.remove(this);
-                List.copyOf(mOnClose).forEach(Runnable::run);
+                in(mOwner, () -> List.copyOf(mOnClose).forEach(Runnable::run));
             }
         }
 
@@ -375,108 +513,4 @@
             return mPeerLife;
         }
     }
-
-    /** A forwarded request with what its sender has received. */
-    static final class SimulatedRequest implements ForwardListener {
-
-        final String mId;
-        final int mParts;
-        final Set<ForwardedResponse> mOpenRuns = new HashSet<>();
-        final Buffer mReceived = Buffer.buffer();
-        long mPartIntervalMs = 50;
-        ForwardCall mCall;
-        int mRuns;
-        int mCancelledRuns;
-        int mHeads;
-        int mEnds;
-        boolean mSent;
-        boolean mRepeatable;
-        boolean mCancelled;
-        boolean mReceiverEnded;
-        boolean mSenderEnded;
-        Failure mFailure;
-
-        SimulatedRequest(String id, int parts) {
-            mId = id;
-            mParts = parts;
-        }
-
-        byte[] part(int index) {
-            byte[] bytes = new byte[PART_BYTES];
-            for (int i = 0; i < bytes.length; i++) {
-                bytes[i] = (byte) (mId.hashCode() + index * 31 + i);
-            }
-            return bytes;
-        }
-
-        void cancel() {
-            mCancelled = true;
-            mCall.cancel();
-        }
-
-        /** Returns what is wrong; empty if the invariants hold so far. */
-        String violation() {
-            if (mRuns > 1) {
-                return "ran " + mRuns + " times";
-            }
-            if (mEnds > 1 || mHeads > 1 || mEnds == 1 && mFailure != null) {
-                return "ended more than once";
-            }
-            if (mFailure == Failure.NOT_RUN && mRuns > 0) {
-                return "not run is wrong";
-            }
-            Buffer expected = Buffer.buffer();
-            for (int i = 0; i < mParts; i++) {
-                expected.appendBytes(part(i));
-            }
-            boolean prefix =
-                    mReceived.length() <= expected.length()
-                            && expected.getBuffer(0, mReceived.length()).equals(mReceived);
-            if (!prefix) {
-                return "bytes are lost, doubled or reordered";
-            }
-            return mEnds == 1 && mReceived.length() < expected.length()
-                    ? "complete without all bytes"
-                    : "";
-        }
-
-        boolean isSettled() {
-            return mEnds == 1 || mFailure != null || mCancelled || mSenderEnded;
-        }
-
-        @Override
-        public void head(int status, Map<String, String> headers) {
-            mHeads++;
-        }
-
-        @Override
-        public void data(byte[] data) {
-            mReceived.appendBytes(data);
-        }
-
-        @Override
-        public void ended() {
-            mEnds++;
-        }
-
-        @Override
-        public void failed(Failure failure) {
-            mFailure = failure;
-        }
-
-        @Override
-        public String toString() {
-            return mId
-                    + ": runs "
-                    + mRuns
-                    + ", heads "
-                    + mHeads
-                    + ", bytes "
-                    + mReceived.length()
-                    + ", ends "
-                    + mEnds
-                    + ", "
-                    + mFailure;
-        }
-    }
 }
