Send permits: a silent connection to the scheduler is replaced

Requests to an endpoint with a limit waited for their deadline, although the instance that schedules the endpoint was well.

Cause: requests for permits and their replies went out on one connection each way that nobody watched: forwards watch connections to other regions only, and the scheduler is in the same region. On a connection that had fallen silent each request for permits was lost until TCP gave up.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -533,7 +533,7 @@
             }
             Member from = connection.peerMember();
             if (!mLoadReporting.handle(from, message)
-                    && !mSendPermits.handle(from, message)
+                    && !mSendPermits.handle(connection, message)
                     && !mCrashingParts.handle(from, message)
                     && !mRestartReporting.handle(from, message)) {
                 mForwardServer.handle(connection, message);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/SendPermitService.java
@@ -1,6 +1,8 @@
 package org.filbertrudder.gateway.traffic;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -14,6 +16,7 @@
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.policy.limits.SchedulerSelection;
 import org.filbertrudder.policy.limits.SendPermits;
@@ -43,6 +46,7 @@
     private final GatewayMetrics mMetrics;
     private final Consumer<ServiceId> mOnPermit;
     private final SendSlots mSlots = new SendSlots();
+    private final Map<EndpointId, Unanswered> mUnanswered = new HashMap<>();
     private long mNextId = 1;
 
     /**
@@ -78,6 +82,7 @@
                     .filter(permits -> permits.shouldRequest(nowMs))
                     .ifPresent(permits -> request(state, permits, snapshot, nowMs));
         }
+        mUnanswered.keySet().removeIf(endpoint -> mTable.findById(endpoint).isEmpty());
         mSlots.retainIf(endpoint -> isScheduler(endpoint, snapshot), nowMs);
     }
 
@@ -90,6 +95,7 @@
             permits.noteNoScheduler(nowMs);
             return;
         }
+        replaceSilentConnection(state.id());
         long id = mNextId++;
         int wanted = permits.request(id, nowMs);
         PeerMessage.SendPermitRequest request =
@@ -97,7 +103,21 @@
         if (scheduler.get().id().equals(snapshot.self().id())) {
             handleReply(reply(request, snapshot.self().id(), snapshot, nowMs));
         } else {
-            mNetwork.send(PeerAddress.ofForwards(scheduler.get()), request);
+            PeerAddress address = PeerAddress.ofForwards(scheduler.get());
+            mUnanswered.put(state.id(), new Unanswered(id, address));
+            mNetwork.send(address, request);
+        }
+    }
+
+    /** Closes the connection on which the last request for permits was lost. */
+    private void replaceSilentConnection(EndpointId endpoint) {
+        Unanswered lost = mUnanswered.remove(endpoint);
+        if (lost != null) {
+            LOG.info(
+                    "A connection without a reply to a request for permits is replaced.",
+                    LogField.of("endpoint", endpoint),
+                    LogField.of("address", lost.scheduler()));
+            mNetwork.disconnect(lost.scheduler());
         }
     }
 
@@ -108,11 +128,17 @@
     }
 
     /** Handles a request for permits or a reply; returns false for other messages. */
-    boolean handle(Member from, PeerMessage message) {
+    boolean handle(PeerConnection connection, PeerMessage message) {
+        Member from = connection.peerMember();
         if (message instanceof PeerMessage.SendPermitRequest request) {
             mLimits.applyReports(from.id(), List.of(request.limit()));
             PeerMessage reply = reply(request, from.id(), mSnapshot.get(), Clocks.steadyMs());
-            mNetwork.send(PeerAddress.ofForwards(from), reply);
+            if (connection.peerLife() != 0) {
+                // Another connection to the requester may be silent.
+                connection.send(reply);
+            } else {
+                mNetwork.send(PeerAddress.ofForwards(from), reply);
+            }
             return true;
         }
         if (message instanceof PeerMessage.SendPermitReply reply) {
@@ -159,7 +185,10 @@
                     LogField.of("waitMs", reply.waitMs()));
             return;
         }
-        mTable.findById(reply.limit().endpoint()).ifPresent(state -> apply(reply, state, nowMs));
+        EndpointId endpoint = reply.limit().endpoint();
+        mUnanswered.computeIfPresent(
+                endpoint, (id, asked) -> asked.id() == reply.id() ? null : asked);
+        mTable.findById(endpoint).ifPresent(state -> apply(reply, state, nowMs));
     }
 
     private void apply(PeerMessage.SendPermitReply reply, EndpointState state, long nowMs) {
@@ -170,4 +199,7 @@
                                         reply.id(), reply.count(), reply.waitMs(), nowMs));
         mOnPermit.accept(state.endpoint().service());
     }
+
+    /** A request for permits that has got no reply yet. */
+    private record Unanswered(long id, PeerAddress scheduler) {}
 }
