Measure how often shared parts are read again, beside a bound

Least loaded, plain rendezvous hashing and the router get the same requests. The bound counts, for each part, the engines whose reading speed the requests with this part need between their arrivals and their first tokens; each but the first must read the part again. The comment of SharedPartsBound has the proof and the relaxations.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/Measure.java
@@ -32,6 +32,7 @@
         EXPERIMENTS.put("retries-processes", new FleetRetryExperiment());
         EXPERIMENTS.put("forward-gap", new ForwardGap());
         EXPERIMENTS.put("routing", new RoutingExperiment());
+        EXPERIMENTS.put("shared-parts", new SharedPartsExperiment());
         EXPERIMENTS.put("capacity-routing", new RoutingCapacity());
     }
 
