Gateway: a request that cannot be allowed is refused before its body is read

Callers saw: callers without a valid key that announce long bodies and send almost nothing made a gateway refuse sound requests with short bodies (503 overloaded) for as long as they kept their connections.

Cause: CallerServer read the body before it looked at route and key, and claimed memory by the declared Content-Length. Now the route and the key are looked up when the head is whole. Where the state has to be confirmed first, the request's stream is paused, so the body waits in the socket. Memory is claimed as bytes arrive, also for callers with a key, and Expect: 100-continue is answered when the body is read.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
@@ -60,8 +60,9 @@
                     mProtocol.retryAfterHeaderName(),
                     mProtocol.formatRetryAfter(refusal.retryAfterMs()));
         }
-        if (refusal.leavesBodyUnread()) {
+        if (refusal.leavesBodyUnread() || !mOpenRequest.isBodyRead()) {
             mResponse.putHeader("connection", "close");
+            mOpenRequest.closeWhenDone();
         }
         Buffer body = Buffer.buffer(refusal.body());
         sendHead(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -23,6 +23,7 @@
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.peer.forwarding.HeldBytes;
+import org.filbertrudder.policy.connections.ReadingLimits;
 import org.filbertrudder.policy.freshness.ClockReading;
 
 /**
@@ -169,15 +170,52 @@
             refuse(request, sink, open, GatewayRefusal.malformed(e.getMessage()));
             return;
         }
-        readBody(
+        lookUpBeforeBody(request, head, configuration.limits().maxBodyBytes(), sink, open);
+    }
+
+    /**
+     * Reads the body of a request whose route and account are known. The others wait for the next
+     * confirmation of the state, their bodies in the socket, and are refused unless it names them.
+     */
+    private void lookUpBeforeBody(
+            HttpServerRequest request,
+            RequestHead head,
+            long maxBodyBytes,
+            CallerResponseSink sink,
+            OpenRequests.OpenRequest open) {
+        Runnable readBody =
+                () ->
+                        readBody(
+                                request,
+                                maxBodyBytes,
+                                sink,
+                                open,
+                                body -> admitOrAwaitState(request, head, body, sink, open));
+        if (findTarget(request, head).isPresent()) {
+            readBody.run();
+            return;
+        }
+        request.pause();
+        awaitState(
                 request,
-                configuration.limits().maxBodyBytes(),
                 sink,
                 open,
-                body -> admitOrAwaitState(request, head, body, sink, open));
+                lookupStart -> {
+                    if (findTarget(request, head).isEmpty()) {
+                        refuseUnknown(request, head, sink, open, lookupStart);
+                    } else {
+                        open.lookupEnded();
+                        readBody.run();
+                        request.resume();
+                    }
+                });
     }
 
-    private static void refuse(
+    /**
+     * Refuses a request. What is left of its body is dropped up to a limit, so that the caller can
+     * read the refusal.
+     */
+    private void refuse(
             HttpServerRequest request,
             CallerResponseSink sink,
             OpenRequests.OpenRequest open,
@@ -188,7 +226,16 @@
                 LogField.of("outcome", refusal.code()),
                 LogField.of("status", refusal.status()),
                 LogField.of("uri", request.uri()));
-        sink.refuse(refusal);
+        open.refused();
+        if (request.isEnded()) {
+            sink.refuse(refusal);
+            return;
+        }
+        request.handler(part -> open.dropped(part.length()));
+        request.endHandler(ignored -> open.bodyRead());
+        request.resume();
+        // A body that was received with the head is dropped first and leaves the connection open.
+        mVertx.runOnContext(ignored -> sink.refuse(refusal));
     }
 
     private static Optional<GatewayRefusal> checkHead(
@@ -223,24 +270,14 @@
             CallerResponseSink sink,
             OpenRequests.OpenRequest open,
             Consumer<Buffer> onBody) {
-        String length = request.getHeader("content-length");
-        long declaredBytes = length == null ? 0 : Long.parseLong(length);
-        boolean[] refused = {!open.tryHold(declaredBytes)};
-        Buffer body = Buffer.buffer(refused[0] ? 0 : (int) declaredBytes);
-        if (refused[0]) {
-            refuse(request, sink, open, GatewayRefusal.overloaded(BODIES_RETRY_AFTER_MS));
-        }
+        Buffer body = Buffer.buffer();
         request.handler(
                 part -> {
-                    if (refused[0]) {
-                        return;
-                    }
-                    body.appendBuffer(part);
-                    if (body.length() > maxBytes) {
-                        refused[0] = true;
+                    if (body.length() + part.length() > maxBytes) {
                         refuse(request, sink, open, GatewayRefusal.bodyTooLong(maxBytes));
-                    } else if (declaredBytes == 0 && !open.tryHold(part.length())) {
-                        refused[0] = true;
+                    } else if (open.tryHold(part.length())) {
+                        body.appendBuffer(part);
+                    } else {
                         refuse(
                                 request,
                                 sink,
@@ -251,15 +288,16 @@
         request.endHandler(
                 ignored -> {
                     open.bodyRead();
-                    if (!refused[0]) {
-                        refuseOnException(request, sink, open, () -> onBody.accept(body));
-                    }
+                    refuseOnException(request, sink, open, () -> onBody.accept(body));
                 });
+        if ("100-continue".equalsIgnoreCase(request.getHeader("expect"))) {
+            request.response().writeContinue();
+        }
     }
 
     /**
-     * Admits the request, or looks up a missing route or account once more after the next
-     * confirmation of the state.
+     * Admits the request, or looks up a route or account that has gone missing once more after the
+     * next confirmation of the state.
      */
     private void admitOrAwaitState(
             HttpServerRequest request,
@@ -270,28 +308,40 @@
         if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
             return;
         }
+        awaitState(
+                request,
+                sink,
+                open,
+                lookupStart -> {
+                    if (!admitIfFound(request, head, body, sink, open)) {
+                        refuseUnknown(request, head, sink, open, lookupStart);
+                    }
+                });
+    }
+
+    /** Runs a step of the request, if it is still open, after the state has been confirmed. */
+    private void awaitState(
+            HttpServerRequest request,
+            CallerResponseSink sink,
+            OpenRequests.OpenRequest open,
+            Consumer<ClockReading> step) {
         ClockReading lookupStart = Clocks.now();
         open.lookupStarted();
         mAdmission.onConfirmation(
                 LOOKUP_WAIT_MS,
-                () ->
-                        refuseOnException(
-                                request,
-                                sink,
-                                open,
-                                () -> admitOrRefuse(request, head, body, sink, open, lookupStart)));
+                () -> {
+                    if (open.awaitsAdmission()) {
+                        refuseOnException(request, sink, open, () -> step.accept(lookupStart));
+                    }
+                });
     }
 
-    private void admitOrRefuse(
+    private void refuseUnknown(
             HttpServerRequest request,
             RequestHead head,
-            Buffer body,
             CallerResponseSink sink,
             OpenRequests.OpenRequest open,
             ClockReading lookupStart) {
-        if (!open.awaitsAdmission() || admitIfFound(request, head, body, sink, open)) {
-            return;
-        }
         boolean stateConfirmed =
                 mControl.stateFreshness().isConfirmedSince(lookupStart, Clocks.now());
         refuse(
@@ -307,6 +357,23 @@
         return routeExists ? GatewayRefusal.unauthorized() : GatewayRefusal.noRoute();
     }
 
+    /** The route and the account of a request; no account if the route needs no key. */
+    private record Target(RouteRule route, Optional<AccountRule> account) {}
+
+    private Optional<Target> findTarget(HttpServerRequest request, RequestHead head) {
+        GatewayConfiguration configuration = mControl.snapshot().configuration();
+        Optional<RouteRule> route = configuration.route(head.host(), request.path());
+        if (route.isEmpty()) {
+            return Optional.empty();
+        }
+        boolean keyRequired = configuration.hasAccounts() && !route.get().anonymous();
+        Optional<AccountRule> account =
+                keyRequired ? head.apiKey().flatMap(configuration::accountOfKey) : Optional.empty();
+        return keyRequired && account.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Target(route.get(), account));
+    }
+
     /**
      * Begins and admits an exchange if the route and account are found; returns whether they are.
      */
@@ -316,26 +383,20 @@
             Buffer body,
             CallerResponseSink sink,
             OpenRequests.OpenRequest open) {
-        GatewayConfiguration configuration = mControl.snapshot().configuration();
-        Optional<RouteRule> route = configuration.route(head.host(), request.path());
-        if (route.isEmpty()) {
-            return false;
-        }
-        boolean keyRequired = configuration.hasAccounts() && !route.get().anonymous();
-        Optional<AccountRule> account =
-                keyRequired ? head.apiKey().flatMap(configuration::accountOfKey) : Optional.empty();
-        if (keyRequired && account.isEmpty()) {
+        Optional<Target> target = findTarget(request, head);
+        if (target.isEmpty()) {
             return false;
         }
+        RouteRule route = target.get().route();
         GatewayExchange exchange =
                 new GatewayExchange(
                         head,
                         request.method().name(),
                         request.uri(),
                         body,
-                        route.get(),
-                        account,
-                        route.get().chooseService(mRandom.nextDouble()),
+                        route,
+                        target.get().account(),
+                        route.chooseService(mRandom.nextDouble()),
                         false,
                         sink,
                         open.arrivedMs());
@@ -350,6 +411,16 @@
         return true;
     }
 
+    /** Ends the connections that the limits do not allow to go on reading. */
+    void endLateConnections() {
+        GatewayConfiguration configuration = mControl.snapshot().configuration();
+        if (configuration != null) {
+            CallerLimits limits = configuration.limits();
+            mOpenRequests.endLate(
+                    new ReadingLimits(limits.headerTimeoutMs(), limits.idleTimeoutMs()));
+        }
+    }
+
     /**
      * Closes connections that have been idle for longer than the configured limit, or all idle
      * ones.
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -440,6 +440,7 @@
         mForwardServer.tick(nowMs);
         mFailureDetector.tick(nowMs);
         mRestartReporting.tick(nowMs);
+        mCallerServer.endLateConnections();
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
             Set<EndpointId> registered = registeredEndpoints();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -18,6 +18,10 @@
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.peer.forwarding.HeldBytes;
+import org.filbertrudder.policy.connections.ConnectionProgress;
+import org.filbertrudder.policy.connections.EndReason;
+import org.filbertrudder.policy.connections.ReadingLimits;
+import org.filbertrudder.policy.connections.ServingClock;
 
 /**
  * Keeps the open requests of callers. A request is open from the arrival of its head until its body
@@ -27,6 +31,10 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("callers");
 
+    /** A longer time between two ticks is a hold-up, in which nothing was read. */
+    private static final long MAX_TICK_INTERVAL_MS = 200;
+
+    private final ServingClock mClock = new ServingClock(MAX_TICK_INTERVAL_MS, Clocks.steadyMs());
     private final HeldBytes mBodies;
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
     private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
@@ -37,7 +45,7 @@
     }
 
     void connectionOpened(HttpConnection connection) {
-        CallerConnection state = new CallerConnection();
+        CallerConnection state = new CallerConnection(connection);
         mConnections.put(connection, state);
         ConnectionBase base = (ConnectionBase) connection;
         ContextInternal context = base.getContext();
@@ -61,8 +69,9 @@
     OpenRequest open(HttpServerRequest request, long arrivedMs) {
         CallerConnection connection = mConnections.get(request.connection());
         if (connection == null) {
-            return new OpenRequest(new CallerConnection(), arrivedMs, true);
+            return new OpenRequest(new CallerConnection(request.connection()), arrivedMs, true);
         }
+        connection.mProgress.headRead(servingMs());
         OpenRequest open = new OpenRequest(connection, arrivedMs, false);
         mOpen.add(open);
         connection.mOpen.add(open);
@@ -88,6 +97,23 @@
         }
     }
 
+    /**
+     * Ends the connections that may not go on reading. What the system has received is read before.
+     */
+    void endLate(ReadingLimits limits) {
+        mClock.tick(Clocks.steadyMs());
+        for (CallerConnection connection : List.copyOf(mConnections.values())) {
+            if (connection.endReason(limits).isPresent()) {
+                readReceivedBytes(connection.mConnection);
+                connection.endReason(limits).ifPresent(connection::end);
+            }
+        }
+    }
+
+    private long servingMs() {
+        return mClock.timeMs(Clocks.steadyMs());
+    }
+
     /**
      * Reads what the system has received on the connection. After the process was held up, timers
      * may run before the event loop has read the connections.
@@ -117,16 +143,35 @@
     enum CloseCause {
         CALLER,
         IDLE_LIMIT,
+        READING_LIMIT,
         DRAIN,
         ABORTED_RESPONSE
     }
 
-    private static final class CallerConnection {
+    private final class CallerConnection {
 
+        private final HttpConnection mConnection;
+        private final ConnectionProgress mProgress = new ConnectionProgress(servingMs());
         private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
         private CloseCause mCloseCause = CloseCause.CALLER;
         private long mIdleSinceMs = Clocks.steadyMs();
 
+        private CallerConnection(HttpConnection connection) {
+            mConnection = connection;
+        }
+
+        Optional<EndReason> endReason(ReadingLimits limits) {
+            return mProgress
+                    .endReason(limits, servingMs())
+                    .filter(reason -> reason == EndReason.BODY_REFUSED);
+        }
+
+        void end(EndReason reason) {
+            LOG.info("A connection is ended.", LogField.of("reason", reason));
+            mCloseCause = CloseCause.READING_LIMIT;
+            mConnection.close();
+        }
+
         boolean isIdleLongerThan(long limitMs, long nowMs) {
             return mOpen.isEmpty() && nowMs - mIdleSinceMs > limitMs;
         }
@@ -146,6 +191,7 @@
         private final HeldBytes.Hold mHold = mBodies.newHold();
         private boolean mBodyRead;
         private boolean mResponseSent;
+        private boolean mClosesConnection;
 
         private OpenRequest(CallerConnection connection, long arrivedMs, boolean callerLeft) {
             mConnection = connection;
@@ -199,13 +245,42 @@
             return mHold.tryAdd(bytes);
         }
 
+        /** Stops holding the body of a request that is refused. */
+        void refused() {
+            mStep = RequestStep.FLUSHING;
+            mHold.release();
+            mConnection.mProgress.refused(servingMs());
+        }
+
+        /** Counts bytes of a refused request's body that have been read and dropped. */
+        void dropped(long bytes) {
+            mConnection.mProgress.bodyReceived(bytes);
+        }
+
+        boolean isBodyRead() {
+            return mBodyRead;
+        }
+
+        /** Closes the connection once the response is sent and the body read. */
+        void closeWhenDone() {
+            mClosesConnection = true;
+        }
+
         void bodyRead() {
             mBodyRead = true;
+            mConnection.mProgress.requestRead();
             removeIfDone();
         }
 
         void lookupStarted() {
             mStep = RequestStep.LOOKUP;
+            mConnection.mProgress.bodyPaused(servingMs());
+        }
+
+        /** Goes on reading the body after the lookup. */
+        void lookupEnded() {
+            mStep = RequestStep.READING;
+            mConnection.mProgress.bodyResumed(servingMs());
         }
 
         void admitted(GatewayExchange exchange) {
@@ -235,6 +310,9 @@
         private void removeIfDone() {
             if (mBodyRead && mResponseSent) {
                 remove();
+                if (mClosesConnection) {
+                    mConnection.mConnection.close();
+                }
             }
         }
 
@@ -242,6 +320,9 @@
             mHold.release();
             mConnection.mOpen.remove(this);
             mConnection.mIdleSinceMs = Clocks.steadyMs();
+            if (mConnection.mOpen.isEmpty()) {
+                mConnection.mProgress.answered(servingMs());
+            }
             return mOpen.remove(this);
         }
 
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -62,6 +62,8 @@
     private final Set<String> mAddedRoutes = new ConcurrentSkipListSet<>();
     private double mRatePerSecond;
     private long mIdleTimeoutMs = 15_000;
+    private long mMaxBodyBytes = 65_536;
+    private long mHeaderTimeoutMs = 3_000;
     private long mConfigurationVersion;
 
     /** Starts a store for regions with one failure domain each; starts no replica or instance. */
@@ -122,6 +124,16 @@
         mRatePerSecond = ratePerSecond;
     }
 
+    /** Sets the maximum size of a request body in the next written configuration, in bytes. */
+    public void setMaxBodyBytes(long maxBodyBytes) {
+        mMaxBodyBytes = maxBodyBytes;
+    }
+
+    /** Sets the time limit of a request head in the next written configuration. */
+    public void setHeaderTimeoutMs(long headerTimeoutMs) {
+        mHeaderTimeoutMs = headerTimeoutMs;
+    }
+
     /** Sets the idle limit of callers' connections from the next configuration version on. */
     public void setIdleTimeoutMs(long idleTimeoutMs) {
         mIdleTimeoutMs = idleTimeoutMs;
@@ -268,8 +280,8 @@
                 .put("maxConns", 100);
         root.putObject("limits")
                 .put("maxHeaderBytes", 16_384)
-                .put("maxBodyBytes", 65_536)
-                .put("headerTimeoutMs", 3_000)
+                .put("maxBodyBytes", mMaxBodyBytes)
+                .put("headerTimeoutMs", mHeaderTimeoutMs)
                 .put("idleTimeoutMs", mIdleTimeoutMs);
         ArrayNode accounts = root.putArray("tenants");
         mAccountByApiKey.values().stream()
