Gateway: heads and bodies that are late are refused with 408

Callers saw: a head that stopped or dripped stayed open until the idle limit or beyond, a body that stopped stayed open without any limit, also after the request's own deadline.

Cause: headerTimeoutMs was used nowhere, and only connections without an open request were ever closed. The connections now follow ConnectionProgress; each tick of 100 ms ends those that may not go on, after reading what the system has received. A part of a head and an incomplete body get 408 request_too_slow with Connection: close (not run); a connection without a byte is closed without a status. A new connection without a byte is closed after headerTimeoutMs instead of after the idle limit.

Evidence, SlowCallerTest on: 8 of 9 fail, among them connectionWithoutAByteStaysOpen: closed after 15825 ms (the limit is 3000 ms), slowRequestIsWaitedFor, half bodies: SocketTimeoutException: Read timed out (20 s). After the change: 9 of 9 pass; UnreadRequestTest, OpenRequestsTest, IdleConnectionTest, UnadmittedBodyTest and ExternalNamesTest pass as well. The new case of UnreadRequestTest failed once before its socket was set to send at once: the test's second write was still on the caller's side when the limit was applied.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -183,16 +183,19 @@
             long maxBodyBytes,
             CallerResponseSink sink,
             OpenRequests.OpenRequest open) {
-        Runnable readBody =
-                () ->
-                        readBody(
-                                request,
-                                maxBodyBytes,
-                                sink,
-                                open,
-                                body -> admitOrAwaitState(request, head, body, sink, open));
-        if (findTarget(request, head).isPresent()) {
-            readBody.run();
+        Consumer<Target> readBody =
+                target -> {
+                    open.bodyDueIn(target.timeoutMs(head) - (Clocks.steadyMs() - open.arrivedMs()));
+                    readBody(
+                            request,
+                            maxBodyBytes,
+                            sink,
+                            open,
+                            body -> admitOrAwaitState(request, head, body, sink, open));
+                };
+        Optional<Target> known = findTarget(request, head);
+        if (known.isPresent()) {
+            readBody.accept(known.get());
             return;
         }
         request.pause();
@@ -201,11 +204,12 @@
                 sink,
                 open,
                 lookupStart -> {
-                    if (findTarget(request, head).isEmpty()) {
+                    Optional<Target> found = findTarget(request, head);
+                    if (found.isEmpty()) {
                         refuseUnknown(request, head, sink, open, lookupStart);
                     } else {
                         open.lookupEnded();
-                        readBody.run();
+                        readBody.accept(found.get());
                         request.resume();
                     }
                 });
@@ -231,7 +235,7 @@
             sink.refuse(refusal);
             return;
         }
-        request.handler(part -> open.dropped(part.length()));
+        request.handler(part -> open.bodyReceived(part.length()));
         request.endHandler(ignored -> open.bodyRead());
         request.resume();
         // A body that was received with the head is dropped first and leaves the connection open.
@@ -273,6 +277,7 @@
         Buffer body = Buffer.buffer();
         request.handler(
                 part -> {
+                    open.bodyReceived(part.length());
                     if (body.length() + part.length() > maxBytes) {
                         refuse(request, sink, open, GatewayRefusal.bodyTooLong(maxBytes));
                     } else if (open.tryHold(part.length())) {
@@ -358,7 +363,13 @@
     }
 
     /** The route and the account of a request; no account if the route needs no key. */
-    private record Target(RouteRule route, Optional<AccountRule> account) {}
+    private record Target(RouteRule route, Optional<AccountRule> account) {
+
+        /** Returns the time from the head's arrival to the final response, in milliseconds. */
+        long timeoutMs(RequestHead head) {
+            return Math.min(route.timeoutMs(), head.deadlineMs().orElse(Long.MAX_VALUE));
+        }
+    }
 
     private Optional<Target> findTarget(HttpServerRequest request, RequestHead head) {
         GatewayConfiguration configuration = mControl.snapshot().configuration();
@@ -421,19 +432,9 @@
         }
     }
 
-    /**
-     * Closes connections that have been idle for longer than the configured limit, or all idle
-     * ones.
-     */
-    void closeIdle(boolean allIdle) {
-        GatewayConfiguration configuration = mControl.snapshot().configuration();
-        long limitMs =
-                configuration == null ? Long.MAX_VALUE : configuration.limits().idleTimeoutMs();
-        if (allIdle) {
-            mOpenRequests.closeIdleLongerThan(-1, OpenRequests.CloseCause.DRAIN);
-        } else {
-            mOpenRequests.closeIdleLongerThan(limitMs, OpenRequests.CloseCause.IDLE_LIMIT);
-        }
+    /** Closes the connections that carry no request. */
+    void closeIdle() {
+        mOpenRequests.closeIdleLongerThan(-1, OpenRequests.CloseCause.DRAIN);
     }
 
     /** Returns the open requests of callers. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
@@ -38,6 +38,15 @@
                 0);
     }
 
+    static GatewayRefusal requestTooSlow() {
+        return new GatewayRefusal(
+                408,
+                "request_too_slow",
+                "The request did not arrive in time. Send it again, faster.",
+                true,
+                0);
+    }
+
     static GatewayRefusal headTooLong(long limit) {
         return new GatewayRefusal(
                 431,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -447,7 +447,9 @@
             mConnections.tick(registered);
             mEndpointTable.expireLimits(nowMs);
             mCrashingParts.maintain(nowMs);
-            mCallerServer.closeIdle(isRefusing());
+            if (isRefusing()) {
+                mCallerServer.closeIdle();
+            }
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -48,6 +48,7 @@
         CallerConnection state = new CallerConnection(connection);
         mConnections.put(connection, state);
         ConnectionBase base = (ConnectionBase) connection;
+        base.channel().pipeline().addFirst(state.mReceived);
         ContextInternal context = base.getContext();
         // The library may skip the close handlers of a connection whose next request is incomplete.
         // Timers that are set outside the context could run on another event loop.
@@ -103,10 +104,14 @@
     void endLate(ReadingLimits limits) {
         mClock.tick(Clocks.steadyMs());
         for (CallerConnection connection : List.copyOf(mConnections.values())) {
-            if (connection.endReason(limits).isPresent()) {
+            Optional<EndReason> reason = connection.endReason(limits);
+            long countBefore = -1;
+            while (reason.isPresent() && connection.mReceived.count() != countBefore) {
+                countBefore = connection.mReceived.count();
                 readReceivedBytes(connection.mConnection);
-                connection.endReason(limits).ifPresent(connection::end);
+                reason = connection.endReason(limits);
             }
+            reason.ifPresent(connection::end);
         }
     }
 
@@ -152,8 +157,11 @@
 
         private final HttpConnection mConnection;
         private final ConnectionProgress mProgress = new ConnectionProgress(servingMs());
+        private final ReceivedBytes mReceived =
+                new ReceivedBytes(() -> mProgress.bytesReceived(servingMs()));
         private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
         private CloseCause mCloseCause = CloseCause.CALLER;
+        private boolean mIsClosing;
         private long mIdleSinceMs = Clocks.steadyMs();
 
         private CallerConnection(HttpConnection connection) {
@@ -161,14 +169,24 @@
         }
 
         Optional<EndReason> endReason(ReadingLimits limits) {
-            return mProgress
-                    .endReason(limits, servingMs())
-                    .filter(reason -> reason == EndReason.BODY_REFUSED);
+            return mIsClosing ? Optional.empty() : mProgress.endReason(limits, servingMs());
         }
 
         void end(EndReason reason) {
             LOG.info("A connection is ended.", LogField.of("reason", reason));
-            mCloseCause = CloseCause.READING_LIMIT;
+            mCloseCause =
+                    reason == EndReason.IDLE ? CloseCause.IDLE_LIMIT : CloseCause.READING_LIMIT;
+            Optional<OpenRequest> reading =
+                    mOpen.stream().filter(OpenRequest::awaitsAdmission).findFirst();
+            if (reading.isPresent()) {
+                // The connection closes once the refusal is sent and the rest of the body dropped.
+                reading.get().refuseUnadmitted(GatewayRefusal.requestTooSlow());
+                return;
+            }
+            mIsClosing = true;
+            if (mProgress.hasPartOfHead()) {
+                mReceived.refuseHead(GatewayRefusal.requestTooSlow());
+            }
             mConnection.close();
         }
 
@@ -252,8 +270,13 @@
             mConnection.mProgress.refused(servingMs());
         }
 
-        /** Counts bytes of a refused request's body that have been read and dropped. */
-        void dropped(long bytes) {
+        /** Sets in how many milliseconds the body must have arrived. */
+        void bodyDueIn(long remainingMs) {
+            mConnection.mProgress.bodyDue(servingMs() + remainingMs);
+        }
+
+        /** Counts bytes of the body that have been read. */
+        void bodyReceived(long bytes) {
             mConnection.mProgress.bodyReceived(bytes);
         }
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
@@ -17,6 +17,7 @@
 import java.util.regex.Pattern;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.peer.forwarding.HeldBytes;
+import org.filbertrudder.policy.connections.ReadingLimits;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -81,6 +82,29 @@
         }
     }
 
+    @Test
+    public void lateHeadIsRefusedWhoseRestHasNotBeenRead() throws Exception {
+        try (Socket caller = new Socket("127.0.0.1", mServer.actualPort())) {
+            caller.setSoTimeout(TIMEOUT_MS);
+            send(caller);
+            assertEquals(read(caller), RESPONSE);
+            // The rest must not wait for the acknowledgement of the first bytes.
+            caller.setTcpNoDelay(true);
+            send(caller, REQUEST.substring(0, 10));
+            CompletableFuture<Void> swept = new CompletableFuture<>();
+            mContext.runOnContext(
+                    ignored -> {
+                        send(caller, REQUEST.substring(10));
+                        awaitUnreadBytes(caller);
+                        mOpenRequests.endLate(new ReadingLimits(-1, -1));
+                        swept.complete(null);
+                    });
+            swept.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+
+            assertEquals(read(caller), RESPONSE);
+        }
+    }
+
     @Test
     public void idleConnectionIsKept() throws Exception {
         try (Socket caller = new Socket("127.0.0.1", mServer.actualPort())) {
@@ -97,8 +121,12 @@
     }
 
     private static void send(Socket caller) {
+        send(caller, REQUEST);
+    }
+
+    private static void send(Socket caller, String bytes) {
         try {
-            caller.getOutputStream().write(REQUEST.getBytes(StandardCharsets.US_ASCII));
+            caller.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
         } catch (IOException e) {
             throw new AssertionError(e);
         }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/connections/ConnectionProgress.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/connections/ConnectionProgress.java
@@ -40,6 +40,7 @@
     private long mDeadlineMs;
     private long mPausedMs;
     private long mBodyBytes;
+    private boolean mHasReceived;
 
     /** Creates the progress of a connection that has just been accepted. */
     public ConnectionProgress(long nowMs) {
@@ -48,6 +49,7 @@
 
     /** Records that bytes have arrived, of whatever part. */
     public void bytesReceived(long nowMs) {
+        mHasReceived = true;
         if (mPhase == Phase.IDLE) {
             enter(Phase.HEAD, nowMs);
         }
@@ -56,6 +58,7 @@
     /** Records that the head of a request is whole; its body must arrive by the deadline. */
     public void headRead(long nowMs) {
         enter(Phase.BODY, nowMs);
+        mHasReceived = false;
         mDeadlineMs = Long.MAX_VALUE;
         mBodyBytes = 0;
     }
@@ -95,14 +98,20 @@
         mBodyBytes += bytes;
     }
 
-    /** Records that the request is whole. */
+    /** Records that the request is whole; what arrives from now on belongs to the next one. */
     public void requestRead() {
+        mHasReceived = false;
         mPhase = Phase.ANSWER;
     }
 
     /** Records that the request is whole and its response has been sent. */
     public void answered(long nowMs) {
-        enter(Phase.IDLE, nowMs);
+        enter(mHasReceived ? Phase.HEAD : Phase.IDLE, nowMs);
+    }
+
+    /** Returns whether the connection ends with a part of a head, to which a status is due. */
+    public boolean hasPartOfHead() {
+        return mPhase == Phase.HEAD && mHasReceived;
     }
 
     private void enter(Phase phase, long nowMs) {
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/connections/ConnectionProgressTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/connections/ConnectionProgressTest.java
@@ -1,6 +1,8 @@
 package org.filbertrudder.policy.connections;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
@@ -41,6 +43,28 @@
         assertEndsAfter(12_000, EndReason.HEAD_LATE);
     }
 
+    @Test
+    public void headThatBeganBeforeTheLastAnswerIsDueFromIt() {
+        mProgress.headRead(0);
+        mProgress.requestRead();
+        mProgress.bytesReceived(100);
+        mProgress.answered(5_000);
+
+        assertTrue(mProgress.hasPartOfHead());
+        assertEndsAfter(8_000, EndReason.HEAD_LATE);
+    }
+
+    @Test
+    public void onlyAPartOfAHeadGetsAStatus() {
+        assertFalse(mProgress.hasPartOfHead());
+        mProgress.bytesReceived(0);
+        assertTrue(mProgress.hasPartOfHead());
+        mProgress.headRead(10);
+        mProgress.requestRead();
+        mProgress.answered(20);
+        assertFalse(mProgress.hasPartOfHead());
+    }
+
     @Test
     public void connectionWithoutARequestIsIdle() {
         mProgress.headRead(0);
