Gateway: an incomplete body in a planned stop is refused as stopping

Callers saw: since late bodies are refused with 408, a body that was incomplete when a planned stop began could get 408 without a time to come back, where 503 with Retry-After sends the caller to another instance.

Now the refusal of a late body in a stop is 503 stopping. After the change PlannedStopTest, SlowCallerTest (15 together) and UnreadRequestTest (3) pass.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -428,7 +428,10 @@
         if (configuration != null) {
             CallerLimits limits = configuration.limits();
             mOpenRequests.endLate(
-                    new ReadingLimits(limits.headerTimeoutMs(), limits.idleTimeoutMs()));
+                    new ReadingLimits(limits.headerTimeoutMs(), limits.idleTimeoutMs()),
+                    mStopping.getAsBoolean()
+                            ? GatewayRefusal.stopping()
+                            : GatewayRefusal.requestTooSlow());
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -100,8 +100,10 @@
 
     /**
      * Ends the connections that may not go on reading. What the system has received is read before.
+     *
+     * @param bodyRefusal the answer to a request whose body is incomplete
      */
-    void endLate(ReadingLimits limits) {
+    void endLate(ReadingLimits limits, GatewayRefusal bodyRefusal) {
         mClock.tick(Clocks.steadyMs());
         for (CallerConnection connection : List.copyOf(mConnections.values())) {
             Optional<EndReason> reason = connection.endReason(limits);
@@ -111,7 +113,7 @@
                 readReceivedBytes(connection.mConnection);
                 reason = connection.endReason(limits);
             }
-            reason.ifPresent(connection::end);
+            reason.ifPresent(ended -> connection.end(ended, bodyRefusal));
         }
     }
 
@@ -172,7 +174,7 @@
             return mIsClosing ? Optional.empty() : mProgress.endReason(limits, servingMs());
         }
 
-        void end(EndReason reason) {
+        void end(EndReason reason, GatewayRefusal bodyRefusal) {
             LOG.info("A connection is ended.", LogField.of("reason", reason));
             mCloseCause =
                     reason == EndReason.IDLE ? CloseCause.IDLE_LIMIT : CloseCause.READING_LIMIT;
@@ -180,7 +182,7 @@
                     mOpen.stream().filter(OpenRequest::awaitsAdmission).findFirst();
             if (reading.isPresent()) {
                 // The connection closes once the refusal is sent and the rest of the body dropped.
-                reading.get().refuseUnadmitted(GatewayRefusal.requestTooSlow());
+                reading.get().refuseUnadmitted(bodyRefusal);
                 return;
             }
             mIsClosing = true;
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/UnreadRequestTest.java
@@ -96,7 +96,8 @@
                     ignored -> {
                         send(caller, REQUEST.substring(10));
                         awaitUnreadBytes(caller);
-                        mOpenRequests.endLate(new ReadingLimits(-1, -1));
+                        mOpenRequests.endLate(
+                                new ReadingLimits(-1, -1), GatewayRefusal.requestTooSlow());
                         swept.complete(null);
                     });
             swept.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
