--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -454,12 +454,15 @@
         runTask("received forwards", () -> mForwardServer.tick(nowMs));
         runTask("endpoints", () -> mFailureDetector.tick(nowMs));
         runTask("restarts", () -> mRestartReporting.tick(nowMs));
+        runTask("late callers", mCallerServer::endLateConnections);
         if (nowMs >= mNextSlowTickMs) {
             mNextSlowTickMs = nowMs + SLOW_TICK_MS;
             runTask("connections", () -> mConnections.tick(registeredEndpoints()));
             runTask("limits", () -> mEndpointTable.expireLimits(nowMs));
             runTask("stored parts", () -> mCrashingParts.maintain(nowMs));
-            runTask("idle callers", () -> mCallerServer.closeIdle(isRefusing()));
+            if (isRefusing()) {
+                runTask("idle callers", mCallerServer::closeIdle);
+            }
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -14,11 +14,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.ToLongFunction;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.peer.forwarding.HeldBytes;
+import org.filbertrudder.policy.connections.ConnectionProgress;
+import org.filbertrudder.policy.connections.EndReason;
+import org.filbertrudder.policy.connections.ReadingLimits;
+import org.filbertrudder.policy.connections.ServingClock;
 
 /**
  * Keeps the open requests of callers. A request is open from the arrival of its head until its body
@@ -28,12 +31,14 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("callers");
 
+    /** A longer time between two ticks is a hold-up, in which nothing was read. */
+    private static final long MAX_TICK_INTERVAL_MS = 200;
+
+    private final ServingClock mClock = new ServingClock(MAX_TICK_INTERVAL_MS, Clocks.steadyMs());
     private final HeldBytes mBodies;
     private final Map<HttpConnection, CallerConnection> mConnections = new HashMap<>();
     private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
-
-    /** The limit at the last sweep, in milliseconds. */
-    private long mIdleLimitMs;
+    private ReadingLimits mLimits = new ReadingLimits(0, 0);
 
     /** Creates the register of requests whose bodies are held within a bound. */
     OpenRequests(HeldBytes bodies) {
@@ -41,10 +46,10 @@
     }
 
     void connectionOpened(HttpConnection connection) {
-        CallerConnection state = new CallerConnection();
-        state.becameIdle(mIdleLimitMs);
+        CallerConnection state = new CallerConnection(connection);
         mConnections.put(connection, state);
         ConnectionBase base = (ConnectionBase) connection;
+        base.channel().pipeline().addFirst(state.mReceived);
         ContextInternal context = base.getContext();
         // The library may skip the close handlers of a connection whose next request is incomplete.
         // Timers that are set outside the context could run on another event loop.
@@ -66,8 +71,9 @@
     OpenRequest open(HttpServerRequest request, long arrivedMs) {
         CallerConnection connection = mConnections.get(request.connection());
         if (connection == null) {
-            return new OpenRequest(new CallerConnection(), arrivedMs, true);
+            return new OpenRequest(new CallerConnection(request.connection()), arrivedMs, true);
         }
+        connection.mProgress.headRead(servingMs());
         OpenRequest open = new OpenRequest(connection, arrivedMs, false);
         mOpen.add(open);
         connection.mOpen.add(open);
@@ -76,37 +82,47 @@
         return open;
     }
 
-    /**
-     * Closes the connections that have been idle for longer than the configured limit, in
-     * milliseconds. A limit that was in force when a connection became idle still holds for it, as
-     * its caller may be about to use it within that limit.
-     */
-    void closeIdle(long limitMs) {
-        mIdleLimitMs = limitMs;
-        closeIdle(state -> Math.max(limitMs, state.mIdleLimitMs), CloseCause.IDLE_LIMIT);
-    }
-
     /** Closes the connections that have been idle for longer than the limit, in milliseconds. */
     void closeIdleLongerThan(long limitMs, CloseCause cause) {
-        closeIdle(state -> limitMs, cause);
-    }
-
-    private void closeIdle(ToLongFunction<CallerConnection> limitMs, CloseCause cause) {
         long nowMs = Clocks.steadyMs();
         for (Map.Entry<HttpConnection, CallerConnection> entry :
                 List.copyOf(mConnections.entrySet())) {
             CallerConnection state = entry.getValue();
-            if (!state.isIdleLongerThan(limitMs.applyAsLong(state), nowMs)) {
+            if (!state.isIdleLongerThan(limitMs, nowMs)) {
                 continue;
             }
             readReceivedBytes(entry.getKey());
-            if (state.isIdleLongerThan(limitMs.applyAsLong(state), nowMs)) {
+            if (state.isIdleLongerThan(limitMs, nowMs)) {
                 state.mCloseCause = cause;
                 entry.getKey().close();
             }
         }
     }
 
+    /**
+     * Ends the connections that may not go on reading. What the system has received is read before.
+     *
+     * @param bodyRefusal the answer to a request whose body is incomplete
+     */
+    void endLate(ReadingLimits limits, GatewayRefusal bodyRefusal) {
+        mLimits = limits;
+        mClock.tick(Clocks.steadyMs());
+        for (CallerConnection connection : List.copyOf(mConnections.values())) {
+            Optional<EndReason> reason = connection.endReason(limits);
+            long countBefore = -1;
+            while (reason.isPresent() && connection.mReceived.count() != countBefore) {
+                countBefore = connection.mReceived.count();
+                readReceivedBytes(connection.mConnection);
+                reason = connection.endReason(limits);
+            }
+            reason.ifPresent(ended -> connection.end(ended, bodyRefusal));
+        }
+    }
+
+    private long servingMs() {
+        return mClock.timeMs(Clocks.steadyMs());
+    }
+
     /**
      * Reads what the system has received on the connection. After the process was held up, timers
      * may run before the event loop has read the connections.
@@ -136,20 +152,46 @@
     enum CloseCause {
         CALLER,
         IDLE_LIMIT,
+        READING_LIMIT,
         DRAIN,
         ABORTED_RESPONSE
     }
 
-    private static final class CallerConnection {
+    private final class CallerConnection {
 
+        private final HttpConnection mConnection;
+        private final ConnectionProgress mProgress = new ConnectionProgress(servingMs());
+        private final ReceivedBytes mReceived =
+                new ReceivedBytes(() -> mProgress.bytesReceived(servingMs()));
         private final Set<OpenRequest> mOpen = new LinkedHashSet<>();
         private CloseCause mCloseCause = CloseCause.CALLER;
-        private long mIdleSinceMs;
-        private long mIdleLimitMs;
+        private boolean mIsClosing;
+        private long mIdleSinceMs = Clocks.steadyMs();
 
-        void becameIdle(long limitMs) {
-            mIdleSinceMs = Clocks.steadyMs();
-            mIdleLimitMs = limitMs;
+        private CallerConnection(HttpConnection connection) {
+            mConnection = connection;
+        }
+
+        Optional<EndReason> endReason(ReadingLimits limits) {
+            return mIsClosing ? Optional.empty() : mProgress.endReason(limits, servingMs());
+        }
+
+        void end(EndReason reason, GatewayRefusal bodyRefusal) {
+            LOG.info("A connection is ended.", LogField.of("reason", reason));
+            mCloseCause =
+                    reason == EndReason.IDLE ? CloseCause.IDLE_LIMIT : CloseCause.READING_LIMIT;
+            Optional<OpenRequest> reading =
+                    mOpen.stream().filter(OpenRequest::awaitsAdmission).findFirst();
+            if (reading.isPresent()) {
+                // The connection closes once the refusal is sent and the rest of the body dropped.
+                reading.get().refuseUnadmitted(bodyRefusal);
+                return;
+            }
+            mIsClosing = true;
+            if (mProgress.hasPartOfHead()) {
+                mReceived.refuseHead(GatewayRefusal.requestTooSlow());
+            }
+            mConnection.close();
         }
 
         boolean isIdleLongerThan(long limitMs, long nowMs) {
@@ -171,6 +213,7 @@
         private final HeldBytes.Hold mHold = mBodies.newHold();
         private boolean mBodyRead;
         private boolean mResponseSent;
+        private boolean mClosesConnection;
 
         private OpenRequest(CallerConnection connection, long arrivedMs, boolean callerLeft) {
             mConnection = connection;
@@ -224,13 +267,47 @@
             return mHold.tryAdd(bytes);
         }
 
+        /** Stops holding the body of a request that is refused. */
+        void refused() {
+            mStep = RequestStep.FLUSHING;
+            mHold.release();
+            mConnection.mProgress.refused(servingMs());
+        }
+
+        /** Sets in how many milliseconds the body must have arrived. */
+        void bodyDueIn(long remainingMs) {
+            mConnection.mProgress.bodyDue(servingMs() + remainingMs);
+        }
+
+        /** Counts bytes of the body that have been read. */
+        void bodyReceived(long bytes) {
+            mConnection.mProgress.bodyReceived(bytes);
+        }
+
+        boolean isBodyRead() {
+            return mBodyRead;
+        }
+
+        /** Closes the connection once the response is sent and the body read. */
+        void closeWhenDone() {
+            mClosesConnection = true;
+        }
+
         void bodyRead() {
             mBodyRead = true;
+            mConnection.mProgress.requestRead();
             removeIfDone();
         }
 
         void lookupStarted() {
             mStep = RequestStep.LOOKUP;
+            mConnection.mProgress.bodyPaused(servingMs());
+        }
+
+        /** Goes on reading the body after the lookup. */
+        void lookupEnded() {
+            mStep = RequestStep.READING;
+            mConnection.mProgress.bodyResumed(servingMs());
         }
 
         void admitted(GatewayExchange exchange) {
@@ -260,13 +337,19 @@
         private void removeIfDone() {
             if (mBodyRead && mResponseSent) {
                 remove();
+                if (mClosesConnection) {
+                    mConnection.mConnection.close();
+                }
             }
         }
 
         private boolean remove() {
             mHold.release();
             mConnection.mOpen.remove(this);
-            mConnection.becameIdle(mIdleLimitMs);
+            mConnection.mIdleSinceMs = Clocks.steadyMs();
+            if (mConnection.mOpen.isEmpty()) {
+                mConnection.mProgress.answered(servingMs(), mLimits.idleTimeoutMs());
+            }
             return mOpen.remove(this);
         }
 
