A malformed header field of an endpoint's response takes the whole response from the caller

Callers: a request, a booking that has run included, got neither an answer nor a refusal: its connection closed at the time limit of the route.

Cause: the decoder of endpoints' responses accepts names and values of header fields that HTTP does not allow, the response to the caller does not. The exception came after the response counted as begun. Malformed fields are now dropped before the head is read, with a log line; the response is passed on.

Evidence: EndpointResponseTest.abortsEndlessResponsesAndReportsTheOutcome with two new shapes (a name that is not a token, a value with a control character). Now 23 of 23 pass, with ExternalNamesTest, StepExceptionTest and EndpointConnectionTest.

Not tried: the same response at the own interface.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -187,6 +187,13 @@
             }
             return;
         }
+        Set<String> malformed = MalformedHeaders.remove(response.headers());
+        if (!malformed.isEmpty()) {
+            LOG.warn(
+                    "Malformed header fields of a response are dropped.",
+                    LogField.of("id", mRequestId),
+                    LogField.of("names", malformed));
+        }
         ResponseHead head = mProtocol.readResponse(response);
         boolean otherRequest =
                 head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/EndpointResponseTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/EndpointResponseTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.filbertrudder.standins.platform.EndlessResponseReplicaStandIn;
 import org.filbertrudder.standins.platform.EndlessResponseReplicaStandIn.Shape;
@@ -30,6 +32,12 @@
 
     private static final int REQUEST_COUNT = 12;
 
+    private static final Set<Shape> WHOLE_RESPONSES =
+            EnumSet.of(
+                    Shape.BYTES_AFTER_RESPONSE,
+                    Shape.MALFORMED_HEADER_NAME,
+                    Shape.MALFORMED_HEADER_VALUE);
+
     private PlatformFleet mFleet;
 
     @BeforeMethod
@@ -187,7 +195,7 @@
                 mFleet.callerClient("mtl-1").sendPlain("POST", "/book/x", API_KEY);
 
         // Without a stream route, the endless event is an ordinary response body with status 200.
-        boolean ignoresExcessBytes = shape == Shape.BYTES_AFTER_RESPONSE;
+        boolean ignoresExcessBytes = WHOLE_RESPONSES.contains(shape);
         boolean isEndlessBody = shape == Shape.EVENT;
         if (ignoresExcessBytes) {
             assertEquals(booking.status(), 200);
--- a/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/EndlessResponseReplicaStandIn.java
+++ b/filbertrudder-standins/src/main/java/org/filbertrudder/standins/platform/EndlessResponseReplicaStandIn.java
@@ -73,7 +73,12 @@
                 STAMPED_HEAD + "Transfer-Encoding: chunked\r\n\r\n8\r\nid: 1\nda\r\n",
                 "5\r\ndatax\r\n"),
         /** Endless bytes follow a response that is complete according to its content length. */
-        BYTES_AFTER_RESPONSE(STAMPED_HEAD + "Content-Length: 2\r\n\r\nok", "more");
+        BYTES_AFTER_RESPONSE(STAMPED_HEAD + "Content-Length: 2\r\n\r\nok", "more"),
+        /** The same, and a header field has a name that is not allowed. */
+        MALFORMED_HEADER_NAME(STAMPED_HEAD + "Load(now): 1\r\nContent-Length: 2\r\n\r\nok", "more"),
+        /** The same, and the value of a header field has a control character. */
+        MALFORMED_HEADER_VALUE(
+                STAMPED_HEAD + "Load: 1\u0000\r\nContent-Length: 2\r\n\r\nok", "more");
 
         private final String mBeginning;
         private final String mRepeatedPart;
