--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ReceivedBytes.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ReceivedBytes.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 
 /** Observes what is received on a connection before it is decoded. */
@@ -41,8 +42,8 @@
     void refuseHead(GatewayRefusal refusal) {
         String response =
                 "HTTP/1.1 "
-                        + refusal.status()
-                        + " Request Timeout\r\nconnection: close\r\n"
+                        + HttpResponseStatus.valueOf(refusal.status())
+                        + "\r\nconnection: close\r\n"
                         + "content-type: application/json\r\ncontent-length: "
                         + refusal.body().length()
                         + "\r\n\r\n"
