Gateway: a refused request with a short body keeps its connection

Callers that were refused before the rest of a short body had arrived lost their connection, and the request behind it got no answer.

Cause: closes the connection after a refusal whenever any of the body is outstanding. It is now closed only if more than 16 KiB, or an unknown part, is outstanding, or the refusal says so itself (408, 413, 501); a shorter rest is dropped within the time that a refused body has.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
@@ -60,7 +60,7 @@
                     mProtocol.retryAfterHeaderName(),
                     mProtocol.formatRetryAfter(refusal.retryAfterMs()));
         }
-        if (refusal.leavesBodyUnread() || !mOpenRequest.isBodyRead()) {
+        if (refusal.leavesBodyUnread() || mOpenRequest.isRestOfBodyLong()) {
             mResponse.putHeader("connection", "close");
             mOpenRequest.closeWhenDone();
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerServer.java
@@ -148,6 +148,8 @@
 
     private void receive(
             HttpServerRequest request, CallerResponseSink sink, OpenRequests.OpenRequest open) {
+        String length = request.getHeader("content-length");
+        open.bodyAnnounced(length == null ? Long.MAX_VALUE : Long.parseLong(length));
         open.setId(mProtocol.readRequestId(request.headers()));
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         if (configuration == null || mRefusing.getAsBoolean()) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayRefusal.java
@@ -216,7 +216,7 @@
      * closed.
      */
     boolean leavesBodyUnread() {
-        return status == 413 || status == 501;
+        return status == 408 || status == 413 || status == 501;
     }
 
     String body() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/OpenRequests.java
@@ -214,6 +214,7 @@
         private boolean mBodyRead;
         private boolean mResponseSent;
         private boolean mClosesConnection;
+        private long mRestOfBodyBytes;
 
         private OpenRequest(CallerConnection connection, long arrivedMs, boolean callerLeft) {
             mConnection = connection;
@@ -281,11 +282,20 @@
 
         /** Counts bytes of the body that have been read. */
         void bodyReceived(long bytes) {
+            mRestOfBodyBytes -= bytes;
             mConnection.mProgress.bodyReceived(bytes);
         }
 
-        boolean isBodyRead() {
-            return mBodyRead;
+        /**
+         * Sets the announced length of the body in bytes; the greatest value if it is not known.
+         */
+        void bodyAnnounced(long bytes) {
+            mRestOfBodyBytes = bytes;
+        }
+
+        /** Returns whether too much of the body is outstanding to use the connection again. */
+        boolean isRestOfBodyLong() {
+            return !mBodyRead && mRestOfBodyBytes > ConnectionProgress.MAX_REST_OF_KEPT_BYTES;
         }
 
         /** Closes the connection once the response is sent and the body read. */
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/connections/ConnectionProgress.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/connections/ConnectionProgress.java
@@ -23,6 +23,12 @@
      */
     public static final long MAX_DROPPED_BYTES = 256 * 1_024;
 
+    /**
+     * The most that may be left of a refused request's body if its connection is to be used again,
+     * in bytes.
+     */
+    public static final long MAX_REST_OF_KEPT_BYTES = 16 * 1_024;
+
     /** How long the rest of a refused request's body may take, in milliseconds. */
     public static final long DROP_TIMEOUT_MS = 1_000;
 
