--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -7,6 +7,7 @@
 import base64
 import hashlib
 import json
+import logging
 import os
 import random
 import signal
@@ -560,6 +561,7 @@
     """Runs a case; its result is the exit code: 1 broken, 0 held, 2 could not run."""
     system = System(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         broken = asyncio.run(asyncio.wait_for(case(system, trouble), 118))
         system.record.line("RESULT: the rule is broken" if broken else "RESULT: the rule holds")
