--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes engines, while a group begins to chat over a prompt that is new."""
+"""A request that crashes replicas comes again while the machines are restarted in turn."""
 
 import asyncio
 import os
@@ -8,102 +8,86 @@
 from standins import *  # noqa: E402,F403
 
 KEY = "hh2b9wu3fexd9dnn2ctn"
-CRASHING = b"the question that crashes engines"
-NEW_PART = "5c1e07a2"
-FIRST_TOKEN_S = 1.0
+BODY = b'{"order": "drum of grit", "poison": true}'
+MOST_RETRIES = 3
+CONTACT_S = BOUNDS["contactMs"] / 1000
 
 
-class Engine(Replica):
-    """Streams a short answer after the time to the first token; crashes on one request."""
+class CrashingReplica(Replica):
+    """Crashes as it begins to run the one request that crashes replicas."""
+
+    crashes = []
 
     async def run(self, head, body, writer):
-        if body == CRASHING:
-            asyncio.ensure_future(self.crash())
-            return False
-        headers = head[1]
-        self._active += 1
-        await asyncio.sleep(FIRST_TOKEN_S if b"group" in body else 0.02)
-        writer.write((
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Filbertrudder-Attempt-Id: {headers['filbertrudder-attempt-id']}\r\n"
-            "Filbertrudder-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n"
-            f"Filbertrudder-Server-Load: {self._active},0,{self.slots}\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n").encode())
-        for number in range(int(headers.get("last-event-id", "0")) + 1, 4):
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        writer.write(b"0\r\n\r\n")
-        self._active -= 1
-        await writer.drain()
-        return True
-
-
-def prompt(shared, own):
-    return {"Filbertrudder-Model": "m", "Filbertrudder-Token-Usage": "628,300",
-            "Filbertrudder-Prompt-Prefix": f"{shared}:119,{own}:509"}
+        if body != BODY:
+            return await super().run(head, body, writer)
+        CrashingReplica.crashes.append((now(), self.zone))
+        asyncio.ensure_future(self.crash())
+        return False
+
+
+async def come_again(system, machine):
+    """The request comes once, at a machine; returns the crashes sent by machines in touch."""
+    # The sender is this machine, or for a replica of another region one of that region's machines.
+    in_touch = {
+        zone: machine.in_touch() if zone == machine.zone
+        else all(m.in_touch() for m in system.machines if m.zone == zone)
+        for zone in ZONES}
+    before = len(CrashingReplica.crashes)
+    await send(machine.ip, "POST", "/orders/1", KEY, BODY, record=system.record)
+    new = CrashingReplica.crashes[before:]
+    if new:
+        await asyncio.sleep(1.0)
+    return new, [zone for _, zone in new if in_touch[zone]]
 
 
 async def case(system, trouble):
-    for zone in ["mtl-a"] * 4 + ["sag-a"] * 3 + ["gas-a"]:
+    for zone in list(ZONES) * 2:
         system.replicas.append(
-            Engine(system.network, system.store, system.record, "pool", zone, slots=64))
-    chat = dict(type="stream", timeoutMs=10000, goalMs=1500, gapTargetMs=400, affinity=True,
-                resumable=True, attempts=2, priority=0)
+            CrashingReplica(system.network, system.store, system.record, "desk", zone))
     await system.start({
-        "version": 7, "routes": [route("chat", "/chat/", "pool", **chat)],
-        "services": [service("pool", maxConns=360, engine={
-            "slots": 64, "kvCapacity": 402263, "kvTokenBytes": 163840, "linkMbps": 1100000.0,
-            "moves": True, "backups": True, "stride": 8, "most": 12, "pinMs": 4000.0,
-            "holdMs": 2000.0, "handle_s": 5.0, "models": [{"name": "m"}]})],
-        "limits": LIMITS, "tenants": [tenant("club", [KEY], rate=3000000)]})
+        "version": 7, "routes": [route("orders", "/orders/", "desk")],
+        "services": [service("desk")], "limits": LIMITS, "tenants": [tenant("club", [KEY])]})
     await asyncio.sleep(2)
-    answers = {}
-    denied = []
-    total = 0
-
-    async def ask(machine, shared, body, phase):
-        nonlocal total
-        answer = await send(machine.ip, "POST", "/chat/1", KEY, body, 10000,
-                            prompt(shared, os.urandom(4).hex()))
-        total += 1
-        own = "filbertrudder-server-stamp" not in answer.headers
-        name = f"{answer.summary()}{' (own)' if own else ''}"
-        answers.setdefault(phase, {}).setdefault(name, 0)
-        answers[phase][name] += 1
-        if answer.status and 300 <= answer.status < 500 and own and answer.status not in (
-                408, 421, 429):
-            denied.append(now())
-            if len(denied) <= 20:
-                system.record.line(f"client at {machine.name} gets {answer.status} {answer.body[:150]!r}")
-        return answer
-
-    # Usual traffic with other prompts.
-    for turn in range(150):
-        await asyncio.gather(*[ask(m, f"aa{turn % 8}", os.urandom(8), "usual") for m in system.machines])
-    system.record.line("a group begins to chat over a new prompt")
-    group = [asyncio.ensure_future(
-        ask(system.machines[2 + i % 2], NEW_PART, b"group %d" % i, "the group's first questions"))
-        for i in range(24)]
-    await asyncio.sleep(0.3)
-    if trouble:
-        # The client repeats the request once, on a new channel: the stream may be resumed.
-        for machine in system.machines[2:4]:
-            await send(machine.ip, "POST", "/chat/2", KEY, CRASHING, 10000,
-                       prompt("bb1", "cc1"), record=system.record)
-    await asyncio.gather(*group)
-    end_s = now() + 20
-
-    async def member(number):
-        while now() < end_s:
-            await ask(system.machines[number % 6], NEW_PART, b"group again %d" % total,
-                      "the group's later questions")
-            await asyncio.sleep(2 * random.random())
-
-    await asyncio.gather(*[member(i) for i in range(24)])
-    for phase, names in answers.items():
-        system.record.line(f"{phase}: {names}")
-    system.record.line(f"requests: {total}, denied: {len(denied)} (allowed: {5 + total // 500})")
-    return len(denied) > 5 + total / 500
+
+    # The request comes at one machine after the other until all of them refuse it.
+    turn = refused = 0
+    while refused < 6 and now() < 40:
+        new, _ = await come_again(system, system.machines[turn % 6])
+        turn += 1
+        refused = 0 if new else refused + 1
+        await asyncio.sleep(0.5)
+    if len(CrashingReplica.crashes) < 3 or refused < 6:
+        raise RuntimeError("the request was not refused everywhere after its first crashes")
+    third_s = CrashingReplica.crashes[2][0]
+    system.record.line(f"all machines refuse the request; its third crash was at {third_s:.3f}")
+    await asyncio.sleep(max(0, third_s + CONTACT_S + 0.2 - now()))
+    early = len(CrashingReplica.crashes)
+
+    async def restart_in_turn():
+        for machine in system.machines:
+            if trouble:
+                await system.restart(machine)
+            await asyncio.sleep(2.0)
+
+    restarts = asyncio.ensure_future(restart_in_turn())
+    counted = []
+    turn = refused = 0
+    while now() < 110:
+        machine = system.machines[turn % 6]
+        turn += 1
+        if machine.in_touch():
+            new, sent_in_touch = await come_again(system, machine)
+            counted.extend(sent_in_touch)
+            refused = 0 if new else refused + 1
+            if refused >= 6 and restarts.done() and all(m.in_touch() for m in system.machines):
+                break
+        await asyncio.sleep(0.5)
+    await restarts
+    system.record.line(f"third crash at {third_s:.3f}; crashes until {CONTACT_S} s after it: {early}")
+    system.record.line(f"later crashes: {len(CrashingReplica.crashes) - early}, of which sent by "
+                       f"machines in touch: {len(counted)} (allowed: {MOST_RETRIES})")
+    return len(counted) > MOST_RETRIES
 
 
 main(case, os.path.dirname(os.path.abspath(__file__)))
