--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import random
+import re
 import signal
 import socket
 import struct
@@ -17,7 +18,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -374,8 +374,8 @@
         return path
 
     def start(self, seeds, first_start):
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
-            run = tomllib.load(file)["roles"]["gateway"]["run"].split(" ")
+        with open(os.path.join(ROOT, "deploy", "system.toml"), encoding="utf-8") as file:
+            run = re.search(r'^run = "([^"]*)"$', file.read(), re.MULTILINE).group(1).split(" ")
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "JAVA_HOME", "LANG")
                        if k in os.environ}
         environment["FILBERTRUDDER_NODE_FILE"] = self.settings(seeds, first_start)
@@ -561,6 +561,8 @@
     """Runs a case; its result is the exit code: 1 broken, 0 held, 2 could not run."""
     system = System(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         broken = asyncio.run(asyncio.wait_for(case(system, trouble), 118))
