Forwards: what instances tell each other travels apart from headers

Cause: a forward carried the caller's headers and the sender's words, and its answer the endpoint's headers and the receiver's words, in one map under names that anybody may send.

Why this fix works: the words of instances are fields of the messages (protocol version 3), which no caller or endpoint can write; maps of headers are passed on as they are.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/ForwardClient.java
@@ -70,7 +70,9 @@
                 "/services/" + request.service().id() + request.uri(),
                 headers,
                 request.body().getBytes(),
-                request.deadlineMs() - mContext.nowMs());
+                request.deadlineMs() - mContext.nowMs(),
+                null,
+                null);
     }
 
     /** Handles a message that is part of a response; returns false for any other message. */
@@ -98,8 +100,8 @@
         }
 
         @Override
-        public void head(int status, Map<String, String> headers) {
-            mListener.onHead(status, headers);
+        public void head(PeerMessage.ForwardHead head) {
+            mListener.onHead(head.status(), head.headers());
         }
 
         @Override
--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpResponseSink.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/HttpResponseSink.java
@@ -3,16 +3,28 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Map;
+import java.util.Set;
 
 /** Sends a response to a caller over HTTP. */
 public class HttpResponseSink implements ResponseSink {
 
+    /** Headers between instances, or between an instance and an endpoint. */
+    private static final Set<String> INTERNAL_HEADERS =
+            Set.of(Exchange.RESUME_OFFSET_HEADER, Exchange.NOT_RUN_HEADER);
+
     private final HttpServerResponse mResponse;
+    private final Set<String> mWithheldHeaders;
     private boolean mHeadSent;
 
     /** Creates a sink that writes to the given server response. */
     public HttpResponseSink(HttpServerResponse response) {
+        this(response, INTERNAL_HEADERS);
+    }
+
+    /** Creates a sink that does not send the headers with the given names. */
+    protected HttpResponseSink(HttpServerResponse response, Set<String> withheldHeaders) {
         mResponse = response;
+        mWithheldHeaders = withheldHeaders;
     }
 
     @Override
@@ -38,9 +50,7 @@
     }
 
     private void putHeader(String name, String value) {
-        boolean internal =
-                name.equals(Exchange.RESUME_OFFSET_HEADER) || name.equals(Exchange.NOT_RUN_HEADER);
-        if (!internal) {
+        if (!mWithheldHeaders.contains(name)) {
             mResponse.putHeader(name, value);
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/CallerResponseSink.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.filbertrudder.entry.traffic.HttpResponseSink;
 import org.filbertrudder.gateway.control.Clocks;
@@ -29,7 +30,7 @@
             BooleanSupplier stopping,
             OpenRequests.OpenRequest openRequest,
             Optional<UnreadResponses.Response> unread) {
-        super(response);
+        super(response, Set.of());
         mResponse = response;
         mProtocol = protocol;
         mStopping = stopping;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardClient.java
@@ -1,14 +1,16 @@
 package org.filbertrudder.gateway.traffic;
 
 import io.vertx.core.buffer.Buffer;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 import org.filbertrudder.entry.log.ForwardLog;
 import org.filbertrudder.gateway.config.KeyDigests;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.KeyId;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.forwarding.ForwardCall;
@@ -23,7 +25,9 @@
     private final ForwardSender mSender;
 
     GatewayForwardClient(ForwardLinks links) {
-        mSender = new ForwardSender(links, Clocks::steadyMs, ForwardLog::log);
+        mSender =
+                new ForwardSender(
+                        links, Clocks::steadyMs, ForwardLog::log, new EarlierForwardFormat());
     }
 
     /**
@@ -35,12 +39,9 @@
             GatewaySnapshot snapshot,
             long remainingMs,
             AttemptListener listener) {
-        Map<String, String> headers = new HashMap<>(exchange.head().passedHeaders());
         // A caller may resume a stream as well, before this instance has relayed any event of it.
-        if (exchange.relay() != null || exchange.lastEventId() > 0) {
-            headers.put(GatewayForwardServer.RESUME_AFTER, Long.toString(exchange.lastEventId()));
-        }
-        headers.put(GatewayForwardServer.SERVICE, exchange.service().value());
+        boolean resumes = exchange.relay() != null || exchange.lastEventId() > 0;
+        Long resumeAfter = resumes ? exchange.lastEventId() : null;
         return new ForwardAttempt(
                 mSender.start(
                         member,
@@ -57,9 +58,11 @@
                                         snapshot.self().region(),
                                         exchange.method(),
                                         exchange.uri(),
-                                        headers,
+                                        exchange.head().passedHeaders(),
                                         exchange.body().getBytes(),
-                                        remainingMs),
+                                        remainingMs,
+                                        exchange.service(),
+                                        resumeAfter),
                         exchange::mayRunAgain,
                         new ResponseListener(exchange.head().requestId(), listener)));
     }
@@ -82,8 +85,24 @@
             implements ForwardListener {
 
         @Override
-        public void head(int status, Map<String, String> headers) {
-            listener.head(ForwardHeaders.readResponse(requestId, status, headers));
+        public void head(PeerMessage.ForwardHead head) {
+            // A refusal counts as unsigned.
+            Optional<ForwardRecords.Refusal> refusal = Optional.ofNullable(head.refusal());
+            long retryAfterMs = refusal.map(ForwardRecords.Refusal::retryAfterMs).orElse(0L);
+            listener.head(
+                    new ResponseHead(
+                            head.status(),
+                            Optional.of(requestId),
+                            refusal.map(ForwardRecords.Refusal::notRun).orElse(false),
+                            refusal.isEmpty(),
+                            false,
+                            false,
+                            retryAfterMs > 0 ? OptionalLong.of(retryAfterMs) : OptionalLong.empty(),
+                            LimitStatement.NONE,
+                            Optional.empty(),
+                            OptionalLong.empty(),
+                            head.headers(),
+                            Set.of()));
         }
 
         @Override
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayForwardServer.java
@@ -1,19 +1,15 @@
 package org.filbertrudder.gateway.traffic;
 
-import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.ForwardLog;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.Clocks;
-import org.filbertrudder.model.InvalidValueException;
-import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.forwarding.ForwardLink;
 import org.filbertrudder.peer.forwarding.ForwardReceiver;
@@ -25,12 +21,6 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("forwards");
 
-    /** The header with the id of the last event that the caller received of this response. */
-    static final String RESUME_AFTER = "x-resume-after";
-
-    /** The header with the service that the sender's configuration has chosen. */
-    static final String SERVICE = "x-forward-service";
-
     private final RequestAcceptor mRequestAcceptor;
     private final Consumer<GatewayExchange> mOnCancel;
     private final HeldBytes mBodies;
@@ -62,44 +52,6 @@
         return mReceiver.endLinks();
     }
 
-    /**
-     * Removes and returns the id of the event after which the response is resumed.
-     *
-     * @throws MalformedRequestException if the id is not a non-negative number
-     */
-    static OptionalLong removeResumeAfter(MultiMap headers) {
-        String text = headers.get(RESUME_AFTER);
-        headers.remove(RESUME_AFTER);
-        if (text == null) {
-            return OptionalLong.empty();
-        }
-        try {
-            long id = Long.parseLong(text);
-            if (id >= 0) {
-                return OptionalLong.of(id);
-            }
-        } catch (NumberFormatException e) {
-            // Reported below, like a negative number.
-        }
-        throw new MalformedRequestException(
-                "The header " + RESUME_AFTER + " must be a non-negative number.");
-    }
-
-    /**
-     * Removes and returns the service that the sender has chosen; empty if it names none.
-     *
-     * @throws MalformedRequestException if it is not the name of a service
-     */
-    static Optional<ServiceId> removeService(MultiMap headers) {
-        String name = headers.get(SERVICE);
-        headers.remove(SERVICE);
-        try {
-            return Optional.ofNullable(name).map(ServiceId::of);
-        } catch (InvalidValueException e) {
-            throw new MalformedRequestException("The header " + SERVICE + " is invalid.");
-        }
-    }
-
     /** Refuses a request whose message has invalid fields. */
     void refuseUnreadable(ForwardLink from, long stream) {
         LOG.warn("A malformed forwarded request is refused.", LogField.of("stream", stream));
@@ -121,10 +73,8 @@
             return;
         }
         try {
-            MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-            start.headers().forEach(headers::add);
             mRequestAcceptor
-                    .accept(start, headers, sink)
+                    .accept(start, response.senderVersion(), sink)
                     .ifPresent(exchange -> response.onCancel(() -> mOnCancel.accept(exchange)));
         } catch (RuntimeException e) {
             // An exception that the connection sees would close it, with all other forwards.
@@ -145,7 +95,7 @@
          * the request may run.
          */
         Optional<GatewayExchange> accept(
-                PeerMessage.ForwardStart start, MultiMap headers, GatewayResponseSink sink);
+                PeerMessage.ForwardStart start, int senderVersion, GatewayResponseSink sink);
     }
 
     /** Sends a response to the instance that forwarded the request. */
@@ -153,7 +103,9 @@
 
         @Override
         public void sendHead(int status, Map<String, String> headers) {
-            response.sendHead(status, headers);
+            boolean earlier = EarlierForwardFormat.isUsedBy(response.senderVersion());
+            response.sendHead(
+                    status, earlier ? EarlierForwardFormat.writeHeaders(headers) : headers);
         }
 
         @Override
@@ -192,7 +144,14 @@
                 abort();
                 return;
             }
-            sendHead(refusal.status(), new HashMap<>(ForwardHeaders.forRefusal(refusal)));
+            ForwardRecords.Refusal stated =
+                    new ForwardRecords.Refusal(
+                            refusal.code(), refusal.notRun(), refusal.retryAfterMs());
+            if (EarlierForwardFormat.isUsedBy(response.senderVersion())) {
+                response.sendHead(refusal.status(), EarlierForwardFormat.writeRefusal(stated));
+            } else {
+                response.sendHead(refusal.status(), Map.of(), stated);
+            }
             end();
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -2,14 +2,11 @@
 
 import io.vertx.core.AbstractVerticle;
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
-import io.vertx.core.buffer.Buffer;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -17,16 +14,13 @@
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.GatewaySettings;
-import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
-import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
-import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
@@ -73,6 +67,7 @@
     private SuspectedRestartReporting mRestartReporting;
     private final Set<GatewayExchange> mActive = new LinkedHashSet<>();
     private final RandomGenerator mRandom = new SplittableRandom();
+    private final ForwardedExchangeFactory mForwardedExchanges;
     private final RunTimes mRunTimes = new RunTimes();
     private CallerServer mCallerServer;
     private PeerNetwork mNetwork;
@@ -99,6 +94,7 @@
         mSettings = settings;
         mControl = control;
         mProtocol = protocol;
+        mForwardedExchanges = new ForwardedExchangeFactory(protocol, mRandom);
         mMetrics = metrics;
         mEndpointTable.limitBodyBytes(settings.limitsUnreadBytes());
         mTableUpdater = new EndpointTableUpdater(settings.id(), settings.region(), mEndpointTable);
@@ -368,11 +364,8 @@
         }
     }
 
-    /**
-     * Creates the exchange of a forwarded request after checking its route, account and key again.
-     */
     private Optional<GatewayExchange> acceptForwarded(
-            PeerMessage.ForwardStart start, MultiMap headers, GatewayResponseSink sink) {
+            PeerMessage.ForwardStart start, int senderVersion, GatewayResponseSink sink) {
         long nowMs = Clocks.steadyMs();
         GatewayConfiguration configuration = mControl.snapshot().configuration();
         if (configuration == null || isRefusing()) {
@@ -380,56 +373,10 @@
                     configuration == null ? GatewayRefusal.notReady() : GatewayRefusal.stopping());
             return Optional.empty();
         }
-        OptionalLong resumeAfter;
-        Optional<ServiceId> chosenService;
-        RequestHead head;
-        try {
-            resumeAfter = GatewayForwardServer.removeResumeAfter(headers);
-            chosenService = GatewayForwardServer.removeService(headers);
-            head = mProtocol.readRequest(headers);
-        } catch (MalformedRequestException e) {
-            LOG.warn(
-                    "A malformed forwarded request is refused.",
-                    LogField.of("id", start.requestId()),
-                    LogField.of("origin", start.origin()),
-                    LogField.of("why", e.getMessage()));
-            sink.refuse(GatewayRefusal.malformed(e.getMessage()));
-            return Optional.empty();
-        }
-        String path = start.uri().split("\\?", 2)[0];
-        Optional<RouteRule> route = configuration.route(head.host(), path);
-        Optional<AccountRule> account =
-                Optional.ofNullable(start.account()).flatMap(configuration::account);
-        Optional<ServiceId> sendersService =
-                chosenService.filter(
-                        service -> ForwardChecks.mayFollow(start, service, route, configuration));
-        boolean verified =
-                route.isPresent()
-                        && ForwardChecks.keyMatchesAccount(
-                                configuration, start, route.get(), account)
-                        && sendersService.map(configuration::service).stream()
-                                .allMatch(Optional::isPresent);
-        if (!verified) {
-            // The two instances may temporarily have different versions of the configuration.
-            sink.refuse(GatewayRefusal.stateOutdated());
-            return Optional.empty();
-        }
-        GatewayExchange exchange =
-                new GatewayExchange(
-                        head.forwarded(start.deadlineMs()),
-                        start.method(),
-                        start.uri(),
-                        Buffer.buffer(start.body()),
-                        route.get(),
-                        account,
-                        sendersService.orElseGet(
-                                () -> route.get().chooseService(mRandom.nextDouble())),
-                        true,
-                        sink,
-                        nowMs);
-        resumeAfter.ifPresent(id -> exchange.setRelay(new StreamRelay(sink, id)));
-        admitForwarded(exchange);
-        return Optional.of(exchange);
+        Optional<GatewayExchange> exchange =
+                mForwardedExchanges.create(start, senderVersion, configuration, sink, nowMs);
+        exchange.ifPresent(this::admitForwarded);
+        return exchange;
     }
 
     private void admitForwarded(GatewayExchange exchange) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
@@ -35,8 +35,11 @@
                     "uri",
                     "headers",
                     "body",
-                    "deadlineMs");
-    static final MessageLayout FORWARD_HEAD = message("fh", "stream", "status", "headers");
+                    "deadlineMs",
+                    "service",
+                    "resumeAfter");
+    static final MessageLayout FORWARD_HEAD =
+            message("fh", "stream", "status", "headers", "refusal");
     static final MessageLayout FORWARD_DATA = message("fd", "stream", "data");
     static final MessageLayout FORWARD_END = message("fe", "stream", "complete");
     static final MessageLayout FORWARD_CANCEL = message("fc", "stream");
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
@@ -12,7 +12,9 @@
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.KeyId;
 import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.EndpointLimitReport;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PartEvidence;
@@ -91,7 +93,10 @@
             case 'f' << Byte.SIZE | 'h':
                 begin(MessageLayout.FORWARD_HEAD);
                 return new PeerMessage.ForwardHead(
-                        field().number(), field().integer(), field().texts());
+                        field().number(),
+                        field().integer(),
+                        field().texts(),
+                        field().forwardRefusal());
             case 'f' << Byte.SIZE | 'e':
                 begin(MessageLayout.FORWARD_END);
                 return new PeerMessage.ForwardEnd(field().number(), field().truth());
@@ -247,7 +252,13 @@
                 field().text(),
                 field().texts(),
                 field().bytes(),
-                field().number());
+                field().number(),
+                field().service(),
+                field().nullableNumber());
+    }
+
+    private ForwardRecords.Refusal forwardRefusal() throws IOException {
+        return array(3) ? new ForwardRecords.Refusal(text(), truth(), number()) : null;
     }
 
     private PeerMessage operatorStateReply() throws IOException {
@@ -370,6 +381,11 @@
         return value == null ? null : RegionId.of(value);
     }
 
+    ServiceId service() throws IOException {
+        String value = text();
+        return value == null ? null : ServiceId.of(value);
+    }
+
     private InstanceId instance() throws IOException {
         String value = text();
         return value == null ? null : InstanceId.of(value);
@@ -511,14 +527,13 @@
                 endpoint(), nil() ? null : Double.valueOf(real()), number(), number());
     }
 
-    private List<PeerMessage.OpenForward> openForwards() throws IOException {
+    private List<ForwardRecords.Open> openForwards() throws IOException {
         if (nil()) {
             return null;
         }
-        List<PeerMessage.OpenForward> forwards = new ArrayList<>();
+        List<ForwardRecords.Open> forwards = new ArrayList<>();
         for (int left = mUnpacker.unpackArrayHeader(); left > 0; left--) {
-            forwards.add(
-                    array(3) ? new PeerMessage.OpenForward(number(), integer(), number()) : null);
+            forwards.add(array(3) ? new ForwardRecords.Open(number(), integer(), number()) : null);
         }
         return forwards;
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
@@ -7,6 +7,7 @@
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.EndpointLimitReport;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
@@ -68,11 +69,14 @@
             field().map(start.headers());
             field().bytes(start.body());
             field().number(start.deadlineMs());
+            field().text(start.service() == null ? null : start.service().value());
+            field().nullableNumber(start.resumeAfter());
         } else if (message instanceof PeerMessage.ForwardHead head) {
             begin(MessageLayout.FORWARD_HEAD);
             field().number(head.stream());
             field().number(head.status());
             field().map(head.headers());
+            field().refusal(head.refusal());
         } else if (message instanceof PeerMessage.ForwardEnd end) {
             begin(MessageLayout.FORWARD_END);
             field().number(end.stream());
@@ -97,7 +101,7 @@
             field().truth(resume.known());
             field();
             if (list(resume.streams())) {
-                for (PeerMessage.OpenForward forward : resume.streams()) {
+                for (ForwardRecords.Open forward : resume.streams()) {
                     openForward(forward);
                 }
             }
@@ -111,7 +115,18 @@
         return true;
     }
 
-    private void openForward(PeerMessage.OpenForward forward) throws IOException {
+    private void refusal(ForwardRecords.Refusal refusal) throws IOException {
+        if (refusal == null) {
+            mPacker.packNil();
+            return;
+        }
+        mPacker.packArrayHeader(3);
+        text(refusal.code());
+        truth(refusal.notRun());
+        number(refusal.retryAfterMs());
+    }
+
+    private void openForward(ForwardRecords.Open forward) throws IOException {
         if (forward == null) {
             mPacker.packNil();
             return;
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/PeerConnection.java
@@ -31,6 +31,7 @@
     private boolean mHandshakeDone;
     private Member mPeerMember;
     private long mPeerLife;
+    private int mPeerVersion;
     private boolean mHelloSent;
     private boolean mAwaitsAnswer;
     private long mAwaitedSinceMs;
@@ -99,6 +100,7 @@
                 return;
             }
             mPeerMember = hello.sender();
+            mPeerVersion = hello.version();
             boolean resumable =
                     hello.version() >= ProtocolVersions.RESUMABLE_FORWARDS
                             && mHello.get().life() != 0;
@@ -175,6 +177,11 @@
         return mPeerLife;
     }
 
+    @Override
+    public int peerVersion() {
+        return mPeerVersion;
+    }
+
     /** Sends the hello message, which comes first in both directions. */
     void sendHello() {
         if (!mHelloSent) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardCall.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardCall.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.peer.forwarding;
 
 import java.util.function.BooleanSupplier;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.PeerMessage;
 
 /** Represents a forwarded request at the instance that forwards it. */
@@ -49,19 +50,19 @@
         return mRepeatable.getAsBoolean();
     }
 
-    void send(ForwardLink link) {
-        link.send(mUnsent);
+    void send(ForwardLink link, ForwardTranslation translation) {
+        link.send(translation.toReceiver(mUnsent, link.peerVersion()));
         mUnsent = null;
     }
 
-    PeerMessage.OpenForward position() {
-        return new PeerMessage.OpenForward(mStream, mReceivedParts, mCreditedBytes);
+    ForwardRecords.Open position() {
+        return new ForwardRecords.Open(mStream, mReceivedParts, mCreditedBytes);
     }
 
     void receive(PeerMessage.ForwardHead head) {
         mReceivedParts++;
         mAnswered = true;
-        mListener.head(head.status(), head.headers());
+        mListener.head(head);
     }
 
     void receive(PeerMessage.ForwardData data) {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardLink.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardLink.java
@@ -31,4 +31,7 @@
      * forwarded requests, as its release is older.
      */
     long peerLife();
+
+    /** Returns the protocol version that the other end supports; 0 before its hello message. */
+    int peerVersion();
 }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardListener.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardListener.java
@@ -1,6 +1,6 @@
 package org.filbertrudder.peer.forwarding;
 
-import java.util.Map;
+import org.filbertrudder.model.message.PeerMessage;
 
 /**
  * Receives the response to a forwarded request; {@link #ended()} or {@link #failed} is always the
@@ -8,8 +8,8 @@
  */
 public interface ForwardListener {
 
-    /** Handles the status and headers of the response. */
-    void head(int status, Map<String, String> headers);
+    /** Handles the status and headers of the response, or a refusal of the other instance. */
+    void head(PeerMessage.ForwardHead head);
 
     /** Handles a part of the response body. */
     void data(byte[] data);
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardReceiver.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.PeerMessage;
 
 /**
@@ -177,7 +178,7 @@
         session.resume(resume.streams(), forgotten);
     }
 
-    private static boolean areValid(List<PeerMessage.OpenForward> streams) {
+    private static boolean areValid(List<ForwardRecords.Open> streams) {
         Set<Long> numbers = new HashSet<>();
         return streams.stream()
                 .allMatch(forward -> forward != null && numbers.add(forward.stream()));
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
@@ -35,6 +35,7 @@
     private final ForwardLinks mLinks;
     private final LongSupplier mClockMs;
     private final Consumer<ForwardEvent> mLog;
+    private final ForwardTranslation mTranslation;
     private final Map<PeerAddress, SenderSession> mSessions = new HashMap<>();
     private final Map<ForwardLink, SenderSession> mSessionsByLink = new HashMap<>();
     private final Set<ForwardLink> mWatchedLinks = new HashSet<>();
@@ -42,16 +43,27 @@
     private long mNextGeneration = 1;
     private long mLastTickMs;
 
+    /** Creates a sender whose messages are the same in all releases. */
+    public ForwardSender(ForwardLinks links, LongSupplier clockMs, Consumer<ForwardEvent> log) {
+        this(links, clockMs, log, new ForwardTranslation() {});
+    }
+
     /**
      * Creates a sender.
      *
      * @param clockMs a steady clock, in milliseconds
      * @param log receives decisions about forwarded requests
+     * @param translation adapts messages to the release of the receiver
      */
-    public ForwardSender(ForwardLinks links, LongSupplier clockMs, Consumer<ForwardEvent> log) {
+    public ForwardSender(
+            ForwardLinks links,
+            LongSupplier clockMs,
+            Consumer<ForwardEvent> log,
+            ForwardTranslation translation) {
         mLinks = links;
         mClockMs = clockMs;
         mLog = log;
+        mTranslation = translation;
         mLastTickMs = clockMs.getAsLong();
     }
 
@@ -140,6 +152,10 @@
         return mLinks;
     }
 
+    ForwardTranslation translation() {
+        return mTranslation;
+    }
+
     long nextGeneration() {
         return mNextGeneration++;
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardedResponse.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardedResponse.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.PeerMessage;
 
 /**
@@ -68,10 +69,24 @@
         mOnClose = action;
     }
 
+    /** Returns the protocol version that the instance which forwarded the request supports. */
+    public int senderVersion() {
+        return mSession.senderVersion();
+    }
+
     /** Sends the status and the headers. */
     public void sendHead(int status, Map<String, String> headers) {
+        sendHead(status, headers, null);
+    }
+
+    /**
+     * Sends the status and the headers.
+     *
+     * @param refusal null for the response of an endpoint
+     */
+    public void sendHead(int status, Map<String, String> headers, ForwardRecords.Refusal refusal) {
         mHeadSent = true;
-        send(new PeerMessage.ForwardHead(mStream, status, headers), 0);
+        send(new PeerMessage.ForwardHead(mStream, status, headers, refusal), 0);
     }
 
     /** Returns whether the status and the headers have been sent. */
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ReceiverSession.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.PeerMessage;
 
 /** Holds the requests that one process of another instance has forwarded, over all its links. */
@@ -18,6 +19,7 @@
     private final Set<Long> mNeverStarted = new HashSet<>();
 
     private ForwardLink mLink;
+    private int mSenderVersion;
     private long mGeneration;
     private long mIncarnation;
     private long mHighestStream;
@@ -41,6 +43,10 @@
         return mLink;
     }
 
+    int senderVersion() {
+        return mSenderVersion;
+    }
+
     long generation() {
         return mGeneration;
     }
@@ -60,6 +66,7 @@
 
     void linkTo(ForwardLink link, long generation, long nowMs) {
         mLink = link;
+        mSenderVersion = link.peerVersion();
         mGeneration = generation;
         mLastReceivedMs = nowMs;
     }
@@ -113,14 +120,14 @@
      *
      * @param forgotten whether this instance may have known streams that it no longer knows
      */
-    void resume(List<PeerMessage.OpenForward> open, boolean forgotten) {
+    void resume(List<ForwardRecords.Open> open, boolean forgotten) {
         Set<Long> awaited = new HashSet<>();
         open.forEach(forward -> awaited.add(forward.stream()));
         responses().stream()
                 .filter(response -> !awaited.contains(response.stream()))
                 .forEach(ForwardedResponse::cancel);
         mNeverStarted.retainAll(awaited);
-        for (PeerMessage.OpenForward forward : open) {
+        for (ForwardRecords.Open forward : open) {
             ForwardedResponse response = mResponses.get(forward.stream());
             if (response == null) {
                 resumeUnknown(forward.stream(), forgotten);
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.filbertrudder.model.InstanceId;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
@@ -107,7 +108,7 @@
         }
         mCalls.put(call.stream(), call);
         if (mReady) {
-            call.send(mLink);
+            call.send(mLink, mSender.translation());
         } else if (mLink == null) {
             open();
         }
@@ -174,7 +175,7 @@
         mEndUnconfirmed = false;
         mLastKeepAliveMs = NEVER_MS;
         if (mLife != 0) {
-            List<PeerMessage.OpenForward> open =
+            List<ForwardRecords.Open> open =
                     mCalls.values().stream()
                             .filter(ForwardCall::isSent)
                             .map(ForwardCall::position)
@@ -192,7 +193,7 @@
                                 mClockMs.getAsLong() - mUnlinkedMs));
             }
         }
-        calls(call -> !call.isSent()).forEach(call -> call.send(mLink));
+        calls(call -> !call.isSent()).forEach(call -> call.send(mLink, mSender.translation()));
         failLogged("other process", lost);
     }
 
@@ -232,7 +233,9 @@
             mForwardsEnded = true;
             failAll(call -> !call.isAnswered(), ForwardListener.Failure.NOT_RUN);
         } else if (message instanceof PeerMessage.ForwardHead head) {
-            call(head.stream()).ifPresent(call -> call.receive(head));
+            PeerMessage.ForwardHead translated =
+                    mSender.translation().fromReceiver(head, mLink.peerVersion());
+            call(head.stream()).ifPresent(call -> call.receive(translated));
         } else if (message instanceof PeerMessage.ForwardData data) {
             call(data.stream()).ifPresent(call -> call.receive(data));
         } else if (message instanceof PeerMessage.ForwardEnd end) {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -26,6 +26,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.AccountShareSnapshot;
+import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PartEvidence;
@@ -105,6 +106,10 @@
                     List.of(new StartRecords.Statement(EndpointId.of("e"), 5, 6, 150)),
                     List.of(new StartRecords.Streams(EndpointId.of("e"), 9.5, 0)));
 
+    private static final PeerMessage FORWARD_REFUSAL =
+            new PeerMessage.ForwardHead(
+                    1, 503, Map.of(), new ForwardRecords.Refusal("stopping", true, 500));
+
     @DataProvider
     public Object[][] messages() {
         return new Object[][] {
@@ -138,6 +143,7 @@
             },
             {new PeerMessage.ReserveRequest(1, ACCOUNT, 2, 3)},
             {new PeerMessage.ForwardHead(1, 200, Map.of("a", "b"))},
+            {FORWARD_REFUSAL},
             {new PeerMessage.ForwardEnd(1, true)},
             {new PeerMessage.CrashReport(ACCOUNT, "digest", EndpointId.of("e"), 7, true)},
             {new PeerMessage.PartEvidenceDigest(7)},
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/WireFormatTest.java
@@ -1,6 +1,7 @@
 package org.filbertrudder.peer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import io.vertx.core.buffer.Buffer;
@@ -131,6 +132,24 @@
         assertEquals(limits, List.of());
     }
 
+    /** Messages of the release before have no fields for what instances tell each other. */
+    @Test
+    public void missingForwardFieldsAreReadAsNone() {
+        String start =
+                "000000978ca174a26673a673747265616dcd03e8a9726571756573744964a6746578742d32a7616363"
+                        + "6f756e74a469642d33a36b6579a469642d34a87265766973696f6ecd1388a66f7269"
+                        + "67696ea469642d36a66d6574686f64a6746578742d37a3757269a6746578742d38a7"
+                        + "6865616465727381a6746578742d39a6746578742d39a4626f6479c40301020aaa64"
+                        + "6561646c696e654d73cd2af8";
+        String head =
+                "0000002f84a174a26668a673747265616dcd03e8a673746174757314a76865616465727381a6746578"
+                        + "742d33a6746578742d33";
+
+        assertNull(((PeerMessage.ForwardStart) decode("fs", start)).service());
+        assertNull(((PeerMessage.ForwardStart) decode("fs", start)).resumeAfter());
+        assertNull(((PeerMessage.ForwardHead) decode("fh", head)).refusal());
+    }
+
     @Test
     public void everyPeerMessageTypeIsRecorded() throws IOException {
         List<String> kinds = new ArrayList<>();
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/RecordingLink.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/RecordingLink.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.model.message.ProtocolVersions;
 
 /** A link that records what is sent on it. */
 final class RecordingLink implements ForwardLink {
@@ -72,4 +73,9 @@
     public long peerLife() {
         return mPeerLife;
     }
+
+    @Override
+    public int peerVersion() {
+        return ProtocolVersions.NEWEST_SUPPORTED;
+    }
 }
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ForwardGap.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/ForwardGap.java
@@ -193,7 +193,9 @@
                                     "/",
                                     Map.of(),
                                     new byte[0],
-                                    60_000),
+                                    60_000,
+                                    null,
+                                    null),
                     () -> false,
                     this);
         }
@@ -213,7 +215,7 @@
         }
 
         @Override
-        public void head(int status, Map<String, String> headers) {}
+        public void head(PeerMessage.ForwardHead head) {}
 
         @Override
         public void data(byte[] data) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/MessageCapacity.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/MessageCapacity.java
@@ -79,7 +79,9 @@
                         "/services/chat/v1/chat/completions",
                         Map.of("content-type", "application/json"),
                         new byte[1_000],
-                        120_000));
+                        120_000,
+                        null,
+                        null));
         messages.put("forwarded token, 120 B", new PeerMessage.ForwardData(12, new byte[120]));
         messages.put("forward credit", new PeerMessage.ForwardCredit(12, 120));
         return messages;
