Crashing requests: replaced instances learn them from the others and from the store

Cause: reports of crashes were sent once, at the crash, and kept in memory; an instance that started later asked nobody. Blocked parts of prompts had gossip and a copy in the store, whole requests neither.

Why this fix works: an instance is ready only after it has read the refused requests in the store and has asked others, and all instances compare digests of their records later. Records only grow, so that late and repeated ones neither count a crash twice nor bring back what an answer has cleared.

Found by its own tests while it was made: equal digests of different crashes, and instances without records that nobody had chosen to ask (CrashRecordGossipTest, 95 instances).

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
@@ -155,6 +155,22 @@
         mLoggedReceived = received;
     }
 
+    /** Returns the requests, for use on the control thread. */
+    public SuspectRequests requests() {
+        return mSuspectRequests;
+    }
+
+    /** Drops what is older than the retention time; runs on the control thread. */
+    public void expire(long nowMs) {
+        mSuspectRequests.expire(nowMs);
+        updateSize();
+    }
+
+    /** Publishes the number of recorded requests; runs on the control thread. */
+    public void updateSize() {
+        mSize = mSuspectRequests.size();
+    }
+
     /** Returns how many reports of other instances have arrived; may be called from any thread. */
     public long received() {
         return mReceived.get();
--- a/platform/src/main/java/org/filbertrudder/platform/BlockedPartRecord.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/BlockedPartRecord.java
@@ -1,4 +1,4 @@
-package org.filbertrudder.platform;
+package org.filbertrudder.gateway.control;
 
 import java.util.List;
 import org.filbertrudder.model.message.PartEvidence;
@@ -13,7 +13,7 @@
  * @param requests the latest requests lost
  * @param lastLossMs when the last loss happened, in milliseconds since the epoch
  */
-record BlockedPartRecord(
+public record BlockedPartRecord(
         String part,
         int losses,
         int cleared,
@@ -21,7 +21,8 @@
         List<PartEvidence.LostRequest> requests,
         long lastLossMs) {
 
-    static BlockedPartRecord of(PartEvidence evidence, long nowMs) {
+    /** Returns what is stored of the evidence at a time. */
+    public static BlockedPartRecord of(PartEvidence evidence, long nowMs) {
         return new BlockedPartRecord(
                 evidence.part(),
                 evidence.losses(),
@@ -32,7 +33,7 @@
     }
 
     /** Returns the evidence with its age at a time; clocks of instances may differ. */
-    PartEvidence atTime(long nowMs) {
+    public PartEvidence atTime(long nowMs) {
         return new PartEvidence(
                 part, losses, cleared, answered, requests, Math.max(0, nowMs - lastLossMs));
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -4,13 +4,11 @@
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BiConsumer;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.filbertrudder.entry.control.CrashReportRegistry;
@@ -27,7 +25,6 @@
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
-import org.filbertrudder.peer.PeerConnection;
 import org.filbertrudder.peer.PeerCounters;
 import org.filbertrudder.peer.PeerNetwork;
 import org.filbertrudder.peer.PeerSecurity;
@@ -110,14 +107,14 @@
     private final CrashReportRegistry mCrashReports;
     private final BlockedPartStore mBlockedParts;
     private final SecureRandom mRandom = new SecureRandom();
-    private final Map<Class<?>, BiConsumer<PeerConnection, PeerMessage>> mHandlers =
-            new HashMap<>();
+    private final MessageHandlers mHandlers = new MessageHandlers();
     private final List<Runnable> mListeners = new CopyOnWriteArrayList<>();
     private final CompletableFuture<Void> mReady = new CompletableFuture<>();
     private Membership mMembership;
     private RelaySelection mRelaySelection;
     private PeerNetwork mNetwork;
     private ControlConnections mConnections;
+    private CrashRecordSharing mCrashRecords;
     private InstanceShares mShares;
     private GatewayTokenReservationService mTokenReservations;
     private List<Member> mRegisteredInstances;
@@ -183,10 +180,12 @@
                         mContext,
                         PeerSecurity.plainText(),
                         () -> mMembership.self(),
-                        this::receive,
+                        mHandlers::receive,
                         violation ->
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
         mConnections = new ControlConnections(mMembership, mNetwork, TICK_MS);
+        mCrashRecords =
+                new CrashRecordSharing(mContext, mSource, mCrashReports, mMembership, mNetwork);
         publish();
         return mNetwork.listen(mSettings.peerAddress().host(), mSettings.peerAddress().port())
                 .thenAccept(port -> mContext.runOnContext(ignored -> joinAndStartTimer()));
@@ -224,13 +223,17 @@
         mTokenReservations.tick(nowMs);
         registerAndReadInstances(nowMs);
         mBlockedParts.tick(nowMs);
+        mCrashRecords.tick(nowMs);
         if (mMembership.version() != mPublishedVersion) {
             mPublishedVersion = mMembership.version();
             mConnections.dropThoseToSuspects();
             updateShares(nowMs);
             publish();
         }
-        boolean isRead = mRegisteredInstances != null && mBlockedParts.stored().isDone();
+        boolean isRead =
+                mRegisteredInstances != null
+                        && mBlockedParts.stored().isDone()
+                        && mCrashRecords.isInformed();
         if (mFollower.isReady() && isRead && !mReady.isDone()) {
             LOG.info("The instance is ready.", LogField.of("instance", mSettings.id()));
             mReady.complete(null);
@@ -349,73 +352,51 @@
         mMembership.member(to).ifPresent(member -> mNetwork.send(PeerAddress.of(member), message));
     }
 
-    private void receive(PeerConnection connection, PeerMessage message) {
-        BiConsumer<PeerConnection, PeerMessage> handler = mHandlers.get(message.getClass());
-        if (handler != null && connection.peerMember() != null) {
-            handler.accept(connection, message);
-        }
-    }
-
-    private <T extends PeerMessage> void registerHandler(
-            Class<T> type, BiConsumer<InstanceId, T> handler) {
-        mHandlers.put(
-                type,
-                (connection, message) ->
-                        handler.accept(connection.peerMember().id(), type.cast(message)));
-    }
-
-    private <T extends PeerMessage> void registerAnswer(
-            Class<T> type, Function<T, List<OutboundMessage>> handler) {
-        mHandlers.put(
-                type,
-                (connection, message) ->
-                        mNetwork.answer(connection, handler.apply(type.cast(message))));
-    }
-
-    private <T extends PeerMessage> void registerReply(
-            Class<T> type, Function<T, PeerMessage> handler) {
-        mHandlers.put(
-                type, (connection, message) -> connection.send(handler.apply(type.cast(message))));
-    }
-
     private void registerHandlers() {
-        registerAnswer(
+        mHandlers.register(
                 PeerMessage.Heartbeat.class,
-                message -> mMembership.handle(message, mFollower.revision(), Clocks.steadyMs()));
-        registerHandler(
+                (connection, message) ->
+                        mNetwork.answer(
+                                connection,
+                                mMembership.handle(
+                                        message, mFollower.revision(), Clocks.steadyMs())));
+        mHandlers.registerHandler(
                 PeerMessage.HeartbeatAck.class,
                 (from, message) -> send(mMembership.handle(message, Clocks.steadyMs())));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.MemberUpdates.class,
                 (from, message) -> send(mMembership.handle(message, from, Clocks.steadyMs())));
-        registerReply(
+        mHandlers.registerReply(
                 PeerMessage.MembersRequest.class,
                 message -> new PeerMessage.MemberUpdates(mMembership.members()));
-        registerReply(PeerMessage.OperatorStateRequest.class, mFollower::answer);
-        registerHandler(
+        mHandlers.registerReply(PeerMessage.OperatorStateRequest.class, mFollower::answer);
+        mHandlers.registerHandler(
                 PeerMessage.OperatorStateReply.class, (from, message) -> mFollower.handle(message));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.ReserveRequest.class,
                 (from, message) -> mTokenReservations.handle(from, message));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.ReserveReply.class,
                 (from, message) -> mTokenReservations.handle(from, message));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.ReservationSettlement.class,
                 (from, message) -> mTokenReservations.handle(message));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.LoanRequest.class,
                 (from, message) -> mTokenReservations.handle(from, message));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.LoanGrant.class, (from, message) -> mTokenReservations.handle(message));
-        registerHandler(
+        mHandlers.registerHandler(
                 PeerMessage.CrashReport.class,
                 (from, message) -> mCrashReports.handle(message, from));
+        mHandlers.register(
+                PeerMessage.CrashRecords.class,
+                (connection, message) -> mCrashRecords.handle(connection, message));
     }
 
     /**
-     * Completes when the configuration, the endpoints, the instances and the blocked prompt parts
-     * have been read.
+     * Completes when the configuration, the endpoints, the instances, the blocked prompt parts and
+     * the records of crashes have been read.
      */
     public CompletableFuture<Void> ready() {
         return mReady;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateSource.java
@@ -6,6 +6,7 @@
 import org.filbertrudder.gateway.config.EndpointRegistration;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.model.StoreEra;
+import org.filbertrudder.model.message.CrashRecord;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.store.StoreCallCounts;
@@ -56,6 +57,15 @@
     /** Deletes a stored prompt part. */
     Uni<Void> deleteBlockedPart(String part);
 
+    /** Reads the records of refused requests, with their age by the wall clock. */
+    Uni<StoredCrashRecords> readCrashRecords();
+
+    /**
+     * Replaces the stored records, if their revision is still the given one; otherwise returns what
+     * is stored instead.
+     */
+    Uni<StoredCrashRecords> writeCrashRecords(List<CrashRecord> records, long revision);
+
     /** Returns the newest era of the store that a response has reported. */
     StoreEra era();
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LoadReporting.java
@@ -15,6 +15,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.EndpointLimitReport;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.peer.PeerNetwork;
@@ -72,8 +73,8 @@
     private final EndpointLimitTracker mLimits;
     private final EndpointLoadSums mSums = new EndpointLoadSums();
     private final Map<RegionId, RegionState> mRegions = new HashMap<>();
-    private Map<EndpointId, PeerMessage.EndpointLoad> mLastReport = Map.of();
-    private List<PeerMessage.EndpointLoad> mLastSum = List.of();
+    private Map<EndpointId, EndpointLoad> mLastReport = Map.of();
+    private List<EndpointLoad> mLastSum = List.of();
     private Map<EndpointId, Double> mLastReportedLimits = Map.of();
     private Map<EndpointId, Double> mLastDistributedLimits = Map.of();
     private List<Member> mMembers = List.of();
@@ -171,12 +172,12 @@
     }
 
     private void reportLoad(GatewaySnapshot snapshot, long nowMs) {
-        Map<EndpointId, PeerMessage.EndpointLoad> loads = new HashMap<>();
+        Map<EndpointId, EndpointLoad> loads = new HashMap<>();
         for (EndpointState state : mTable.findByRegion(snapshot.self().region())) {
             if (state.inFlight() > 0) {
                 loads.put(
                         state.id(),
-                        new PeerMessage.EndpointLoad(
+                        new EndpointLoad(
                                 state.id(),
                                 state.inFlight(),
                                 Math.rint(state.ownPrefillMs()),
@@ -196,7 +197,7 @@
         mLastReportedLimits = limitsByEndpoint;
         mLastReportMs = nowMs;
         Member relay = mRelayCandidates.get(mRelayIndex);
-        List<PeerMessage.EndpointLoad> report = List.copyOf(loads.values());
+        List<EndpointLoad> report = List.copyOf(loads.values());
         if (isSelf(relay, snapshot)) {
             mSums.storeReport(relay.id(), report, nowMs);
             mLastRelayMessageMs = nowMs;
@@ -219,11 +220,11 @@
         if (reporters.isEmpty() || mRelayCandidates.isEmpty()) {
             return;
         }
-        Map<EndpointId, PeerMessage.EndpointLoad> sums = mSums.sumByEndpoint(nowMs);
+        Map<EndpointId, EndpointLoad> sums = mSums.sumByEndpoint(nowMs);
         if (isSelf(mRelayCandidates.get(mRelayIndex), snapshot)) {
             applySum(sums);
         }
-        List<PeerMessage.EndpointLoad> loads = List.copyOf(sums.values());
+        List<EndpointLoad> loads = List.copyOf(sums.values());
         List<EndpointLimitReport> limits = mLimits.reports(snapshot.self().region());
         Map<EndpointId, Double> limitsByEndpoint = byEndpointLimit(limits);
         boolean due =
@@ -279,12 +280,12 @@
         mNetwork.send(relays, report);
     }
 
-    private List<PeerMessage.EndpointLoad> regionLoads(GatewaySnapshot snapshot, long nowMs) {
-        List<PeerMessage.EndpointLoad> loads = new ArrayList<>();
+    private List<EndpointLoad> regionLoads(GatewaySnapshot snapshot, long nowMs) {
+        List<EndpointLoad> loads = new ArrayList<>();
         for (EndpointState state : mTable.findByRegion(snapshot.self().region())) {
             if (state.load(nowMs) > 0) {
                 loads.add(
-                        new PeerMessage.EndpointLoad(
+                        new EndpointLoad(
                                 state.id(),
                                 state.load(nowMs),
                                 Math.rint(state.prefillBacklogMs()),
@@ -324,8 +325,8 @@
         return false;
     }
 
-    private void applySum(Map<EndpointId, PeerMessage.EndpointLoad> sums) {
-        Map<EndpointId, PeerMessage.EndpointLoad> othersLoads = new HashMap<>();
+    private void applySum(Map<EndpointId, EndpointLoad> sums) {
+        Map<EndpointId, EndpointLoad> othersLoads = new HashMap<>();
         sums.forEach(
                 (id, sum) ->
                         othersLoads.put(
@@ -339,17 +340,16 @@
         }
     }
 
-    private static Map<EndpointId, PeerMessage.EndpointLoad> byEndpoint(
-            List<PeerMessage.EndpointLoad> loads) {
-        Map<EndpointId, PeerMessage.EndpointLoad> loadsByEndpoint = new HashMap<>();
+    private static Map<EndpointId, EndpointLoad> byEndpoint(List<EndpointLoad> loads) {
+        Map<EndpointId, EndpointLoad> loadsByEndpoint = new HashMap<>();
         loads.forEach(load -> loadsByEndpoint.put(load.endpoint(), load));
         return loadsByEndpoint;
     }
 
-    private void applyLoads(RegionId region, Map<EndpointId, PeerMessage.EndpointLoad> loads) {
+    private void applyLoads(RegionId region, Map<EndpointId, EndpointLoad> loads) {
         long nowMs = Clocks.steadyMs();
         for (EndpointState state : mTable.findByRegion(region)) {
-            PeerMessage.EndpointLoad load = loads.get(state.id());
+            EndpointLoad load = loads.get(state.id());
             if (load == null) {
                 state.recordLoadOfOthers(0, 0, 0, nowMs);
             } else {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -21,6 +21,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.StoreEra;
+import org.filbertrudder.model.message.CrashRecord;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
@@ -320,6 +321,16 @@
             return Uni.createFrom().completionStage(response);
         }
 
+        @Override
+        public Uni<StoredCrashRecords> readCrashRecords() {
+            return Uni.createFrom().nothing();
+        }
+
+        @Override
+        public Uni<StoredCrashRecords> writeCrashRecords(List<CrashRecord> records, long revision) {
+            return Uni.createFrom().nothing();
+        }
+
         @Override
         public GatewayConfiguration decodeConfiguration(String document) {
             try {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EarlierForwardFormatTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EarlierForwardFormatTest.java
@@ -74,7 +74,8 @@
     @Test
     public void refusalOfAnEarlierReceiverIsRead() {
         PeerMessage.ForwardHead head =
-                new PeerMessage.ForwardHead(1, 503, EarlierForwardFormat.writeRefusal(REFUSAL));
+                new PeerMessage.ForwardHead(
+                        1, 503, EarlierForwardFormat.writeRefusal(REFUSAL), null);
 
         assertEquals(mFormat.fromReceiver(head, EARLIER_VERSION).refusal(), REFUSAL);
     }
@@ -92,7 +93,7 @@
     /** Guards against bookings that run twice because an endpoint's header reads as a refusal. */
     @Test(dataProvider = "endpointHeaders")
     public void endpointHeadersOfAnEarlierReceiverAreReadAsARefusal(Map<String, String> headers) {
-        PeerMessage.ForwardHead head = new PeerMessage.ForwardHead(1, 200, headers);
+        PeerMessage.ForwardHead head = new PeerMessage.ForwardHead(1, 200, headers, null);
 
         assertNull(mFormat.fromReceiver(head, EARLIER_VERSION).refusal());
         assertEquals(mFormat.fromReceiver(head, EARLIER_VERSION).headers(), headers);
@@ -102,7 +103,8 @@
     @Test
     public void headersOfAReceiverOfThisReleaseAreReadAsARefusal() {
         PeerMessage.ForwardHead head =
-                new PeerMessage.ForwardHead(1, 200, EarlierForwardFormat.writeRefusal(REFUSAL));
+                new PeerMessage.ForwardHead(
+                        1, 200, EarlierForwardFormat.writeRefusal(REFUSAL), null);
 
         assertSame(mFormat.fromReceiver(head, ProtocolVersions.NEWEST_SUPPORTED), head);
     }
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/PeerMessage.java
@@ -1,7 +1,5 @@
 package org.filbertrudder.model.message;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -33,6 +31,7 @@
     @JsonSubTypes.Type(value = PeerMessage.LoanRequest.class, name = "lr"),
     @JsonSubTypes.Type(value = PeerMessage.LoanGrant.class, name = "lg"),
     @JsonSubTypes.Type(value = PeerMessage.CrashReport.class, name = "cx"),
+    @JsonSubTypes.Type(value = PeerMessage.CrashRecords.class, name = "cs"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardStart.class, name = "fs"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardHead.class, name = "fh"),
     @JsonSubTypes.Type(value = PeerMessage.ForwardData.class, name = "fd"),
@@ -227,6 +226,23 @@
             AccountId account, String bodySha256, EndpointId endpoint, long atMs, boolean alone)
             implements PeerMessage {}
 
+    /**
+     * Compares and exchanges records of requests that ran when endpoints crashed.
+     *
+     * @param step how the receiver answers
+     * @param informed whether the sender has heard from informed instances since its start
+     * @param digest the digest of all records of the sender
+     * @param records records that the receiver may lack
+     */
+    record CrashRecords(ExchangeStep step, boolean informed, long digest, List<CrashRecord> records)
+            implements PeerMessage {
+
+        /** Replaces a missing list by an empty one. */
+        public CrashRecords {
+            records = records == null ? List.of() : records;
+        }
+    }
+
     /**
      * Forwards a request to an instance in another region; the receiver must not forward it
      * further.
@@ -272,13 +288,7 @@
      */
     record ForwardHead(
             long stream, int status, Map<String, String> headers, ForwardRecords.Refusal refusal)
-            implements PeerMessage {
-
-        /** Creates the head of an endpoint's response. */
-        public ForwardHead(long stream, int status, Map<String, String> headers) {
-            this(stream, status, headers, null);
-        }
-    }
+            implements PeerMessage {}
 
     /**
      * Transfers a part of the response body.
@@ -491,18 +501,6 @@
         }
     }
 
-    /**
-     * Describes the load of one or several instances on an endpoint.
-     *
-     * @param endpoint the endpoint
-     * @param requests the number of requests in progress
-     * @param prefillMs the prefill time of the requests without a first token, in milliseconds
-     * @param memoryTokens the engine memory that the requests need at their full length, in tokens
-     */
-    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    @JsonPropertyOrder({"endpoint", "requests", "prefillMs", "memoryTokens"})
-    record EndpointLoad(EndpointId endpoint, int requests, double prefillMs, long memoryTokens) {}
-
     /**
      * Reports to other regions the load and the expected start delays of the sender's region.
      *
--- a/filbertrudder-model/src/main/java/org/filbertrudder/model/message/ProtocolVersions.java
+++ b/filbertrudder-model/src/main/java/org/filbertrudder/model/message/ProtocolVersions.java
@@ -15,6 +15,9 @@
      */
     public static final int SEPARATE_FORWARD_FIELDS = 3;
 
+    /** The version from which instances exchange records of crashes. */
+    public static final int CRASH_RECORDS = 3;
+
     /** The oldest supported version; connections from older peers are rejected. */
     public static final int OLDEST_SUPPORTED = 1;
 
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageLayout.java
@@ -22,6 +22,8 @@
             message("lg", "id", "account", "ratePerSecond", "tokens", "termMs");
     static final MessageLayout CRASH_REPORT =
             message("cx", "account", "bodySha256", "endpoint", "atMs", "alone");
+    static final MessageLayout CRASH_RECORDS =
+            message("cs", "step", "informed", "digest", "records");
     static final MessageLayout FORWARD_START =
             message(
                     "fs",
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageReader.java
@@ -14,6 +14,7 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.EndpointLimitReport;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
@@ -77,7 +78,8 @@
         message = message != null ? message : load(type);
         message = message != null ? message : tokens(type);
         message = message != null ? message : state(type);
-        return message != null ? message : new StartMessageReader(this).read(type);
+        message = message != null ? message : new StartMessageReader(this).read(type);
+        return message != null ? message : new CrashRecordReader(this).read(type);
     }
 
     private PeerMessage forwarded(int type) throws IOException {
@@ -494,16 +496,13 @@
         return members;
     }
 
-    private List<PeerMessage.EndpointLoad> loads() throws IOException {
+    private List<EndpointLoad> loads() throws IOException {
         if (nil()) {
             return null;
         }
-        List<PeerMessage.EndpointLoad> loads = new ArrayList<>();
+        List<EndpointLoad> loads = new ArrayList<>();
         for (int left = mUnpacker.unpackArrayHeader(); left > 0; left--) {
-            loads.add(
-                    array(4)
-                            ? new PeerMessage.EndpointLoad(endpoint(), integer(), real(), number())
-                            : null);
+            loads.add(array(4) ? new EndpointLoad(endpoint(), integer(), real(), number()) : null);
         }
         return loads;
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
@@ -7,6 +7,7 @@
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.EndpointLimitReport;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PartEvidence;
@@ -35,7 +36,8 @@
                 && !writer.load(message)
                 && !writer.tokens(message)
                 && !writer.state(message)
-                && !new StartMessageWriter(writer).write(message)) {
+                && !new StartMessageWriter(writer).write(message)
+                && !new CrashRecordWriter(writer).write(message)) {
             return null;
         }
         byte[] frame = writer.mPacker.toByteArray();
@@ -419,11 +421,11 @@
         mNextName = outerNext;
     }
 
-    private void loads(List<PeerMessage.EndpointLoad> loads) throws IOException {
+    private void loads(List<EndpointLoad> loads) throws IOException {
         if (!list(loads)) {
             return;
         }
-        for (PeerMessage.EndpointLoad load : loads) {
+        for (EndpointLoad load : loads) {
             if (load == null) {
                 mPacker.packNil();
             } else {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/MessageCodecTest.java
@@ -26,6 +26,8 @@
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.AccountShareSnapshot;
+import org.filbertrudder.model.message.CrashRecord;
+import org.filbertrudder.model.message.ExchangeStep;
 import org.filbertrudder.model.message.ForwardRecords;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
@@ -110,6 +112,27 @@
             new PeerMessage.ForwardHead(
                     1, 503, Map.of(), new ForwardRecords.Refusal("stopping", true, 500));
 
+    private static final PeerMessage CRASH_RECORDS =
+            new PeerMessage.CrashRecords(
+                    ExchangeStep.REPLY,
+                    true,
+                    7,
+                    List.of(
+                            new CrashRecord(
+                                    ACCOUNT,
+                                    "digest",
+                                    List.of(new CrashRecord.Crash(EndpointId.of("e"), 5)),
+                                    List.of(new CrashRecord.Crash(EndpointId.of("f"), 6)),
+                                    false,
+                                    40,
+                                    -1)));
+
+    private static final PeerMessage SUSPECTED_RESTARTS =
+            new PeerMessage.SuspectedRestarts(
+                    List.of(
+                            new SuspectedRestart(EndpointId.of("e"), 1, 5, 3),
+                            new SuspectedRestart(EndpointId.of("f"), 2, 4, -1)));
+
     @DataProvider
     public Object[][] messages() {
         return new Object[][] {
@@ -142,8 +165,9 @@
                         REGION, 1, 2, List.of(new AccountShareSnapshot(ACCOUNT, 1.5, 2, 3, 4)))
             },
             {new PeerMessage.ReserveRequest(1, ACCOUNT, 2, 3)},
-            {new PeerMessage.ForwardHead(1, 200, Map.of("a", "b"))},
+            {new PeerMessage.ForwardHead(1, 200, Map.of("a", "b"), null)},
             {FORWARD_REFUSAL},
+            {CRASH_RECORDS},
             {new PeerMessage.ForwardEnd(1, true)},
             {new PeerMessage.CrashReport(ACCOUNT, "digest", EndpointId.of("e"), 7, true)},
             {new PeerMessage.PartEvidenceDigest(7)},
@@ -151,12 +175,7 @@
             {START_DECISIONS},
             {START_REPORT},
             {REGION_ROOM},
-            {
-                new PeerMessage.SuspectedRestarts(
-                        List.of(
-                                new SuspectedRestart(EndpointId.of("e"), 1, 5, 3),
-                                new SuspectedRestart(EndpointId.of("f"), 2, 4, -1)))
-            },
+            {SUSPECTED_RESTARTS},
             {
                 new PeerMessage.PartEvidenceReport(
                         List.of(
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import org.filbertrudder.model.EndpointId;
+import org.filbertrudder.model.message.CrashRecord;
 import org.filbertrudder.model.message.PeerMessage;
 
 /**
@@ -17,17 +17,25 @@
 public final class SuspectRequests {
 
     private static final int DEFAULT_MAX_CRASHES = 2;
-    private static final long SAME_CRASH_WINDOW_MS = 3_000;
-
     private static final int MAX_CLEARED_CRASHES = 16;
 
+    private static final long NEVER_MS = Long.MIN_VALUE / 2;
+
+    /** The age of the last answer to a request that has not been answered. */
+    private static final long NEVER_ANSWERED = -1;
+
     /** How long the success of a request speaks against its being the cause of crashes. */
     private static final long EXONERATION_MS = 600_000;
 
     private final int mMaxRequests;
     private final long mRetentionMs;
     private final int mMaxCrashes;
-    private final LinkedHashMap<RequestDigest, History> mHistories = new LinkedHashMap<>();
+
+    /** The requests that may run, least recently recorded first. */
+    private final LinkedHashMap<RequestDigest, History> mSuspects = new LinkedHashMap<>();
+
+    /** The refused requests, apart from the others, which many crashes would displace them by. */
+    private final LinkedHashMap<RequestDigest, History> mRefused = new LinkedHashMap<>();
 
     /** Creates a tracker for a number of requests, each kept for a time in milliseconds. */
     public SuspectRequests(int maxRequests, long retentionMs) {
@@ -49,42 +57,101 @@
      */
     public boolean recordCrash(PeerMessage.CrashReport report, long nowMs) {
         RequestDigest request = new RequestDigest(report.account(), report.bodySha256());
-        History history = mHistories.remove(request);
-        if (history == null || history.isExpired(nowMs, mRetentionMs)) {
-            history = new History();
-        }
+        History history = historyOf(request, nowMs);
         boolean isNew = history.addCrash(report, nowMs, mMaxCrashes);
-        mHistories.put(request, history);
-        if (mHistories.size() > mMaxRequests) {
-            mHistories.remove(mHistories.keySet().iterator().next());
-        }
+        put(request, history);
         return isNew;
     }
 
+    /** Returns the history of a request; an empty one if none is kept. */
+    private History historyOf(RequestDigest request, long nowMs) {
+        History history = find(request);
+        return history == null || history.isExpired(nowMs, mRetentionMs) ? new History() : history;
+    }
+
+    private History find(RequestDigest request) {
+        History history = mRefused.get(request);
+        return history == null ? mSuspects.get(request) : history;
+    }
+
+    /** Keeps a history, as the most recent one, and drops the least recent one beyond the limit. */
+    private void put(RequestDigest request, History history) {
+        mRefused.remove(request);
+        mSuspects.remove(request);
+        LinkedHashMap<RequestDigest, History> histories =
+                history.isRefused(mMaxCrashes) ? mRefused : mSuspects;
+        histories.put(request, history);
+        if (histories.size() > mMaxRequests) {
+            histories.remove(histories.keySet().iterator().next());
+        }
+    }
+
+    /** Drops what is older than the retention time. */
+    public void expire(long nowMs) {
+        mRefused.values().removeIf(history -> history.isExpired(nowMs, mRetentionMs));
+        mSuspects.values().removeIf(history -> history.isExpired(nowMs, mRetentionMs));
+    }
+
+    /**
+     * Adds what another instance, or an earlier life of the instances, has recorded. Only what is
+     * known grows, so that records may come late, twice and in any order.
+     */
+    public void merge(CrashRecord crashRecord, long nowMs) {
+        if (crashRecord.ageMs() < 0 || crashRecord.ageMs() > mRetentionMs) {
+            return;
+        }
+        RequestDigest request = new RequestDigest(crashRecord.account(), crashRecord.bodySha256());
+        History history = historyOf(request, nowMs);
+        history.merge(crashRecord, nowMs, mMaxCrashes);
+        put(request, history);
+    }
+
+    /** Returns the most recent records of refused requests. */
+    public List<CrashRecord> refusedRecords(int maxRecords, long nowMs) {
+        return newest(mRefused, maxRecords, nowMs);
+    }
+
+    /** Returns the most recent records, those of refused requests first. */
+    public List<CrashRecord> records(int maxRecords, long nowMs) {
+        List<CrashRecord> records = newest(mRefused, maxRecords, nowMs);
+        records.addAll(newest(mSuspects, maxRecords - records.size(), nowMs));
+        return records;
+    }
+
+    private static List<CrashRecord> newest(
+            LinkedHashMap<RequestDigest, History> histories, int maxRecords, long nowMs) {
+        List<CrashRecord> records = new ArrayList<>();
+        histories.entrySet().stream()
+                .skip(Math.max(0, histories.size() - maxRecords))
+                .forEach(entry -> records.add(entry.getValue().toRecord(entry.getKey(), nowMs)));
+        return records;
+    }
+
     /**
      * Records that a request has been answered with success. It does not crash endpoints, so the
      * crashes that it ran in count no longer, unless it ran alone in one.
      */
     public void recordAnswer(RequestDigest request, long nowMs) {
-        History history = mHistories.get(request);
+        History history = find(request);
         if (history != null) {
             history.recordAnswer(nowMs);
+            put(request, history);
         }
     }
 
     /** Returns whether the request has recently been answered after it had run in a crash. */
     public boolean isExonerated(RequestDigest request, long nowMs) {
-        History history = mHistories.get(request);
+        History history = find(request);
         return history != null && nowMs - history.mAnsweredMs < EXONERATION_MS;
     }
 
     /** Returns whether and where the request may run. */
     public Decision decisionFor(RequestDigest request, long nowMs) {
-        History history = mHistories.get(request);
+        History history = find(request);
         if (history == null || history.isExpired(nowMs, mRetentionMs)) {
             return Decision.UNRESTRICTED;
         }
-        if (history.mRefused) {
+        if (history.isRefused(mMaxCrashes)) {
             return Decision.REFUSED;
         }
         return history.mCrashes.isEmpty() ? Decision.UNRESTRICTED : Decision.EXCLUSIVE;
@@ -92,7 +159,7 @@
 
     /** Returns the number of tracked requests. */
     public int size() {
-        return mHistories.size();
+        return mRefused.size() + mSuspects.size();
     }
 
     /** Decision whether and where a request may run. */
@@ -111,56 +178,83 @@
     /** Crashes during which one request ran. */
     private static final class History {
 
-        private final List<Crash> mCrashes = new ArrayList<>();
+        private final List<CrashRecord.Crash> mCrashes = new ArrayList<>();
 
         /** Crashes that no longer count; a report of one that is still under way is not new. */
-        private final List<Crash> mClearedCrashes = new ArrayList<>();
+        private final List<CrashRecord.Crash> mClearedCrashes = new ArrayList<>();
 
-        private boolean mRefused;
         private boolean mRanAlone;
-        private long mUpdatedMs;
-        private long mAnsweredMs = Long.MIN_VALUE / 2;
+        private long mUpdatedMs = NEVER_MS;
+        private long mAnsweredMs = NEVER_MS;
+
+        boolean isRefused(int maxCrashes) {
+            return mRanAlone || mCrashes.size() >= maxCrashes;
+        }
 
         /**
          * Records a crash report and returns whether it is new; copies may run in the same crash.
          */
         boolean addCrash(PeerMessage.CrashReport report, long nowMs, int maxCrashes) {
+            boolean provesCause = report.alone() && !isRefused(maxCrashes);
             mUpdatedMs = nowMs;
-            Crash crash = new Crash(report.endpoint(), report.atMs());
+            mRanAlone |= report.alone();
             boolean isNewCrash =
+                    add(new CrashRecord.Crash(report.endpoint(), report.atMs()), maxCrashes);
+            return isNewCrash || provesCause;
+        }
+
+        private boolean add(CrashRecord.Crash crash, int maxCrashes) {
+            boolean isNew =
                     mCrashes.size() < maxCrashes
                             && mCrashes.stream().noneMatch(crash::isSameAs)
                             && mClearedCrashes.stream().noneMatch(crash::isSameAs);
-            if (isNewCrash) {
+            if (isNew) {
                 mCrashes.add(crash);
             }
-            boolean provesCause = report.alone() && !mRefused;
-            mRanAlone |= report.alone();
-            mRefused |= mRanAlone || mCrashes.size() >= maxCrashes;
-            return isNewCrash || provesCause;
+            return isNew;
         }
 
         void recordAnswer(long nowMs) {
             mAnsweredMs = nowMs;
             if (!mRanAlone) {
-                mClearedCrashes.addAll(mCrashes);
-                int excess = Math.max(0, mClearedCrashes.size() - MAX_CLEARED_CRASHES);
-                mClearedCrashes.subList(0, excess).clear();
-                mCrashes.clear();
-                mRefused = false;
+                clear(List.copyOf(mCrashes));
             }
         }
 
-        boolean isExpired(long nowMs, long retentionMs) {
-            return nowMs - mUpdatedMs > retentionMs;
+        private void clear(List<CrashRecord.Crash> crashes) {
+            for (CrashRecord.Crash crash : crashes) {
+                mCrashes.removeIf(crash::isSameAs);
+                if (mClearedCrashes.stream().noneMatch(crash::isSameAs)) {
+                    mClearedCrashes.add(crash);
+                }
+            }
+            int excess = Math.max(0, mClearedCrashes.size() - MAX_CLEARED_CRASHES);
+            mClearedCrashes.subList(0, excess).clear();
         }
-    }
 
-    private record Crash(EndpointId endpoint, long atMs) {
+        void merge(CrashRecord crashRecord, long nowMs, int maxCrashes) {
+            mUpdatedMs = Math.max(mUpdatedMs, nowMs - crashRecord.ageMs());
+            if (crashRecord.answeredAgeMs() >= 0) {
+                mAnsweredMs = Math.max(mAnsweredMs, nowMs - crashRecord.answeredAgeMs());
+            }
+            mRanAlone |= crashRecord.ranAlone();
+            clear(crashRecord.cleared());
+            crashRecord.crashes().forEach(crash -> add(crash, maxCrashes));
+        }
+
+        CrashRecord toRecord(RequestDigest request, long nowMs) {
+            return new CrashRecord(
+                    request.account(),
+                    request.bodySha256(),
+                    List.copyOf(mCrashes),
+                    List.copyOf(mClearedCrashes),
+                    mRanAlone,
+                    nowMs - mUpdatedMs,
+                    mAnsweredMs == NEVER_MS ? NEVER_ANSWERED : nowMs - mAnsweredMs);
+        }
 
-        boolean isSameAs(Crash other) {
-            return endpoint.equals(other.endpoint())
-                    && Math.abs(atMs - other.atMs()) < SAME_CRASH_WINDOW_MS;
+        boolean isExpired(long nowMs, long retentionMs) {
+            return nowMs - mUpdatedMs > retentionMs;
         }
     }
 }
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointLoadSums.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/routing/EndpointLoadSums.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
-import org.filbertrudder.model.message.PeerMessage.EndpointLoad;
+import org.filbertrudder.model.message.EndpointLoad;
 
 /**
  * Sums the load that the instances of a region have placed on each of its endpoints.
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/EndpointLoadSumsTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/EndpointLoadSumsTest.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
-import org.filbertrudder.model.message.PeerMessage.EndpointLoad;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.testng.annotations.Test;
 
 /** Tests the sums of the load reports of several instances. */
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedInstance.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/routing/SimulatedInstance.java
@@ -13,7 +13,7 @@
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
-import org.filbertrudder.model.message.PeerMessage.EndpointLoad;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.policy.queueing.FairQueue;
 import org.filbertrudder.policy.queueing.WaitEstimate;
 
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/PromptDecider.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/PromptDecider.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
-import org.filbertrudder.model.message.PeerMessage.EndpointLoad;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.policy.routing.EndpointState;
 import org.filbertrudder.policy.routing.EndpointTable;
 import org.filbertrudder.policy.routing.PromptLoad;
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/SharedPartsSimulation.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/measure/SharedPartsSimulation.java
@@ -14,7 +14,7 @@
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
-import org.filbertrudder.model.message.PeerMessage.EndpointLoad;
+import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.policy.routing.EndpointLoadSums;
 import org.filbertrudder.policy.routing.RegionGraph;
 
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PeerPortTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/PeerPortTest.java
@@ -163,7 +163,7 @@
         while (!forwarded.isDone()) {
             for (long stream = 1; stream <= FORGED_STREAM_COUNT; stream++) {
                 byte[] data = "data: forged\n\n".getBytes(StandardCharsets.UTF_8);
-                sender.send(address, new PeerMessage.ForwardHead(stream, 200, Map.of()));
+                sender.send(address, new PeerMessage.ForwardHead(stream, 200, Map.of(), null));
                 sender.send(address, new PeerMessage.ForwardData(stream, data));
                 sender.send(address, new PeerMessage.ForwardEnd(stream, true));
             }
