Endpoints' responses: an invalid status is no response

Cause: the status was compared with 200 only, so that a lower one counted as interim and a higher one as final.

Why this fix works: a status outside 100 to 599 ends the connection at once, so that the request counts as interrupted: 502, or another attempt where it may be repeated.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/traffic/EndpointCall.java
@@ -18,7 +18,9 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("endpoints");
     private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final int MIN_FINAL_STATUS = 200;
     private static final int FIRST_UNSUCCESSFUL_STATUS = 300;
+    private static final int MAX_STATUS = 599;
 
     private final UpstreamListener mListener;
     private final String mRequestId;
@@ -75,6 +77,15 @@
             request().reset();
             return;
         }
+        if (response.statusCode() < MIN_FINAL_STATUS || response.statusCode() > MAX_STATUS) {
+            LOG.warn(
+                    "A response has an invalid status.",
+                    LogField.of("request", mRequestId),
+                    LogField.of("status", response.statusCode()));
+            request().connection().close();
+            fail(UpstreamListener.Failure.BROKEN);
+            return;
+        }
         String responseRequestId = response.getHeader(Exchange.REQUEST_ID_HEADER);
         if (responseRequestId != null && !responseRequestId.equals(mRequestId)) {
             // A late duplicate of an earlier response; later responses on this connection cannot be
--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/EndpointCallTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/EndpointCallTest.java
@@ -66,6 +66,33 @@
         server.close();
     }
 
+    /** Lists statuses outside the range of final ones that HTTP defines. */
+    @DataProvider
+    public Object[][] invalidStatuses() {
+        return new Object[][] {{"000"}, {"0"}, {"099"}, {"600"}, {"1000"}};
+    }
+
+    /** Guards against invalid statuses that reach the caller. */
+    @Test(dataProvider = "invalidStatuses")
+    public void invalidStatusIsPassedOn(String status) throws Exception {
+        NetServer server = mVertx.createNetServer();
+        server.connectHandler(
+                socket ->
+                        socket.handler(
+                                bytes ->
+                                        socket.write(
+                                                "HTTP/1.1 "
+                                                        + status
+                                                        + " Odd\r\n"
+                                                        + "Content-Length: 4\r\n\r\n"
+                                                        + "part")));
+        server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
+        HttpClient client = mVertx.createHttpClient(new HttpClientOptions().setMaxPoolSize(1));
+
+        assertEquals(call(client, server.actualPort(), "r1"), "BROKEN");
+        server.close();
+    }
+
     /** Lists whether the repeated refusal names its request. */
     @DataProvider
     public Object[][] refusals() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -39,7 +39,9 @@
 
     private static final ComponentLogger LOG = ComponentLogger.of("endpoints");
 
+    private static final int MIN_STATUS = 100;
     private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 599;
     private static final int STATUS_SWITCHING_PROTOCOLS = 101;
 
     /**
@@ -180,6 +182,14 @@
 
     private void receiveHead(HttpResponse response) {
         int status = response.status().code();
+        if (status < MIN_STATUS || status > MAX_STATUS) {
+            LOG.warn(
+                    "A response with an invalid status is dropped.",
+                    LogField.of("id", mRequestId),
+                    LogField.of("status", status));
+            close();
+            return;
+        }
         if (status < MIN_FINAL_STATUS) {
             mInterimResponses++;
             if (status == STATUS_SWITCHING_PROTOCOLS || mInterimResponses > MAX_INTERIM_RESPONSES) {
