Endpoints' responses: one without a length that comes before its request is written is not whole

Cause: a regular close ended a response without a length, whatever had become of the request. The write of up to about 3 MiB succeeds as soon as the send buffer of the kernel holds it.

Why this fix works: the send buffer of a connection to an endpoint is 64 KiB, so that a long request is written only when the endpoint's host has received almost all of it, and a response without a length that began before is taken for interrupted. A response with a length, or in chunks, is whole by its own framing as before.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -87,6 +87,8 @@
     private boolean mSkippingResponse;
     private boolean mReusable = true;
     private boolean mCloseDelimited;
+    private boolean mRequestWritten;
+    private boolean mEarlyResponse;
     private boolean mClosed;
     private long mIdleSinceMs;
     private long mKeepAliveMs = DEFAULT_KEEP_ALIVE_MS;
@@ -120,6 +122,7 @@
         mOnRelease = onRelease;
         mInResponse = false;
         mInterimResponses = 0;
+        mRequestWritten = false;
         mDecoder.expectHeadOnly(HttpMethod.HEAD.name().equals(method));
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(
@@ -136,12 +139,18 @@
         mChannel.writeAndFlush(request)
                 .addListener(
                         written -> {
-                            if (!written.isSuccess()) {
+                            if (written.isSuccess()) {
+                                mContext.dispatch(this::noteRequestWritten);
+                            } else {
                                 mContext.dispatch(this::connectionLost);
                             }
                         });
     }
 
+    private void noteRequestWritten() {
+        mRequestWritten = true;
+    }
+
     /** Returns an empty set of headers for a request. */
     static HttpHeaders newHeaders() {
         return new DefaultHttpHeaders(false);
@@ -209,6 +218,7 @@
                 head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
         boolean unidentified = head.requestId().isEmpty() && (head.isSuccess() || mUsedBefore);
         mInResponse = true;
+        mEarlyResponse = !mRequestWritten;
         mSkippingResponse = otherRequest || unidentified;
         mCloseDelimited =
                 !HttpUtil.isTransferEncodingChunked(response)
@@ -256,7 +266,11 @@
             mSkippingResponse = false;
             return;
         }
-        if (mListener != null) {
+        if (mCloseDelimited && mEarlyResponse) {
+            // The endpoint may have closed the connection because of the rest of the request, so
+            // that the response may lack its end.
+            connectionLost();
+        } else if (mListener != null) {
             completeResponse();
         }
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnector.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnector.java
@@ -26,6 +26,13 @@
     /** The connect timeout, in milliseconds; it allows for several round trips within a region. */
     private static final int CONNECT_TIMEOUT_MS = 400;
 
+    /**
+     * The send buffer of a connection. What it holds counts as written although the endpoint has
+     * not received it, so that a large one hides that a response came before the end of its
+     * request.
+     */
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
     private final ContextInternal mContext;
     private final HttpProtocol mProtocol;
     private final Bootstrap mBootstrap;
@@ -40,6 +47,7 @@
                         .channelFactory(mContext.owner().transport().channelFactory(false))
                         .option(ChannelOption.TCP_NODELAY, true)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                        .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                         .option(ChannelOption.ALLOCATOR, PartialPooledByteBufAllocator.INSTANCE)
                         .disableResolver()
                         .handler(new NoHandler());
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/InvalidResponseTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/InvalidResponseTest.java
@@ -191,4 +191,54 @@
         long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs);
         assertTrue(elapsedMs < AT_ONCE_MS, elapsedMs + " ms");
     }
+
+    /** Lists instances, routes and statuses of responses without a length. */
+    @DataProvider
+    public Object[][] earlyResponses() {
+        List<Object[]> cases = new ArrayList<>();
+        for (String gateway : GATEWAYS) {
+            for (String path : List.of("/book/x", "/stock/x", "/chat/x")) {
+                for (int bodyBytes : List.of(1024 * 1024, 3 * 1024 * 1024, LONG_BODY_BYTES)) {
+                    cases.add(new Object[] {gateway, path, "200", bodyBytes});
+                    cases.add(new Object[] {gateway, path, "400", bodyBytes});
+                }
+            }
+        }
+        return cases.toArray(Object[][]::new);
+    }
+
+    /** Guards against a part of a response that is taken for all of it. */
+    @Test(dataProvider = "earlyResponses")
+    public void responseThatEndsBeforeItsRequestLooksComplete(
+            String gateway, String path, String status, int bodyBytes) {
+        String type = path.startsWith("/chat") ? "text/event-stream" : "text/plain";
+        mResponse = response(status, "Content-Type: " + type + "\r\n", "id: 1\ndata: part\n\n");
+        mAnswersEarly = true;
+        String received;
+        try {
+            received = send(gateway, path, bodyBytes);
+        } finally {
+            mAnswersEarly = false;
+            mResponse = "";
+        }
+
+        boolean isCutStream =
+                received.startsWith("HTTP/1.1 200")
+                        && received.contains("transfer-encoding: chunked")
+                        && !received.endsWith("0\r\n\r\n");
+        assertTrue(received.startsWith("HTTP/1.1 502") || isCutStream, received);
+    }
+
+    /** Guards against early responses that are lost although they are whole by their length. */
+    @Test
+    public void wholeEarlyResponseIsLost() {
+        mResponse = response("200", "Content-Length: 4\r\n", "whole".substring(1));
+        mAnswersEarly = true;
+        try {
+            assertEquals(send("mtl-1", "/book/x", LONG_BODY_BYTES).split(" ")[1], "200");
+        } finally {
+            mAnswersEarly = false;
+            mResponse = "";
+        }
+    }
 }
