Crashing requests: records from the store count at once

Callers saw: after a stop of all instances, an instance that started alone sent a request that crashes endpoints once more, although it had read in the store that it is refused (found by reading the change again).

Cause: CrashReportRegistry kept a copy of the number of records, by which the look-up is skipped if there are none. Records that were read from the store did not update it until the next expiry, up to 5 s later; a message of another instance did, which is why the cases with several instances passed.

Evidence: CrashingRequestTest.instanceThatStartsAloneForgetsTheRequest before: 502 instead of 422, 1 of 1. After: the 4 cases of the class, the tests of policy.retry and CrashRecordStoreTest pass.

Why this fix works: SuspectRequests publishes its own size wherever it changes, so that there is no copy to update.

--- a/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
+++ b/filbertrudder-entry/src/main/java/org/filbertrudder/entry/control/CrashReportRegistry.java
@@ -39,7 +39,6 @@
     private final AtomicLong mForwarded = new AtomicLong();
     private long mLoggedReceived;
     private long mNextRateCheckMs;
-    private volatile int mSize;
 
     /**
      * Creates the registry.
@@ -93,7 +92,6 @@
                     boolean isExonerated =
                             !report.alone() && mSuspectRequests.isExonerated(digest, nowMs);
                     mSuspectRequests.recordCrash(report, nowMs);
-                    mSize = mSuspectRequests.size();
                     if (!isExonerated) {
                         mFlood.accept(report, null);
                     }
@@ -130,7 +128,6 @@
         mReceived.incrementAndGet();
         logHighRate(nowMs);
         boolean isNew = mSuspectRequests.recordCrash(report, nowMs);
-        mSize = mSuspectRequests.size();
         if (isNew) {
             mForwarded.incrementAndGet();
             mFlood.accept(report, from);
@@ -150,7 +147,7 @@
                     "Many crash reports arrive.",
                     LogField.of("received", received - mLoggedReceived),
                     LogField.of("forwardedInAll", mForwarded.get()),
-                    LogField.of("requests", mSize));
+                    LogField.of("requests", mSuspectRequests.size()));
         }
         mLoggedReceived = received;
     }
@@ -160,17 +157,6 @@
         return mSuspectRequests;
     }
 
-    /** Drops what is older than the retention time; runs on the control thread. */
-    public void expire(long nowMs) {
-        mSuspectRequests.expire(nowMs);
-        updateSize();
-    }
-
-    /** Publishes the number of recorded requests; runs on the control thread. */
-    public void updateSize() {
-        mSize = mSuspectRequests.size();
-    }
-
     /** Returns how many reports of other instances have arrived; may be called from any thread. */
     public long received() {
         return mReceived.get();
@@ -183,6 +169,6 @@
 
     /** Returns the number of recorded requests; may be called from any thread. */
     public int size() {
-        return mSize;
+        return mSuspectRequests.size();
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/CrashRecordSharing.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/CrashRecordSharing.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import org.filbertrudder.entry.control.CrashReportRegistry;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.model.InstanceId;
@@ -19,6 +18,7 @@
 import org.filbertrudder.policy.membership.Membership;
 import org.filbertrudder.policy.membership.PeerAddress;
 import org.filbertrudder.policy.retry.CrashRecordGossip;
+import org.filbertrudder.policy.retry.SuspectRequests;
 
 /**
  * Lets an instance that has started know which requests crash endpoints, from the other instances
@@ -30,7 +30,7 @@
     private static final String WRITER_KEY = "crash-records";
     private static final long EXPIRY_INTERVAL_MS = 5_000;
 
-    private final CrashReportRegistry mRegistry;
+    private final SuspectRequests mRequests;
     private final Membership mMembership;
     private final PeerNetwork mNetwork;
     private final CrashRecordGossip mGossip;
@@ -41,14 +41,14 @@
     CrashRecordSharing(
             Context context,
             StateSource source,
-            CrashReportRegistry registry,
+            SuspectRequests requests,
             Membership membership,
             PeerNetwork network) {
-        mRegistry = registry;
+        mRequests = requests;
         mMembership = membership;
         mNetwork = network;
-        mGossip = new CrashRecordGossip(membership.self().id(), registry.requests());
-        mStore = new CrashRecordStore(context, source, registry.requests());
+        mGossip = new CrashRecordGossip(membership.self().id(), requests);
+        mStore = new CrashRecordStore(context, source, requests);
     }
 
     /** Returns whether requests may be sent: the store has been read, and others were asked. */
@@ -65,13 +65,13 @@
         mStore.tick(this::isWriter, nowMs);
         if (nowMs >= mNextExpiryMs) {
             mNextExpiryMs = nowMs + EXPIRY_INTERVAL_MS;
-            mRegistry.expire(nowMs);
+            mRequests.expire(nowMs);
         }
         if (isInformed() && !mLogged) {
             mLogged = true;
             LOG.info(
                     "The records of crashes have been collected.",
-                    LogField.of("requests", mRegistry.size()));
+                    LogField.of("requests", mRequests.size()));
         }
     }
 
@@ -108,7 +108,6 @@
     void handle(PeerConnection connection, PeerMessage.CrashRecords message) {
         Optional<PeerMessage.CrashRecords> answer =
                 mGossip.handle(connection.peerMember().id(), message, Clocks.steadyMs());
-        mRegistry.updateSize();
         answer.ifPresent(connection::send);
     }
 }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -185,7 +185,8 @@
                                 LOG.warn("A peer was rejected.", LogField.of("why", violation)));
         mConnections = new ControlConnections(mMembership, mNetwork, TICK_MS);
         mCrashRecords =
-                new CrashRecordSharing(mContext, mSource, mCrashReports, mMembership, mNetwork);
+                new CrashRecordSharing(
+                        mContext, mSource, mCrashReports.requests(), mMembership, mNetwork);
         publish();
         return mNetwork.listen(mSettings.peerAddress().host(), mSettings.peerAddress().port())
                 .thenAccept(port -> mContext.runOnContext(ignored -> joinAndStartTimer()));
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/SuspectRequests.java
@@ -37,6 +37,8 @@
     /** The refused requests, apart from the others, which many crashes would displace them by. */
     private final LinkedHashMap<RequestDigest, History> mRefused = new LinkedHashMap<>();
 
+    private volatile int mSize;
+
     /** Creates a tracker for a number of requests, each kept for a time in milliseconds. */
     public SuspectRequests(int maxRequests, long retentionMs) {
         this(maxRequests, retentionMs, DEFAULT_MAX_CRASHES);
@@ -84,12 +86,18 @@
         if (histories.size() > mMaxRequests) {
             histories.remove(histories.keySet().iterator().next());
         }
+        updateSize();
+    }
+
+    private void updateSize() {
+        mSize = mRefused.size() + mSuspects.size();
     }
 
     /** Drops what is older than the retention time. */
     public void expire(long nowMs) {
         mRefused.values().removeIf(history -> history.isExpired(nowMs, mRetentionMs));
         mSuspects.values().removeIf(history -> history.isExpired(nowMs, mRetentionMs));
+        updateSize();
     }
 
     /**
@@ -157,9 +165,9 @@
         return history.mCrashes.isEmpty() ? Decision.UNRESTRICTED : Decision.EXCLUSIVE;
     }
 
-    /** Returns the number of tracked requests. */
+    /** Returns the number of tracked requests; unlike the rest, may be called from any thread. */
     public int size() {
-        return mRefused.size() + mSuspects.size();
+        return mSize;
     }
 
     /** Decision whether and where a request may run. */
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CrashingRequestTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CrashingRequestTest.java
@@ -110,6 +110,24 @@
         assertEquals(send("mtl-1", SOUND_PATH), 200);
     }
 
+    /** Guards against an instance that has read the store but looks no request up yet. */
+    @Test
+    public void instanceThatStartsAloneForgetsTheRequest() {
+        awaitRefusedEverywhere();
+        PlatformFleet.await(
+                "the refusal is stored",
+                () -> !mFleet.store().keys("filbertrudder/crash-records").isEmpty());
+        int crashes = crashes();
+
+        List<CompletableFuture<Void>> stops = new ArrayList<>();
+        GATEWAYS.forEach(gateway -> stops.add(mFleet.stopGateway(gateway)));
+        stops.forEach(CompletableFuture::join);
+        mFleet.startGateway("mtl-1", "mtl");
+
+        assertEquals(send("mtl-1", CRASHING_PATH), STATUS_REFUSED);
+        assertEquals(crashes(), crashes);
+    }
+
     /** Guards against replaced instances that refuse what ran beside the crashing request. */
     @Test
     public void instanceThatIsReplacedRefusesASoundRequest() {
