--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/EndpointConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -87,7 +88,7 @@
     private boolean mSkippingResponse;
     private boolean mReusable = true;
     private boolean mCloseDelimited;
-    private boolean mRequestWritten;
+    private ChannelFuture mWrite;
     private boolean mEarlyResponse;
     private boolean mClosed;
     private long mIdleSinceMs;
@@ -122,7 +123,6 @@
         mOnRelease = onRelease;
         mInResponse = false;
         mInterimResponses = 0;
-        mRequestWritten = false;
         mDecoder.expectHeadOnly(HttpMethod.HEAD.name().equals(method));
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(
@@ -136,19 +136,13 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length());
         }
         // A failed write closes the connection like the endpoint's regular end does.
-        mChannel.writeAndFlush(request)
-                .addListener(
-                        written -> {
-                            if (written.isSuccess()) {
-                                mContext.dispatch(this::noteRequestWritten);
-                            } else {
-                                mContext.dispatch(this::connectionLost);
-                            }
-                        });
-    }
-
-    private void noteRequestWritten() {
-        mRequestWritten = true;
+        mWrite = mChannel.writeAndFlush(request);
+        mWrite.addListener(
+                written -> {
+                    if (!written.isSuccess()) {
+                        mContext.dispatch(this::connectionLost);
+                    }
+                });
     }
 
     /** Returns an empty set of headers for a request. */
@@ -218,7 +212,7 @@
                 head.requestId().isPresent() && !head.requestId().get().equals(mRequestId);
         boolean unidentified = head.requestId().isEmpty() && (head.isSuccess() || mUsedBefore);
         mInResponse = true;
-        mEarlyResponse = !mRequestWritten;
+        mEarlyResponse = !mWrite.isSuccess();
         mSkippingResponse = otherRequest || unidentified;
         mCloseDelimited =
                 !HttpUtil.isTransferEncodingChunked(response)
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/MessageWriter.java
@@ -6,6 +6,7 @@
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
+import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.EndpointLimitReport;
 import org.filbertrudder.model.message.EndpointLoad;
 import org.filbertrudder.model.message.ForwardRecords;
@@ -71,7 +72,7 @@
             field().map(start.headers());
             field().bytes(start.body());
             field().number(start.deadlineMs());
-            field().text(start.service() == null ? null : start.service().value());
+            field().service(start.service());
             field().nullableNumber(start.resumeAfter());
         } else if (message instanceof PeerMessage.ForwardHead head) {
             begin(MessageLayout.FORWARD_HEAD);
@@ -118,14 +119,11 @@
     }
 
     private void refusal(ForwardRecords.Refusal refusal) throws IOException {
-        if (refusal == null) {
-            mPacker.packNil();
-            return;
+        if (array(refusal, 3)) {
+            text(refusal.code());
+            truth(refusal.notRun());
+            number(refusal.retryAfterMs());
         }
-        mPacker.packArrayHeader(3);
-        text(refusal.code());
-        truth(refusal.notRun());
-        number(refusal.retryAfterMs());
     }
 
     private void openForward(ForwardRecords.Open forward) throws IOException {
@@ -345,6 +343,10 @@
         text(value == null ? null : value.value());
     }
 
+    void service(ServiceId value) throws IOException {
+        text(value == null ? null : value.value());
+    }
+
     private void bytes(byte[] value) throws IOException {
         if (value == null) {
             mPacker.packNil();
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/StartMessageReader.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/StartMessageReader.java
@@ -1,7 +1,6 @@
 package org.filbertrudder.peer;
 
 import java.io.IOException;
-import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.StartRecords;
 
@@ -19,17 +18,19 @@
         switch (type) {
             case 's' << Byte.SIZE | 'q':
                 mReader.begin(MessageLayout.START_REQUESTS);
-                return new PeerMessage.StartRequests(service(), field().list(this::request));
+                return new PeerMessage.StartRequests(
+                        field().service(), field().list(this::request));
             case 's' << Byte.SIZE | 'd':
                 mReader.begin(MessageLayout.START_DECISIONS);
-                return new PeerMessage.StartDecisions(service(), field().list(this::decision));
+                return new PeerMessage.StartDecisions(
+                        field().service(), field().list(this::decision));
             case 's' << Byte.SIZE | 't':
                 return report();
             case 'r' << Byte.SIZE | 'm':
                 mReader.begin(MessageLayout.REGION_ROOM);
                 return new PeerMessage.RegionRoom(
                         field().region(),
-                        service(),
+                        field().service(),
                         field().real(),
                         field().real(),
                         field().real());
@@ -42,15 +43,10 @@
         return mReader.field();
     }
 
-    private ServiceId service() throws IOException {
-        String value = field().text();
-        return value == null ? null : ServiceId.of(value);
-    }
-
     private PeerMessage report() throws IOException {
         mReader.begin(MessageLayout.START_REPORT);
         return new PeerMessage.StartReport(
-                service(),
+                field().service(),
                 field().truth(),
                 field().list(this::open),
                 field().list(mReader::nullableNumber),
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/StartMessageWriter.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/StartMessageWriter.java
@@ -1,7 +1,6 @@
 package org.filbertrudder.peer;
 
 import java.io.IOException;
-import org.filbertrudder.model.ServiceId;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.model.message.StartRecords;
 
@@ -18,18 +17,18 @@
     boolean write(PeerMessage message) throws IOException {
         if (message instanceof PeerMessage.StartRequests requests) {
             mWriter.begin(MessageLayout.START_REQUESTS);
-            field().text(name(requests.service()));
+            field().service(requests.service());
             field().list(requests.requests(), this::request);
         } else if (message instanceof PeerMessage.StartDecisions decisions) {
             mWriter.begin(MessageLayout.START_DECISIONS);
-            field().text(name(decisions.service()));
+            field().service(decisions.service());
             field().list(decisions.decisions(), this::decision);
         } else if (message instanceof PeerMessage.StartReport report) {
             report(report);
         } else if (message instanceof PeerMessage.RegionRoom room) {
             mWriter.begin(MessageLayout.REGION_ROOM);
             field().region(room.region());
-            field().text(name(room.service()));
+            field().service(room.service());
             field().real(room.tokensPerSecond());
             field().real(room.startsPerSecond());
             field().real(room.waitMs());
@@ -43,13 +42,9 @@
         return mWriter.field();
     }
 
-    private static String name(ServiceId service) {
-        return service == null ? null : service.value();
-    }
-
     private void report(PeerMessage.StartReport report) throws IOException {
         mWriter.begin(MessageLayout.START_REPORT);
-        field().text(name(report.service()));
+        field().service(report.service());
         field().truth(report.full());
         field().list(report.open(), this::open);
         field().list(report.begun(), mWriter::nullableNumber);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/crashes/EvidenceGossip.java
@@ -10,7 +10,7 @@
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.message.PartEvidence;
 import org.filbertrudder.model.message.PeerMessage;
-import org.filbertrudder.policy.RendezvousHashing;
+import org.filbertrudder.policy.GossipPartners;
 
 /**
  * Spreads the evidence about parts of prompts among all instances.
@@ -26,20 +26,14 @@
     /** The interval at which digests are compared, in milliseconds. */
     public static final long EXCHANGE_INTERVAL_MS = 1_000;
 
-    /** The maximum number of instances that this one sends to by itself. */
-    private static final int MAX_PARTNERS = 8;
-
     private final CrashingParts mParts;
-    private final InstanceId mSelf;
+    private final GossipPartners mPartners;
     private final Map<String, PartEvidence> mChanged = new LinkedHashMap<>();
-    private Set<InstanceId> mOthers = Set.of();
-    private List<InstanceId> mPartners = List.of();
-    private int mNextPartner;
     private long mNextExchangeMs = Long.MIN_VALUE;
 
     /** Creates the gossip about the given evidence. */
     public EvidenceGossip(InstanceId self, CrashingParts parts) {
-        mSelf = self;
+        mPartners = new GossipPartners(self);
         mParts = parts;
     }
 
@@ -66,37 +60,20 @@
         if (others.isEmpty()) {
             return sends;
         }
-        List<InstanceId> partners = partners(others);
         if (!mChanged.isEmpty()) {
             PeerMessage report =
                     new PeerMessage.PartEvidenceReport(List.copyOf(mChanged.values()), false);
             mChanged.clear();
-            partners.forEach(to -> sends.add(new Send(to, report)));
+            mPartners.among(others).forEach(to -> sends.add(new Send(to, report)));
         }
         if (nowMs >= mNextExchangeMs) {
             mNextExchangeMs = nowMs + EXCHANGE_INTERVAL_MS;
-            mNextPartner = (mNextPartner + 1) % partners.size();
-            InstanceId partner = partners.get(mNextPartner);
+            InstanceId partner = mPartners.nextAmong(others);
             sends.add(new Send(partner, new PeerMessage.PartEvidenceDigest(mParts.digest())));
         }
         return sends;
     }
 
-    /**
-     * Returns the instances that this one sends to. They stay the same while the instances do, so
-     * that the number of connections does not grow with the number of instances.
-     */
-    private List<InstanceId> partners(Set<InstanceId> others) {
-        if (!others.equals(mOthers)) {
-            mPartners =
-                    RendezvousHashing.rank(mSelf.value(), others, InstanceId::value).stream()
-                            .limit(MAX_PARTNERS)
-                            .toList();
-        }
-        mOthers = others;
-        return mPartners;
-    }
-
     /** Handles a digest of another instance and returns the answer to it, if any. */
     public Optional<PeerMessage> handle(PeerMessage.PartEvidenceDigest message, long nowMs) {
         return message.digest() == mParts.digest()
@@ -113,7 +90,7 @@
      */
     public Optional<PeerMessage> handle(
             PeerMessage.PartEvidenceReport message, int others, long nowMs) {
-        boolean sendsOn = others > MAX_PARTNERS;
+        boolean sendsOn = others > GossipPartners.MAX_PARTNERS;
         List<PartEvidence> changed = new ArrayList<>();
         for (PartEvidence evidence : message.evidence()) {
             mParts.merge(evidence, nowMs)
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/CrashRecordGossip.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/retry/CrashRecordGossip.java
@@ -9,6 +9,7 @@
 import org.filbertrudder.model.message.CrashRecord;
 import org.filbertrudder.model.message.ExchangeStep;
 import org.filbertrudder.model.message.PeerMessage;
+import org.filbertrudder.policy.GossipPartners;
 import org.filbertrudder.policy.RendezvousHashing;
 
 /**
@@ -41,15 +42,9 @@
     /** The least time between two messages with records, but for replies to started instances. */
     private static final long RECORDS_INTERVAL_MS = 5_000;
 
-    /** The maximum number of instances that this one asks. */
-    private static final int MAX_PARTNERS = 8;
-
-    private final InstanceId mSelf;
+    private final GossipPartners mPartners;
     private final SuspectRequests mRequests;
     private final Set<InstanceId> mReplied = new HashSet<>();
-    private Set<InstanceId> mOthers = Set.of();
-    private List<InstanceId> mPartners = List.of();
-    private int mNextPartner;
     private long mStartedMs = Long.MIN_VALUE;
     private long mNextProbeMs = Long.MIN_VALUE;
     private long mNextRecordsMs = Long.MIN_VALUE;
@@ -57,7 +52,7 @@
 
     /** Creates the gossip about the records of the given requests. */
     public CrashRecordGossip(InstanceId self, SuspectRequests requests) {
-        mSelf = self;
+        mPartners = new GossipPartners(self);
         mRequests = requests;
     }
 
@@ -93,11 +88,10 @@
             return Optional.empty();
         }
         mNextProbeMs = nowMs + probeIntervalMs();
-        List<InstanceId> partners = partners(others);
-        mNextPartner = (mNextPartner + 1) % partners.size();
         return Optional.of(
                 new Send(
-                        partners.get(mNextPartner), message(ExchangeStep.PROBE, List.of(), nowMs)));
+                        mPartners.nextAmong(others),
+                        message(ExchangeStep.PROBE, digest(nowMs), List.of())));
     }
 
     private long probeIntervalMs() {
@@ -107,35 +101,22 @@
         return mRequests.size() > 0 ? EXCHANGE_INTERVAL_MS : IDLE_EXCHANGE_INTERVAL_MS;
     }
 
-    /** Returns the instances to ask, which stay the same while the others do. */
-    private List<InstanceId> partners(Set<InstanceId> others) {
-        if (!others.equals(mOthers)) {
-            mOthers = others;
-            mPartners =
-                    RendezvousHashing.rank(mSelf.value(), others, InstanceId::value).stream()
-                            .limit(MAX_PARTNERS)
-                            .toList();
-        }
-        return mPartners;
-    }
-
     /** Handles a message of another instance and returns the answer to it, if any. */
     public Optional<PeerMessage.CrashRecords> handle(
             InstanceId from, PeerMessage.CrashRecords message, long nowMs) {
         message.records().stream()
                 .filter(CrashRecordGossip::isValid)
                 .forEach(crashRecord -> mRequests.merge(crashRecord, nowMs));
-        if (message.step() != ExchangeStep.PROBE) {
-            noteReply(from, message.informed());
-        }
-        boolean differs = digest(nowMs) != message.digest();
+        long digest = digest(nowMs);
+        boolean differs = digest != message.digest();
         if (message.step() == ExchangeStep.PROBE) {
             boolean sends = differs && (!message.informed() || maySendRecords(nowMs));
             return Optional.of(
-                    message(ExchangeStep.REPLY, sends ? records(nowMs) : List.of(), nowMs));
+                    message(ExchangeStep.REPLY, digest, sends ? records(nowMs) : List.of()));
         }
+        noteReply(from, message.informed());
         return message.step() == ExchangeStep.REPLY && differs && maySendRecords(nowMs)
-                ? Optional.of(message(ExchangeStep.END, records(nowMs), nowMs))
+                ? Optional.of(message(ExchangeStep.END, digest, records(nowMs)))
                 : Optional.empty();
     }
 
@@ -153,7 +134,7 @@
 
     private void noteReply(InstanceId from, boolean informed) {
         mReplied.add(from);
-        mInformed |= informed || mReplied.size() >= Math.min(START_REPLIES, mOthers.size());
+        mInformed |= informed || mReplied.size() >= Math.min(START_REPLIES, mPartners.others());
     }
 
     private boolean maySendRecords(long nowMs) {
@@ -165,8 +146,8 @@
     }
 
     private PeerMessage.CrashRecords message(
-            ExchangeStep step, List<CrashRecord> records, long nowMs) {
-        return new PeerMessage.CrashRecords(step, mInformed, digest(nowMs), records);
+            ExchangeStep step, long digest, List<CrashRecord> records) {
+        return new PeerMessage.CrashRecords(step, mInformed, digest, records);
     }
 
     private List<CrashRecord> records(long nowMs) {
