Tests: one fixture for raw replicas, one message that starts a forward

Cause: three tests registered the same raw replicas and started the same two instances, and four tests of forwards wrote out the same message. RawReplicas and SimulatedForwards.startMessage do so now. No assertion, bound or case is changed.

--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/BadForwardMessagesTest.java
@@ -52,20 +52,7 @@
     }
 
     private static PeerMessage.ForwardStart start(long stream) {
-        return new PeerMessage.ForwardStart(
-                stream,
-                "a",
-                null,
-                null,
-                0,
-                null,
-                "POST",
-                "/",
-                Map.of(),
-                new byte[0],
-                60_000,
-                null,
-                null);
+        return SimulatedForwards.startMessage(stream, "a", 60_000);
     }
 
     private static PeerMessage.ForwardResume resume(
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardReceiverTest.java
@@ -53,20 +53,7 @@
     }
 
     private static PeerMessage.ForwardStart start(long stream) {
-        return new PeerMessage.ForwardStart(
-                stream,
-                "a",
-                null,
-                null,
-                0,
-                null,
-                "POST",
-                "/",
-                Map.of(),
-                new byte[0],
-                60_000,
-                null,
-                null);
+        return SimulatedForwards.startMessage(stream, "a", 60_000);
     }
 
     private void tickFor(long ms) {
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/ForwardSenderTest.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
@@ -64,21 +63,7 @@
     private ForwardCall start(ForwardListener listener) {
         return mSender.start(
                 RECEIVER,
-                stream ->
-                        new PeerMessage.ForwardStart(
-                                stream,
-                                "a",
-                                null,
-                                null,
-                                0,
-                                null,
-                                "POST",
-                                "/",
-                                Map.of(),
-                                new byte[0],
-                                60_000,
-                                null,
-                                null),
+                stream -> SimulatedForwards.startMessage(stream, "a", 60_000),
                 () -> mRepeatable,
                 listener);
     }
--- a/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/SimulatedForwards.java
+++ b/filbertrudder-peer/src/test/java/org/filbertrudder/peer/forwarding/SimulatedForwards.java
@@ -288,21 +288,7 @@
         request.mCall =
                 mSender.start(
                         member("receiver"),
-                        stream ->
-                                new PeerMessage.ForwardStart(
-                                        stream,
-                                        id,
-                                        null,
-                                        null,
-                                        0,
-                                        null,
-                                        "POST",
-                                        "/",
-                                        Map.of(),
-                                        new byte[0],
-                                        DEADLINE_MS,
-                                        null,
-                                        null),
+                        stream -> startMessage(stream, id, DEADLINE_MS),
                         () -> repeatable,
                         request);
         request.mSent = true;
@@ -361,6 +347,24 @@
         }
     }
 
+    /** Returns the message that starts a request without headers and body. */
+    static PeerMessage.ForwardStart startMessage(long stream, String id, long deadlineMs) {
+        return new PeerMessage.ForwardStart(
+                stream,
+                id,
+                null,
+                null,
+                0,
+                null,
+                "POST",
+                "/",
+                Map.of(),
+                new byte[0],
+                deadlineMs,
+                null,
+                null);
+    }
+
     static Member member(String id) {
         return new Member(
                 InstanceId.of(id),
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CutReplicaResponseTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/CutReplicaResponseTest.java
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.impl.NetSocketInternal;
 import java.io.ByteArrayOutputStream;
@@ -55,20 +55,7 @@
         mVertx = Vertx.vertx();
         mFleet = new PlatformFleet("mtl", "sag");
         mFleet.writeConfiguration(true);
-        for (String service : List.of(PlatformFleet.MODEL_SERVICE, PlatformFleet.BOOKING_SERVICE)) {
-            NetServer server = mVertx.createNetServer().connectHandler(Connection::new);
-            server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
-            mFleet.store()
-                    .put(
-                            "servers/" + service + "-1",
-                            """
-                            {"service":"%s","addr":"127.0.0.1:%d","zone":"mtl-a","version":"v1",
-                             "slots":16,"state":"ready","warmupMs":0,"seq":1,"born":1}\
-                            """
-                                    .formatted(service, server.actualPort()));
-        }
-        mFleet.startGateway("mtl-1", "mtl");
-        mFleet.startGateway("sag-1", "sag");
+        RawReplicas.start(mVertx, mFleet, new NetServerOptions(), Connection::new);
         for (String gateway : List.of("mtl-1", "sag-1")) {
             for (Kind kind : Kind.values()) {
                 PlatformFleet.await(
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/InvalidResponseTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/InvalidResponseTest.java
@@ -6,7 +6,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import io.vertx.core.net.impl.NetSocketInternal;
@@ -60,20 +59,7 @@
         mFleet.writeConfiguration(true);
         NetServerOptions options =
                 new NetServerOptions().setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-        for (String service : List.of(PlatformFleet.MODEL_SERVICE, PlatformFleet.BOOKING_SERVICE)) {
-            NetServer server = mVertx.createNetServer(options).connectHandler(this::serve);
-            server.listen(0, "127.0.0.1").toCompletionStage().toCompletableFuture().join();
-            mFleet.store()
-                    .put(
-                            "servers/" + service + "-1",
-                            """
-                            {"service":"%s","addr":"127.0.0.1:%d","zone":"mtl-a","version":"v1",
-                             "slots":16,"state":"ready","warmupMs":0,"seq":1,"born":1}\
-                            """
-                                    .formatted(service, server.actualPort()));
-        }
-        mFleet.startGateway("mtl-1", "mtl");
-        mFleet.startGateway("sag-1", "sag");
+        RawReplicas.start(mVertx, mFleet, options, this::serve);
         for (String gateway : GATEWAYS) {
             PlatformFleet.await(
                     "requests are served at " + gateway,
