--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
@@ -141,6 +141,22 @@
         return !mAccounts.isEmpty();
     }
 
+    /** Returns the routes of a former version whose allowed regions have changed since. */
+    public List<RouteRule> relocatedSince(GatewayConfiguration former) {
+        return former.mRoutes.stream()
+                .filter(
+                        before ->
+                                exactRoute(before.host(), before.pathPrefix())
+                                        .map(RouteRule::allowedRegions)
+                                        .filter(regions -> !regions.equals(before.allowedRegions()))
+                                        .isPresent())
+                .toList();
+    }
+
+    private Optional<RouteRule> exactRoute(String host, String pathPrefix) {
+        return Optional.ofNullable(mRoutesByHost.getOrDefault(host, Map.of()).get(pathPrefix));
+    }
+
     /** Returns all routes in the order of the document, including duplicates. */
     public List<RouteRule> routes() {
         return mRoutes;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/StateFollower.java
@@ -11,6 +11,7 @@
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.config.ServiceRule;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.ServiceId;
@@ -71,6 +72,7 @@
     private static final long DOUBT_MARGIN_MS = 500;
 
     private static final int ASKED_PEERS = 2;
+    private static final int MAX_LOGGED_ROUTES = 16;
     private static final long NOT_CONFIRMED = -1;
 
     private final Context mContext;
@@ -287,6 +289,7 @@
         if (verdict == Verdict.NEWER) {
             mPendingConfirmation = null;
             mDocument = document;
+            GatewayConfiguration former = mConfiguration;
             mConfiguration = configuration.orElse(null);
             LOG.info(
                     "A configuration is in force.",
@@ -295,7 +298,8 @@
                     LogField.of("revision", found.revision()),
                     LogField.of("from", source),
                     LogField.of("ageMs", Clocks.steadyMs() - requestedAt.steadyMs()),
-                    LogField.of("routes", mConfiguration.routeCount()));
+                    LogField.of("routes", mConfiguration.routeCount()),
+                    LogField.of("homesChanged", namesOfRelocatedRoutes(former)));
             if (mConsultation.hasEnded()) {
                 mListener.configurationChanged(mConfiguration);
             }
@@ -303,6 +307,16 @@
         return verdict;
     }
 
+    /** Returns the names of the first routes whose allowed regions have changed. */
+    private List<String> namesOfRelocatedRoutes(GatewayConfiguration former) {
+        return former == null
+                ? List.of()
+                : mConfiguration.relocatedSince(former).stream()
+                        .limit(MAX_LOGGED_ROUTES)
+                        .map(RouteRule::name)
+                        .toList();
+    }
+
     private void applyEvacuations(
             StoreEra era,
             Map<FailureDomainId, StoreEra> evacuations,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/AbstractAttempt.java
@@ -88,6 +88,13 @@
         }
     }
 
+    /** Records for the log by which state of the operators the request is sent. */
+    void noteSendState() {
+        mExchange.noteSendState(
+                mDependencies.control().snapshot().configuration().version(),
+                mDependencies.control().stateFreshness().ageMs(Clocks.now()));
+    }
+
     private void scheduleStallCheck(long delayMs) {
         mStallTimer =
                 mDependencies
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardedExchangeFactory.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ForwardedExchangeFactory.java
@@ -84,6 +84,7 @@
                         true,
                         sink,
                         nowMs);
+        exchange.setOrigin(start.origin());
         if (start.resumeAfter() != null) {
             exchange.setRelay(new StreamRelay(sink, start.resumeAfter()));
         }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.StringJoiner;
 import org.filbertrudder.entry.control.TokenGrant;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.RequestKind;
@@ -61,11 +62,13 @@
     private final Set<RegionId> mTriedRegions = new HashSet<>();
     private final List<Runnable> mOnEnd = new ArrayList<>();
     private final StringBuilder mTraceSteps = new StringBuilder();
+    private final StringJoiner mSendStates = new StringJoiner(" ");
     private TokenGrant mGrant;
     private RequestDigest mDigest;
     private Attempt mAttempt;
     private StreamRelay mRelay;
     private BufferedResponse mHeldErrorResponse;
+    private Optional<RegionId> mOrigin = Optional.empty();
     private int mSends;
     private int mRuns;
     private long mRetryAfterMs;
@@ -138,6 +141,16 @@
         return mForwarded;
     }
 
+    /** Records the region whose instance has forwarded the request. */
+    void setOrigin(RegionId origin) {
+        mOrigin = Optional.ofNullable(origin);
+    }
+
+    /** Returns the region whose instance has forwarded the request; empty if none has. */
+    Optional<RegionId> origin() {
+        return mOrigin;
+    }
+
     GatewayResponseSink sink() {
         return mSink;
     }
@@ -305,6 +318,21 @@
         mRuns++;
     }
 
+    /**
+     * Records by which state an attempt is sent.
+     *
+     * @param version the version of the configuration in force
+     * @param stateAgeMs the time since the configuration was confirmed, in milliseconds
+     */
+    void noteSendState(long version, long stateAgeMs) {
+        mSendStates.add(version + "@" + stateAgeMs);
+    }
+
+    /** Returns the version of the configuration at each send and the age of its confirmation. */
+    String sendStatesText() {
+        return mSendStates.toString();
+    }
+
     /** Subtracts a run after an attempt that has certainly not executed the request. */
     void uncountRun() {
         mRuns--;
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisher.java
@@ -135,6 +135,9 @@
                 LogField.of("ms", durationMs),
                 LogField.of("runs", exchange.runs()),
                 LogField.of("forwarded", exchange.forwarded()),
+                LogField.of("origin", exchange.origin().orElse(null)),
+                LogField.of("region", mControl.snapshot().self().region()),
+                LogField.of("homes", exchange.allowedRegions()),
                 LogField.of(
                         "prompt",
                         exchange.head().promptDemand().map(PromptDemand::summary).orElse(null)),
@@ -142,6 +145,7 @@
                 LogField.of("events", exchange.events()),
                 LogField.of("generatingMs", exchange.generatingMs()),
                 LogField.of("steps", exchange.traceText()),
+                LogField.of("sentBy", exchange.sendStatesText()),
                 LogField.of("version", mControl.snapshot().configuration().version()),
                 LogField.of("stateAgeMs", mControl.stateFreshness().ageMs(Clocks.now())));
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -118,6 +118,7 @@
                                 remainingMs,
                                 mExchange.priority(),
                                 mExchange.lastEventId()));
+        noteSendState();
         mSentMs = Clocks.steadyMs();
         mDependencies.limits().noteSend(mEndpoint.id());
         connection.send(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RemoteAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RemoteAttempt.java
@@ -46,6 +46,7 @@
             mDependencies.vertx().setTimer(LOAD_ESTIMATE_LIFETIME_MS, ignored -> endLoadEstimate());
         }
         watchForStall();
+        noteSendState();
         long remainingMs = mExchange.deadlineMs() - nowMs;
         mForwardAttempt =
                 mDependencies
