Tests: requests that run in a former home of their route or account

Callers of a public route whose home has moved from sag to mtl are still served by a replica in sag: by an instance that has lost the store, for as long as it is cut off, and, if they wait while the change comes into force, also by an instance that has the new version. The same holds for a waiting request whose account's home moves.

PlatformFleet writes public routes with homes and changeable homes of an account, and starts an instance whose calls of the store pass a LinkProxy; LinkProxy.cut() also silences connections that are opened later. No product logic is changed.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LinkProxy.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/LinkProxy.java
@@ -14,10 +14,13 @@
     private final Set<Link> mLinks = ConcurrentHashMap.newKeySet();
     private final NetClient mClient;
     private final NetServer mServer;
+    private final PeerAddress mAddress;
     private final PeerAddress mTarget;
+    private volatile boolean mCut;
 
     /** Listens at an address and passes connections on to a target. */
     public LinkProxy(Vertx vertx, PeerAddress address, PeerAddress target) {
+        mAddress = address;
         mTarget = target;
         mClient = vertx.createNetClient();
         mServer = vertx.createNetServer().connectHandler(this::accept);
@@ -27,6 +30,11 @@
                 .join();
     }
 
+    /** Returns the address at which the proxy listens. */
+    public PeerAddress address() {
+        return mAddress;
+    }
+
     /** Drops from now on what the open connections carry in the given directions. */
     public void silence(boolean toTarget, boolean toCaller) {
         for (Link link : mLinks) {
@@ -35,6 +43,18 @@
         }
     }
 
+    /** Drops from now on what open and new connections carry in both directions. */
+    public void cut() {
+        mCut = true;
+        silence(true, true);
+    }
+
+    /** Ends a cut; the connections that were silent are closed. */
+    public void heal() {
+        mCut = false;
+        reset();
+    }
+
     /** Closes the open connections at both ends. */
     public void reset() {
         mLinks.forEach(Link::close);
@@ -68,6 +88,11 @@
 
         void open() {
             mLinks.add(this);
+            // A cut that starts meanwhile finds the link in the set or is seen here.
+            if (mCut) {
+                mSilentToTarget = true;
+                mSilentToCaller = true;
+            }
             mTargetSocket.handler(
                     bytes -> {
                         if (!mSilentToCaller) {
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -61,6 +61,9 @@
     private final Map<String, String> mAccountByApiKey = new HashMap<>();
     private final Set<String> mAddedRoutes = new ConcurrentSkipListSet<>();
     private final Set<String> mDividedRoutes = new ConcurrentSkipListSet<>();
+    private final Map<String, LinkProxy> mStoreProxies = new TreeMap<>();
+    private Map<String, List<String>> mHomesByPublicRoute = Map.of();
+    private List<String> mAccountHomes = List.of("sag");
     private boolean mLimitsUnreadBytes;
     private double mRatePerSecond;
     private long mRouteTimeoutMs = 4_000;
@@ -132,6 +135,19 @@
         return mDividedRoutes;
     }
 
+    /**
+     * Sets the path prefixes of further public routes to the booking service, with their home
+     * regions, in the next written configuration.
+     */
+    public void setHomesByPublicRoute(Map<String, List<String>> homesByPublicRoute) {
+        mHomesByPublicRoute = Map.copyOf(homesByPublicRoute);
+    }
+
+    /** Sets the home regions of the account "home" in the next written configuration. */
+    public void setAccountHomes(List<String> accountHomes) {
+        mAccountHomes = List.copyOf(accountHomes);
+    }
+
     /** Sets the token rate and burst of each account from the next configuration version on. */
     public void setRatePerSecond(double ratePerSecond) {
         mRatePerSecond = ratePerSecond;
@@ -190,6 +206,18 @@
         startGateway(id, region, new PlatformProtocol());
     }
 
+    /**
+     * Starts an instance as {@link #startGateway(String, String)} and returns the proxy that all
+     * its calls of the store pass.
+     */
+    public LinkProxy startGatewayBehindStoreProxy(String id, String region) {
+        PeerAddress address = address(FreePorts.find(1).get(0));
+        LinkProxy proxy = new LinkProxy(mVertx, address, address(mStorePort));
+        mStoreProxies.put(id, proxy);
+        startGateway(id, region);
+        return proxy;
+    }
+
     /** Starts an instance as {@link #startGateway(String, String)}, with a protocol of its own. */
     public void startGateway(String id, String region, HttpProtocol protocol) {
         List<Integer> ports = FreePorts.find(PORTS_PER_INSTANCE);
@@ -206,7 +234,9 @@
                         address(ports.get(3)),
                         ports.get(4),
                         ports.get(5),
-                        address(mStorePort),
+                        mStoreProxies.containsKey(id)
+                                ? mStoreProxies.get(id).address()
+                                : address(mStorePort),
                         seeds,
                         new BoundSettings(
                                 MAX_KEY_WITHDRAWAL_MS,
@@ -250,6 +280,11 @@
         return operatorClient(gateway).get("/metrics").body();
     }
 
+    /** Returns the state dump of an instance. */
+    public String dump(String gateway) {
+        return operatorClient(gateway).get("/dump").body();
+    }
+
     /** Returns the page of an instance that lists the blocked prompt parts. */
     public String blockedParts(String gateway) {
         return operatorClient(gateway).get("/blocked-parts").body();
@@ -293,6 +328,11 @@
         addRoute(routes, "/stock/", "safe", BOOKING_SERVICE, false);
         addRoute(routes, "/open/", "safe", BOOKING_SERVICE, true);
         mAddedRoutes.forEach(prefix -> addRoute(routes, prefix, "safe", BOOKING_SERVICE, false));
+        mHomesByPublicRoute.forEach(
+                (prefix, homes) -> {
+                    ObjectNode route = addRoute(routes, prefix, "safe", BOOKING_SERVICE, true);
+                    addHomes(route, homes);
+                });
         for (String prefix : mDividedRoutes) {
             ArrayNode backends =
                     addRoute(routes, prefix, "safe", BOOKING_SERVICE, false).putArray("backends");
@@ -350,7 +390,7 @@
         ObjectNode account = accounts.addObject().put("name", name).put("unit", "tokens");
         account.put("plainTokens", 10);
         if (name.equals("home")) {
-            account.putArray("homeRegions").add("sag");
+            addHomes(account, mAccountHomes);
         }
         account.put("ratePerS", mRatePerSecond).put("burst", mRatePerSecond);
         ArrayNode keys = account.putArray("apiKeys");
@@ -362,6 +402,10 @@
                 });
     }
 
+    private static void addHomes(ObjectNode owner, List<String> homes) {
+        homes.forEach(owner.putArray("homeRegions")::add);
+    }
+
     /** Waits until a condition is true; fails after 20 s. */
     public static void await(String description, BooleanSupplier condition) {
         long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_TIMEOUT_MS);
@@ -381,6 +425,7 @@
     @Override
     public void close() {
         mGateways.values().forEach(gateway -> gateway.close().join());
+        mStoreProxies.values().forEach(LinkProxy::close);
         mVertx.close().toCompletionStage().toCompletableFuture().join();
     }
 }
