Homes: a request without a key runs in a former home while the state is outdated

Callers saw: requests of a public route ran in the region that had been its home before a change of the configuration, for as long as their instance had no confirmed state. Cause: only requests with an API key needed a confirmed state. A public route was served by whatever version the instance had. The class of fault: a restriction is taken from a state of unknown age. Why it works: a request whose route or account has homes is admitted and sent only while the state was confirmed less than configMs - 500 ms ago; until then it waits for a confirmation as requests with a key do and is refused as state_outdated, not run.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/BoundSettings.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/BoundSettings.java
@@ -4,6 +4,8 @@
  * Holds the time limits and retry budgets that the deployment requires.
  *
  * @param keyWithdrawalMs the time within which a withdrawn API key must be refused, in milliseconds
+ * @param configurationMs the time within which a change of the configuration must be in force, in
+ *     milliseconds
  * @param endpointLeaveMs the time within which an endpoint that leaves must get its last request,
  *     in milliseconds
  * @param endpointHeartbeatMs the interval at which endpoints renew their registrations, in
@@ -15,6 +17,7 @@
  */
 public record BoundSettings(
         long keyWithdrawalMs,
+        long configurationMs,
         long endpointLeaveMs,
         long endpointHeartbeatMs,
         long graceMs,
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -49,10 +49,10 @@
     private static final long TICK_MS = RefreshSchedule.TICK_MS;
 
     /**
-     * Subtracted from the time in which a withdrawn key must stop working, for network delays, in
-     * milliseconds.
+     * Subtracted from the time within which a change of the operators' state must be in force, for
+     * network delays, in milliseconds.
      */
-    private static final long KEY_WITHDRAWAL_MARGIN_MS = 500;
+    private static final long STATE_CHANGE_MARGIN_MS = 500;
 
     /**
      * The largest difference between the times elapsed on the steady clock and on the wall clock,
@@ -145,7 +145,7 @@
     }
 
     private static long keyTrustMs(BoundSettings bounds) {
-        return bounds.keyWithdrawalMs() - KEY_WITHDRAWAL_MARGIN_MS;
+        return bounds.keyWithdrawalMs() - STATE_CHANGE_MARGIN_MS;
     }
 
     /** Returns the time limits and retry budgets in force; may be called from any thread. */
@@ -429,6 +429,20 @@
         return mStateFreshness;
     }
 
+    /**
+     * Returns whether the state was confirmed so recently that a request may be sent to the regions
+     * that it allows; may be called from any thread.
+     */
+    public boolean mayTrustRegions() {
+        long maxAgeMs = mBounds.configurationMs() - STATE_CHANGE_MARGIN_MS;
+        return mStateFreshness.ageMs(Clocks.now()) < maxAgeMs;
+    }
+
+    /** Returns whether the state was confirmed so recently that API keys may be trusted. */
+    public boolean mayTrustKeys() {
+        return mStateFreshness.isFresh(Clocks.now());
+    }
+
     /** Completes after the next confirmation of the state; may be called from any thread. */
     public CompletableFuture<Void> awaitNextConfirmation() {
         CompletableFuture<Void> confirmed = new CompletableFuture<>();
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -74,8 +74,7 @@
     }
 
     private void awaitConfirmedState(GatewayExchange exchange, Runnable next) {
-        boolean hasAccount = exchange.account().isPresent();
-        if (!hasAccount || mControl.stateFreshness().isFresh(Clocks.now())) {
+        if (exchange.mayTrustState(mControl)) {
             next.run();
             return;
         }
@@ -85,7 +84,7 @@
                         mFinisher.runStep(
                                 exchange,
                                 () -> {
-                                    if (mControl.stateFreshness().isFresh(Clocks.now())) {
+                                    if (exchange.mayTrustState(mControl)) {
                                         next.run();
                                     } else {
                                         mFinisher.refuse(exchange, GatewayRefusal.stateOutdated());
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayAttemptRunner.java
@@ -118,8 +118,7 @@
 
     /** Returns why no attempt may start now; empty if one may. */
     private Optional<GatewayRefusal> refusalOfStart(GatewayExchange exchange) {
-        boolean hasAccount = exchange.account().isPresent();
-        if (hasAccount && !mDependencies.control().stateFreshness().isFresh(Clocks.now())) {
+        if (!exchange.mayTrustState(mDependencies.control())) {
             return Optional.of(GatewayRefusal.stateOutdated());
         }
         if (exchange.deadlineMs() - Clocks.steadyMs() < MIN_REMAINING_MS) {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -12,6 +12,7 @@
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
+import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.Digests;
 import org.filbertrudder.model.EndpointId;
@@ -253,6 +254,15 @@
                 && Collections.disjoint(accountRegions, mRoute.allowedRegions());
     }
 
+    /**
+     * Returns whether the operators' state was confirmed so recently that the request may be sent
+     * by it: a newer one may have withdrawn its API key or changed its allowed regions.
+     */
+    boolean mayTrustState(GatewayControl control) {
+        return (mAccount.isEmpty() || control.mayTrustKeys())
+                && (allowedRegions().isEmpty() || control.mayTrustRegions());
+    }
+
     Set<EndpointId> triedEndpoints() {
         return mTriedEndpoints;
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -87,10 +87,7 @@
         }
         mConnection = connection;
         long remainingMs = mExchange.deadlineMs() - Clocks.steadyMs();
-        boolean hasAccount = mExchange.account().isPresent();
-        if (remainingMs <= 0
-                || (hasAccount
-                        && !mDependencies.control().stateFreshness().isFresh(Clocks.now()))) {
+        if (remainingMs <= 0 || !mExchange.mayTrustState(mDependencies.control())) {
             withdraw(connection);
             mRunner.giveUp(
                     mExchange,
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/control/StateFollowerTest.java
@@ -65,7 +65,7 @@
         mStateFreshness = new StateFreshness(5_000, 250);
         mVertx = Vertx.vertx();
         mContext = mVertx.getOrCreateContext();
-        BoundSettings bounds = new BoundSettings(5_000, 4_000, 1_200, 8_000, 0.2, 50);
+        BoundSettings bounds = new BoundSettings(5_000, 4_000, 4_000, 1_200, 8_000, 0.2, 50);
         mFollower =
                 new StateFollower(mContext, new Source(), bounds, mStateFreshness, new Listener());
         onContext(() -> mFollower.tick(new ClockReading(1_000, 1_000)));
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisherTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisherTest.java
@@ -56,7 +56,7 @@
                         1,
                         ADDRESS,
                         List.of(),
-                        new BoundSettings(6_000, 4_000, 1_000, 4_000, 0.2, 50),
+                        new BoundSettings(6_000, 4_000, 4_000, 1_000, 4_000, 0.2, 50),
                         Member.STANDARD_STRENGTH,
                         false);
         StateSource source =
--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -44,6 +44,7 @@
     public static final double WARMUP_PER_SECOND = 2.0;
 
     private static final long MAX_KEY_WITHDRAWAL_MS = 5_000;
+    private static final long CONFIGURATION_MS = 5_000;
     private static final long ENDPOINT_LEAVE_MS = 4_000;
     private static final long ENDPOINT_HEARTBEAT_MS = 1_200;
     private static final long SHUTDOWN_GRACE_MS = 8_000;
@@ -240,6 +241,7 @@
                         seeds,
                         new BoundSettings(
                                 MAX_KEY_WITHDRAWAL_MS,
+                                CONFIGURATION_MS,
                                 ENDPOINT_LEAVE_MS,
                                 ENDPOINT_HEARTBEAT_MS,
                                 SHUTDOWN_GRACE_MS,
