Refactoring: AllowedRegions tells "any region" from "no region"

An empty Set<RegionId> meant "any region" wherever homes are kept, so the intersection of two disjoint sets, or the homes of an unknown host, could be read as "any". AllowedRegions has both as values of their own; routes, accounts, the scheduler's requests and the decoder use it, and the configuration answers with an empty Optional for a host that it does not know.

Behaviour stays otherwise: the directory and the starts still read what is unknown as before.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/AccountRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/AccountRule.java
@@ -1,8 +1,8 @@
 package org.filbertrudder.gateway.config;
 
 import java.util.Optional;
-import java.util.Set;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Contract;
 import org.filbertrudder.model.RegionId;
 
@@ -14,7 +14,7 @@
  * @param contract the rate and burst for all instances together; absent means no limit
  * @param countsTokens whether the contract counts tokens; otherwise it counts requests
  * @param defaultTokens the cost in tokens of a request without a token count
- * @param allowedRegions the only regions that may serve the account; empty means any region
+ * @param allowedRegions the regions that may serve the account
  */
 public record AccountRule(
         AccountId id,
@@ -22,16 +22,11 @@
         Optional<Contract> contract,
         boolean countsTokens,
         long defaultTokens,
-        Set<RegionId> allowedRegions) {
-
-    /** Makes an immutable copy of the allowed regions. */
-    public AccountRule {
-        allowedRegions = Set.copyOf(allowedRegions);
-    }
+        AllowedRegions allowedRegions) {
 
     /** Returns whether the account's data may be processed in the region. */
     public boolean allowsRegion(RegionId region) {
-        return allowedRegions.isEmpty() || allowedRegions.contains(region);
+        return allowedRegions.allows(region);
     }
 
     /**
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/ConfigurationCheck.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/ConfigurationCheck.java
@@ -1,7 +1,6 @@
 package org.filbertrudder.gateway.config;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -76,12 +75,12 @@
             AccountRule account, GatewayConfiguration configuration, List<String> problems) {
         Optional<RouteRule> disjointRoute =
                 configuration.routes().stream()
-                        .filter(route -> !route.anonymous() && !account.allowedRegions().isEmpty())
-                        .filter(route -> !route.allowedRegions().isEmpty())
+                        .filter(route -> !route.anonymous())
                         .filter(
                                 route ->
-                                        Collections.disjoint(
-                                                route.allowedRegions(), account.allowedRegions()))
+                                        route.allowedRegions()
+                                                .and(account.allowedRegions())
+                                                .allowsNone())
                         .findFirst();
         disjointRoute.ifPresent(
                 route ->
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/GatewayConfiguration.java
@@ -2,12 +2,13 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.KeyId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
@@ -84,26 +85,24 @@
     }
 
     /**
-     * Returns the regions to which callers of a host are sent; empty means any region.
+     * Returns the regions to which callers of a host are sent; empty if the host has no route.
      *
-     * <p>These are the regions that all region-restricted routes of the host allow, or if there are
-     * none in common, the regions that any of these routes allows.
+     * <p>These are the regions that all routes of the host allow, or if there are none in common,
+     * the regions that any of its restricted routes allows.
      */
-    public Set<RegionId> allowedRegionsOf(String host) {
-        Set<RegionId> commonRegions = null;
-        Set<RegionId> regionsOfAnyRoute = new TreeSet<>();
-        for (RouteRule route : mRoutesByHost.getOrDefault(host, Map.of()).values()) {
-            if (route.allowedRegions().isEmpty()) {
-                continue;
-            }
-            regionsOfAnyRoute.addAll(route.allowedRegions());
-            if (commonRegions == null) {
-                commonRegions = new TreeSet<>(route.allowedRegions());
-            } else {
-                commonRegions.retainAll(route.allowedRegions());
-            }
+    public Optional<AllowedRegions> allowedRegionsOf(String host) {
+        Map<String, RouteRule> routes = mRoutesByHost.get(host);
+        if (routes == null) {
+            return Optional.empty();
+        }
+        AllowedRegions commonRegions = AllowedRegions.any();
+        Set<RegionId> listedRegions = new HashSet<>();
+        for (RouteRule route : routes.values()) {
+            commonRegions = commonRegions.and(route.allowedRegions());
+            listedRegions.addAll(route.allowedRegions().listed());
         }
-        return commonRegions == null || commonRegions.isEmpty() ? regionsOfAnyRoute : commonRegions;
+        return Optional.of(
+                commonRegions.allowsNone() ? AllowedRegions.only(listedRegions) : commonRegions);
     }
 
     /** Returns the service with the id. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
@@ -1,7 +1,7 @@
 package org.filbertrudder.gateway.config;
 
 import java.util.List;
-import java.util.Set;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 
@@ -21,7 +21,7 @@
  * @param maxRuns the maximum number of attempts that may execute the same request
  * @param anonymous whether requests need no API key
  * @param resumable whether another endpoint may resume an interrupted stream
- * @param allowedRegions the only regions that may serve the requests; empty means any region
+ * @param allowedRegions the regions that may serve the requests
  */
 public record RouteRule(
         String name,
@@ -36,12 +36,11 @@
         int maxRuns,
         boolean anonymous,
         boolean resumable,
-        Set<RegionId> allowedRegions) {
+        AllowedRegions allowedRegions) {
 
-    /** Makes immutable copies of the collections. */
+    /** Makes an immutable copy of the backends. */
     public RouteRule {
         backends = List.copyOf(backends);
-        allowedRegions = Set.copyOf(allowedRegions);
     }
 
     /** Returns whether a request may be retried when an endpoint may already have run it. */
@@ -51,7 +50,7 @@
 
     /** Returns whether the route's data may be processed in the region. */
     public boolean allowsRegion(RegionId region) {
-        return allowedRegions.isEmpty() || allowedRegions.contains(region);
+        return allowedRegions.allows(region);
     }
 
     /** Returns whether requests may be passed to the service. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/DecisionExecutor.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/DecisionExecutor.java
@@ -1,12 +1,11 @@
 package org.filbertrudder.gateway.traffic;
 
-import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -36,18 +35,16 @@
         return StartConversion.record(waiting, allowedRegions(waiting.exchange()), nowMs);
     }
 
-    /** Returns the regions that may run the request; empty if any may. */
-    private Set<RegionId> allowedRegions(GatewayExchange exchange) {
+    /** Returns the regions that may run the request. */
+    private AllowedRegions allowedRegions(GatewayExchange exchange) {
         if (exchange.triedRegions().isEmpty()) {
             return exchange.allowedRegions();
         }
         GatewaySnapshot snapshot = mContext.snapshot().get();
-        Set<RegionId> allowed =
-                snapshot.acceptingByRegion().keySet().stream()
-                        .filter(exchange::mayRunIn)
-                        .collect(Collectors.toCollection(HashSet::new));
-        // An empty set would allow any region.
-        return allowed.isEmpty() ? Set.of(snapshot.self().region()) : allowed;
+        List<RegionId> allowed =
+                snapshot.acceptingByRegion().keySet().stream().filter(exchange::mayRunIn).toList();
+        // An empty list would allow any region.
+        return AllowedRegions.only(allowed.isEmpty() ? List.of(snapshot.self().region()) : allowed);
     }
 
     /** Starts, forwards or refuses a request as decided. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -12,6 +12,7 @@
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Digests;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
@@ -215,29 +216,15 @@
                 && mAccount.map(account -> account.allowsRegion(region)).orElse(true);
     }
 
-    /**
-     * Returns the regions that both the account and the route allow, the only ones where the
-     * request may run; empty if neither restricts its regions, which allows any region.
-     */
-    Set<RegionId> allowedRegions() {
-        Set<RegionId> accountRegions = mAccount.map(AccountRule::allowedRegions).orElse(Set.of());
-        if (accountRegions.isEmpty() || mRoute.allowedRegions().isEmpty()) {
-            return accountRegions.isEmpty() ? mRoute.allowedRegions() : accountRegions;
-        }
-        Set<RegionId> commonRegions = new HashSet<>(accountRegions);
-        commonRegions.retainAll(mRoute.allowedRegions());
-        return commonRegions;
+    /** Returns the regions that both the account and the route allow. */
+    AllowedRegions allowedRegions() {
+        return mRoute.allowedRegions()
+                .and(mAccount.map(AccountRule::allowedRegions).orElse(AllowedRegions.any()));
     }
 
-    /**
-     * Returns whether the route and the account both restrict their regions but allow none in
-     * common.
-     */
+    /** Returns whether the route and the account allow no region in common. */
     boolean hasNoCommonRegion() {
-        Set<RegionId> accountRegions = mAccount.map(AccountRule::allowedRegions).orElse(Set.of());
-        return !accountRegions.isEmpty()
-                && !mRoute.allowedRegions().isEmpty()
-                && Collections.disjoint(accountRegions, mRoute.allowedRegions());
+        return allowedRegions().allowsNone();
     }
 
     Set<EndpointId> triedEndpoints() {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
@@ -7,7 +7,7 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.entry.traffic.HeadBudgetHandler;
@@ -16,6 +16,7 @@
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
@@ -185,16 +186,15 @@
             return regionMembers;
         }
         GatewayConfiguration configuration = snapshot.configuration();
-        Set<RegionId> allowedRegions =
-                configuration == null ? Set.of() : configuration.allowedRegionsOf(host);
+        AllowedRegions allowedRegions =
+                Optional.ofNullable(configuration)
+                        .flatMap(each -> each.allowedRegionsOf(host))
+                        .orElse(AllowedRegions.any());
         List<Member> acceptingMembers =
                 snapshot.members().stream().filter(Member::acceptsNewRequests).toList();
         List<Member> allowedMembers =
                 acceptingMembers.stream()
-                        .filter(
-                                member ->
-                                        allowedRegions.isEmpty()
-                                                || allowedRegions.contains(member.region()))
+                        .filter(member -> allowedRegions.allows(member.region()))
                         .toList();
         LOG.info(
                 "The directory refers a caller to another region.",
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
@@ -452,11 +453,11 @@
      * Describes a request that found no capacity, so that requests with the same or greater demand
      * are skipped in this pass.
      *
-     * @param allowedRegions the regions where the request may run; empty means any region
+     * @param allowedRegions the regions where the request may run
      * @param untried whether the request has not been attempted yet and was not forwarded
      * @param memoryTokens the engine memory that the request needs, in tokens
      */
-    private record Skipped(Set<RegionId> allowedRegions, boolean untried, long memoryTokens) {
+    private record Skipped(AllowedRegions allowedRegions, boolean untried, long memoryTokens) {
 
         static Skipped of(GatewayExchange exchange) {
             return new Skipped(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StartConversion.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StartConversion.java
@@ -6,9 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.InstanceId;
-import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.StartRecords;
 import org.filbertrudder.policy.routing.PromptDemand;
 import org.filbertrudder.policy.routing.PromptPart;
@@ -46,14 +45,14 @@
 
     /** Returns the record of a request that waits. */
     static StartRecords.Request record(
-            ServiceStarts.WaitingStart waiting, Set<RegionId> allowedRegions, long nowMs) {
+            ServiceStarts.WaitingStart waiting, AllowedRegions allowedRegions, long nowMs) {
         GatewayExchange exchange = waiting.exchange();
         return new StartRecords.Request(
                 waiting.number(),
                 exchange.queueAccount(),
                 Math.max(0, Math.min(MAX_RANK, exchange.priority())),
                 record(exchange.head().promptDemand().orElseThrow()),
-                List.copyOf(allowedRegions),
+                allowedRegions.listed(),
                 List.copyOf(exchange.triedEndpoints()),
                 exchange.forwarded(),
                 limited(nowMs - exchange.arrivedMs()),
@@ -130,7 +129,7 @@
                         record.account(),
                         record.rank(),
                         prompt(record.prompt()),
-                        new HashSet<>(record.allowedRegions()),
+                        allowedRegions(record),
                         new HashSet<>(record.excluded()),
                         record.forwarded(),
                         record.ageMs(),
@@ -140,6 +139,12 @@
                         record.digest()));
     }
 
+    private static AllowedRegions allowedRegions(StartRecords.Request record) {
+        return record.allowedRegions().isEmpty()
+                ? AllowedRegions.any()
+                : AllowedRegions.only(record.allowedRegions());
+    }
+
     /** Returns the open request of an instance; empty if the record is malformed. */
     static Optional<OpenStart> open(InstanceId sender, StartRecords.Open record) {
         boolean valid =
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/config/GatewayConfigurationTest.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.testng.annotations.DataProvider;
@@ -31,7 +31,11 @@
                 2,
                 false,
                 false,
-                Set.of(allowedRegions).stream().map(RegionId::of).collect(Collectors.toSet()));
+                allowedRegions.length == 0 ? AllowedRegions.any() : regions(allowedRegions));
+    }
+
+    private static AllowedRegions regions(String... names) {
+        return AllowedRegions.only(Stream.of(names).map(RegionId::of).toList());
     }
 
     private static GatewayConfiguration configuration(RouteRule... routes) {
@@ -42,7 +46,7 @@
                         Optional.empty(),
                         true,
                         10,
-                        Set.of());
+                        AllowedRegions.any());
         return new GatewayConfiguration(
                 1,
                 List.of(routes),
@@ -100,8 +104,8 @@
                         route("h", "/b/"),
                         route("h", "/c/", "sag"));
 
-        assertEquals(configuration.allowedRegionsOf("h"), Set.of(RegionId.of("sag")));
-        assertEquals(configuration.allowedRegionsOf("other"), Set.of());
+        assertEquals(configuration.allowedRegionsOf("h"), Optional.of(regions("sag")));
+        assertEquals(configuration.allowedRegionsOf("other"), Optional.empty());
     }
 
     /** Provides fractions and the expected one of two services with weights 90 and 10. */
@@ -128,7 +132,7 @@
                         1,
                         true,
                         false,
-                        Set.of());
+                        AllowedRegions.any());
 
         assertEquals(route.chooseService(fraction), ServiceId.of(service));
     }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -21,6 +20,7 @@
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -140,7 +140,7 @@
                         2,
                         false,
                         true,
-                        Set.of());
+                        AllowedRegions.any());
         RequestHead head =
                 new RequestHead(
                         "a1",
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisherTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisherTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.filbertrudder.gateway.BoundSettings;
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.Backend;
@@ -19,6 +18,7 @@
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.StateSource;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.FailureDomainId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -91,7 +91,7 @@
                         1,
                         false,
                         false,
-                        Set.of());
+                        AllowedRegions.any());
         RequestHead head =
                 new RequestHead(
                         "a1",
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.filbertrudder.gateway.config.AccountRule;
 import org.filbertrudder.gateway.config.Backend;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 import org.testng.annotations.DataProvider;
@@ -24,16 +24,16 @@
 
     private static final long ARRIVED_MS = 10_000;
 
-    private static Set<RegionId> regions(String... names) {
-        return Set.of(names).stream().map(RegionId::of).collect(Collectors.toSet());
+    private static AllowedRegions regions(String... names) {
+        return AllowedRegions.only(Stream.of(names).map(RegionId::of).toList());
     }
 
     private static GatewayExchange exchange(
             RequestKind kind,
             boolean resumable,
             boolean forwarded,
-            Set<RegionId> routeRegions,
-            Set<RegionId> accountRegions) {
+            AllowedRegions routeRegions,
+            AllowedRegions accountRegions) {
         RouteRule route =
                 new RouteRule(
                         "r",
@@ -82,7 +82,7 @@
 
     private static GatewayExchange exchange(
             RequestKind kind, boolean resumable, boolean forwarded) {
-        return exchange(kind, resumable, forwarded, Set.of(), Set.of());
+        return exchange(kind, resumable, forwarded, AllowedRegions.any(), AllowedRegions.any());
     }
 
     /**
@@ -156,8 +156,8 @@
     @DataProvider
     public Object[][] allowedRegionCases() {
         return new Object[][] {
-            {regions(), regions(), false},
-            {regions("mtl"), regions(), false},
+            {AllowedRegions.any(), AllowedRegions.any(), false},
+            {regions("mtl"), AllowedRegions.any(), false},
             {regions("mtl", "sag"), regions("sag"), false},
             {regions("mtl"), regions("gas"), true},
         };
@@ -165,7 +165,7 @@
 
     @Test(dataProvider = "allowedRegionCases")
     public void detectsDisjointAllowedRegionsOfRouteAndAccount(
-            Set<RegionId> routeRegions, Set<RegionId> accountRegions, boolean disjoint) {
+            AllowedRegions routeRegions, AllowedRegions accountRegions, boolean disjoint) {
         GatewayExchange exchange =
                 exchange(RequestKind.SAFE, false, false, routeRegions, accountRegions);
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/RequestDispatcherTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/RequestDispatcherTest.java
@@ -11,12 +11,12 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.filbertrudder.gateway.config.Backend;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.control.Clocks;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
@@ -94,7 +94,7 @@
                         2,
                         false,
                         true,
-                        Set.of());
+                        AllowedRegions.any());
         RequestHead head =
                 new RequestHead(
                         "a1",
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StartClientTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StartClientTest.java
@@ -14,12 +14,12 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
-import java.util.Set;
 import org.filbertrudder.gateway.config.Backend;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Endpoint;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.FailureDomainId;
@@ -124,7 +124,7 @@
                         2,
                         false,
                         true,
-                        Set.of());
+                        AllowedRegions.any());
         PromptDemand prompt = new PromptDemand(List.of(new PromptPart("p", 700)), 700, 90);
         RequestHead head =
                 new RequestHead(
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/scheduling/StartPass.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/scheduling/StartPass.java
@@ -100,10 +100,7 @@
 
     private boolean mayRunHere(WaitingStart waiting) {
         StartRequest request = waiting.request();
-        boolean regionAllowed =
-                request.allowedRegions().isEmpty()
-                        || request.allowedRegions().contains(mComponents.region());
-        return regionAllowed
+        return request.allowedRegions().allows(mComponents.region())
                 && mComponents.engines().engines().stream()
                         .anyMatch(engine -> engine.isListed() && !waiting.isExcluded(engine.id()));
     }
@@ -203,9 +200,7 @@
                         .spareRoom()
                         .take(
                                 request.prompt(),
-                                id ->
-                                        request.allowedRegions().isEmpty()
-                                                || request.allowedRegions().contains(id),
+                                request.allowedRegions()::allows,
                                 forecastMs,
                                 waiting.remainingWaitMs(mNowMs),
                                 mNowMs);
--- a/filbertrudder-policy/src/main/java/org/filbertrudder/policy/scheduling/StartRequest.java
+++ b/filbertrudder-policy/src/main/java/org/filbertrudder/policy/scheduling/StartRequest.java
@@ -2,8 +2,8 @@
 
 import java.util.Set;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
-import org.filbertrudder.model.RegionId;
 import org.filbertrudder.policy.routing.PromptDemand;
 
 /**
@@ -13,7 +13,7 @@
  * @param account the client account that is charged
  * @param rank the priority of the request; 0 is the most urgent
  * @param prompt the prompt and the expected output
- * @param allowedRegions the regions where the request may run; empty means any region
+ * @param allowedRegions the regions where the request may run
  * @param excluded the endpoints that must not run the request
  * @param forwarded whether another region has forwarded the request
  * @param ageMs the time since the request arrived at its instance, in milliseconds
@@ -27,7 +27,7 @@
         AccountId account,
         int rank,
         PromptDemand prompt,
-        Set<RegionId> allowedRegions,
+        AllowedRegions allowedRegions,
         Set<EndpointId> excluded,
         boolean forwarded,
         long ageMs,
@@ -36,9 +36,8 @@
         long remainingMs,
         long digest) {
 
-    /** Makes immutable copies of the collections. */
+    /** Makes an immutable copy of the excluded endpoints. */
     public StartRequest {
-        allowedRegions = Set.copyOf(allowedRegions);
         excluded = Set.copyOf(excluded);
     }
 }
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/CapacityChangeTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/CapacityChangeTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -58,7 +59,7 @@
                         AccountId.of("account"),
                         0,
                         SimulatedRegion.prompt("", PROMPT_TOKENS, 10),
-                        Set.of(),
+                        AllowedRegions.any(),
                         Set.of(),
                         false,
                         0,
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/EngineWaitTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/EngineWaitTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -51,7 +52,7 @@
                         AccountId.of("account"),
                         0,
                         prompt,
-                        Set.of(),
+                        AllowedRegions.any(),
                         Set.of(),
                         false,
                         0,
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/GoalAdmissionTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/GoalAdmissionTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Set;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -84,7 +85,7 @@
                         AccountId.of("account"),
                         0,
                         new PromptDemand(List.of(), tokens, 10),
-                        Set.of(),
+                        AllowedRegions.any(),
                         Set.of(),
                         false,
                         0,
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/RegionSchedulerTest.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/RegionSchedulerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Set;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -248,7 +249,10 @@
         }
         spareRoom.recordOffer(RegionId.of("south"), offer ? 1e6 : 0, offer ? 100 : 0, 0);
         PromptDemand prompt = SimulatedRegion.prompt("", 2_000, 10);
-        Set<RegionId> regions = allowed.isEmpty() ? Set.of() : Set.of(RegionId.of(allowed));
+        AllowedRegions regions =
+                allowed.isEmpty()
+                        ? AllowedRegions.any()
+                        : AllowedRegions.only(Set.of(RegionId.of(allowed)));
         scheduler.submit(request(1, prompt, Set.of(), regions, forwarded, 400), 100);
         List<StartDecision> decisions = List.of();
         long nowMs = 95;
@@ -278,14 +282,14 @@
     }
 
     private static StartRequest request(int number, PromptDemand prompt, Set<EndpointId> excluded) {
-        return request(number, prompt, excluded, Set.of(), false, 60_000);
+        return request(number, prompt, excluded, AllowedRegions.any(), false, 60_000);
     }
 
     private static StartRequest request(
             int number,
             PromptDemand prompt,
             Set<EndpointId> excluded,
-            Set<RegionId> regions,
+            AllowedRegions regions,
             boolean forwarded,
             long waitLimitMs) {
         StartId id = new StartId(InstanceId.of("sender"), number);
--- a/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/SimulatedRegion.java
+++ b/filbertrudder-policy/src/test/java/org/filbertrudder/policy/scheduling/SimulatedRegion.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.filbertrudder.model.AccountId;
+import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.RegionId;
@@ -326,7 +327,7 @@
                     mAccount,
                     mRank,
                     mPrompt,
-                    Set.of(),
+                    AllowedRegions.any(),
                     Set.of(),
                     false,
                     ageMs,
