A request that may run in no region is sent to no scheduler and waits behind no others

Callers would have seen: a request without a region left (homes of route and account without a common region, or all of them tried) waits behind the others of its service and is refused only when a pass reaches it, or as "overloaded". A forwarded one with disjoint homes was admitted and told "unavailable, come back", though a retry cannot help.

Cause: the list of regions in a start record cannot say "none", as an empty one means any. With all regions tried, DecisionExecutor wrote the instance's own region instead, where the request must not run. StartClient asks mayRunIn at the submit, so with homes fixed at the arrival this was not reached by a request of its own accord; it is as soon as the homes may change between the submit and the message.

Change: a request without an allowed known region has no record; it is withdrawn and routed without a scheduler, where the router refuses it (503 unavailable, with the retry time of the region that refused it). It skips the queue for that. The own region is listed only if it may run the request, which keeps the case of an instance that stops. Admission refuses a forwarded request as it does one of a caller. No loop: what is routed without a scheduler is started or refused, and each region without an instance counts as tried before the request is submitted again.

Measured: the new cases of StartClientTest, RequestDispatcherTest and GatewayExchangeFinisherTest fail on the old behaviour (2 requests sent instead of 1; 2 waiting instead of 1; admitted instead of 503).

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -69,6 +69,10 @@
 
     /** Admits a request that another instance has admitted and forwarded. */
     void admitForwarded(GatewayExchange exchange) {
+        if (exchange.hasNoCommonRegion()) {
+            mFinisher.refuse(exchange, GatewayRefusal.noCommonRegion());
+            return;
+        }
         awaitConfirmedState(
                 exchange, () -> checkCrashReports(exchange, () -> mDispatch.accept(exchange)));
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/DecisionExecutor.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/DecisionExecutor.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
-import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.EndpointId;
 import org.filbertrudder.model.InstanceId;
@@ -30,21 +29,25 @@
         mContext = context;
     }
 
-    /** Returns the description of a waiting request for the scheduler. */
-    StartRecords.Request record(ServiceStarts.WaitingStart waiting, long nowMs) {
-        return StartConversion.record(waiting, allowedRegions(waiting.exchange()), nowMs);
+    /** Returns the description of a waiting request; empty if it may run in no known region. */
+    Optional<StartRecords.Request> record(ServiceStarts.WaitingStart waiting, long nowMs) {
+        return Optional.of(allowedRegions(waiting.exchange()))
+                .filter(allowed -> !allowed.allowsNone())
+                .map(allowed -> StartConversion.record(waiting, allowed, nowMs));
     }
 
-    /** Returns the regions that may run the request. */
+    /** Returns the regions that may run the request, without those where it was tried. */
     private AllowedRegions allowedRegions(GatewayExchange exchange) {
         if (exchange.triedRegions().isEmpty()) {
             return exchange.allowedRegions();
         }
-        GatewaySnapshot snapshot = mContext.snapshot().get();
-        List<RegionId> allowed =
-                snapshot.acceptingByRegion().keySet().stream().filter(exchange::mayRunIn).toList();
-        // An empty list would allow any region.
-        return AllowedRegions.only(allowed.isEmpty() ? List.of(snapshot.self().region()) : allowed);
+        List<RegionId> accepting =
+                mContext.snapshot().get().acceptingByRegion().keySet().stream()
+                        .filter(exchange::mayRunIn)
+                        .toList();
+        // An instance that stops accepts no requests, but still runs those that it has.
+        return AllowedRegions.only(
+                accepting.isEmpty() && exchange.mayRunIn(region()) ? List.of(region()) : accepting);
     }
 
     /** Starts, forwards or refuses a request as decided. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/RequestDispatcher.java
@@ -88,10 +88,14 @@
         }
     }
 
-    /** Starts or queues the request; if others of its service already wait, it joins the queue. */
+    /**
+     * Starts or queues the request; if others of its service already wait, it joins the queue. One
+     * that may run nowhere does not wait for them, as the router refuses it.
+     */
     void submitUnscheduled(GatewayExchange exchange) {
         ServiceQueue queue = queue(exchange.service());
-        if (queue.mWaiting.size() > 0) {
+        if (queue.mWaiting.size() > 0
+                && mRegions.regionIds().stream().anyMatch(exchange::mayRunIn)) {
             enqueue(exchange, queue);
             schedulePump(exchange.service());
         } else {
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ServiceStarts.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ServiceStarts.java
@@ -160,12 +160,18 @@
         long nowMs = mContext.nowMs();
         mLastSentMs = nowMs;
         List<StartRecords.Request> records = new ArrayList<>(mUnsent.size());
+        List<WaitingStart> withoutRegion = new ArrayList<>();
         for (WaitingStart waiting : mUnsent) {
-            records.add(mExecutor.record(waiting, nowMs));
+            mExecutor
+                    .record(waiting, nowMs)
+                    .ifPresentOrElse(records::add, () -> withoutRegion.add(waiting));
         }
-        mUnsent = new ArrayList<>();
-        mReports.sendBeforeRequests(scheduler.get());
-        mNetwork.send(scheduler.get(), new PeerMessage.StartRequests(mService, records));
+        mUnsent = new ArrayList<>(withoutRegion);
+        if (!records.isEmpty()) {
+            mReports.sendBeforeRequests(scheduler.get());
+            mNetwork.send(scheduler.get(), new PeerMessage.StartRequests(mService, records));
+        }
+        withoutRegion.forEach(this::routeHere);
     }
 
     /** Handles decisions, also of an instance that is no longer asked. */
@@ -291,14 +297,16 @@
                 "No scheduler answers; requests are routed without one.",
                 LogField.of("service", mService),
                 LogField.of("waiting", mWaiting.size()));
-        for (WaitingStart waiting : List.copyOf(mWaiting.values())) {
-            if (mWaiting.containsKey(waiting.number())) {
-                withdraw(waiting);
-                mContext.metrics().countRoutedWithoutScheduler(mService);
-                mContext.runStep(
-                        waiting.exchange(),
-                        () -> mContext.unscheduledRouter().accept(waiting.exchange()));
-            }
+        List.copyOf(mWaiting.values()).forEach(this::routeHere);
+    }
+
+    private void routeHere(WaitingStart waiting) {
+        if (mWaiting.containsKey(waiting.number())) {
+            withdraw(waiting);
+            mContext.metrics().countRoutedWithoutScheduler(mService);
+            mContext.runStep(
+                    waiting.exchange(),
+                    () -> mContext.unscheduledRouter().accept(waiting.exchange()));
         }
     }
 
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StartConversion.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/StartConversion.java
@@ -43,9 +43,16 @@
         return new StartRecords.Prompt(parts, prompt.promptTokens(), prompt.outputTokens());
     }
 
-    /** Returns the record of a request that waits. */
+    /**
+     * Returns the record of a request that waits.
+     *
+     * @param allowedRegions where it may run; at least one region, as an empty list means any
+     */
     static StartRecords.Request record(
             ServiceStarts.WaitingStart waiting, AllowedRegions allowedRegions, long nowMs) {
+        if (allowedRegions.allowsNone()) {
+            throw new IllegalArgumentException("A request that may run nowhere has no record.");
+        }
         GatewayExchange exchange = waiting.exchange();
         return new StartRecords.Request(
                 waiting.number(),
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisherTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeFinisherTest.java
@@ -29,7 +29,10 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
-/** Tests what a caller gets when a step at the end of its request raises an exception. */
+/**
+ * Tests what a caller gets when a step at the end of its request raises an exception, and that a
+ * forwarded request which may run nowhere is refused.
+ */
 public class GatewayExchangeFinisherTest {
 
     private static final PeerAddress ADDRESS = new PeerAddress("127.0.0.1", 1);
@@ -77,6 +80,10 @@
     }
 
     private GatewayExchange exchange(GatewayResponseSink sink) {
+        return exchange(sink, AllowedRegions.any());
+    }
+
+    private GatewayExchange exchange(GatewayResponseSink sink, AllowedRegions allowedRegions) {
         RouteRule route =
                 new RouteRule(
                         "r",
@@ -91,7 +98,7 @@
                         1,
                         false,
                         false,
-                        AllowedRegions.any());
+                        allowedRegions);
         RequestHead head =
                 new RequestHead(
                         "a1",
@@ -138,6 +145,23 @@
         assertEquals(mSent, List.of("abort"));
     }
 
+    /** Guards against a request that waits, and is told to come back, though no home allows it. */
+    @Test
+    public void forwardedRequestWithoutAHomeInCommonIsAdmitted() {
+        Admission admission =
+                new Admission(
+                        mVertx,
+                        null,
+                        null,
+                        mFinisher,
+                        exchange -> mSent.add("run"),
+                        exchange -> mSent.add("admitted"));
+        admission.admitForwarded(
+                exchange(new RecordingSink(false), AllowedRegions.only(List.of())));
+
+        assertEquals(mSent, List.of("503"));
+    }
+
     /** Raises an exception when it is cancelled. */
     private static final class FailingAttempt implements Attempt {
 
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/RequestDispatcherTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/RequestDispatcherTest.java
@@ -80,6 +80,10 @@
     }
 
     private static GatewayExchange exchangeThatArrived(long agoMs) {
+        return exchangeThatArrived(agoMs, AllowedRegions.any());
+    }
+
+    private static GatewayExchange exchangeThatArrived(long agoMs, AllowedRegions allowedRegions) {
         RouteRule route =
                 new RouteRule(
                         "r",
@@ -94,7 +98,7 @@
                         2,
                         false,
                         true,
-                        AllowedRegions.any());
+                        allowedRegions);
         RequestHead head =
                 new RequestHead(
                         "a1",
@@ -156,6 +160,19 @@
         assertEquals(mDispatcher.waiting(), 0);
     }
 
+    /** Guards against a request that waits behind others although it may run nowhere. */
+    @Test
+    public void aRequestThatMayRunNowhereWaitsBehindOthers() {
+        endpoint().requestStarted(false);
+        mDispatcher.submit(exchangeThatArrived(0));
+        GatewayExchange nowhere = exchangeThatArrived(0, AllowedRegions.only(List.of()));
+        nowhere.setRetryAfterMs(1_700);
+        mDispatcher.submit(nowhere);
+
+        assertEquals(mDispatcher.waiting(), 1);
+        assertEquals(onlyRefusal(), GatewayRefusal.unavailable(1_700));
+    }
+
     @Test
     public void noRefusalTellsCallersToComeBackAtOnce() {
         limitEndpoint(5);
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StartClientTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/StartClientTest.java
@@ -516,6 +516,22 @@
         assertEquals(mEvents, List.of("failed", "start e-1"));
     }
 
+    /** Guards against a scheduler that starts a request which may run in no region any more. */
+    @Test
+    public void aRequestThatMayRunNowhereIsSentToAScheduler() {
+        GatewayExchange other = exchange();
+        mClient.submit(mExchange);
+        mClient.submit(other);
+        mExchange.triedRegions().addAll(List.of(REGION, OTHER_REGION));
+        run(5);
+
+        assertEquals(requestsTo(lastAsked()).size(), 1);
+        assertEquals(mEvents, List.of("routed"));
+        assertFalse(mExchange.queued());
+        assertFalse(mClient.submit(mExchange));
+        assertTrue(other.queued());
+    }
+
     private record Sent(InstanceId to, PeerMessage message) {}
 
     private record Timer(long atMs, Runnable action) {}
