--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
@@ -7,7 +7,6 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
-import java.util.Optional;
 import org.filbertrudder.entry.log.ComponentLogger;
 import org.filbertrudder.entry.log.LogField;
 import org.filbertrudder.entry.traffic.HeadBudgetHandler;
@@ -16,7 +15,6 @@
 import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
-import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Json;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.message.Member;
@@ -175,34 +173,29 @@
                 .end(mProtocol.formatDirectoryResponse(addresses, DIRECTORY_VALID_MS));
     }
 
-    /**
-     * Returns the instances of the caller's region that accept new requests; if there are none,
-     * those in the allowed regions of the host.
-     */
     private static List<Member> candidateInstances(
             GatewaySnapshot snapshot, RegionId region, String host) {
-        List<Member> regionMembers = snapshot.membersAcceptingWorkIn(region);
-        if (!regionMembers.isEmpty()) {
-            return regionMembers;
+        DirectoryChoice choice =
+                DirectoryChoice.of(
+                        snapshot.configuration(), snapshot.acceptingByRegion(), region, host);
+        if (!choice.inRegion()) {
+            logReferral(snapshot, region, host, choice);
         }
+        return choice.members();
+    }
+
+    private static void logReferral(
+            GatewaySnapshot snapshot, RegionId region, String host, DirectoryChoice choice) {
         GatewayConfiguration configuration = snapshot.configuration();
-        AllowedRegions allowedRegions =
-                Optional.ofNullable(configuration)
-                        .flatMap(each -> each.allowedRegionsOf(host))
-                        .orElse(AllowedRegions.any());
-        List<Member> acceptingMembers =
-                snapshot.members().stream().filter(Member::acceptsNewRequests).toList();
-        List<Member> allowedMembers =
-                acceptingMembers.stream()
-                        .filter(member -> allowedRegions.allows(member.region()))
-                        .toList();
         LOG.info(
-                "The directory refers a caller to another region.",
+                choice.allowedRegions().isPresent()
+                        ? "The directory refers a caller to another region."
+                        : "The directory has no instance to name.",
                 LogField.of("host", host),
                 LogField.of("region", region),
-                LogField.of("homes", allowedRegions),
-                LogField.of("instances", allowedMembers.stream().map(Member::id).toList()),
-                LogField.of("known", snapshot.members().size()));
-        return allowedMembers;
+                LogField.of("homes", choice.allowedRegions().orElse(null)),
+                LogField.of("instances", choice.members().stream().map(Member::id).toList()),
+                LogField.of("known", snapshot.members().size()),
+                LogField.of("version", configuration == null ? null : configuration.version()));
     }
 }
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/GatewayExchangeTest.java
@@ -16,6 +16,7 @@
 import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
+import org.filbertrudder.policy.routing.PromptDemand;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -28,7 +29,8 @@
         return AllowedRegions.only(Stream.of(names).map(RegionId::of).toList());
     }
 
-    private static GatewayExchange exchange(
+    /** Creates a request of an account, with the homes of its route and of the account. */
+    static GatewayExchange exchange(
             RequestKind kind,
             boolean resumable,
             boolean forwarded,
@@ -64,7 +66,7 @@
                         Optional.empty(),
                         OptionalLong.of(5_000),
                         Optional.empty(),
-                        Optional.empty(),
+                        Optional.of(new PromptDemand(List.of(), 100, 10)),
                         0,
                         Map.of());
         return new GatewayExchange(
