Forwards: a request is sent only to the member it was started for, also if its address was given to another

If an address belonged to another instance by the time a link was opened (a machine replaced, an id or region started anew there), a forwarded request went to that instance with its body, maybe in a region that the request may not reach. The receiver checks its own region before it runs a request, so callers would have seen refusals rather than answers from elsewhere; the data would have been there all the same. Requests for two members at one address went by the death of the member that was named last, and a stray one renamed those that ran.

Cause: a session of forwards is kept by address. The greeting was asked only whether the process is the same, never for id and region; a ready link took whatever was started for the address.

Now each call knows its member. The session compares id and region with the greeting before it sends anything: what is meant for another member fails as NOT_RUN and is logged as "other member", with who has answered from where. A link that suits neither a call nor the last member is closed, and the process before is forgotten, so that nothing is announced to the wrong instance again and again. An idle link of another member is closed as well, as it would stay in the way of the right one. Calls that were sent are handled as before ("other process"). States of members count for their own calls.

Older releases (life 0) name themselves in the greeting too, so they are compared in the same way. A greeting without a member is a protocol error at each connection; the session now sends nothing on it, as on a link without a greeting.

The servers now greet by the name under which they are addressed, as real instances do; no check is changed.

--- a/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ForwardedRequestTest.java
+++ b/filbertrudder-entry/src/test/java/org/filbertrudder/entry/traffic/ForwardedRequestTest.java
@@ -75,10 +75,10 @@
 
     private void connect(boolean clientResumes, boolean serverResumes) throws Exception {
         mResumable = clientResumes && serverResumes;
-        mServerNetwork = network(serverResumes);
+        mServerNetwork = network("server", serverResumes);
         int port = mServerNetwork.listen("127.0.0.1", 0).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         mServerMember = member("server", port);
-        mClientNetwork = network(clientResumes);
+        mClientNetwork = network("client", clientResumes);
         call(this::createForwards);
     }
 
@@ -116,13 +116,13 @@
         return new ForwardClient(mContext, context, new LinkAvailability(context, 1), links);
     }
 
-    private PeerNetwork network(boolean resumes) {
+    private PeerNetwork network(String id, boolean resumes) {
         PeerNetwork network =
                 new PeerNetwork(
                         mVertx,
                         mContext,
                         PeerSecurity.plainText(),
-                        () -> member("client", 1),
+                        () -> member(id, 1),
                         this::receive,
                         error -> {});
         if (!resumes) {
--- a/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
+++ b/filbertrudder-gateway/src/test/java/org/filbertrudder/gateway/traffic/EndedForwardsTest.java
@@ -64,10 +64,11 @@
         mBodies = new HeldBytes(MAX_HELD_BYTES);
         mWaiting = new CompletableFuture<>();
         mServer = server();
-        mServerNetwork = network((connection, message) -> receive(connection, message));
+        mServerNetwork = network("server", (connection, message) -> receive(connection, message));
         int port = mServerNetwork.listen("127.0.0.1", 0).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         mServerMember = member("server", port);
-        mClientNetwork = network((connection, message) -> mClient.handle(connection, message));
+        mClientNetwork =
+                network("client", (connection, message) -> mClient.handle(connection, message));
         mClient = new GatewayForwardClient(mClientNetwork::withConnection);
         mVertx.setPeriodic(TICK_MS, timer -> mContext.runOnContext(ignored -> tick()));
         assertEquals(outcomeOf("/refused"), "head 503, end");
@@ -102,12 +103,12 @@
         mServer.handle(connection, message);
     }
 
-    private PeerNetwork network(PeerHandler handler) {
+    private PeerNetwork network(String id, PeerHandler handler) {
         return new PeerNetwork(
                 mVertx,
                 mContext,
                 PeerSecurity.plainText(),
-                () -> member("client", 1),
+                () -> member(id, 1),
                 handler,
                 error -> {});
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardCall.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardCall.java
@@ -2,6 +2,7 @@
 
 import java.util.function.BooleanSupplier;
 import org.filbertrudder.model.message.ForwardRecords;
+import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.PeerMessage;
 
 /** Represents a forwarded request at the instance that forwards it. */
@@ -11,6 +12,7 @@
     private static final long CREDIT_STEP_BYTES = 64 * 1024;
 
     private final SenderSession mSession;
+    private final Member mMember;
     private final BooleanSupplier mRepeatable;
     private final ForwardListener mListener;
     private final long mStream;
@@ -24,16 +26,28 @@
 
     ForwardCall(
             SenderSession session,
+            Member member,
             PeerMessage.ForwardStart message,
             BooleanSupplier repeatable,
             ForwardListener listener) {
         mSession = session;
+        mMember = member;
         mStream = message.stream();
         mUnsent = message;
         mRepeatable = repeatable;
         mListener = listener;
     }
 
+    /** Returns the member to which the request is forwarded. */
+    Member member() {
+        return mMember;
+    }
+
+    /** Returns whether the request may be sent to an instance that names itself so. */
+    boolean isMeantFor(Member peer) {
+        return SenderSession.isSameInstance(mMember, peer);
+    }
+
     long stream() {
         return mStream;
     }
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/ForwardSender.java
@@ -20,7 +20,8 @@
  * Forwards requests to other instances and receives the responses.
  *
  * <p>A request outlives the link over which it was sent: it goes on over the next link to the same
- * process. Call all methods on one thread.
+ * process. It is sent to no other instance than the one it was started for, also if another one has
+ * got its address. Call all methods on one thread.
  */
 public final class ForwardSender {
 
@@ -82,9 +83,9 @@
                 mSessions.computeIfAbsent(
                         PeerAddress.ofForwards(member),
                         address -> new SenderSession(this, address, mClockMs));
-        session.setMember(member.id());
         ForwardCall call =
-                new ForwardCall(session, request.apply(mNextStream++), repeatable, listener);
+                new ForwardCall(
+                        session, member, request.apply(mNextStream++), repeatable, listener);
         session.add(call);
         return call;
     }
@@ -143,9 +144,7 @@
     public void membersChanged(List<Member> members) {
         Map<InstanceId, MemberState> states = new HashMap<>();
         members.forEach(member -> states.put(member.id(), member.state()));
-        for (SenderSession session : List.copyOf(mSessions.values())) {
-            session.memberChanged(states.get(session.member()));
-        }
+        List.copyOf(mSessions.values()).forEach(session -> session.membersChanged(states));
     }
 
     ForwardLinks links() {
--- a/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
+++ b/filbertrudder-peer/src/main/java/org/filbertrudder/peer/forwarding/SenderSession.java
@@ -10,15 +10,17 @@
 import java.util.function.Predicate;
 import org.filbertrudder.model.InstanceId;
 import org.filbertrudder.model.message.ForwardRecords;
+import org.filbertrudder.model.message.Member;
 import org.filbertrudder.model.message.MemberState;
 import org.filbertrudder.model.message.PeerMessage;
 import org.filbertrudder.policy.membership.PeerAddress;
 
 /**
- * Holds the requests that are forwarded to one instance, over one link after the other.
+ * Holds the requests that are forwarded to one address, over one link after the other.
  *
  * <p>When a link closes or falls silent, the requests wait for the next one, on which the session
- * states what it has received of each response.
+ * states what it has received of each response. An address may be given to another instance, so
+ * that each link is compared with the members for which the requests are meant.
  */
 final class SenderSession {
 
@@ -57,7 +59,10 @@
     private final PeerAddress mAddress;
     private final Map<Long, ForwardCall> mCalls = new LinkedHashMap<>();
     private final Deque<Long> mKeepAlivesMs = new ArrayDeque<>();
-    private InstanceId mMember;
+
+    /** The member that was greeted last, or is to be greeted next if no request was sent to it. */
+    private Member mMember;
+
     private boolean mMemberDead;
     private ForwardLink mLink;
     private boolean mOpening;
@@ -93,12 +98,14 @@
         mIdleSinceMs = clockMs.getAsLong();
     }
 
-    void setMember(InstanceId member) {
-        mMember = member;
+    /** Returns whether two descriptions are of one instance, in the same region. */
+    static boolean isSameInstance(Member one, Member other) {
+        return one.id().equals(other.id()) && one.region().equals(other.region());
     }
 
-    InstanceId member() {
-        return mMember;
+    private void setMember(Member member) {
+        mMemberDead &= mMember != null && mMember.id().equals(member.id());
+        mMember = member;
     }
 
     void add(ForwardCall call) {
@@ -106,6 +113,17 @@
             call.fail(ForwardListener.Failure.NOT_RUN);
             return;
         }
+        if (mReady && !call.isMeantFor(mLink.peerMember())) {
+            Member peer = mLink.peerMember();
+            if (mCalls.isEmpty()) {
+                mLink.close();
+            }
+            failMisdirected(peer, List.of(call));
+            return;
+        }
+        if (!mReady && calls(ForwardCall::isSent).isEmpty()) {
+            setMember(call.member());
+        }
         mCalls.put(call.stream(), call);
         if (mReady) {
             call.send(mLink, mSender.translation());
@@ -160,12 +178,28 @@
 
     /** Handles the hello message of the other instance, which tells whether it is the same. */
     void greeted() {
-        if (mReady || mLink == null) {
+        if (mReady || mLink == null || mLink.peerMember() == null) {
             return;
         }
+        Member peer = mLink.peerMember();
         boolean sameProcess = mLink.peerLife() != 0 && mLink.peerLife() == mLife;
         List<ForwardCall> lost = sameProcess ? List.of() : calls(ForwardCall::isSent);
+        List<ForwardCall> misdirected = calls(call -> !call.isSent() && !call.isMeantFor(peer));
         exclude(lost);
+        exclude(misdirected);
+        if (sameProcess || !mCalls.isEmpty() || isSameInstance(mMember, peer)) {
+            setMember(peer);
+            begin(sameProcess);
+        } else {
+            forgetProcess();
+            mLink.close();
+        }
+        failLogged("other process", lost);
+        failMisdirected(peer, misdirected);
+    }
+
+    /** Sends what is meant for the instance at the other end of the link. */
+    private void begin(boolean sameProcess) {
         mKnown &= sameProcess;
         mAnswerDelayMs = sameProcess ? mAnswerDelayMs : 0;
         mLife = mLink.peerLife();
@@ -186,7 +220,7 @@
                         "Forwarded requests go on over another connection.",
                         Map.of(
                                 "member",
-                                mMember,
+                                mMember.id(),
                                 "requests",
                                 open.size(),
                                 "afterMs",
@@ -194,7 +228,15 @@
             }
         }
         calls(call -> !call.isSent()).forEach(call -> call.send(mLink, mSender.translation()));
-        failLogged("other process", lost);
+    }
+
+    /** Forgets the process that was linked before, which can no longer be reached here. */
+    private void forgetProcess() {
+        mLife = 0;
+        mKnown = false;
+        mStale = false;
+        mEndUnconfirmed = false;
+        mAnswerDelayMs = 0;
     }
 
     /** Handles the close of the link. */
@@ -257,20 +299,25 @@
     }
 
     /**
-     * Ends what waits for a member that is suspected or dead.
+     * Ends what waits for members that are suspected or dead.
      *
-     * @param state null if the member is no longer known
+     * @param states the states of the known members
      */
-    void memberChanged(MemberState state) {
+    void membersChanged(Map<InstanceId, MemberState> states) {
+        MemberState state = mMember == null ? null : states.get(mMember.id());
         mMemberDead = state == MemberState.DEAD || state == null && mMemberDead;
-        if (state == MemberState.SUSPECT || state == MemberState.DEAD) {
-            failAll(call -> !call.isSent(), ForwardListener.Failure.NOT_RUN);
-        }
+        failAll(
+                call -> !call.isSent() && isSuspectOrDead(states.get(call.member().id())),
+                ForwardListener.Failure.NOT_RUN);
         if (state == MemberState.DEAD && !mReady) {
             failLogged("member DEAD", calls(ForwardCall::isSent));
         }
     }
 
+    private static boolean isSuspectOrDead(MemberState state) {
+        return state == MemberState.SUSPECT || state == MemberState.DEAD;
+    }
+
     /** Watches the link, or opens another one. */
     void tick(long nowMs, long heldUpMs) {
         excludeHoldUp(nowMs, heldUpMs);
@@ -343,7 +390,7 @@
         mStale = mLife != 0;
         mSender.log(
                 "A silent connection of forwarded requests is replaced.",
-                Map.of("member", mMember, "requests", mCalls.size(), "silentMs", silentMs));
+                Map.of("member", mMember.id(), "requests", mCalls.size(), "silentMs", silentMs));
         mLink.close();
     }
 
@@ -360,7 +407,7 @@
                     "Forwarded requests are given up.",
                     Map.of(
                             "member",
-                            mMember,
+                            calls.get(0).member().id(),
                             "reason",
                             reason,
                             "requests",
@@ -375,6 +422,29 @@
         }
     }
 
+    /** Fails requests that were not sent, as another instance than theirs is at the address. */
+    private void failMisdirected(Member peer, List<ForwardCall> calls) {
+        if (!calls.isEmpty()) {
+            Member member = calls.get(0).member();
+            mSender.log(
+                    "Forwarded requests are given up.",
+                    Map.of(
+                            "member",
+                            member.id(),
+                            "region",
+                            member.region(),
+                            "reason",
+                            "other member",
+                            "requests",
+                            calls.size(),
+                            "answeredBy",
+                            String.valueOf(peer.id()),
+                            "answeredIn",
+                            String.valueOf(peer.region())));
+            calls.forEach(call -> call.fail(ForwardListener.Failure.NOT_RUN));
+        }
+    }
+
     private void failAll(Predicate<ForwardCall> condition, ForwardListener.Failure failure) {
         List<ForwardCall> calls = calls(condition);
         exclude(calls);
