Tests: fixtures wait until each region's directory lists the instances

Cause: the fixtures asked for a host without routes in a region without instances, for which the directory names nobody now; the host of the fleet has a route with a home, so it lists only that region's instances there. Change: they ask for each region of the fleet and count distinct addresses, which must be as many as there are instances, as before.

--- a/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
+++ b/filbertrudder-scenarios/src/main/java/org/filbertrudder/scenarios/platform/PlatformFleet.java
@@ -1,13 +1,16 @@
 package org.filbertrudder.scenarios.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Vertx;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.TimeUnit;
@@ -408,6 +411,22 @@
         homes.forEach(owner.putArray("homeRegions")::add);
     }
 
+    /** Returns the addresses that a directory names to the callers of the given regions. */
+    public static Set<String> listedInstances(
+            PlatformClient directory, Collection<String> regions) {
+        Set<String> addresses = new TreeSet<>();
+        for (String region : regions) {
+            PlatformClient.Response response =
+                    directory.get("/resolve?name=" + HOST + "&region=" + region + "&zone=none");
+            if (response.status() == 200) {
+                Json.read(response.body(), JsonNode.class)
+                        .path("addrs")
+                        .forEach(each -> addresses.add(each.asText()));
+            }
+        }
+        return addresses;
+    }
+
     /** Waits until a condition is true; fails after 20 s. */
     public static void await(String description, BooleanSupplier condition) {
         long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_TIMEOUT_MS);
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/PlatformFleetTest.java
@@ -57,15 +57,9 @@
         PlatformClient client = mFleet.directoryClient(gateway);
         PlatformFleet.await(
                 gateway + " lists the other instances",
-                () -> {
-                    String body =
-                            client.get(
-                                            "/resolve?name="
-                                                    + PlatformFleet.HOST
-                                                    + "&region=none&zone=none")
-                                    .body();
-                    return body.split("127.0.0.1").length - 1 == otherInstanceCount + 1;
-                });
+                () ->
+                        PlatformFleet.listedInstances(client, List.of("mtl", "sag")).size()
+                                == otherInstanceCount + 1);
     }
 
     private static void assertCompleteStream(PlatformClient.Response response) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ScheduledStartTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/ScheduledStartTest.java
@@ -44,11 +44,8 @@
         PlatformFleet.await(
                 gateway + " lists all instances",
                 () ->
-                        client.get("/resolve?name=" + PlatformFleet.HOST + "&region=none&zone=none")
-                                        .body()
-                                        .split("127.0.0.1")
-                                        .length
-                                > GATEWAYS.size());
+                        PlatformFleet.listedInstances(client, List.of("mtl", "sag")).size()
+                                == GATEWAYS.size());
     }
 
     private List<PlatformClient.Response> sendThrough(List<String> gateways) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/SchedulerFailureTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/SchedulerFailureTest.java
@@ -246,14 +246,8 @@
             PlatformFleet.await(
                     process.id() + " lists all instances",
                     () ->
-                            client.get(
-                                                    "/resolve?name="
-                                                            + PlatformFleet.HOST
-                                                            + "&region=none&zone=none")
-                                            .body()
-                                            .split(LimitSoak.addressPrefix())
-                                            .length
-                                    > mProcesses.size());
+                            PlatformFleet.listedInstances(client, List.of("mtl", "sag")).size()
+                                    == mProcesses.size());
         }
     }
 
