Homes: a waiting request runs in a former home after a change

Callers saw: a request that waits, is repeated or resumed while a change moves its route or its account to other regions runs in the former home, although its instance has the change in force. Cause: route and account were kept from the arrival of a request, and with them its allowed regions. Test: OutdatedHomesTest.waitingRequestRunsInAFormerHomeAfterAChange failed before for the homes of a route and of an account: 'The request reached a former home; answered: Response[status=200, body={"by":"desk-sag"...'. Why it works: the allowed regions of a request are looked up in the configuration in force at each decision and again when the connection to the endpoint is open. One that may run in no region any more is refused, not run; the caller's next request is taken by the new version. Not covered: a request whose message waits for a connection to another instance, at most about a second.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.StringJoiner;
+import java.util.function.Supplier;
 import org.filbertrudder.entry.control.TokenGrant;
 import org.filbertrudder.gateway.config.AccountRule;
+import org.filbertrudder.gateway.config.GatewayConfiguration;
 import org.filbertrudder.gateway.config.RequestKind;
 import org.filbertrudder.gateway.config.RouteRule;
 import org.filbertrudder.gateway.control.GatewayControl;
@@ -62,6 +64,12 @@
     private final long mDeadlineMs;
     private final Set<EndpointId> mTriedEndpoints = new HashSet<>();
     private final Set<RegionId> mTriedRegions = new HashSet<>();
+    private Supplier<GatewayConfiguration> mConfiguration = () -> null;
+
+    /** The configuration from which the allowed regions were taken; null for the arrival's. */
+    private GatewayConfiguration mRegionsSource;
+
+    private AllowedRegions mAllowedRegions;
     private final List<Runnable> mOnEnd = new ArrayList<>();
     private final StringBuilder mTraceSteps = new StringBuilder();
     private final StringJoiner mSendStates = new StringJoiner(" ");
@@ -103,6 +111,7 @@
         mArrivedMs = arrivedMs;
         mDeadlineMs =
                 arrivedMs + Math.min(route.timeoutMs(), head.deadlineMs().orElse(Long.MAX_VALUE));
+        mAllowedRegions = allowedRegions(route, account);
     }
 
     RequestHead head() {
@@ -224,16 +233,38 @@
         return mAccount.flatMap(AccountRule::priority).orElse(mRoute.priority());
     }
 
+    /**
+     * Takes the allowed regions from the configuration in force from now on: a request that waits
+     * or is sent again must not follow a version that has been replaced since its arrival.
+     */
+    void followConfiguration(Supplier<GatewayConfiguration> configuration) {
+        mConfiguration = configuration;
+    }
+
     boolean mayRunIn(RegionId region) {
-        return !mTriedRegions.contains(region)
-                && mRoute.allowsRegion(region)
-                && mAccount.map(account -> account.allowsRegion(region)).orElse(true);
+        return !mTriedRegions.contains(region) && allowedRegions().allows(region);
     }
 
-    /** Returns the regions that both the account and the route allow. */
+    /** Returns the regions that the route and the account allow by the configuration in force. */
     AllowedRegions allowedRegions() {
-        return mRoute.allowedRegions()
-                .and(mAccount.map(AccountRule::allowedRegions).orElse(AllowedRegions.any()));
+        GatewayConfiguration configuration = mConfiguration.get();
+        if (configuration != null && configuration != mRegionsSource) {
+            mRegionsSource = configuration;
+            mAllowedRegions =
+                    allowedRegions(
+                            configuration.route(mHead.host(), path()).orElse(mRoute),
+                            mAccount.map(known -> configuration.account(known.id()).orElse(known)));
+        }
+        return mAllowedRegions;
+    }
+
+    private static AllowedRegions allowedRegions(RouteRule route, Optional<AccountRule> account) {
+        return route.allowedRegions()
+                .and(account.map(AccountRule::allowedRegions).orElse(AllowedRegions.any()));
+    }
+
+    private String path() {
+        return mUri.split("\\?", 2)[0];
     }
 
     /** Returns whether the route and the account allow no region in common. */
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayTrafficVerticle.java
@@ -336,6 +336,7 @@
         mMetrics.counter(exchange.forwarded() ? "requests_forwarded_here" : "requests_received")
                 .inc();
         mActive.add(exchange);
+        exchange.followConfiguration(() -> mControl.snapshot().configuration());
         long remainingMs = Math.max(1, exchange.deadlineMs() - Clocks.steadyMs());
         long timer = vertx.setTimer(remainingMs, ignored -> timeOut(exchange));
         exchange.onEnd(
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -96,6 +96,12 @@
                             : GatewayRefusal.stateOutdated());
             return;
         }
+        if (!mExchange.mayRunIn(mEndpoint.endpoint().region())) {
+            mExchange.trace("moved");
+            withdraw(connection);
+            mRunner.dispatcher().submit(mExchange);
+            return;
+        }
         Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(mExchange);
         if (refusedPart.isPresent()) {
             withdraw(connection);
