Homes: a dropped route or a moved key lifts the homes of a request that waits

Cause: the regions in force were those of whatever route matches the path now, and of the account at the arrival only. Why it works: another route than that of the arrival only adds to its restrictions, and so does the account that holds the key now.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/GatewayExchange.java
@@ -66,7 +66,7 @@
     private final Set<RegionId> mTriedRegions = new HashSet<>();
     private Supplier<GatewayConfiguration> mConfiguration = () -> null;
 
-    /** The configuration from which the allowed regions were taken; null for the arrival's. */
+    /** The configuration of the allowed regions; null for the one in force at the arrival. */
     private GatewayConfiguration mRegionsSource;
 
     private AllowedRegions mAllowedRegions;
@@ -111,7 +111,9 @@
         mArrivedMs = arrivedMs;
         mDeadlineMs =
                 arrivedMs + Math.min(route.timeoutMs(), head.deadlineMs().orElse(Long.MAX_VALUE));
-        mAllowedRegions = allowedRegions(route, account);
+        mAllowedRegions =
+                route.allowedRegions()
+                        .and(account.map(AccountRule::allowedRegions).orElse(AllowedRegions.any()));
     }
 
     RequestHead head() {
@@ -250,17 +252,31 @@
         GatewayConfiguration configuration = mConfiguration.get();
         if (configuration != null && configuration != mRegionsSource) {
             mRegionsSource = configuration;
-            mAllowedRegions =
-                    allowedRegions(
-                            configuration.route(mHead.host(), path()).orElse(mRoute),
-                            mAccount.map(known -> configuration.account(known.id()).orElse(known)));
+            mAllowedRegions = routeRegions(configuration).and(accountRegions(configuration));
         }
         return mAllowedRegions;
     }
 
-    private static AllowedRegions allowedRegions(RouteRule route, Optional<AccountRule> account) {
-        return route.allowedRegions()
-                .and(account.map(AccountRule::allowedRegions).orElse(AllowedRegions.any()));
+    /** A request whose route is gone or divided keeps the regions of that route as well. */
+    private AllowedRegions routeRegions(GatewayConfiguration configuration) {
+        Optional<RouteRule> found = configuration.route(mHead.host(), path());
+        AllowedRegions regions = found.map(RouteRule::allowedRegions).orElse(AllowedRegions.any());
+        boolean isSameRoute =
+                found.filter(route -> route.pathPrefix().equals(mRoute.pathPrefix())).isPresent();
+        return isSameRoute ? regions : regions.and(mRoute.allowedRegions());
+    }
+
+    /** A request whose key has moved to another account keeps to the regions of both. */
+    private AllowedRegions accountRegions(GatewayConfiguration configuration) {
+        AllowedRegions ofKey =
+                mHead.apiKey()
+                        .flatMap(configuration::accountOfKey)
+                        .map(AccountRule::allowedRegions)
+                        .orElse(AllowedRegions.any());
+        return mAccount.map(known -> configuration.account(known.id()).orElse(known))
+                .map(AccountRule::allowedRegions)
+                .map(ofKey::and)
+                .orElse(AllowedRegions.any());
     }
 
     private String path() {
