Homes: a moved request goes on for a caller that has left; the directory's log names nobody

An attempt that ends because the homes changed while its connection was opened was submitted again without the checks that other attempts which were not executed pass, so that it could go on for a caller that had left. The directory logged a referral where it named nobody. Change: retryOrGiveUp decides, as for other attempts; the log line follows the instances named. Measured: GatewayExchangeTest, UnknownHomesTest and RequestDispatcherTest pass.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/LocalAttempt.java
@@ -99,7 +99,7 @@
         if (!mExchange.mayRunIn(mEndpoint.endpoint().region())) {
             mExchange.trace("moved");
             withdraw(connection);
-            mRunner.dispatcher().submit(mExchange);
+            mRunner.retryOrGiveUp(mExchange, GatewayRefusal.unavailable());
             return;
         }
         Optional<String> refusedPart = mDependencies.crashingParts().refusedPart(mExchange);
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
@@ -188,9 +188,9 @@
             GatewaySnapshot snapshot, RegionId region, String host, DirectoryChoice choice) {
         GatewayConfiguration configuration = snapshot.configuration();
         LOG.info(
-                choice.allowedRegions().isPresent()
-                        ? "The directory refers a caller to another region."
-                        : "The directory has no instance to name.",
+                choice.members().isEmpty()
+                        ? "The directory has no instance to name."
+                        : "The directory refers a caller to another region.",
                 LogField.of("host", host),
                 LogField.of("region", region),
                 LogField.of("homes", choice.allowedRegions().orElse(null)),
