--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/AccountRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/AccountRule.java
@@ -4,7 +4,6 @@
 import org.filbertrudder.model.AccountId;
 import org.filbertrudder.model.AllowedRegions;
 import org.filbertrudder.model.Contract;
-import org.filbertrudder.model.RegionId;
 
 /**
  * Holds the limits and regions of a client account.
@@ -24,11 +23,6 @@
         long defaultTokens,
         AllowedRegions allowedRegions) {
 
-    /** Returns whether the account's data may be processed in the region. */
-    public boolean allowsRegion(RegionId region) {
-        return allowedRegions.allows(region);
-    }
-
     /**
      * Returns how many units of the contract a request consumes.
      *
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/config/RouteRule.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import org.filbertrudder.model.AllowedRegions;
-import org.filbertrudder.model.RegionId;
 import org.filbertrudder.model.ServiceId;
 
 /**
@@ -48,11 +47,6 @@
         return kind == RequestKind.SAFE || (kind == RequestKind.STREAM && resumable);
     }
 
-    /** Returns whether the route's data may be processed in the region. */
-    public boolean allowsRegion(RegionId region) {
-        return allowedRegions.allows(region);
-    }
-
     /** Returns whether requests may be passed to the service. */
     public boolean isServedBy(ServiceId service) {
         return backends.stream()
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/control/GatewayControl.java
@@ -438,7 +438,10 @@
         return mStateFreshness.ageMs(Clocks.now()) < maxAgeMs;
     }
 
-    /** Returns whether the state was confirmed so recently that API keys may be trusted. */
+    /**
+     * Returns whether the state was confirmed so recently that API keys may be trusted; may be
+     * called from any thread.
+     */
     public boolean mayTrustKeys() {
         return mStateFreshness.isFresh(Clocks.now());
     }
--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/Admission.java
@@ -59,22 +59,20 @@
 
     /** Admits a request of a caller. */
     void admit(GatewayExchange exchange) {
-        if (exchange.hasNoCommonRegion()) {
-            mFinisher.refuse(exchange, GatewayRefusal.noCommonRegion());
-            return;
-        }
-        awaitConfirmedState(
-                exchange, () -> checkCrashReports(exchange, () -> reserveTokens(exchange)));
+        admit(exchange, () -> reserveTokens(exchange));
     }
 
     /** Admits a request that another instance has admitted and forwarded. */
     void admitForwarded(GatewayExchange exchange) {
+        admit(exchange, () -> mDispatch.accept(exchange));
+    }
+
+    private void admit(GatewayExchange exchange, Runnable next) {
         if (exchange.hasNoCommonRegion()) {
             mFinisher.refuse(exchange, GatewayRefusal.noCommonRegion());
             return;
         }
-        awaitConfirmedState(
-                exchange, () -> checkCrashReports(exchange, () -> mDispatch.accept(exchange)));
+        awaitConfirmedState(exchange, () -> checkCrashReports(exchange, next));
     }
 
     private void awaitConfirmedState(GatewayExchange exchange, Runnable next) {
--- a/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/OutdatedHomesTest.java
+++ b/filbertrudder-scenarios/src/test/java/org/filbertrudder/scenarios/platform/OutdatedHomesTest.java
@@ -193,11 +193,7 @@
         String address = mFleet.settings("mtl-1").callerAddress().toString();
         PlatformFleet.await(
                 GATEWAY + " lists the other instance",
-                () ->
-                        directory
-                                .get("/resolve?name=x&region=mtl&zone=none")
-                                .body()
-                                .contains(address));
+                () -> PlatformFleet.listedInstances(directory, List.of("mtl")).contains(address));
     }
 
     private void awaitVersion(long version) {
