Logs: how old the knowledge of a directory's answer is

Measured: verify with formatter and linter; UnknownHomesTest, ExternalNamesTest, PlatformFleetTest and OutdatedHomesTest: 0 failed.

--- a/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
+++ b/filbertrudder-gateway/src/main/java/org/filbertrudder/gateway/traffic/ManagementVerticle.java
@@ -13,6 +13,7 @@
 import org.filbertrudder.entry.traffic.HeadRefusals;
 import org.filbertrudder.gateway.GatewaySettings;
 import org.filbertrudder.gateway.config.GatewayConfiguration;
+import org.filbertrudder.gateway.control.Clocks;
 import org.filbertrudder.gateway.control.GatewayControl;
 import org.filbertrudder.gateway.control.GatewaySnapshot;
 import org.filbertrudder.model.Json;
@@ -173,7 +174,7 @@
                 .end(mProtocol.formatDirectoryResponse(addresses, DIRECTORY_VALID_MS));
     }
 
-    private static List<Member> candidateInstances(
+    private List<Member> candidateInstances(
             GatewaySnapshot snapshot, RegionId region, String host) {
         DirectoryChoice choice =
                 DirectoryChoice.of(
@@ -184,7 +185,7 @@
         return choice.members();
     }
 
-    private static void logReferral(
+    private void logReferral(
             GatewaySnapshot snapshot, RegionId region, String host, DirectoryChoice choice) {
         GatewayConfiguration configuration = snapshot.configuration();
         LOG.info(
@@ -196,6 +197,7 @@
                 LogField.of("homes", choice.allowedRegions().orElse(null)),
                 LogField.of("instances", choice.members().stream().map(Member::id).toList()),
                 LogField.of("known", snapshot.members().size()),
-                LogField.of("version", configuration == null ? null : configuration.version()));
+                LogField.of("version", configuration == null ? null : configuration.version()),
+                LogField.of("stateAgeMs", mControl.stateFreshness().ageMs(Clocks.now())));
     }
 }
